--- /dev/null
+++ b/include/base/clock.h
@@ -0,0 +1,83 @@
+#ifndef INCLUDE_BASE_CLOCK_H_
+#define INCLUDE_BASE_CLOCK_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <limits>
+
+namespace toucanknot {
+
+// A length of time in whole milliseconds. May be negative.
+class Duration {
+ public:
+  constexpr Duration() = default;
+  constexpr explicit Duration(int64_t ms) : ms_(ms) {}
+
+  // A length longer than any the system uses.
+  static constexpr Duration Max() {
+    return Duration(std::numeric_limits<int64_t>::max() / 4);
+  }
+  static constexpr Duration Seconds(int64_t s) { return Duration(s * 1000); }
+
+  constexpr int64_t ms() const { return ms_; }
+  constexpr double seconds() const { return static_cast<double>(ms_) / 1000; }
+
+  constexpr auto operator<=>(const Duration&) const = default;
+  constexpr Duration operator+(Duration d) const {
+    return Duration(ms_ + d.ms_);
+  }
+  constexpr Duration operator-(Duration d) const {
+    return Duration(ms_ - d.ms_);
+  }
+  constexpr Duration operator*(int64_t n) const { return Duration(ms_ * n); }
+  constexpr Duration operator/(int64_t n) const { return Duration(ms_ / n); }
+
+ private:
+  int64_t ms_ = 0;
+};
+
+// A point on one process's monotonic clock, in milliseconds since an origin
+// that only this process knows. It never crosses the wire: ages and lifetimes
+// do, as Duration.
+class Instant {
+ public:
+  constexpr Instant() = default;
+  constexpr explicit Instant(int64_t ms) : ms_(ms) {}
+
+  // Later than every point the system reaches.
+  static constexpr Instant Never() {
+    return Instant(std::numeric_limits<int64_t>::max() / 2);
+  }
+
+  constexpr int64_t ms() const { return ms_; }
+
+  constexpr auto operator<=>(const Instant&) const = default;
+  constexpr Instant operator+(Duration d) const {
+    return Instant(ms_ + d.ms());
+  }
+  constexpr Instant operator-(Duration d) const {
+    return Instant(ms_ - d.ms());
+  }
+  constexpr Duration operator-(Instant t) const {
+    return Duration(ms_ - t.ms_);
+  }
+
+ private:
+  int64_t ms_ = 0;
+};
+
+// Where the shell gets the time from. The decision core never calls it: every
+// call into the core carries `now`.
+using ClockFn = std::function<Instant()>;
+
+// The process's monotonic clock.
+Instant SteadyNow();
+
+// Milliseconds since the Unix epoch. For what people read and for the ends of
+// exceptions, never for safety.
+int64_t UnixMillis();
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_BASE_CLOCK_H_
--- /dev/null
+++ b/include/base/endpoint.h
@@ -0,0 +1,28 @@
+#ifndef INCLUDE_BASE_ENDPOINT_H_
+#define INCLUDE_BASE_ENDPOINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace toucanknot {
+
+// A TCP address by IP number.
+struct Endpoint {
+  std::string ip;
+  uint16_t port = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+
+  // "127.0.0.1:80" or "[::1]:80".
+  std::string ToString() const;
+  // Reads what ToString() writes; nothing when `text` is not an IP number and
+  // a port from 1 to 65535.
+  static std::optional<Endpoint> Parse(std::string_view text);
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_BASE_ENDPOINT_H_
--- /dev/null
+++ b/include/base/enum_names.h
@@ -0,0 +1,35 @@
+#ifndef INCLUDE_BASE_ENUM_NAMES_H_
+#define INCLUDE_BASE_ENUM_NAMES_H_
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace toucanknot {
+
+// The table of names of an enum class whose values count up from 0 without
+// gaps. Names are what logs, JSON and the wire headers show.
+template <typename E, size_t N>
+struct EnumNames {
+  std::array<std::string_view, N> names;
+
+  // The name of `value`, or "?" when it is out of range.
+  constexpr std::string_view Name(E value) const {
+    const auto i = static_cast<size_t>(value);
+    return i < N ? names[i] : std::string_view("?");
+  }
+
+  // The value called `name`, or nothing.
+  constexpr std::optional<E> Parse(std::string_view name) const {
+    for (size_t i = 0; i < N; ++i) {
+      if (names[i] == name)
+        return static_cast<E>(i);
+    }
+    return std::nullopt;
+  }
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_BASE_ENUM_NAMES_H_
--- /dev/null
+++ b/include/steering/dispatcher.h
@@ -0,0 +1,176 @@
+#ifndef INCLUDE_STEERING_DISPATCHER_H_
+#define INCLUDE_STEERING_DISPATCHER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+#include "include/config/fleet_config.h"
+
+namespace toucanknot {
+
+// Why a request was refused. All of these mean "not run".
+enum class Refusal {
+  kNone,
+  // It cannot be answered within its deadline.
+  kDeadline,
+  // The service's queue at this host is full.
+  kQueueFull,
+  // No backend server of the service may take it.
+  kNoServer,
+  // The region is at its limit.
+  kRegionLimit,
+  // The link to the region that could serve it is at its limit.
+  kLinkLimit,
+  // The shift to another region is at its limit for this interval.
+  kShiftLimit,
+  // Its class of work is refused while capacity is short.
+  kClass,
+  // Requests with its fingerprint crash backend servers.
+  kQuarantined,
+  // This host is leaving.
+  kHostLeaving,
+};
+
+inline constexpr EnumNames<Refusal, 10> kRefusalNames{
+    {"none", "deadline", "queue-full", "no-server", "region-limit",
+     "link-limit", "shift-limit", "class", "quarantined", "host-leaving"}};
+
+// A request as the dispatcher sees it.
+struct WorkItem {
+  // Chosen by the caller of the dispatcher; unique at this host.
+  uint64_t id = 0;
+  ServiceId service;
+  Instant deadline = Instant::Never();
+  int64_t request_bytes = 0;
+  bool run_once = false;
+  // Hash of service, method, target and body.
+  uint64_t fingerprint = 0;
+  // It came from another entry host and must not be passed on again.
+  bool from_peer = false;
+  // Retries and hedges: servers that this request has been sent to before.
+  std::vector<ServerId> avoid;
+};
+
+// What to do with a request now.
+enum class Step {
+  // Send it to `server`.
+  kSend,
+  // Pass it to the entry host `host`, which runs its own admission.
+  kPass,
+  // It waits; Advance() will name it later.
+  kWait,
+  // Refuse it with `refusal`.
+  kRefuse,
+};
+
+inline constexpr EnumNames<Step, 4> kStepNames{
+    {"send", "pass", "wait", "refuse"}};
+
+struct Decision {
+  uint64_t item = 0;
+  Step step = Step::kWait;
+  ServerId server;
+  HostId host;
+  Refusal refusal = Refusal::kNone;
+};
+
+// How an attempt ended, as the host saw it.
+enum class AttemptEnd {
+  // A whole answer that the service does not count as a failure.
+  kAnswered,
+  // A whole answer by which the backend server says that it is overloaded.
+  kShed,
+  // A whole answer that is an error of the backend server.
+  kFailed,
+  // No connection could be had; nothing was sent.
+  kNotSent,
+  // The connection broke after bytes were sent.
+  kBroken,
+  // The time was up.
+  kTimedOut,
+  // Cancelled by this host: the loser of a hedge, or a caller that left.
+  kCancelled,
+};
+
+inline constexpr EnumNames<AttemptEnd, 7> kAttemptEndNames{
+    {"answered", "shed", "failed", "not-sent", "broken", "timed-out",
+     "cancelled"}};
+
+struct AttemptResult {
+  uint64_t item = 0;
+  // The server or, for Step::kPass, the host it went to.
+  ServerId server;
+  HostId host;
+  AttemptEnd end = AttemptEnd::kAnswered;
+  // From the first byte sent to the last byte received.
+  Duration took;
+  int64_t answer_bytes = 0;
+  // The fingerprint of the request, for what looks for requests that crash.
+  uint64_t fingerprint = 0;
+};
+
+// A backend server's own report.
+struct LoadReport {
+  ServerId server;
+  bool healthy = true;
+  bool leaving = false;
+  // Requests it says are running and waiting.
+  int running = 0;
+  int waiting = 0;
+  // How old the report was when it reached this host.
+  Duration age;
+};
+
+// What one entry host tells the others of its own load on backend servers.
+struct PeerLoad {
+  struct InFlight {
+    ServerId server;
+    int requests = 0;
+  };
+  HostId host;
+  std::vector<InFlight> in_flight;
+  Duration age;
+};
+
+// Decides where each request of one service goes at one entry host. Does no
+// I/O; the same calls give the same decisions. Not thread-safe: the owner
+// holds a lock. Every item that was offered ends by kSend or kPass followed by
+// Finish(), by kRefuse, or by Withdraw().
+class Dispatcher {
+ public:
+  virtual ~Dispatcher() = default;
+
+  // Decides on a new request.
+  virtual Decision Offer(const WorkItem& item, Instant now) = 0;
+  // Takes a waiting item back, for a caller that left.
+  virtual void Withdraw(uint64_t item, Instant now) = 0;
+  // An attempt that Decision started has ended.
+  virtual void Finish(const AttemptResult& result, Instant now) = 0;
+  // Decisions on items that waited. Call after every Finish() and at
+  // NextWake().
+  virtual std::vector<Decision> Advance(Instant now) = 0;
+  // When Advance() must be called at the latest.
+  virtual Instant NextWake() const = 0;
+
+  // New figures and facts.
+  virtual void OnLoadReport(const LoadReport& report, Instant now) = 0;
+  virtual void OnPeerLoad(const PeerLoad& load, Instant now) = 0;
+  virtual void OnHosts(const std::vector<HostId>& live, Instant now) = 0;
+  virtual void OnConfig(const FleetConfigPtr& config,
+                        int64_t unix_ms,
+                        Instant now) = 0;
+
+  // What this host has in flight, for its peers.
+  virtual PeerLoad OwnLoad() const = 0;
+  // The figures that decisions are made from, each with its age, as JSON.
+  virtual std::string Explain(Instant now) const = 0;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_STEERING_DISPATCHER_H_
--- /dev/null
+++ b/src/config/fleet_config.cc
@@ -0,0 +1,48 @@
+#include "include/config/fleet_config.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+template <typename T>
+bool PartMatches(const std::optional<T>& wanted, const std::optional<T>& part) {
+  return !wanted || wanted == part;
+}
+
+template <typename List, typename Pred>
+auto FindIn(const List& list, Pred pred) -> const typename List::value_type* {
+  const auto it = std::find_if(list.begin(), list.end(), pred);
+  return it == list.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+bool Scope::Matches(const Scope& place) const {
+  return PartMatches(service, place.service) &&
+         PartMatches(region, place.region) && PartMatches(zone, place.zone) &&
+         PartMatches(host, place.host) && PartMatches(server, place.server);
+}
+
+const Service* FleetConfig::FindService(const ServiceId& id) const {
+  return FindIn(services, [&](const Service& s) { return s.id == id; });
+}
+
+const EntryHost* FleetConfig::FindHost(const HostId& id) const {
+  return FindIn(hosts, [&](const EntryHost& h) { return h.id == id; });
+}
+
+const Link* FleetConfig::FindLink(const RegionId& from,
+                                  const RegionId& to) const {
+  return FindIn(links,
+                [&](const Link& l) { return l.from == from && l.to == to; });
+}
+
+RegionId FleetConfig::RegionOf(const ZoneId& zone) const {
+  const Region* region = FindIn(regions, [&](const Region& r) {
+    return std::find(r.zones.begin(), r.zones.end(), zone) != r.zones.end();
+  });
+  return region ? region->id : RegionId();
+}
+
+}  // namespace toucanknot
