--- a/bench/main.cc
+++ b/bench/main.cc
@@ -27,6 +27,7 @@
   std::vector<std::string> all{"micro"};
   all.insert(all.end(), args.begin(), args.end());
   std::vector<char*> argv;
+  argv.reserve(all.size());
   for (std::string& it : all)
     argv.push_back(it.data());
   int argc = static_cast<int>(argv.size());
