--- /dev/null
+++ b/src/http/http_message.cc
@@ -0,0 +1,113 @@
+#include "src/http/http_message.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/url/params_view.hpp>
+#include <boost/url/parse.hpp>
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+constexpr std::string_view kHopByHop[] = {
+    "Connection",          "Keep-Alive", "Proxy-Connection",
+    "Proxy-Authenticate",  "TE",         "Trailer",
+    "Proxy-Authorization", "Upgrade",    "Transfer-Encoding",
+};
+
+bool SameName(std::string_view a, std::string_view b) {
+  return boost::algorithm::iequals(a, b);
+}
+
+std::vector<std::string> ListItems(std::string_view value) {
+  std::vector<std::string> items;
+  while (!value.empty()) {
+    const size_t comma = value.find(',');
+    std::string item(value.substr(0, comma));
+    boost::algorithm::trim(item);
+    if (!item.empty())
+      items.push_back(std::move(item));
+    if (comma == std::string_view::npos)
+      break;
+    value.remove_prefix(comma + 1);
+  }
+  return items;
+}
+
+HttpResponse WithBody(int status, std::string type, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.fields.Add("Content-Type", std::move(type));
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+std::string_view HttpFields::Get(std::string_view name) const {
+  for (const HttpField& it : fields_) {
+    if (SameName(it.name, name))
+      return it.value;
+  }
+  return {};
+}
+
+bool HttpFields::Has(std::string_view name) const {
+  return std::any_of(fields_.begin(), fields_.end(), [&](const HttpField& f) {
+    return SameName(f.name, name);
+  });
+}
+
+void HttpFields::Add(std::string name, std::string value) {
+  fields_.push_back({std::move(name), std::move(value)});
+}
+
+void HttpFields::Set(std::string_view name, std::string value) {
+  Remove(name);
+  Add(std::string(name), std::move(value));
+}
+
+void HttpFields::Remove(std::string_view name) {
+  std::erase_if(fields_,
+                [&](const HttpField& f) { return SameName(f.name, name); });
+}
+
+HttpResponse TextResponse(int status, std::string text) {
+  return WithBody(status, "text/plain; charset=utf-8", std::move(text) + "\n");
+}
+
+HttpResponse JsonResponse(int status, std::string json) {
+  return WithBody(status, "application/json", std::move(json));
+}
+
+void RemoveHopByHop(HttpFields& fields) {
+  std::vector<std::string> named;
+  for (const HttpField& it : fields.all()) {
+    if (!SameName(it.name, "Connection"))
+      continue;
+    for (std::string& item : ListItems(it.value))
+      named.push_back(std::move(item));
+  }
+  for (const std::string& it : named)
+    fields.Remove(it);
+  for (const std::string_view it : kHopByHop)
+    fields.Remove(it);
+}
+
+std::string_view TargetPath(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string QueryValue(std::string_view target, std::string_view key) {
+  const auto url = boost::urls::parse_origin_form(target);
+  if (!url)
+    return {};
+  for (const auto& it : url->params()) {
+    if (it.key == key)
+      return it.value;
+  }
+  return {};
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/http/http_message.h
@@ -0,0 +1,69 @@
+#ifndef SRC_HTTP_HTTP_MESSAGE_H_
+#define SRC_HTTP_HTTP_MESSAGE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace toucanknot {
+
+// One header field.
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+
+// The fields of a message, in the order in which they came. Names compare
+// without regard to case.
+class HttpFields {
+ public:
+  // The first value of `name`; empty when it is absent.
+  std::string_view Get(std::string_view name) const;
+  bool Has(std::string_view name) const;
+  void Add(std::string name, std::string value);
+  // Replaces every field called `name` by one.
+  void Set(std::string_view name, std::string value);
+  void Remove(std::string_view name);
+
+  const std::vector<HttpField>& all() const { return fields_; }
+
+ private:
+  std::vector<HttpField> fields_;
+};
+
+// A whole request.
+struct HttpRequest {
+  std::string method;
+  // Path and query as received.
+  std::string target;
+  HttpFields fields;
+  std::string body;
+  // The sender's IP number.
+  std::string remote_ip;
+};
+
+// A whole response.
+struct HttpResponse {
+  int status = 200;
+  HttpFields fields;
+  std::string body;
+};
+
+// A response with a text body that ends in a line feed.
+HttpResponse TextResponse(int status, std::string text);
+// A response with a JSON body.
+HttpResponse JsonResponse(int status, std::string json);
+
+// Removes the fields that RFC 9110, section 7.6.1, confines to one connection:
+// those that Connection names and the well-known ones.
+void RemoveHopByHop(HttpFields& fields);
+
+// The part of `target` before '?'.
+std::string_view TargetPath(std::string_view target);
+// The percent-decoded value of `key` in the query of `target`; empty when it
+// is absent.
+std::string QueryValue(std::string_view target, std::string_view key);
+
+}  // namespace toucanknot
+
+#endif  // SRC_HTTP_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/http/http_server.cc
@@ -0,0 +1,494 @@
+#include "src/http/http_server.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <unordered_set>
+#include <utility>
+
+#include "include/base/verdict.h"
+#include "src/http/headers.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// Room for pipelined requests behind the one that is read.
+constexpr size_t kReadAheadBytes = 16 << 10;
+
+std::chrono::milliseconds Chrono(Duration d) {
+  return std::chrono::milliseconds(d.ms());
+}
+
+http::response<http::string_body> ToBeast(HttpResponse&& response,
+                                          unsigned version) {
+  http::response<http::string_body> out;
+  out.version(version);
+  out.result(static_cast<unsigned>(response.status));
+  for (const HttpField& it : response.fields.all())
+    out.insert(it.name, it.value);
+  out.body() = std::move(response.body);
+  return out;
+}
+
+HttpRequest FromBeast(http::request<http::string_body>&& in,
+                      std::string remote_ip) {
+  HttpRequest request;
+  request.method = std::string(in.method_string());
+  request.target = std::string(in.target());
+  for (const auto& it : in)
+    request.fields.Add(std::string(it.name_string()), std::string(it.value()));
+  request.body = std::move(in.body());
+  request.remote_ip = std::move(remote_ip);
+  return request;
+}
+
+HttpResponse Refusal(int status, const std::string& why) {
+  HttpResponse response = TextResponse(status, why);
+  response.fields.Add(kVerdictHeader,
+                      std::string(VerdictName(Verdict::kNotRun)));
+  return response;
+}
+
+// What is wrong with a header that the parser let pass; 0 when nothing is.
+int HeaderFault(const http::request<http::string_body>& in) {
+  const auto te = in.equal_range(http::field::transfer_encoding);
+  if (te.first != te.second) {
+    if (in.version() < 11)
+      return 400;
+    if (std::next(te.first) != te.second ||
+        !beast::iequals(te.first->value(), "chunked"))
+      return 501;
+  }
+  if (in.version() >= 11 && in.count(http::field::host) != 1)
+    return 400;
+  return 0;
+}
+
+}  // namespace
+
+// The listening socket and the set of its connections.
+class HttpServer::Listener
+    : public std::enable_shared_from_this<HttpServer::Listener> {
+ public:
+  Listener(WorkerPool& workers,
+           HttpServerLimits limits,
+           BodyLimit body_limit,
+           Handler handler)
+      : workers_(workers),
+        limits_(limits),
+        body_limit_(std::move(body_limit)),
+        handler_(std::move(handler)),
+        acceptor_(workers.loop(0)) {}
+
+  Endpoint Listen(const Endpoint& endpoint);
+  void BeginStop() { stopping_ = true; }
+  void StopAccepting();
+  void Abort();
+  HttpServerCounts Counts() const;
+
+ private:
+  // One client's connection. Used by its worker only, but for Interrupt().
+  class Connection;
+
+  asio::awaitable<void> AcceptLoop();
+  void Adopt(tcp::socket socket);
+  void Forget(Connection* connection);
+  // Reserves memory for a body; false when there is no room.
+  bool Reserve(int64_t bytes);
+
+  WorkerPool& workers_;
+  const HttpServerLimits limits_;
+  const BodyLimit body_limit_;
+  const Handler handler_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> accepting_{false};
+
+  std::atomic<uint64_t> accepted_{0};
+  std::atomic<uint64_t> refused_connections_{0};
+  std::atomic<uint64_t> requests_{0};
+  std::atomic<uint64_t> malformed_{0};
+  std::atomic<uint64_t> too_large_{0};
+  std::atomic<uint64_t> timed_out_{0};
+  std::atomic<int64_t> buffered_bytes_{0};
+
+  mutable std::mutex mutex_;
+  std::unordered_set<std::shared_ptr<Connection>> connections_;
+};
+
+class HttpServer::Listener::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Listener> owner, tcp::socket socket)
+      : owner_(std::move(owner)),
+        stream_(std::move(socket)),
+        buffer_(owner_->limits_.max_header_bytes + kReadAheadBytes) {}
+
+  void Start() {
+    asio::co_spawn(
+        stream_.get_executor(),
+        [self = shared_from_this()] { return self->Run(); }, asio::detached);
+  }
+
+  // Closes the connection: if it is idle, or in any case when `force` is set.
+  // May be called from any thread.
+  void Interrupt(bool force) {
+    asio::post(stream_.get_executor(), [self = shared_from_this(), force] {
+      if (force || self->idle_)
+        self->stream_.close();
+    });
+  }
+
+ private:
+  using Parser = http::request_parser<http::string_body>;
+
+  asio::awaitable<void> Run() {
+    while (co_await ServeOne()) {
+    }
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    owner_->Forget(this);
+  }
+
+  // Returns whether the connection stays open.
+  asio::awaitable<bool> ServeOne() {
+    if (!co_await AwaitFirstByte())
+      co_return false;
+    Parser parser;
+    parser.header_limit(owner_->limits_.max_header_bytes);
+    parser.body_limit(boost::none);
+    stream_.expires_after(Chrono(owner_->limits_.header));
+    auto [ec, n] =
+        co_await http::async_read_header(stream_, buffer_, parser, kAwait);
+    if (ec)
+      co_return co_await FailRead(ec, 11);
+    const unsigned version = parser.get().version();
+    if (const int fault = HeaderFault(parser.get())) {
+      ++owner_->malformed_;
+      co_return co_await Refuse(fault, "the request's header is malformed",
+                                version);
+    }
+    const int64_t room = BodyRoom(parser);
+    if (room < 0) {
+      ++owner_->too_large_;
+      co_return co_await Refuse(413, "the request's body is too large",
+                                version);
+    }
+    if (!owner_->Reserve(room)) {
+      co_return co_await Refuse(503, "no memory for the request's body",
+                                version);
+    }
+    const bool open = co_await ReadAndAnswer(parser, version);
+    owner_->buffered_bytes_ -= room;
+    co_return open;
+  }
+
+  asio::awaitable<bool> AwaitFirstByte() {
+    if (buffer_.size() > 0)
+      co_return true;
+    // An idle connection keeps no more than a small buffer.
+    buffer_.shrink_to_fit();
+    idle_ = true;
+    stream_.expires_after(Chrono(owner_->limits_.idle));
+    auto [ec, n] = co_await stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes), kAwait);
+    idle_ = false;
+    buffer_.commit(n);
+    co_return !ec;
+  }
+
+  // The bytes to reserve for the body; negative when it is over the limit.
+  int64_t BodyRoom(Parser& parser) {
+    const uint64_t limit = owner_->body_limit_(parser.get().target());
+    parser.body_limit(limit);
+    if (const auto length = parser.content_length()) {
+      return *length > limit ? -1 : static_cast<int64_t>(*length);
+    }
+    return parser.chunked() ? static_cast<int64_t>(limit) : 0;
+  }
+
+  asio::awaitable<bool> ReadAndAnswer(Parser& parser, unsigned version) {
+    stream_.expires_after(Chrono(owner_->limits_.body));
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
+        !co_await SendContinue(version)) {
+      co_return false;
+    }
+    auto [ec, n] = co_await http::async_read(stream_, buffer_, parser, kAwait);
+    if (ec)
+      co_return co_await FailRead(ec, version);
+    ++owner_->requests_;
+    const bool keep_alive = parser.get().keep_alive();
+    const bool head = parser.get().method() == http::verb::head;
+    stream_.expires_never();
+    HttpResponse response = co_await Handle(parser.release());
+    co_return co_await Write(std::move(response), version, keep_alive, head);
+  }
+
+  asio::awaitable<HttpResponse> Handle(
+      http::request<http::string_body> request) {
+    beast::error_code ec;
+    const auto remote = stream_.socket().remote_endpoint(ec);
+    std::string failure;
+    try {
+      co_return co_await owner_->handler_(FromBeast(
+          std::move(request), ec ? "" : remote.address().to_string()));
+    } catch (const std::exception& e) {
+      failure = e.what();
+    }
+    HttpResponse response =
+        TextResponse(500, "the host failed on this request: " + failure);
+    response.fields.Add(kVerdictHeader,
+                        std::string(VerdictName(Verdict::kUnknown)));
+    co_return response;
+  }
+
+  asio::awaitable<bool> SendContinue(unsigned version) {
+    http::response<http::empty_body> go_on(http::status::continue_, version);
+    auto [ec, n] = co_await http::async_write(stream_, go_on, kAwait);
+    co_return !ec;
+  }
+
+  asio::awaitable<bool> FailRead(beast::error_code ec, unsigned version) {
+    if (ec == http::error::header_limit) {
+      ++owner_->too_large_;
+      co_return co_await Refuse(431, "the request's header is too large",
+                                version);
+    }
+    if (ec == http::error::body_limit) {
+      ++owner_->too_large_;
+      co_return co_await Refuse(413, "the request's body is too large",
+                                version);
+    }
+    if (ec == beast::error::timeout) {
+      ++owner_->timed_out_;
+      co_return false;
+    }
+    if (ec.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        ec != http::error::end_of_stream &&
+        ec != http::error::partial_message) {
+      ++owner_->malformed_;
+      co_return co_await Refuse(
+          400, "the request is malformed: " + ec.message(), version);
+    }
+    co_return false;
+  }
+
+  // Answers and closes.
+  asio::awaitable<bool> Refuse(int status, std::string why, unsigned version) {
+    co_await Write(Refusal(status, why), version, false, false);
+    co_await Discard();
+    co_return false;
+  }
+
+  // Reads on for a moment, so that the refusal is not lost to a reset.
+  asio::awaitable<void> Discard() {
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream_.expires_after(kDiscardTime);
+    std::string sink(kReadAheadBytes, '\0');
+    for (size_t total = 0; total < kDiscardBytes;) {
+      auto [err, n] =
+          co_await stream_.async_read_some(asio::buffer(sink), kAwait);
+      if (err)
+        co_return;
+      total += n;
+    }
+  }
+
+  asio::awaitable<bool> Write(HttpResponse response,
+                              unsigned version,
+                              bool keep_alive,
+                              bool head) {
+    auto out = ToBeast(std::move(response), version);
+    keep_alive = keep_alive && !owner_->stopping_;
+    out.keep_alive(keep_alive);
+    if (out.result_int() != 204 && out.result_int() != 304) {
+      if (!head || out.find(http::field::content_length) == out.end())
+        out.content_length(out.body().size());
+    }
+    if (head)
+      out.body().clear();
+    http::response_serializer<http::string_body> serializer(out);
+    while (!serializer.is_done()) {
+      stream_.expires_after(Chrono(owner_->limits_.write));
+      auto [ec, n] =
+          co_await http::async_write_some(stream_, serializer, kAwait);
+      if (ec)
+        co_return false;
+    }
+    co_return keep_alive;
+  }
+
+  static constexpr std::chrono::milliseconds kDiscardTime{500};
+  static constexpr size_t kDiscardBytes = 1 << 20;
+  static constexpr size_t kFirstReadBytes = 512;
+
+  const std::shared_ptr<Listener> owner_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool idle_ = false;
+};
+
+Endpoint HttpServer::Listener::Listen(const Endpoint& endpoint) {
+  const tcp::endpoint address(asio::ip::make_address(endpoint.ip),
+                              endpoint.port);
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen();
+  accepting_ = true;
+  asio::co_spawn(
+      acceptor_.get_executor(),
+      [self = shared_from_this()] { return self->AcceptLoop(); },
+      asio::detached);
+  return {endpoint.ip, acceptor_.local_endpoint().port()};
+}
+
+asio::awaitable<void> HttpServer::Listener::AcceptLoop() {
+  while (accepting_) {
+    auto [ec, socket] =
+        co_await acceptor_.async_accept(workers_.Next(), kAwait);
+    if (ec == asio::error::operation_aborted)
+      co_return;
+    if (ec) {
+      // Out of descriptors, most likely: give connections time to end.
+      asio::steady_timer pause(acceptor_.get_executor(),
+                               std::chrono::milliseconds(50));
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    Adopt(std::move(socket));
+  }
+}
+
+void HttpServer::Listener::Adopt(tcp::socket socket) {
+  beast::error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  std::shared_ptr<Connection> connection;
+  {
+    const std::lock_guard lock(mutex_);
+    if (static_cast<int>(connections_.size()) >= limits_.max_connections) {
+      ++refused_connections_;
+      return;
+    }
+    connection =
+        std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    connections_.insert(connection);
+  }
+  ++accepted_;
+  connection->Start();
+}
+
+void HttpServer::Listener::Forget(Connection* connection) {
+  const std::shared_ptr<Connection> keep = connection->shared_from_this();
+  const std::lock_guard lock(mutex_);
+  connections_.erase(keep);
+}
+
+bool HttpServer::Listener::Reserve(int64_t bytes) {
+  if (buffered_bytes_.fetch_add(bytes) + bytes <= limits_.max_buffered_bytes)
+    return true;
+  buffered_bytes_ -= bytes;
+  return false;
+}
+
+void HttpServer::Listener::StopAccepting() {
+  BeginStop();
+  if (!accepting_.exchange(false))
+    return;
+  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    beast::error_code ec;
+    self->acceptor_.cancel(ec);
+    self->acceptor_.non_blocking(true, ec);
+    for (;;) {
+      tcp::socket socket(self->workers_.Next());
+      self->acceptor_.accept(socket, ec);
+      if (ec)
+        break;
+      self->Adopt(std::move(socket));
+    }
+    self->acceptor_.close(ec);
+    const std::lock_guard lock(self->mutex_);
+    for (const auto& it : self->connections_)
+      it->Interrupt(false);
+  });
+}
+
+void HttpServer::Listener::Abort() {
+  BeginStop();
+  accepting_ = false;
+  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    beast::error_code ec;
+    self->acceptor_.close(ec);
+  });
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : connections_)
+    it->Interrupt(true);
+}
+
+HttpServerCounts HttpServer::Listener::Counts() const {
+  HttpServerCounts counts;
+  counts.accepted = accepted_;
+  counts.refused_connections = refused_connections_;
+  counts.requests = requests_;
+  counts.malformed = malformed_;
+  counts.too_large = too_large_;
+  counts.timed_out = timed_out_;
+  counts.buffered_bytes = buffered_bytes_;
+  const std::lock_guard lock(mutex_);
+  counts.open_connections = static_cast<int64_t>(connections_.size());
+  return counts;
+}
+
+HttpServer::HttpServer(WorkerPool& workers,
+                       HttpServerLimits limits,
+                       BodyLimit body_limit,
+                       Handler handler)
+    : listener_(std::make_shared<Listener>(workers,
+                                           limits,
+                                           std::move(body_limit),
+                                           std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  listener_->Abort();
+}
+
+Endpoint HttpServer::Listen(const Endpoint& endpoint) {
+  return listener_->Listen(endpoint);
+}
+
+void HttpServer::BeginStop() {
+  listener_->BeginStop();
+}
+
+void HttpServer::StopAccepting() {
+  listener_->StopAccepting();
+}
+
+void HttpServer::Abort() {
+  listener_->Abort();
+}
+
+int64_t HttpServer::OpenConnections() const {
+  return listener_->Counts().open_connections;
+}
+
+HttpServerCounts HttpServer::Counts() const {
+  return listener_->Counts();
+}
+
+}  // namespace toucanknot
