Stand-in of a backend server, service desk

Cause: the path needs something at its end, and the dispatcher needs a lock and a way to wake requests that wait. Change: a backend server stand-in with slots, faults that change while it runs and a ledger of what was run; ServiceDesk holds one dispatcher's lock. Conclusion: runs are counted where they happen, not by the hosts.

--- /dev/null
+++ b/src/daemon/service_desk.cc
@@ -0,0 +1,83 @@
+#include "src/daemon/service_desk.h"
+
+#include <utility>
+
+namespace toucanknot {
+
+ServiceDesk::ServiceDesk(std::unique_ptr<Dispatcher> dispatcher)
+    : dispatcher_(std::move(dispatcher)) {}
+
+boost::asio::awaitable<Decision> ServiceDesk::Place(
+    boost::asio::io_context& loop,
+    WorkItem item) {
+  std::shared_ptr<Waiter> waiter;
+  {
+    const std::lock_guard lock(mutex_);
+    const Decision decision = dispatcher_->Offer(item, SteadyNow());
+    if (decision.step != Step::kWait)
+      co_return decision;
+    waiter = std::make_shared<Waiter>(loop);
+    waiters_[item.id] = waiter;
+  }
+  co_return co_await AwaitTurn(std::move(waiter), std::move(item));
+}
+
+boost::asio::awaitable<Decision> ServiceDesk::AwaitTurn(
+    std::shared_ptr<Waiter> waiter,
+    WorkItem item) {
+  if (auto decision = co_await waiter->Wait(item.deadline))
+    co_return *decision;
+  {
+    const std::lock_guard lock(mutex_);
+    if (waiters_.erase(item.id) > 0) {
+      dispatcher_->Withdraw(item.id, SteadyNow());
+      co_return Decision{item.id, Step::kRefuse, {}, {}, Refusal::kDeadline};
+    }
+  }
+  // It was decided on in this very moment; the decision is on its way.
+  co_return *(co_await waiter->Wait(Instant::Never()));
+}
+
+void ServiceDesk::Finish(const AttemptResult& result) {
+  const std::lock_guard lock(mutex_);
+  const Instant now = SteadyNow();
+  dispatcher_->Finish(result, now);
+  AdvanceLocked(now);
+}
+
+void ServiceDesk::Update(
+    const std::function<void(Dispatcher&, Instant now)>& update) {
+  const std::lock_guard lock(mutex_);
+  const Instant now = SteadyNow();
+  update(*dispatcher_, now);
+  AdvanceLocked(now);
+}
+
+void ServiceDesk::Tick() {
+  const std::lock_guard lock(mutex_);
+  const Instant now = SteadyNow();
+  if (dispatcher_->NextWake() <= now)
+    AdvanceLocked(now);
+}
+
+PeerLoad ServiceDesk::OwnLoad() const {
+  const std::lock_guard lock(mutex_);
+  return dispatcher_->OwnLoad();
+}
+
+std::string ServiceDesk::Explain() const {
+  const std::lock_guard lock(mutex_);
+  return dispatcher_->Explain(SteadyNow());
+}
+
+void ServiceDesk::AdvanceLocked(Instant now) {
+  for (const Decision& it : dispatcher_->Advance(now)) {
+    const auto waiter = waiters_.find(it.item);
+    if (waiter == waiters_.end())
+      continue;
+    waiter->second->Set(it);
+    waiters_.erase(waiter);
+  }
+}
+
+}  // namespace toucanknot
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "include/base/clock.h"
+
 namespace toucanknot {
 
 // One header field.
@@ -40,6 +42,8 @@
   std::string body;
   // The sender's IP number.
   std::string remote_ip;
+  // When its connection was accepted.
+  Instant connected_at;
 };
 
 // A whole response.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -43,15 +43,13 @@
   return out;
 }
 
-HttpRequest FromBeast(http::request<http::string_body>&& in,
-                      std::string remote_ip) {
+HttpRequest FromBeast(http::request<http::string_body>&& in) {
   HttpRequest request;
   request.method = std::string(in.method_string());
   request.target = std::string(in.target());
   for (const auto& it : in)
     request.fields.Add(std::string(it.name_string()), std::string(it.value()));
   request.body = std::move(in.body());
-  request.remote_ip = std::move(remote_ip);
   return request;
 }
 
@@ -243,8 +241,10 @@
     const auto remote = stream_.socket().remote_endpoint(ec);
     std::string failure;
     try {
-      co_return co_await owner_->handler_(FromBeast(
-          std::move(request), ec ? "" : remote.address().to_string()));
+      HttpRequest whole = FromBeast(std::move(request));
+      whole.remote_ip = ec ? "" : remote.address().to_string();
+      whole.connected_at = connected_at_;
+      co_return co_await owner_->handler_(std::move(whole));
     } catch (const std::exception& e) {
       failure = e.what();
     }
@@ -340,6 +340,7 @@
   const std::shared_ptr<Listener> owner_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  const Instant connected_at_ = SteadyNow();
   bool idle_ = false;
 };
 
--- /dev/null
+++ b/src/standin/backend_server.cc
@@ -0,0 +1,196 @@
+#include "src/standin/backend_server.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+constexpr uint64_t kMaxBodyBytes = 16 << 20;
+constexpr int kColdFactor = 4;
+constexpr Duration kCrashDown{2'000};
+// Longer than any caller waits.
+constexpr Duration kNoAnswer = Duration::Seconds(3'600);
+constexpr char kRunOnceMethods[] = "POST";
+
+size_t ParseSize(std::string_view text) {
+  size_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
+}  // namespace
+
+std::string StandinAnswer(const std::string& work_id, size_t bytes) {
+  std::string body = work_id + "\n";
+  if (bytes > body.size())
+    body.append(bytes - body.size(), '.');
+  return body + std::to_string(XXH3_64bits(body.data(), body.size()));
+}
+
+StandinBackendServer::StandinBackendServer(WorkerPool& workers,
+                                           BackendServer spec,
+                                           std::shared_ptr<WorkLedger> ledger,
+                                           uint64_t seed)
+    : workers_(workers),
+      spec_(std::move(spec)),
+      ledger_(std::move(ledger)),
+      random_(seed) {}
+
+void StandinBackendServer::Start() {
+  HttpServerLimits limits;
+  limits.max_connections = spec_.max_connections;
+  auto server = std::make_shared<HttpServer>(
+      workers_, limits, [](std::string_view) { return kMaxBodyBytes; },
+      [self = shared_from_this()](HttpRequest request) {
+        return self->Handle(std::move(request));
+      });
+  server->Listen(spec_.address);
+  const std::lock_guard lock(mutex_);
+  server_ = std::move(server);
+  started_ = SteadyNow();
+}
+
+void StandinBackendServer::Crash(Duration down) {
+  ++life_;
+  server()->Abort();
+  auto restart = [self = shared_from_this(),
+                  down]() -> boost::asio::awaitable<void> {
+    co_await SleepFor(down);
+    self->Start();
+  };
+  boost::asio::co_spawn(workers_.Next(), restart, boost::asio::detached);
+}
+
+void StandinBackendServer::SetFaults(const BackendFaults& faults) {
+  const std::lock_guard lock(mutex_);
+  faults_ = faults;
+}
+
+BackendFaults StandinBackendServer::faults() const {
+  const std::lock_guard lock(mutex_);
+  return faults_;
+}
+
+std::shared_ptr<HttpServer> StandinBackendServer::server() const {
+  const std::lock_guard lock(mutex_);
+  return server_;
+}
+
+int StandinBackendServer::peak_running() const {
+  const std::lock_guard lock(mutex_);
+  return peak_running_;
+}
+
+Instant StandinBackendServer::last_arrival() const {
+  const std::lock_guard lock(mutex_);
+  return last_arrival_;
+}
+
+boost::asio::awaitable<HttpResponse> StandinBackendServer::Handle(
+    HttpRequest request) {
+  const int64_t open = server()->OpenConnections();
+  if (open > peak_connections_)
+    peak_connections_ = open;
+  const int life = life_;
+  if (request.connected_at < faults().silent_before)
+    co_await SleepFor(kNoAnswer);
+  if (TargetPath(request.target) == "/health")
+    co_return Health();
+  HttpResponse response = co_await Work(std::move(request), life);
+  if (life != life_)
+    co_await SleepFor(kNoAnswer);
+  co_return response;
+}
+
+boost::asio::awaitable<HttpResponse> StandinBackendServer::Work(
+    HttpRequest request,
+    int life) {
+  {
+    const std::lock_guard lock(mutex_);
+    last_arrival_ = SteadyNow();
+  }
+  if (faults().failing)
+    co_return TextResponse(500, "failing");
+  if (!co_await TakeSlot())
+    co_return TextResponse(503, "overloaded");
+  if (life != life_) {
+    GiveSlot();
+    co_await SleepFor(kNoAnswer);
+  }
+  const std::string work_id(request.fields.Get("Work-Id"));
+  if (request.method == kRunOnceMethods && !work_id.empty())
+    ledger_->Enter(work_id);
+  co_await SleepFor(DrawServiceTime());
+  GiveSlot();
+  if (request.fields.Has("Crash-Server")) {
+    Crash(kCrashDown);
+    co_await SleepFor(kNoAnswer);
+  }
+  HttpResponse response = TextResponse(200, "");
+  response.body =
+      StandinAnswer(work_id, ParseSize(request.fields.Get("Answer-Bytes")));
+  response.fields.Add("Served-By", spec_.id.str());
+  co_return response;
+}
+
+HttpResponse StandinBackendServer::Health() const {
+  const std::lock_guard lock(mutex_);
+  const bool honest = !faults_.misleading;
+  const bool healthy = !honest || !faults_.failing;
+  const int running = honest ? running_ : 0;
+  const int waiting = honest ? static_cast<int>(waiting_.size()) : 0;
+  return JsonResponse(
+      healthy ? 200 : 503,
+      std::string("{\"healthy\":") + (healthy ? "true" : "false") +
+          ",\"leaving\":" + (faults_.leaving ? "true" : "false") +
+          ",\"running\":" + std::to_string(running) +
+          ",\"waiting\":" + std::to_string(waiting) + "}");
+}
+
+boost::asio::awaitable<bool> StandinBackendServer::TakeSlot() {
+  std::shared_ptr<Turn> turn;
+  {
+    const std::lock_guard lock(mutex_);
+    if (running_ < spec_.slots) {
+      ++running_;
+      peak_running_ = std::max(peak_running_, running_);
+      co_return true;
+    }
+    if (static_cast<int>(waiting_.size()) >= faults_.max_waiting)
+      co_return false;
+    turn = std::make_shared<Turn>(workers_.loop(WorkerPool::Current()));
+    waiting_.push_back(turn);
+  }
+  // The slot is handed on by GiveSlot().
+  co_await turn->Wait(Instant::Never());
+  co_return true;
+}
+
+void StandinBackendServer::GiveSlot() {
+  const std::lock_guard lock(mutex_);
+  if (waiting_.empty()) {
+    --running_;
+    return;
+  }
+  waiting_.front()->Set(true);
+  waiting_.pop_front();
+}
+
+Duration StandinBackendServer::DrawServiceTime() {
+  const std::lock_guard lock(mutex_);
+  const double mean = static_cast<double>(faults_.service_time.ms());
+  const bool cold = SteadyNow() - started_ < faults_.cold_for;
+  std::exponential_distribution<double> draw(1.0 / std::max(mean, 0.001));
+  const double ms = draw(random_) * (cold ? kColdFactor : 1);
+  return Duration(std::llround(ms));
+}
+
+}  // namespace toucanknot
