--- /dev/null
+++ b/include/base/digest.h
@@ -0,0 +1,15 @@
+#ifndef INCLUDE_BASE_DIGEST_H_
+#define INCLUDE_BASE_DIGEST_H_
+
+#include <string>
+#include <string_view>
+
+namespace toucanknot {
+
+// The SHA-256 of `data` as 64 hexadecimal digits. Names immutable parts and
+// says whether two texts are the same.
+std::string DigestOf(std::string_view data);
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_BASE_DIGEST_H_
--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "include/config/json_text.h"
+#include "include/config/tunable_table.h"
+
 namespace toucanknot {
 namespace {
 
@@ -24,6 +27,20 @@
          PartMatches(host, place.host) && PartMatches(server, place.server);
 }
 
+Tunables FleetConfig::Resolve(const Scope& place, int64_t unix_ms) const {
+  Tunables resolved = defaults;
+  for (const ConfigException& it : exceptions) {
+    if (!it.InForce(unix_ms) || !it.scope.Matches(place))
+      continue;
+    for (const TunableValue& value : it.values) {
+      const TunableSpec* spec = FindTunable(value.key);
+      if (spec)
+        SetTunable(*spec, ParseJson(value.json, it.id), resolved);
+    }
+  }
+  return resolved;
+}
+
 const Service* FleetConfig::FindService(const ServiceId& id) const {
   return FindIn(services, [&](const Service& s) { return s.id == id; });
 }
