once: tickets, owner's records, witness and inquiry, first version

At-most-once core without I/O: TicketMint (HMAC-SHA256 tickets that name their owner), TicketTable over RunRecords, PassTable for requests passed by their owner, WitnessTable as the optional second record, OwnerInquiry for repeats at other hosts, AnswerGuard. The life cycle is a Boost.MSM table that is read off into a matrix once.

--- /dev/null
+++ b/include/once/answer_guard.h
@@ -0,0 +1,73 @@
+#ifndef INCLUDE_ONCE_ANSWER_GUARD_H_
+#define INCLUDE_ONCE_ANSWER_GUARD_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+
+namespace toucanknot {
+
+// What to do with an answer that arrived for an attempt.
+enum class AnswerFate {
+  // Whole, in time and the first: it is the attempt's answer.
+  kDeliver,
+  // The attempt was cancelled, or its deadline has passed.
+  kLate,
+  // Fewer bytes than announced: the connection broke within it.
+  kShort,
+  // The attempt has its answer already, or there is no such attempt.
+  kSurplus,
+};
+
+inline constexpr EnumNames<AnswerFate, 4> kAnswerFateNames{
+    {"deliver", "late", "short", "surplus"}};
+
+// Ties every answer to the one attempt that it belongs to. Attempt ids are
+// never used twice in a process's life. All but kDeliver are dropped and
+// counted. Not thread-safe.
+class AnswerGuard {
+ public:
+  // An answer as it came from a connection.
+  struct Arrival {
+    uint64_t attempt = 0;
+    int64_t bytes = 0;
+    // As announced by its head; absent when the end of the connection ends it,
+    // which cannot be told from a break and therefore is never whole.
+    std::optional<int64_t> announced;
+  };
+
+  // Opens an attempt and returns its id.
+  uint64_t Open(Instant deadline);
+  // Judges an answer that has ended. kDeliver and kShort close the attempt.
+  AnswerFate Judge(const Arrival& arrival, Instant now);
+  // Closes an attempt; what arrives for it is late.
+  void Cancel(uint64_t attempt);
+  // Drops the memory of a closed attempt whose connection is gone; what
+  // arrives after is surplus. An open one is closed.
+  void Forget(uint64_t attempt);
+
+  size_t open() const { return attempts_.size(); }
+  uint64_t count(AnswerFate fate) const {
+    return counts_[static_cast<size_t>(fate)];
+  }
+
+ private:
+  struct Attempt {
+    Instant deadline;
+    bool cancelled = false;
+  };
+
+  AnswerFate Decide(const Arrival& arrival, Instant now);
+
+  uint64_t next_ = 1;
+  std::unordered_map<uint64_t, Attempt> attempts_;
+  std::array<uint64_t, 4> counts_{};
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ONCE_ANSWER_GUARD_H_
--- /dev/null
+++ b/include/once/owner_inquiry.h
@@ -0,0 +1,83 @@
+#ifndef INCLUDE_ONCE_OWNER_INQUIRY_H_
+#define INCLUDE_ONCE_OWNER_INQUIRY_H_
+
+#include <optional>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+#include "include/base/verdict.h"
+#include "include/once/ticket.h"
+#include "include/once/ticket_table.h"
+#include "include/once/witness_table.h"
+
+namespace toucanknot {
+
+// What a host that is not the owner does next for a repeated request.
+enum class InquiryStep {
+  // Send TicketTable::Ask() to `target`, the owner.
+  kAskOwner,
+  // Send WitnessTable::Ask() to `target`.
+  kAskWitness,
+  // Tell the caller.
+  kAnswer,
+};
+
+inline constexpr EnumNames<InquiryStep, 3> kInquiryStepNames{
+    {"ask-owner", "ask-witness", "answer"}};
+
+struct InquiryAction {
+  InquiryStep step = InquiryStep::kAnswer;
+  HostLife target;
+  // Until when to wait for the reply; then call OnSilence().
+  Instant until;
+  // For kAnswer: what to tell the caller. Never kStart: a host that is not the
+  // owner runs nothing under the ticket.
+  TicketReply reply;
+};
+
+// Finds the truth about a ticket of another host, or of an earlier life of this
+// one, and never runs the request. Asks the owner; when the owner is silent,
+// gone or in another life, the witness and the hosts that took over the
+// owner's records; when none knows, the verdict is unknown.
+class OwnerInquiry {
+ public:
+  struct Options {
+    // How long one question may take while nothing is known to run.
+    Duration patience{2'000};
+    // Hosts that say they took over the owner's records.
+    std::vector<HostLife> successors;
+    // The owner's life as membership shows it, if it does.
+    std::optional<Incarnation> known_incarnation;
+  };
+
+  // `deadline` is the caller's.
+  OwnerInquiry(const Ticket& ticket, Options options, Instant deadline);
+
+  // The first action.
+  InquiryAction Start(Instant now);
+  // The owner's reply: kJoin makes it wait on, up to the deadline, for the
+  // outcome that the owner sends as another reply. kNotMine: the owner is in
+  // another life.
+  InquiryAction OnOwnerReply(const TicketReply& reply, Instant now);
+  InquiryAction OnWitnessWord(WitnessWord word, Instant now);
+  // The time is up, the connection broke, or none could be had.
+  InquiryAction OnSilence(Instant now);
+
+ private:
+  InquiryAction NextWitness(Instant now);
+  InquiryAction Tell(TicketStep step, Verdict verdict) const;
+  Instant Limit(Instant now) const;
+
+  Ticket ticket_;
+  Options options_;
+  Instant deadline_;
+  std::vector<HostLife> witnesses_;
+  size_t next_witness_ = 0;
+  bool owner_runs_it_ = false;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ONCE_OWNER_INQUIRY_H_
--- /dev/null
+++ b/include/once/ticket_mint.h
@@ -0,0 +1,72 @@
+#ifndef INCLUDE_ONCE_TICKET_MINT_H_
+#define INCLUDE_ONCE_TICKET_MINT_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/once/ticket.h"
+
+namespace toucanknot {
+
+// The secret of one life of a host; drawn at random at start, never shared.
+using TicketKey = std::array<uint8_t, 32>;
+
+// What a check of a ticket found.
+enum class TicketCheck {
+  kValid,
+  // Authentic, but its time is up.
+  kExpired,
+  // It names this life of this host, and its MAC is wrong.
+  kForged,
+  // It names an earlier life of this host, which only that life could check.
+  kOtherIncarnation,
+  // It names another host.
+  kOtherHost,
+};
+
+inline constexpr EnumNames<TicketCheck, 5> kTicketCheckNames{
+    {"valid", "expired", "forged", "other-incarnation", "other-host"}};
+
+// Issues and checks the tickets of one life of one host. Issuing keeps nothing
+// but a counter. Not thread-safe.
+class TicketMint {
+ public:
+  // `started` is the origin of the tickets' expiry on this host's clock.
+  // Throws Error when `self` cannot be named in a ticket.
+  TicketMint(HostLife self, const TicketKey& key, Instant started);
+  ~TicketMint();
+  TicketMint(TicketMint&&) noexcept;
+  TicketMint& operator=(TicketMint&&) noexcept;
+
+  // A fresh ticket that expires `lifetime` after `now`.
+  Ticket Mint(Duration lifetime,
+              Instant now,
+              std::optional<HostLife> witness = std::nullopt);
+
+  TicketCheck Check(const Ticket& ticket, Instant now) const;
+
+  // When `ticket`, which Check() took for authentic, expires.
+  Instant ExpiryOf(const Ticket& ticket) const;
+
+  const HostLife& self() const { return self_; }
+  // Tickets issued so far.
+  uint64_t issued() const { return next_sequence_ - 1; }
+
+ private:
+  class Mac;
+
+  HostLife self_;
+  Instant started_;
+  uint64_t next_sequence_ = 1;
+  std::unique_ptr<Mac> mac_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ONCE_TICKET_MINT_H_
--- /dev/null
+++ b/src/once/pass_table.cc
@@ -0,0 +1,84 @@
+#include "include/once/pass_table.h"
+
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+// Room for RunRecords::kMaxAttempts.
+constexpr int kAttemptBits = 4;
+
+}  // namespace
+
+PassTable::PassTable(RunRecords::Limits limits,
+                     std::shared_ptr<AnswerStore> answers)
+    : limits_(limits), answers_(std::move(answers)) {}
+
+TicketReply PassTable::Begin(const PassId& pass,
+                             uint64_t fingerprint,
+                             uint64_t waiter,
+                             Instant now) {
+  RunRecords& runs = RunsOf(pass.owner);
+  TicketReply reply;
+  reply.run = Key(pass.attempt);
+  const RunView view = runs.View(reply.run);
+  if (view.state != TicketState::kUnused || view.forgotten || view.dead) {
+    reply = ReplyFromView(view, fingerprint, std::move(reply));
+  } else if (runs.Admit(reply.run, fingerprint, false, now + limits_.keep,
+                        now)) {
+    reply.step = TicketStep::kStart;
+  } else {
+    reply.step = TicketStep::kNotRun;
+    reply.verdict = Verdict::kNotRun;
+    reply.reason = TicketReason::kTableFull;
+  }
+  runs.Join(reply.run, waiter);
+  return reply;
+}
+
+TicketReply PassTable::Ask(const PassId& pass,
+                           bool give_up,
+                           uint64_t waiter,
+                           Instant now) {
+  RunRecords& runs = RunsOf(pass.owner);
+  TicketReply reply;
+  reply.run = Key(pass.attempt);
+  const TicketState state = runs.View(reply.run).state;
+  const bool unsent = state == TicketState::kUnused ||
+                      (give_up && state == TicketState::kAdmitted);
+  if (unsent)
+    runs.Void(reply.run, now + limits_.keep, now);
+  const RunView view = runs.View(reply.run);
+  reply = ReplyFromView(view, view.fingerprint, std::move(reply));
+  if (reply.step == TicketStep::kJoin)
+    runs.Join(reply.run, waiter);
+  return reply;
+}
+
+RunRecords& PassTable::RunsOf(const HostLife& owner) {
+  return owners_.try_emplace(owner, limits_, answers_).first->second;
+}
+
+uint64_t PassTable::Key(const RunAttempt& attempt) {
+  return attempt.run << kAttemptBits | attempt.number;
+}
+
+RunEnd PassTable::Void(const PassId& pass, Instant now) {
+  return RunsOf(pass.owner).Void(Key(pass.attempt), now + limits_.keep, now);
+}
+
+void PassTable::Expire(Instant now) {
+  for (auto it = owners_.begin(); it != owners_.end();) {
+    it->second.Expire(now);
+    it = it->second.size() == 0 ? owners_.erase(it) : std::next(it);
+  }
+}
+
+size_t PassTable::size() const {
+  size_t n = 0;
+  for (const auto& [owner, runs] : owners_)
+    n += runs.size();
+  return n;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/once/ticket_state.cc
@@ -0,0 +1,129 @@
+#include "include/once/ticket_state.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace toucanknot {
+namespace {
+
+namespace front = boost::msm::front;
+
+template <TicketState kState>
+struct At : front::state<> {
+  static constexpr TicketState kId = kState;
+};
+
+template <TicketEvent kEvent>
+struct On {};
+
+template <TicketState kFrom, TicketEvent kEvent, TicketState kTo>
+using Row = front::Row<At<kFrom>, On<kEvent>, At<kTo>>;
+
+using S = TicketState;
+using E = TicketEvent;
+
+// The one table of a ticket's life. There is no way back from kRan or kVoided,
+// and none from kBroken to a state in which bytes may leave.
+struct TicketLife : front::state_machine_def<TicketLife> {
+  using no_exception_thrown = int;
+  using no_message_queue = int;
+  using initial_state = At<S::kUnused>;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+      Row<S::kUnused,     E::kAdmit,    S::kAdmitted>,
+      Row<S::kUnused,     E::kVoid,     S::kVoided>,
+      Row<S::kAdmitted,   E::kHandOver, S::kHandedOver>,
+      Row<S::kAdmitted,   E::kVoid,     S::kVoided>,
+      Row<S::kHandedOver, E::kTakeBack, S::kAdmitted>,
+      Row<S::kHandedOver, E::kAnswer,   S::kRan>,
+      Row<S::kHandedOver, E::kBreak,    S::kBroken>,
+      Row<S::kHandedOver, E::kRefuse,   S::kVoided>,
+      Row<S::kBroken,     E::kAnswer,   S::kRan>,
+      Row<S::kBroken,     E::kRefuse,   S::kVoided>> {};
+  // clang-format on
+
+  template <typename Fsm, typename Event>
+  void no_transition(const Event&, Fsm&, int) {}
+};
+
+using Machine = boost::msm::back::state_machine<TicketLife>;
+
+constexpr size_t kStates = kTicketStateNames.names.size();
+constexpr size_t kEvents = kTicketEventNames.names.size();
+
+using Matrix =
+    std::array<std::array<std::optional<TicketState>, kEvents>, kStates>;
+
+template <TicketState kState>
+void NameState(const Machine& machine,
+               std::array<TicketState, kStates>& by_id) {
+  using Ids = Machine::stt;
+  constexpr int id =
+      boost::msm::back::get_state_id<Ids, At<kState>>::type::value;
+  by_id[id] = kState;
+  (void)machine;
+}
+
+TicketState StateOf(const Machine& machine) {
+  std::array<TicketState, kStates> by_id{};
+  NameState<S::kUnused>(machine, by_id);
+  NameState<S::kAdmitted>(machine, by_id);
+  NameState<S::kHandedOver>(machine, by_id);
+  NameState<S::kRan>(machine, by_id);
+  NameState<S::kBroken>(machine, by_id);
+  NameState<S::kVoided>(machine, by_id);
+  return by_id[machine.current_state()[0]];
+}
+
+template <TicketEvent kEvent>
+void Explore(const Machine& from, Matrix& matrix);
+
+// Notes where every event leads from `machine`'s state, and follows it.
+void ExploreAll(const Machine& machine, Matrix& matrix) {
+  Explore<E::kAdmit>(machine, matrix);
+  Explore<E::kHandOver>(machine, matrix);
+  Explore<E::kTakeBack>(machine, matrix);
+  Explore<E::kAnswer>(machine, matrix);
+  Explore<E::kBreak>(machine, matrix);
+  Explore<E::kVoid>(machine, matrix);
+  Explore<E::kRefuse>(machine, matrix);
+}
+
+template <TicketEvent kEvent>
+void Explore(const Machine& from, Matrix& matrix) {
+  auto& cell =
+      matrix[static_cast<size_t>(StateOf(from))][static_cast<size_t>(kEvent)];
+  if (cell)
+    return;
+  Machine next = from;
+  if (next.process_event(On<kEvent>()) != boost::msm::back::HANDLED_TRUE)
+    return;
+  cell = StateOf(next);
+  ExploreAll(next, matrix);
+}
+
+// A machine of Boost.MSM per ticket would cost a record several times its size;
+// the machine is walked through once, and records keep one byte.
+Matrix BuildMatrix() {
+  Matrix matrix{};
+  Machine machine;
+  machine.start();
+  ExploreAll(machine, matrix);
+  return matrix;
+}
+
+}  // namespace
+
+std::optional<TicketState> NextTicketState(TicketState state,
+                                           TicketEvent event) {
+  static const Matrix kMatrix = BuildMatrix();
+  return kMatrix[static_cast<size_t>(state)][static_cast<size_t>(event)];
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/once/witness_table.cc
@@ -0,0 +1,133 @@
+#include "include/once/witness_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace toucanknot {
+
+WitnessTable::WitnessTable(HostLife self, Limits limits)
+    : self_(std::move(self)), limits_(limits) {}
+
+WitnessWord WitnessTable::Claim(const Ticket& ticket, Instant now) {
+  OwnerEntry* owner =
+      ticket.witness == self_ ? EntryOf(ticket.owner, now) : nullptr;
+  if (!owner || owner->closed)
+    return WitnessWord::kVoided;
+  const auto it = owner->tickets.find(ticket.sequence);
+  if (it != owner->tickets.end()) {
+    return it->second.word == WitnessWord::kClaimed ? WitnessWord::kGranted
+                                                    : WitnessWord::kVoided;
+  }
+  if (ticket.sequence <= owner->forgotten_mark)
+    return WitnessWord::kVoided;
+  Put(*owner, ticket.sequence, WitnessWord::kClaimed, now);
+  return WitnessWord::kGranted;
+}
+
+void WitnessTable::Settle(const Ticket& ticket, Verdict verdict, Instant now) {
+  const auto it = owners_.find(ticket.owner);
+  if (it == owners_.end() || !it->second.tickets.contains(ticket.sequence))
+    return;
+  if (verdict == Verdict::kRan)
+    Put(it->second, ticket.sequence, WitnessWord::kRan, now);
+  if (verdict == Verdict::kNotRun)
+    Put(it->second, ticket.sequence, WitnessWord::kVoided, now);
+}
+
+WitnessWord WitnessTable::Ask(const Ticket& ticket, Instant now) {
+  if (ticket.witness != self_ && !HasTakenOver(ticket.owner))
+    return WitnessWord::kUnknown;
+  OwnerEntry* owner = EntryOf(ticket.owner, now);
+  if (!owner)
+    return WitnessWord::kUnknown;
+  const auto it = owner->tickets.find(ticket.sequence);
+  if (it != owner->tickets.end())
+    return it->second.word;
+  if (ticket.sequence <= owner->forgotten_mark)
+    return WitnessWord::kUnknown;
+  if (!owner->closed)
+    Put(*owner, ticket.sequence, WitnessWord::kVoided, now);
+  return WitnessWord::kVoided;
+}
+
+void WitnessTable::TakeOver(const TicketHandoff& handoff, Instant now) {
+  OwnerEntry* owner = EntryOf(handoff.owner, now);
+  if (!owner)
+    return;
+  owner->closed = true;
+  owner->forgotten_mark =
+      std::max(owner->forgotten_mark, handoff.forgotten_mark);
+  std::set<uint64_t> listed;
+  for (const auto& it : handoff.finished)
+    listed.insert(it.run);
+  // Claims that the owner never used.
+  for (auto& [sequence, entry] : owner->tickets) {
+    if (sequence > handoff.forgotten_mark && !listed.contains(sequence))
+      entry.word = WitnessWord::kVoided;
+  }
+  for (const auto& it : handoff.finished) {
+    Put(*owner, it.run,
+        it.verdict == Verdict::kRan ? WitnessWord::kRan : WitnessWord::kClaimed,
+        now);
+  }
+}
+
+bool WitnessTable::HasTakenOver(const HostLife& owner) const {
+  const auto it = owners_.find(owner);
+  return it != owners_.end() && it->second.closed;
+}
+
+void WitnessTable::Expire(Instant now) {
+  for (auto it = owners_.begin(); it != owners_.end();) {
+    OwnerEntry& owner = it->second;
+    auto& tickets = owner.tickets;
+    while (!tickets.empty() && tickets.begin()->second.forget_at <= now) {
+      owner.forgotten_mark =
+          std::max(owner.forgotten_mark, tickets.begin()->first);
+      tickets.erase(tickets.begin());
+    }
+    if (tickets.empty() && owner.forget_at <= now) {
+      Incarnation& mark = forgotten_[it->first.host];
+      mark = std::max(mark, it->first.incarnation);
+      it = owners_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+size_t WitnessTable::size() const {
+  size_t n = 0;
+  for (const auto& [life, owner] : owners_)
+    n += owner.tickets.size();
+  return n;
+}
+
+WitnessTable::OwnerEntry* WitnessTable::EntryOf(const HostLife& owner,
+                                                Instant now) {
+  const auto it = owners_.find(owner);
+  if (it != owners_.end())
+    return &it->second;
+  const auto mark = forgotten_.find(owner.host);
+  if (mark != forgotten_.end() && owner.incarnation <= mark->second)
+    return nullptr;
+  OwnerEntry entry;
+  entry.forget_at = now + limits_.keep_owner;
+  return &owners_.emplace(owner, std::move(entry)).first->second;
+}
+
+void WitnessTable::Put(OwnerEntry& owner,
+                       uint64_t sequence,
+                       WitnessWord word,
+                       Instant now) {
+  owner.tickets[sequence] = {word, now + limits_.keep};
+  owner.forget_at = now + limits_.keep_owner;
+  while (owner.tickets.size() > limits_.max_records) {
+    const auto oldest = owner.tickets.begin();
+    owner.forgotten_mark = std::max(owner.forgotten_mark, oldest->first);
+    owner.tickets.erase(oldest);
+  }
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/once/ticket_test.cc
@@ -0,0 +1,85 @@
+#include "include/once/ticket.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "include/base/error.h"
+#include "include/once/ticket_mint.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr Duration kLifetime{1'000};
+
+TicketMint MintOf(const char* host, Incarnation incarnation, uint8_t secret) {
+  TicketKey key{};
+  key[0] = secret;
+  return TicketMint({HostId(host), incarnation}, key, Instant(500));
+}
+
+}  // namespace
+
+TEST_CASE("a ticket's text reads back, quoted or not, with its witness") {
+  TicketMint mint = MintOf("khomas-1a.example", 0x1f, 1);
+  for (const auto& witness :
+       {std::optional<HostLife>(), std::optional(HostLife{HostId("w"), 9})}) {
+    const Ticket ticket = mint.Mint(kLifetime, Instant(600), witness);
+    const std::string text = ticket.ToString();
+    CHECK(Ticket::Parse(text) == ticket);
+    CHECK(Ticket::Parse('"' + text + '"') == ticket);
+    CHECK(mint.Check(*Ticket::Parse(text), Instant(700)) ==
+          TicketCheck::kValid);
+  }
+}
+
+TEST_CASE("every ticket cut short is malformed") {
+  TicketMint mint = MintOf("a", 7, 1);
+  const std::string text =
+      mint.Mint(kLifetime, Instant(600), HostLife{HostId("w"), 9}).ToString();
+  for (size_t n = 0; n < text.size(); ++n) {
+    CHECK_FALSE(Ticket::Parse(text.substr(0, n)));
+    if (n > 0)
+      CHECK_FALSE(Ticket::Parse(text.substr(n)));
+  }
+  CHECK_FALSE(Ticket::Parse(text + "0"));
+  CHECK_FALSE(Ticket::Parse(std::string(Ticket::kMaxText + 1, 'a')));
+}
+
+TEST_CASE("no changed character passes for a ticket of the same life") {
+  TicketMint mint = MintOf("a", 7, 1);
+  const std::string text = mint.Mint(kLifetime, Instant(600)).ToString();
+  for (size_t i = 0; i < text.size(); ++i) {
+    for (const char c : std::string("0123456789abcdef~zA\"")) {
+      std::string other = text;
+      if (other[i] == c)
+        continue;
+      other[i] = c;
+      const auto ticket = Ticket::Parse(other);
+      if (ticket)
+        CHECK(mint.Check(*ticket, Instant(700)) != TicketCheck::kValid);
+    }
+  }
+}
+
+TEST_CASE("a check tells forged, expired, other lives and hosts apart") {
+  TicketMint mint = MintOf("a", 7, 1);
+  const Ticket ticket = mint.Mint(kLifetime, Instant(600));
+  CHECK(mint.Check(ticket, Instant(1'599)) == TicketCheck::kValid);
+  CHECK(mint.Check(ticket, Instant(1'600)) == TicketCheck::kExpired);
+  CHECK(MintOf("a", 7, 2).Check(ticket, Instant(700)) == TicketCheck::kForged);
+  CHECK(MintOf("a", 8, 1).Check(ticket, Instant(700)) ==
+        TicketCheck::kOtherIncarnation);
+  CHECK(MintOf("b", 7, 1).Check(ticket, Instant(700)) ==
+        TicketCheck::kOtherHost);
+  Ticket longer = ticket;
+  longer.expires = longer.expires + kLifetime;
+  CHECK(mint.Check(longer, Instant(700)) == TicketCheck::kForged);
+}
+
+TEST_CASE("a host whose name does not fit a ticket mints none") {
+  CHECK_THROWS_AS(MintOf("a~b", 1, 1), Error);
+  CHECK_THROWS_AS(MintOf("", 1, 1), Error);
+}
+
+}  // namespace toucanknot
