--- /dev/null
+++ b/src/daemon/pass_mark.cc
@@ -0,0 +1,99 @@
+#include "src/daemon/pass_mark.h"
+
+#include <boost/algorithm/hex.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+#include <iterator>
+#include <vector>
+
+#include "include/base/digest.h"
+#include "src/http/headers.h"
+
+namespace toucanknot {
+namespace {
+
+// kind;host;incarnation;run;attempt;key id;MAC
+constexpr size_t kParts = 7;
+constexpr char kSeparator = ';';
+
+std::string MarkText(const PassMark& mark) {
+  return std::string(kPassKindNames.Name(mark.kind)) + kSeparator +
+         mark.sender.host.str() + kSeparator +
+         std::to_string(mark.sender.incarnation) + kSeparator +
+         std::to_string(mark.attempt.run) + kSeparator +
+         std::to_string(mark.attempt.number);
+}
+
+std::string SignedText(const std::string& mark,
+                       const HostId& receiver,
+                       const HttpRequest& request) {
+  return mark + '\n' + receiver.str() + '\n' + request.method + '\n' +
+         request.target + '\n' +
+         std::string(request.fields.Get(kTicketHeader)) + '\n' +
+         DigestOf(request.body);
+}
+
+template <typename T>
+bool ReadNumber(const std::string& text, T& out) {
+  return boost::conversion::try_lexical_convert(text, out);
+}
+
+std::optional<PassMark> ReadMark(const std::vector<std::string>& parts) {
+  PassMark mark;
+  const auto kind = kPassKindNames.Parse(parts[0]);
+  if (!kind || !ReadNumber(parts[2], mark.sender.incarnation) ||
+      !ReadNumber(parts[3], mark.attempt.run) ||
+      !ReadNumber(parts[4], mark.attempt.number)) {
+    return std::nullopt;
+  }
+  mark.kind = *kind;
+  mark.sender.host = HostId(parts[1]);
+  return mark;
+}
+
+}  // namespace
+
+void SignPass(const PassMark& mark,
+              const HostId& receiver,
+              const FleetKeys& keys,
+              HttpRequest& request) {
+  std::string text = MarkText(mark);
+  const Mac mac = keys.Sign(SignedText(text, receiver, request));
+  text += kSeparator + std::to_string(keys.active_id()) + kSeparator;
+  boost::algorithm::hex_lower(mac.begin(), mac.end(),
+                              std::back_inserter(text));
+  request.fields.Set(kPassHeader, std::move(text));
+}
+
+std::optional<PassMark> VerifyPass(const HttpRequest& request,
+                                   const HostId& receiver,
+                                   const FleetKeys& keys,
+                                   bool* forged) {
+  *forged = false;
+  if (!request.fields.Has(kPassHeader))
+    return std::nullopt;
+  *forged = true;
+  std::vector<std::string> parts;
+  const std::string value(request.fields.Get(kPassHeader));
+  boost::algorithm::split(parts, value,
+                          [](char c) { return c == kSeparator; });
+  unsigned key = 0;
+  std::string mac;
+  if (parts.size() != kParts || !ReadNumber(parts[5], key) || key > 255)
+    return std::nullopt;
+  try {
+    boost::algorithm::unhex(parts[6], std::back_inserter(mac));
+  } catch (const boost::algorithm::hex_decode_error&) {
+    return std::nullopt;
+  }
+  const auto mark = ReadMark(parts);
+  if (!mark)
+    return std::nullopt;
+  const std::string text = SignedText(MarkText(*mark), receiver, request);
+  if (!keys.Verify(static_cast<uint8_t>(key), text, mac))
+    return std::nullopt;
+  *forged = false;
+  return mark;
+}
+
+}  // namespace toucanknot
