--- /dev/null
+++ b/src/peer/peer.thrift
@@ -0,0 +1,125 @@
+// The inner protocol between entry hosts. Fields are only ever added, with new
+// numbers and as optional; a reader ignores what it does not know.
+namespace cpp toucanknot.wire
+
+struct ConfigStamp {
+  1: optional i64 version
+  2: optional string digest
+}
+
+struct ServerInFlight {
+  1: optional string server
+  2: optional i32 requests
+}
+
+struct Heartbeat {
+  1: optional string zone
+  2: optional i64 sequence
+  3: optional i32 state
+  4: optional ConfigStamp config
+  5: optional i64 capacity
+  6: optional list<ServerInFlight> in_flight
+  7: optional i32 in_flight_age_ms
+  8: optional list<string> unlisted
+}
+
+struct ZoneDigest {
+  1: optional string zone
+  2: optional i32 age_ms
+  3: optional i32 live_hosts
+  4: optional i64 capacity
+  5: optional i64 in_flight
+  6: optional ConfigStamp config
+  7: optional list<string> excluded
+}
+
+struct ZoneDigests {
+  1: optional list<ZoneDigest> zones
+  2: optional i64 round
+}
+
+struct LeavingNotice {
+  1: optional i32 state
+}
+
+struct ConfigCompare {
+  1: optional ConfigStamp have
+}
+
+struct ConfigAsk {
+  1: optional ConfigStamp have
+}
+
+struct ConfigPush {
+  1: optional ConfigStamp stamp
+  2: optional binary text
+}
+
+struct PartAsk {
+  1: optional string digest
+}
+
+struct PartGive {
+  1: optional string digest
+  2: optional bool found
+  3: optional binary data
+}
+
+struct QuarantineNotice {
+  1: optional string service_id
+  2: optional i64 fingerprint
+  3: optional i32 remaining_ms
+}
+
+struct TicketAsk {
+  1: optional i64 ask
+  2: optional string ticket
+  3: optional i64 fingerprint
+  4: optional bool void_unused
+}
+
+struct TicketAnswer {
+  1: optional i64 ask
+  2: optional i32 state
+  3: optional binary answer
+}
+
+struct Demand {
+  1: optional string budget
+  2: optional double amount
+}
+
+struct BudgetDemand {
+  1: optional i64 epoch
+  2: optional list<Demand> demands
+}
+
+struct Grant {
+  1: optional string budget
+  2: optional double amount
+  3: optional i32 lifetime_ms
+}
+
+struct BudgetGrant {
+  1: optional i64 epoch
+  2: optional list<Grant> grants
+}
+
+// One frame's body: who sent it and at most one message.
+struct Envelope {
+  1: optional string sender
+  2: optional i64 incarnation
+  3: optional Heartbeat heartbeat
+  4: optional ZoneDigests zone_digests
+  5: optional LeavingNotice leaving_notice
+  6: optional ConfigCompare config_compare
+  7: optional ConfigAsk config_ask
+  8: optional ConfigPush config_push
+  9: optional PartAsk part_ask
+  10: optional PartGive part_give
+  11: optional QuarantineNotice quarantine_notice
+  12: optional TicketAsk ticket_ask
+  13: optional TicketAnswer ticket_answer
+  14: optional BudgetDemand budget_demand
+  15: optional BudgetGrant budget_grant
+}
--- /dev/null
+++ b/src/peer/wire_convert.cc
@@ -0,0 +1,355 @@
+#include "src/peer/wire_convert.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "include/peer/envelope.h"
+
+namespace toucanknot {
+namespace {
+
+// Durations on the wire are 32 bits of milliseconds, never negative.
+int32_t ToWire(Duration duration) {
+  const int64_t max = std::numeric_limits<int32_t>::max();
+  return static_cast<int32_t>(std::clamp<int64_t>(duration.ms(), 0, max));
+}
+
+Duration FromWire(int32_t ms) {
+  if (ms < 0)
+    throw MalformedMessageError("a negative duration");
+  return Duration(ms);
+}
+
+int64_t CheckCount(int64_t count) {
+  if (count < 0)
+    throw MalformedMessageError("a negative count");
+  return count;
+}
+
+int64_t Signed(uint64_t value) {
+  return static_cast<int64_t>(value);
+}
+
+uint64_t Unsigned(int64_t value) {
+  return static_cast<uint64_t>(value);
+}
+
+template <typename E, size_t N>
+E ToEnum(int32_t value, const EnumNames<E, N>& names) {
+  if (value < 0 || static_cast<size_t>(value) >= names.names.size())
+    throw MalformedMessageError("an enum value out of range");
+  return static_cast<E>(value);
+}
+
+std::vector<std::string> ToWire(const std::vector<HostId>& ids) {
+  std::vector<std::string> out;
+  out.reserve(ids.size());
+  for (const HostId& it : ids)
+    out.push_back(it.str());
+  return out;
+}
+
+std::vector<HostId> FromWire(const std::vector<std::string>& ids) {
+  std::vector<HostId> out;
+  out.reserve(ids.size());
+  for (const std::string& it : ids)
+    out.emplace_back(it);
+  return out;
+}
+
+wire::ConfigStamp ToWire(const ConfigStamp& stamp) {
+  wire::ConfigStamp out;
+  out.__set_version(Signed(stamp.version));
+  out.__set_digest(stamp.digest);
+  return out;
+}
+
+ConfigStamp FromWire(const wire::ConfigStamp& stamp) {
+  return {Unsigned(stamp.version), stamp.digest};
+}
+
+wire::Heartbeat ToWire(const Heartbeat& in) {
+  wire::Heartbeat out;
+  out.__set_zone(in.zone.str());
+  out.__set_sequence(Signed(in.sequence));
+  out.__set_state(static_cast<int32_t>(in.state));
+  out.__set_config(ToWire(in.config));
+  out.__set_capacity(in.capacity);
+  if (!in.in_flight.empty()) {
+    for (const ServerInFlight& it : in.in_flight) {
+      wire::ServerInFlight item;
+      item.__set_server(it.server.str());
+      item.__set_requests(it.requests);
+      out.in_flight.push_back(item);
+    }
+    out.__isset.in_flight = true;
+    out.__set_in_flight_age_ms(ToWire(in.in_flight_age));
+  }
+  if (!in.unlisted.empty())
+    out.__set_unlisted(ToWire(in.unlisted));
+  return out;
+}
+
+Heartbeat FromWire(const wire::Heartbeat& in) {
+  Heartbeat out;
+  out.zone = ZoneId(in.zone);
+  out.sequence = Unsigned(in.sequence);
+  out.state = ToEnum(in.state, kHostStateNames);
+  out.config = FromWire(in.config);
+  out.capacity = CheckCount(in.capacity);
+  out.in_flight.reserve(in.in_flight.size());
+  for (const wire::ServerInFlight& it : in.in_flight) {
+    CheckCount(it.requests);
+    out.in_flight.push_back({ServerId(it.server), it.requests});
+  }
+  out.in_flight_age = FromWire(in.in_flight_age_ms);
+  out.unlisted = FromWire(in.unlisted);
+  return out;
+}
+
+wire::ZoneDigest ToWire(const ZoneDigest& in) {
+  wire::ZoneDigest out;
+  out.__set_zone(in.zone.str());
+  out.__set_age_ms(ToWire(in.age));
+  out.__set_live_hosts(in.live_hosts);
+  out.__set_capacity(in.capacity);
+  out.__set_in_flight(in.in_flight);
+  out.__set_config(ToWire(in.config));
+  if (!in.excluded.empty())
+    out.__set_excluded(ToWire(in.excluded));
+  return out;
+}
+
+ZoneDigest FromWire(const wire::ZoneDigest& in) {
+  ZoneDigest out;
+  out.zone = ZoneId(in.zone);
+  out.age = FromWire(in.age_ms);
+  out.live_hosts = static_cast<int32_t>(CheckCount(in.live_hosts));
+  out.capacity = CheckCount(in.capacity);
+  out.in_flight = CheckCount(in.in_flight);
+  out.config = FromWire(in.config);
+  out.excluded = FromWire(in.excluded);
+  return out;
+}
+
+wire::ZoneDigests ToWire(const ZoneDigests& in) {
+  wire::ZoneDigests out;
+  out.zones.reserve(in.zones.size());
+  for (const ZoneDigest& it : in.zones)
+    out.zones.push_back(ToWire(it));
+  out.__isset.zones = true;
+  out.__set_round(Signed(in.round));
+  return out;
+}
+
+ZoneDigests FromWire(const wire::ZoneDigests& in) {
+  ZoneDigests out;
+  out.zones.reserve(in.zones.size());
+  for (const wire::ZoneDigest& it : in.zones)
+    out.zones.push_back(FromWire(it));
+  out.round = Unsigned(in.round);
+  return out;
+}
+
+LeavingNotice FromWire(const wire::LeavingNotice& in) {
+  const HostState state = ToEnum(in.state, kHostStateNames);
+  if (state < HostState::kLeaving)
+    throw MalformedMessageError("a leaving notice of a host that stays");
+  return {state};
+}
+
+wire::BudgetDemand ToWire(const BudgetDemand& in) {
+  wire::BudgetDemand out;
+  out.__set_epoch(Signed(in.epoch));
+  for (const Demand& it : in.demands) {
+    wire::Demand item;
+    item.__set_budget(it.budget);
+    item.__set_amount(it.amount);
+    out.demands.push_back(item);
+  }
+  out.__isset.demands = true;
+  return out;
+}
+
+// A budget's amount is a number from 0 up; not-a-number fails the comparison.
+double CheckAmount(double amount) {
+  if (!(amount >= 0 && amount <= std::numeric_limits<double>::max()))
+    throw MalformedMessageError("an amount that is no positive number");
+  return amount;
+}
+
+BudgetDemand FromWire(const wire::BudgetDemand& in) {
+  BudgetDemand out;
+  out.epoch = Unsigned(in.epoch);
+  for (const wire::Demand& it : in.demands)
+    out.demands.push_back({it.budget, CheckAmount(it.amount)});
+  return out;
+}
+
+wire::BudgetGrant ToWire(const BudgetGrant& in) {
+  wire::BudgetGrant out;
+  out.__set_epoch(Signed(in.epoch));
+  for (const Grant& it : in.grants) {
+    wire::Grant item;
+    item.__set_budget(it.budget);
+    item.__set_amount(it.amount);
+    item.__set_lifetime_ms(ToWire(it.lifetime));
+    out.grants.push_back(item);
+  }
+  out.__isset.grants = true;
+  return out;
+}
+
+BudgetGrant FromWire(const wire::BudgetGrant& in) {
+  BudgetGrant out;
+  out.epoch = Unsigned(in.epoch);
+  for (const wire::Grant& it : in.grants) {
+    out.grants.push_back(
+        {it.budget, CheckAmount(it.amount), FromWire(it.lifetime_ms)});
+  }
+  return out;
+}
+
+// Sets the envelope's member for each kind of message.
+struct Putter {
+  wire::Envelope* envelope;
+
+  void operator()(const Heartbeat& in) {
+    envelope->__set_heartbeat(ToWire(in));
+  }
+  void operator()(const ZoneDigests& in) {
+    envelope->__set_zone_digests(ToWire(in));
+  }
+  void operator()(const LeavingNotice& in) {
+    wire::LeavingNotice out;
+    out.__set_state(static_cast<int32_t>(in.state));
+    envelope->__set_leaving_notice(out);
+  }
+  void operator()(const ConfigCompare& in) {
+    wire::ConfigCompare out;
+    out.__set_have(ToWire(in.have));
+    envelope->__set_config_compare(out);
+  }
+  void operator()(const ConfigAsk& in) {
+    wire::ConfigAsk out;
+    out.__set_have(ToWire(in.have));
+    envelope->__set_config_ask(out);
+  }
+  void operator()(const ConfigPush& in) {
+    wire::ConfigPush out;
+    out.__set_stamp(ToWire(in.stamp));
+    out.__set_text(in.text);
+    envelope->__set_config_push(out);
+  }
+  void operator()(const PartAsk& in) {
+    wire::PartAsk out;
+    out.__set_digest(in.digest);
+    envelope->__set_part_ask(out);
+  }
+  void operator()(const PartGive& in) {
+    wire::PartGive out;
+    out.__set_digest(in.digest);
+    out.__set_found(in.found);
+    out.__set_data(in.data);
+    envelope->__set_part_give(out);
+  }
+  void operator()(const QuarantineNotice& in) {
+    wire::QuarantineNotice out;
+    out.__set_service_id(in.service.str());
+    out.__set_fingerprint(Signed(in.fingerprint));
+    out.__set_remaining_ms(ToWire(in.remaining));
+    envelope->__set_quarantine_notice(out);
+  }
+  void operator()(const TicketAsk& in) {
+    wire::TicketAsk out;
+    out.__set_ask(Signed(in.ask));
+    out.__set_ticket(in.ticket);
+    out.__set_fingerprint(Signed(in.fingerprint));
+    out.__set_void_unused(in.void_unused);
+    envelope->__set_ticket_ask(out);
+  }
+  void operator()(const TicketAnswer& in) {
+    wire::TicketAnswer out;
+    out.__set_ask(Signed(in.ask));
+    out.__set_state(static_cast<int32_t>(in.state));
+    out.__set_answer(in.answer);
+    envelope->__set_ticket_answer(out);
+  }
+  void operator()(const BudgetDemand& in) {
+    envelope->__set_budget_demand(ToWire(in));
+  }
+  void operator()(const BudgetGrant& in) {
+    envelope->__set_budget_grant(ToWire(in));
+  }
+};
+
+// Collects the one message of an envelope.
+class Taker {
+ public:
+  void Take(bool is_set, auto make) {
+    if (!is_set)
+      return;
+    if (message_)
+      throw MalformedMessageError("two messages in one envelope");
+    message_ = make();
+  }
+
+  std::optional<PeerMessage> Result() { return std::move(message_); }
+
+ private:
+  std::optional<PeerMessage> message_;
+};
+
+}  // namespace
+
+void PutMessage(const PeerMessage& message, wire::Envelope* envelope) {
+  std::visit(Putter{envelope}, message);
+}
+
+PeerSender TakeSender(const wire::Envelope& envelope) {
+  if (envelope.sender.empty())
+    throw MalformedMessageError("no sender");
+  return {HostId(envelope.sender), Unsigned(envelope.incarnation)};
+}
+
+std::optional<PeerMessage> TakeMessage(const wire::Envelope& in) {
+  const auto& set = in.__isset;
+  Taker taker;
+  taker.Take(set.heartbeat, [&] { return FromWire(in.heartbeat); });
+  taker.Take(set.zone_digests, [&] { return FromWire(in.zone_digests); });
+  taker.Take(set.leaving_notice, [&] { return FromWire(in.leaving_notice); });
+  taker.Take(set.config_compare,
+             [&] { return ConfigCompare{FromWire(in.config_compare.have)}; });
+  taker.Take(set.config_ask,
+             [&] { return ConfigAsk{FromWire(in.config_ask.have)}; });
+  taker.Take(set.config_push, [&] {
+    return ConfigPush{FromWire(in.config_push.stamp), in.config_push.text};
+  });
+  taker.Take(set.part_ask, [&] { return PartAsk{in.part_ask.digest}; });
+  taker.Take(set.part_give, [&] {
+    const wire::PartGive& it = in.part_give;
+    return PartGive{it.digest, it.found, it.data};
+  });
+  taker.Take(set.quarantine_notice, [&] {
+    const wire::QuarantineNotice& it = in.quarantine_notice;
+    return QuarantineNotice{ServiceId(it.service_id), Unsigned(it.fingerprint),
+                            FromWire(it.remaining_ms)};
+  });
+  taker.Take(set.ticket_ask, [&] {
+    const wire::TicketAsk& it = in.ticket_ask;
+    return TicketAsk{Unsigned(it.ask), it.ticket, Unsigned(it.fingerprint),
+                     it.void_unused};
+  });
+  taker.Take(set.ticket_answer, [&] {
+    const wire::TicketAnswer& it = in.ticket_answer;
+    return TicketAnswer{Unsigned(it.ask), ToEnum(it.state, kTicketStateNames),
+                        it.answer};
+  });
+  taker.Take(set.budget_demand, [&] { return FromWire(in.budget_demand); });
+  taker.Take(set.budget_grant, [&] { return FromWire(in.budget_grant); });
+  return taker.Result();
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/peer/envelope_test.cc
@@ -0,0 +1,147 @@
+#include "include/peer/envelope.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <catch2/catch.hpp>
+
+#include <limits>
+#include <random>
+#include <vector>
+
+#include "src/peer/gen/peer_types.h"
+
+namespace toucanknot {
+namespace {
+
+const PeerSender kSender{HostId("khomas-1"), 0xfedcba9876543210};
+
+std::vector<PeerMessage> OneOfEach() {
+  const ConfigStamp stamp{42, "0123456789abcdef"};
+  Heartbeat heartbeat{ZoneId("khomas-a"), 7, HostState::kServing, stamp, 96};
+  heartbeat.in_flight = {{ServerId("w1"), 3}, {ServerId("w2"), 4}};
+  heartbeat.in_flight_age = Duration(12);
+  heartbeat.unlisted = {HostId("khomas-2")};
+  ZoneDigest digest{ZoneId("oshana-b"), Duration(250), 3, 12, 5, stamp};
+  digest.excluded = {HostId("oshana-4")};
+  return {heartbeat,
+          ZoneDigests{{digest, digest}, 9},
+          LeavingNotice{HostState::kStopped},
+          ConfigCompare{stamp},
+          ConfigAsk{stamp},
+          ConfigPush{stamp, std::string("{\"a\": \0 1}", 10)},
+          PartAsk{"aa"},
+          PartGive{"aa", true, std::string(5000, '\xff')},
+          QuarantineNotice{ServiceId("orders"), ~0ULL, Duration(300'000)},
+          TicketAsk{5, "ticket", 6, false},
+          TicketAnswer{5, TicketState::kEnded, "answer"},
+          BudgetDemand{3, {{"region/khomas", 12.5}}},
+          BudgetGrant{3, {{"region/khomas", 12.5, Duration(2000)}}}};
+}
+
+std::string EncodeWire(const wire::Envelope& envelope) {
+  using apache::thrift::transport::TMemoryBuffer;
+  const auto buf = std::make_shared<TMemoryBuffer>();
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buf);
+  envelope.write(&protocol);
+  return buf->getBufferAsString();
+}
+
+wire::Envelope WithSender() {
+  wire::Envelope envelope;
+  envelope.__set_sender("h");
+  return envelope;
+}
+
+// True when the body is read or refused as malformed; anything else escapes.
+bool ReadsOrRefuses(const std::string& body) {
+  try {
+    DecodeEnvelope(body);
+  } catch (const MalformedMessageError&) {
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_CASE("every kind of message comes back as it was") {
+  const auto messages = OneOfEach();
+  REQUIRE(messages.size() == std::variant_size_v<PeerMessage>);
+  for (const PeerMessage& it : messages) {
+    const Envelope got = DecodeEnvelope(EncodeEnvelope(kSender, it));
+    CHECK(got.sender == kSender);
+    REQUIRE(got.message);
+    CHECK(*got.message == it);
+  }
+}
+
+TEST_CASE("a kind of message from a later release is ignored") {
+  // Field 100 of the envelope: an empty struct.
+  std::string body = EncodeWire(WithSender());
+  body.pop_back();
+  body += std::string("\x0c\xc8\x01\x00\x00", 5);
+  const Envelope got = DecodeEnvelope(body);
+  CHECK(got.sender.host == HostId("h"));
+  CHECK_FALSE(got.message);
+}
+
+TEST_CASE("values that the protocol does not have are refused") {
+  wire::Envelope envelope = WithSender();
+  SECTION("no sender") {
+    envelope = wire::Envelope();
+  }
+  SECTION("two messages") {
+    envelope.__set_part_ask(wire::PartAsk());
+    envelope.__set_config_ask(wire::ConfigAsk());
+  }
+  SECTION("state") {
+    wire::Heartbeat heartbeat;
+    heartbeat.__set_state(4);
+    envelope.__set_heartbeat(heartbeat);
+  }
+  SECTION("negative age") {
+    wire::QuarantineNotice notice;
+    notice.__set_remaining_ms(-1);
+    envelope.__set_quarantine_notice(notice);
+  }
+  SECTION("amount that is not a number") {
+    wire::Grant grant;
+    grant.__set_amount(std::numeric_limits<double>::quiet_NaN());
+    wire::BudgetGrant grants;
+    grants.__set_grants({grant});
+    envelope.__set_budget_grant(grants);
+  }
+  CHECK_THROWS_AS(DecodeEnvelope(EncodeWire(envelope)), MalformedMessageError);
+}
+
+TEST_CASE("bytes that were changed, cut or added are read or refused") {
+  std::mt19937 random(20261204);
+  const auto messages = OneOfEach();
+  int refused = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    std::string body =
+        EncodeEnvelope(kSender, messages[random() % messages.size()]);
+    const int changes = 1 + static_cast<int>(random() % 4);
+    for (int k = 0; k < changes; ++k)
+      body[random() % body.size()] = static_cast<char>(random());
+    if (random() % 4 == 0)
+      body.resize(random() % body.size());
+    CHECK(ReadsOrRefuses(body));
+  }
+  for (int i = 0; i < 20'000; ++i) {
+    std::string body(random() % 200, '\0');
+    for (char& it : body)
+      it = static_cast<char>(random());
+    try {
+      DecodeEnvelope(body);
+    } catch (const MalformedMessageError&) {
+      ++refused;
+    }
+  }
+  CHECK(refused > 19'000);
+  CHECK_THROWS_AS(DecodeEnvelope(""), MalformedMessageError);
+  const std::string whole = EncodeEnvelope(kSender, messages[0]);
+  CHECK_THROWS_AS(DecodeEnvelope(whole + "x"), MalformedMessageError);
+}
+
+}  // namespace toucanknot
