--- a/include/once/ticket.h
+++ b/include/once/ticket.h
@@ -18,6 +18,7 @@
   HostId host;
   Incarnation incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see Duration.
   auto operator<=>(const HostLife&) const = default;
 };
 
--- a/src/once/ticket_state.cc
+++ b/src/once/ticket_state.cc
@@ -35,6 +35,7 @@
   using initial_state = At<S::kUnused>;
 
   // clang-format off
+  // MSM prescribes the name. NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table : boost::mpl::vector<
       Row<S::kUnused,     E::kAdmit,    S::kAdmitted>,
       Row<S::kUnused,     E::kVoid,     S::kVoided>,
@@ -122,8 +123,8 @@
 
 std::optional<TicketState> NextTicketState(TicketState state,
                                            TicketEvent event) {
-  static const Matrix kMatrix = BuildMatrix();
-  return kMatrix[static_cast<size_t>(state)][static_cast<size_t>(event)];
+  static const Matrix matrix = BuildMatrix();
+  return matrix[static_cast<size_t>(state)][static_cast<size_t>(event)];
 }
 
 }  // namespace toucanknot
