--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -40,6 +40,22 @@
     {"none", "deadline", "queue-full", "no-server", "region-limit",
      "link-limit", "shift-limit", "class", "quarantined", "host-leaving"}};
 
+// How far a request has come between entry hosts. A request passes between
+// regions once at most, and inside a region once on each side.
+enum class Hop {
+  // From a caller.
+  kCaller,
+  // Passed by a host of this region, which had it from a caller.
+  kInRegion,
+  // Passed by a host of another region.
+  kCrossed,
+  // Passed by a host of this region after it crossed between regions.
+  kCrossedInRegion,
+};
+
+inline constexpr EnumNames<Hop, 4> kHopNames{
+    {"caller", "in-region", "crossed", "crossed-in-region"}};
+
 // A request as the dispatcher sees it.
 struct WorkItem {
   // Chosen by the caller of the dispatcher; unique at this host.
@@ -50,10 +66,15 @@
   bool run_once = false;
   // Hash of service, method, target and body.
   uint64_t fingerprint = 0;
-  // It came from another entry host and must not be passed on again.
+  // As stated by the host that passed it: Decision::hop there.
+  Hop hop = Hop::kCaller;
+  // It came from another entry host and must not be passed on again, whatever
+  // `hop` says.
   bool from_peer = false;
   // Retries and hedges: servers that this request has been sent to before.
   std::vector<ServerId> avoid;
+  // Entry hosts that refused it or could not be reached.
+  std::vector<HostId> avoid_hosts;
 };
 
 // What to do with a request now.
@@ -76,6 +97,8 @@
   Step step = Step::kWait;
   ServerId server;
   HostId host;
+  // Step::kPass: what WorkItem::hop must be at `host`.
+  Hop hop = Hop::kCaller;
   Refusal refusal = Refusal::kNone;
 };
 
@@ -134,6 +157,11 @@
   };
   HostId host;
   std::vector<InFlight> in_flight;
+  // Requests that wait there, slots that it could fill at once, and all slots
+  // that it fills itself.
+  int waiting = 0;
+  int free_slots = 0;
+  int slots = 0;
   Duration age;
 };
 
--- /dev/null
+++ b/src/steering/home_picker.cc
@@ -0,0 +1,81 @@
+#include "src/steering/home_picker.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// What a pass costs in the comparison of expected waits.
+constexpr double kPassMs = 3;
+
+bool IsAvoided(const WorkItem& item, const HostId& host) {
+  return std::find(item.avoid_hosts.begin(), item.avoid_hosts.end(), host) !=
+         item.avoid_hosts.end();
+}
+
+}  // namespace
+
+bool HomePicker::IsHomeOfAny() const {
+  const auto& pools = view().own_place().pools;
+  return std::any_of(pools.begin(), pools.end(),
+                     [&](const auto& pool) { return pool.home == in().own; });
+}
+
+bool HomePicker::Sends(size_t server) const {
+  const auto& place = view().own_place();
+  const HostId& home = place.pools[view().PoolOf(server)].home;
+  return home == in().own || home.empty() || !IsHomeOfAny();
+}
+
+HostId HomePicker::RandomHome(const WorkItem& item) {
+  const auto& pools = view().own_place().pools;
+  const HostId& home = pools[random().Below(pools.size())].home;
+  return IsAvoided(item, home) ? in().own : home;
+}
+
+double HomePicker::WaitAt(const HostTable::State& host, Instant) const {
+  const int slots = std::max(host.slots, 1);
+  const int ahead = host.waiting + host.passed - host.free_slots + 1;
+  return kPassMs + std::max(ahead, 0) * in().servers->mean_ms() / slots;
+}
+
+HostId HomePicker::LeastWaitHome(const WorkItem& item, Instant now) const {
+  HostId best = in().own;
+  double best_wait = kPassMs + ExpectedWaitMs(now);
+  if (!IsHomeOfAny())
+    best_wait = 1e12;
+  for (const HostTable::State& it : in().hosts->states()) {
+    const auto& live = view().own_place().live;
+    const bool here = std::find(live.begin(), live.end(), it.id) != live.end();
+    if (!here || it.id == in().own || it.slots == 0 || IsAvoided(item, it.id))
+      continue;
+    const double wait = WaitAt(it, now);
+    if (wait < best_wait) {
+      best = it.id;
+      best_wait = wait;
+    }
+  }
+  return best;
+}
+
+Pick HomePicker::Choose(const WorkItem& item, bool may_pass, Instant now) {
+  if (!may_pass || view().own_place().servers.empty())
+    return LocalPicker::Choose(item, false, now);
+  if (way_ == Way::kRandom) {
+    const HostId home = RandomHome(item);
+    if (!home.empty() && home != in().own)
+      return {.kind = Pick::Kind::kHost, .host = home};
+    return LocalPicker::Choose(item, false, now);
+  }
+  if (IsHomeOfAny()) {
+    Pick local = LocalPicker::Choose(item, false, now);
+    if (local.kind == Pick::Kind::kServer)
+      return local;
+  }
+  const HostId home = LeastWaitHome(item, now);
+  if (home != in().own)
+    return {.kind = Pick::Kind::kHost, .host = home};
+  return LocalPicker::Choose(item, false, now);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/steering/local_picker.cc
@@ -0,0 +1,69 @@
+#include "src/steering/local_picker.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// A server whose mean time is this many times the mean of all is slow.
+constexpr double kSlowRatio = 3;
+constexpr Duration kSlowProbeInterval{1'000};
+
+bool IsAvoided(const WorkItem& item, const ServerId& server) {
+  return std::find(item.avoid.begin(), item.avoid.end(), server) !=
+         item.avoid.end();
+}
+
+}  // namespace
+
+double LocalPicker::ExpectedWaitMs(Instant now) const {
+  int slots = 0;
+  for (size_t i = 0; i < in_.servers->size(); ++i) {
+    if (Sends(i))
+      slots += Slots(i, now);
+  }
+  return slots == 0 ? 0 : in_.servers->mean_ms() * in_.waiting() / slots;
+}
+
+bool LocalPicker::TooSlow(size_t server, double wait_ms) const {
+  const double mean = in_.servers->at(server).mean_ms;
+  const double all = in_.servers->mean_ms();
+  return mean > kSlowRatio * all && mean > all + wait_ms;
+}
+
+bool LocalPicker::ProbeDue(size_t server, Instant now) {
+  last_probe_.resize(in_.servers->size(), now);
+  if (now - last_probe_[server] < kSlowProbeInterval)
+    return false;
+  last_probe_[server] = now;
+  return true;
+}
+
+Pick LocalPicker::Choose(const WorkItem& item, bool, Instant now) {
+  const size_t n = in_.servers->size();
+  Pick best;
+  int best_free = 0;
+  bool best_avoided = true;
+  const double wait_ms = ExpectedWaitMs(now);
+  ++rotation_;
+  for (size_t k = 0; k < n; ++k) {
+    const size_t i = (rotation_ + k) % n;
+    if (!Sends(i) || Slots(i, now) == 0)
+      continue;
+    if (best.kind == Pick::Kind::kNoServer)
+      best.kind = Pick::Kind::kWait;
+    const int free = Free(i, now);
+    if (free <= 0 || (TooSlow(i, wait_ms) && !ProbeDue(i, now)))
+      continue;
+    const bool avoided = IsAvoided(item, in_.servers->at(i).info.id);
+    const bool better = avoided == best_avoided ? free > best_free : !avoided;
+    if (!better)
+      continue;
+    best = {.kind = Pick::Kind::kServer, .server = i};
+    best_free = free;
+    best_avoided = avoided;
+  }
+  return best;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/steering/steering_dispatcher.h
@@ -0,0 +1,91 @@
+#ifndef SRC_STEERING_STEERING_DISPATCHER_H_
+#define SRC_STEERING_STEERING_DISPATCHER_H_
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "include/steering/dispatcher.h"
+#include "include/steering/dispatcher_builder.h"
+#include "src/steering/fleet_view.h"
+#include "src/steering/host_table.h"
+#include "src/steering/picker.h"
+#include "src/steering/region_shifter.h"
+#include "src/steering/server_table.h"
+#include "src/steering/wait_queue.h"
+
+namespace toucanknot {
+
+// The dispatcher that the daemon runs: a picker for the own region, a bounded
+// queue, refusal of what cannot be in time, and passes to other regions.
+class SteeringDispatcher : public Dispatcher {
+ public:
+  struct Parts {
+    ServiceId service;
+    HostId own;
+    uint64_t seed = 1;
+    Policy policy = Policy::kPool;
+    QueueOrder order = QueueOrder::kFifo;
+    // All set.
+    SteeringHooks hooks;
+  };
+
+  explicit SteeringDispatcher(Parts parts);
+
+  Decision Offer(const WorkItem& item, Instant now) override;
+  void Withdraw(uint64_t item, Instant now) override;
+  void Finish(const AttemptResult& result, Instant now) override;
+  std::vector<Decision> Advance(Instant now) override;
+  Instant NextWake() const override { return wake_; }
+  void OnLoadReport(const LoadReport& report, Instant now) override;
+  void OnPeerLoad(const PeerLoad& load, Instant now) override;
+  void OnHosts(const std::vector<HostId>& live, Instant now) override;
+  void OnConfig(const FleetConfigPtr& config,
+                int64_t unix_ms,
+                Instant now) override;
+  PeerLoad OwnLoad() const override;
+  std::string Explain(Instant now) const override;
+
+ private:
+  // A request that was sent or passed.
+  struct Flight {
+    // Index of the server; meaningless for a passed one.
+    size_t server = 0;
+    HostId host;
+  };
+
+  // What happens to a request now; nothing when it has to wait.
+  std::optional<Decision> Decide(const WorkItem& item, Instant now);
+  std::optional<Decision> DecideHere(const WorkItem& item,
+                                     const Pick& pick,
+                                     Instant now);
+  Decision Send(const WorkItem& item, size_t server);
+  Decision Pass(const WorkItem& item, const HostId& host, Hop hop);
+  Decision Refuse(const WorkItem& item, Refusal refusal);
+  bool RegionHasRoom(const WorkItem& item, Instant now) const;
+  // When a request that is last in the queue would start, from now.
+  double ExpectedWaitMs(Instant now) const;
+  int OwnSlots(Instant now) const;
+  int OwnFree(Instant now) const;
+  int OwnInFlight() const;
+  void RefreshHomes(Instant now);
+  void SetWake(Instant now);
+
+  const Parts parts_;
+  std::unique_ptr<FleetView> view_;
+  ServerTable servers_;
+  HostTable hosts_;
+  WaitQueue queue_;
+  RegionShifter shifter_;
+  std::unique_ptr<Picker> picker_;
+  boost::unordered_flat_map<uint64_t, Flight> flights_;
+  Instant last_now_;
+  Instant return_at_ = Instant::Never();
+  Instant wake_ = Instant::Never();
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_STEERING_STEERING_DISPATCHER_H_
