--- a/src/daemon/call.cc
+++ b/src/daemon/call.cc
@@ -52,10 +52,10 @@
   out.fields.Remove("Content-Length");
   out.fields.Add("Via", "1.1 toucanknot");
   const std::string_view before = original.fields.Get("X-Forwarded-For");
-  out.fields.Set("X-Forwarded-For", before.empty()
-                                        ? original.remote_ip
-                                        : std::string(before) + ", " +
-                                              original.remote_ip);
+  out.fields.Set("X-Forwarded-For",
+                 before.empty()
+                     ? original.remote_ip
+                     : std::string(before) + ", " + original.remote_ip);
   return out;
 }
 
@@ -112,8 +112,8 @@
       target.starts_with('/') ? std::string(target) : "/" + std::string(target);
   call->tables = std::move(tables);
   call->deadline = ReadDeadline(request, call->entry->tunables, now);
-  call->idempotent = call->entry->IsIdempotent(
-      request.method, TargetPath(call->server_target));
+  call->idempotent = call->entry->IsIdempotent(request.method,
+                                               TargetPath(call->server_target));
   call->fingerprint = Fingerprint(service, request);
   call->pass = std::move(pass);
   call->original = std::move(request);
--- a/src/daemon/host_settings.cc
+++ b/src/daemon/host_settings.cc
@@ -75,13 +75,13 @@
 void ReadBounds(ObjectReader& in, HostSettings& out) {
   out.workers =
       static_cast<int>(in.Integer("workers", 1, kMaxWorkers, out.workers));
-  out.max_connections = static_cast<int>(in.Integer(
-      "max_connections", 1, kMaxConnections, out.max_connections));
+  out.max_connections = static_cast<int>(
+      in.Integer("max_connections", 1, kMaxConnections, out.max_connections));
   out.max_buffered_bytes =
       in.Integer("max_buffered_bytes", kMinBufferedBytes, kMaxBufferedBytes,
                  out.max_buffered_bytes);
-  out.store_timeout = Duration(in.Integer("store_timeout_ms", 1, kMaxTimeoutMs,
-                                          out.store_timeout.ms()));
+  out.store_timeout = Duration(
+      in.Integer("store_timeout_ms", 1, kMaxTimeoutMs, out.store_timeout.ms()));
   out.leave_notice = Duration(
       in.Integer("leave_notice_ms", 0, kMaxTimeoutMs, out.leave_notice.ms()));
 }
--- a/src/daemon/pass_mark.cc
+++ b/src/daemon/pass_mark.cc
@@ -60,8 +60,7 @@
   std::string text = MarkText(mark);
   const Mac mac = keys.Sign(SignedText(text, receiver, request));
   text += kSeparator + std::to_string(keys.active_id()) + kSeparator;
-  boost::algorithm::hex_lower(mac.begin(), mac.end(),
-                              std::back_inserter(text));
+  boost::algorithm::hex_lower(mac.begin(), mac.end(), std::back_inserter(text));
   request.fields.Set(kPassHeader, std::move(text));
 }
 
@@ -75,8 +74,7 @@
   *forged = true;
   std::vector<std::string> parts;
   const std::string value(request.fields.Get(kPassHeader));
-  boost::algorithm::split(parts, value,
-                          [](char c) { return c == kSeparator; });
+  boost::algorithm::split(parts, value, [](char c) { return c == kSeparator; });
   unsigned key = 0;
   std::string mac;
   if (parts.size() != kParts || !ReadNumber(parts[5], key) || key > 255)
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -143,15 +143,14 @@
     co_return result;
   const int status = result.response.status;
   result.end = JudgeStatus(*call.entry, status);
-  result.verdict = call.entry->PromisesNotRun(status) ? Verdict::kNotRun
-                                                      : Verdict::kRan;
+  result.verdict =
+      call.entry->PromisesNotRun(status) ? Verdict::kNotRun : Verdict::kRan;
   co_return result;
 }
 
-boost::asio::awaitable<SendResult> Sender::PassToHost(
-    const Call& call,
-    const Decision& decision,
-    HandOver hand_over) {
+boost::asio::awaitable<SendResult> Sender::PassToHost(const Call& call,
+                                                      const Decision& decision,
+                                                      HandOver hand_over) {
   const auto host = call.tables->hosts.find(decision.host);
   if (host == call.tables->hosts.end()) {
     SendResult result;
