--- a/src/daemon/call.cc
+++ b/src/daemon/call.cc
@@ -14,16 +14,14 @@
 constexpr int64_t kHeaderAllowanceBytes = 512;
 
 uint64_t Fingerprint(std::string_view service, const HttpRequest& request) {
-  XXH3_state_t state;
-  XXH3_64bits_reset(&state);
+  uint64_t hash = 0;
   for (const std::string_view it :
        {service, std::string_view(request.method),
         std::string_view(request.target), std::string_view(request.body)}) {
-    const uint64_t length = it.size();
-    XXH3_64bits_update(&state, &length, sizeof length);
-    XXH3_64bits_update(&state, it.data(), it.size());
+    // The length keeps neighbouring parts apart.
+    hash = XXH3_64bits_withSeed(it.data(), it.size(), hash + it.size());
   }
-  return XXH3_64bits_digest(&state);
+  return hash;
 }
 
 Instant ReadDeadline(const HttpRequest& request,
@@ -75,7 +73,7 @@
       static_cast<int64_t>(original.body.size()) + kHeaderAllowanceBytes;
   item.run_once = !idempotent;
   item.fingerprint = fingerprint;
-  item.from_peer = pass.has_value();
+  item.hop = pass ? pass->hop : Hop::kCaller;
   return item;
 }
 
@@ -94,6 +92,13 @@
   return out;
 }
 
+void Avoid(const Decision& decision, WorkItem& item) {
+  if (decision.step == Step::kSend)
+    item.avoid.push_back(decision.server);
+  else
+    item.avoid_hosts.push_back(decision.host);
+}
+
 CallPtr ParseCall(HttpRequest request,
                   RoutingTablesPtr tables,
                   std::optional<PassMark> pass,
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "include/base/clock.h"
+#include "include/base/error.h"
 #include "include/steering/dispatcher.h"
 #include "src/daemon/pass_mark.h"
 #include "src/daemon/routing_tables.h"
@@ -39,13 +40,6 @@
 
 using CallPtr = std::shared_ptr<const Call>;
 
-// Reads a request for "/v1/services/SERVICE/PATH". The deadline is the
-// caller's, or the service's default, counted from `now`. Throws BadCallError.
-CallPtr ParseCall(HttpRequest request,
-                  RoutingTablesPtr tables,
-                  std::optional<PassMark> pass,
-                  Instant now);
-
 // The request cannot be understood; nothing was run.
 class BadCallError : public Error {
  public:
@@ -58,6 +52,16 @@
   int status_;
 };
 
+// Reads a request for "/v1/services/SERVICE/PATH". The deadline is the
+// caller's, or the service's default, counted from `now`. Throws BadCallError.
+CallPtr ParseCall(HttpRequest request,
+                  RoutingTablesPtr tables,
+                  std::optional<PassMark> pass,
+                  Instant now);
+
+// After an attempt that came to nothing: what `item` must not go to again.
+void Avoid(const Decision& decision, WorkItem& item);
+
 inline constexpr std::string_view kServicesPrefix = "/v1/services/";
 
 }  // namespace toucanknot
--- a/src/daemon/idempotent_runner.cc
+++ b/src/daemon/idempotent_runner.cc
@@ -45,8 +45,7 @@
       break;
     if (SteadyNow() >= call->deadline || !take_retry_(*call->entry))
       break;
-    if (!decision.server.empty())
-      item.avoid.push_back(decision.server);
+    Avoid(decision, item);
   }
   if (last.has_answer)
     co_return ToCaller(std::move(last.response), last.verdict);
--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -155,8 +155,7 @@
       co_return AnswerForEnd(record->Break());
     if (!record->TakeBack())
       break;
-    if (!decision.server.empty())
-      item.avoid.push_back(decision.server);
+    Avoid(decision, item);
   }
   record->Void();
   HttpResponse answer = RefusalAnswer(refusal);
--- a/src/daemon/pass_mark.cc
+++ b/src/daemon/pass_mark.cc
@@ -12,12 +12,13 @@
 namespace toucanknot {
 namespace {
 
-// kind;host;incarnation;run;attempt;key id;MAC
-constexpr size_t kParts = 7;
+// kind;hop;host;incarnation;run;attempt;key id;MAC
+constexpr size_t kParts = 8;
 constexpr char kSeparator = ';';
 
 std::string MarkText(const PassMark& mark) {
   return std::string(kPassKindNames.Name(mark.kind)) + kSeparator +
+         std::string(kHopNames.Name(mark.hop)) + kSeparator +
          mark.sender.host.str() + kSeparator +
          std::to_string(mark.sender.incarnation) + kSeparator +
          std::to_string(mark.attempt.run) + kSeparator +
@@ -41,13 +42,15 @@
 std::optional<PassMark> ReadMark(const std::vector<std::string>& parts) {
   PassMark mark;
   const auto kind = kPassKindNames.Parse(parts[0]);
-  if (!kind || !ReadNumber(parts[2], mark.sender.incarnation) ||
-      !ReadNumber(parts[3], mark.attempt.run) ||
-      !ReadNumber(parts[4], mark.attempt.number)) {
+  const auto hop = kHopNames.Parse(parts[1]);
+  if (!kind || !hop || !ReadNumber(parts[3], mark.sender.incarnation) ||
+      !ReadNumber(parts[4], mark.attempt.run) ||
+      !ReadNumber(parts[5], mark.attempt.number)) {
     return std::nullopt;
   }
   mark.kind = *kind;
-  mark.sender.host = HostId(parts[1]);
+  mark.hop = *hop;
+  mark.sender.host = HostId(parts[2]);
   return mark;
 }
 
@@ -77,10 +80,10 @@
   boost::algorithm::split(parts, value, [](char c) { return c == kSeparator; });
   unsigned key = 0;
   std::string mac;
-  if (parts.size() != kParts || !ReadNumber(parts[5], key) || key > 255)
+  if (parts.size() != kParts || !ReadNumber(parts[6], key) || key > 255)
     return std::nullopt;
   try {
-    boost::algorithm::unhex(parts[6], std::back_inserter(mac));
+    boost::algorithm::unhex(parts[7], std::back_inserter(mac));
   } catch (const boost::algorithm::hex_decode_error&) {
     return std::nullopt;
   }
--- a/src/daemon/pass_mark.h
+++ b/src/daemon/pass_mark.h
@@ -8,6 +8,7 @@
 #include "include/base/enum_names.h"
 #include "include/once/pass_table.h"
 #include "include/peer/fleet_keys.h"
+#include "include/steering/dispatcher.h"
 #include "src/http/http_message.h"
 
 namespace toucanknot {
@@ -33,6 +34,8 @@
 struct PassMark {
   PassKind kind = PassKind::kServe;
   HostLife sender;
+  // For kServe and kRunOnce: the way it came, as the sender's dispatcher says.
+  Hop hop = Hop::kInRegion;
   // For kRunOnce: names the run at the sender.
   RunAttempt attempt;
 };
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -159,6 +159,7 @@
   }
   PassMark mark;
   mark.sender = self_;
+  mark.hop = decision.hop;
   ExchangeOptions options = OptionsFor(call);
   if (hand_over) {
     // The mark names the attempt, so it is opened before the connection is
