store: client over HTTP, stand-in in memory, leases

Errors say what is known: a write that left this process and has no whole answer, or a 5xx other than 503, may have taken effect. Store gains AcquireLease. Each call has a connection of its own, so that none can have gone silent unseen.

--- a/include/store/store.h
+++ b/include/store/store.h
@@ -43,6 +43,16 @@
   bool leaving = false;
 };
 
+// What became of an attempt to take a lease.
+struct LeaseResult {
+  bool granted = false;
+  // Greater each time that a lease passes on after it lapsed or its holder
+  // changed; the same when the holder renews in time. 0 when not granted.
+  uint64_t epoch = 0;
+  // Who has it.
+  std::string holder;
+};
+
 // The platform's key-value service and host list. Calls block up to a time
 // limit that the implementation is built with; all may throw
 // StoreUnavailableError.
@@ -69,6 +79,13 @@
   // The keys that begin with `prefix`, in order.
   virtual std::vector<std::string> List(const std::string& prefix) = 0;
 
+  // Takes or renews the lease `key` for `holder` until `ttl` from when the
+  // store runs the call. Throws StoreOutcomeUnknownError when the answer is
+  // lost; taking it again is harmless.
+  virtual LeaseResult AcquireLease(const std::string& key,
+                                   const std::string& holder,
+                                   Duration ttl) = 0;
+
   // The platform's host list: entry hosts and backend servers.
   virtual std::vector<PlatformHost> Hosts() = 0;
 };
--- a/src/base/utc_time.cc
+++ b/src/base/utc_time.cc
@@ -62,7 +62,8 @@
                                          std::chrono::day(day)};
   if (!text.empty() || !date.ok() || hour > 23 || minute > 59 || second > 59)
     return std::nullopt;
-  const int64_t days = std::chrono::sys_days(date).time_since_epoch().count();
+  const std::chrono::sys_days midnight{date};
+  const int64_t days = midnight.time_since_epoch().count();
   return days * kMillisPerDay +
          ((hour * int64_t{60} + minute) * 60 + second) * 1000 + millis;
 }
--- a/src/config/tunable_table.cc
+++ b/src/config/tunable_table.cc
@@ -54,6 +54,14 @@
   return n;
 }
 
+template <typename T>
+T FromNumber(double n) {
+  if constexpr (std::is_same_v<T, Duration>)
+    return Duration(static_cast<int64_t>(n));
+  else
+    return static_cast<T>(n);
+}
+
 // A key without its unit: "deadline" of "deadline_ms" and "deadline_s".
 std::string_view Stem(std::string_view key) {
   for (const std::string_view it :
@@ -154,7 +162,7 @@
   std::visit(
       [&](auto member) {
         auto& target = tunables.*member;
-        target = std::decay_t<decltype(target)>(*n);
+        target = FromNumber<std::decay_t<decltype(target)>>(*n);
       },
       spec.member);
   return true;
--- /dev/null
+++ b/src/standin/memory_store.h
@@ -0,0 +1,116 @@
+#ifndef SRC_STANDIN_MEMORY_STORE_H_
+#define SRC_STANDIN_MEMORY_STORE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/store/store.h"
+
+namespace toucanknot {
+
+// How many calls a stand-in store has had. A waiting watch counts as one.
+struct StoreCalls {
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t watches = 0;
+  uint64_t leases = 0;
+
+  uint64_t All() const { return reads + writes + watches + leases; }
+};
+
+// Where the answer to a write gets lost.
+enum class LostAnswer { kBeforeEffect, kAfterEffect };
+
+// The platform's store in memory, for tests, trials and the demonstration,
+// with faults that can be switched while it is in use. Thread-safe.
+class MemoryStore : public Store {
+ public:
+  // What the store held at some time, to be restored.
+  using Snapshot = std::map<std::string, StoreValue>;
+
+  explicit MemoryStore(ClockFn clock = SteadyNow);
+
+  std::optional<StoreValue> Get(const std::string& key) override;
+  SwapResult CompareAndSwap(const std::string& key,
+                            uint64_t expected,
+                            const std::string& data) override;
+  std::optional<StoreValue> Watch(const std::string& key,
+                                  uint64_t seen,
+                                  Duration limit) override;
+  std::vector<std::string> List(const std::string& prefix) override;
+  LeaseResult AcquireLease(const std::string& key,
+                           const std::string& holder,
+                           Duration ttl) override;
+  std::vector<PlatformHost> Hosts() override;
+
+  // While down, every call throws StoreUnavailableError, waiting watches too.
+  void SetDown(bool down);
+  // Every call takes this much longer.
+  void SetSlow(Duration delay);
+  // The next `n` writes and lease calls throw StoreOutcomeUnknownError.
+  void LoseAnswers(int n, LostAnswer point = LostAnswer::kAfterEffect);
+
+  // The host list from now on, shown by Hosts() when `SetHostLag` has passed.
+  void SetHosts(std::vector<PlatformHost> hosts);
+  void SetHostLag(Duration lag);
+
+  // Copies everything but leases, or goes back to such a copy; revisions go
+  // back too.
+  Snapshot TakeSnapshot() const;
+  void Restore(Snapshot snapshot);
+
+  StoreCalls calls() const;
+
+  // Called without locks held after each change of a key; for a server that
+  // keeps watches open without a thread for each.
+  using ChangeFn = std::function<void(const std::string& key)>;
+  void OnChange(ChangeFn fn);
+  // The value of `key` whatever the faults, not counted as a call.
+  std::optional<StoreValue> Peek(const std::string& key) const;
+
+ private:
+  struct Lease {
+    std::string holder;
+    uint64_t epoch = 0;
+    Instant until;
+  };
+  struct HostList {
+    Instant since;
+    std::vector<PlatformHost> hosts;
+  };
+  using Lock = std::unique_lock<std::mutex>;
+
+  // Starts a call: counts it, waits while slow, throws while down.
+  Lock Enter(uint64_t StoreCalls::*counter);
+  void ThrowIfDown() const;
+  // Throws if the answer of this write is to be lost at `point`.
+  void LoseAnswerAt(LostAnswer point);
+  std::optional<StoreValue> Find(const std::string& key) const;
+
+  const ClockFn clock_;
+  mutable std::mutex mutex_;
+  // Signalled at each change and each switch of a fault.
+  std::condition_variable changed_;
+  Snapshot values_;
+  std::map<std::string, Lease> leases_;
+  std::deque<HostList> host_lists_;
+  Duration host_lag_;
+  bool down_ = false;
+  Duration slow_;
+  int answers_to_lose_ = 0;
+  LostAnswer lost_at_ = LostAnswer::kAfterEffect;
+  StoreCalls calls_;
+  ChangeFn on_change_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_STANDIN_MEMORY_STORE_H_
--- /dev/null
+++ b/src/store/http_exchange.cc
@@ -0,0 +1,110 @@
+#include "src/store/http_exchange.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr size_t kMaxBodyBytes = 16 << 20;
+
+// One request on one connection. Lives while its io_context runs.
+class OneExchange {
+ public:
+  OneExchange(const Endpoint& to, const HttpCall& call) : to_(to) {
+    request_.version(11);
+    request_.method_string(call.method);
+    request_.target(call.target);
+    request_.set(http::field::host, to.ToString());
+    request_.set(http::field::connection, "close");
+    for (const HttpField& it : call.fields)
+      request_.set(it.name, it.value);
+    request_.body() = call.body;
+    request_.prepare_payload();
+    parser_.body_limit(kMaxBodyBytes);
+  }
+
+  HttpOutcome Run(Duration limit) {
+    outcome_.fault = "no answer in time";
+    Connect();
+    io_.run_for(std::chrono::milliseconds(limit.ms()));
+    return std::move(outcome_);
+  }
+
+ private:
+  void Connect() {
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(to_.ip, ec);
+    if (ec)
+      return Fail(ec);
+    socket_.async_connect({ip, to_.port}, [this](auto error) {
+      if (error)
+        return Fail(error);
+      Write();
+    });
+  }
+
+  void Write() {
+    outcome_.stage = HttpStage::kSent;
+    http::async_write(socket_, request_, [this](auto error, size_t) {
+      if (error)
+        return Fail(error);
+      Read();
+    });
+  }
+
+  void Read() {
+    http::async_read(socket_, buf_, parser_, [this](auto error, size_t) {
+      if (error)
+        return Fail(error);
+      Take();
+    });
+  }
+
+  void Take() {
+    outcome_.stage = HttpStage::kAnswered;
+    outcome_.fault.clear();
+    outcome_.status = parser_.get().result_int();
+    for (const auto& it : parser_.get()) {
+      outcome_.fields.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    outcome_.body = std::move(parser_.get().body());
+  }
+
+  void Fail(const boost::system::error_code& ec) {
+    outcome_.fault = ec.message();
+  }
+
+  const Endpoint to_;
+  asio::io_context io_;
+  asio::ip::tcp::socket socket_{io_};
+  http::request<http::string_body> request_;
+  beast::flat_buffer buf_;
+  http::response_parser<http::string_body> parser_;
+  HttpOutcome outcome_;
+};
+
+}  // namespace
+
+std::string HttpOutcome::Field(const std::string& name) const {
+  for (const HttpField& it : fields) {
+    if (beast::iequals(it.name, name))
+      return it.value;
+  }
+  return "";
+}
+
+HttpOutcome Exchange(const Endpoint& to, const HttpCall& call, Duration limit) {
+  return OneExchange(to, call).Run(limit);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/store/http_exchange.h
@@ -0,0 +1,59 @@
+#ifndef SRC_STORE_HTTP_EXCHANGE_H_
+#define SRC_STORE_HTTP_EXCHANGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/endpoint.h"
+#include "include/base/enum_names.h"
+
+namespace toucanknot {
+
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+
+// A request to the platform or to a host's admin listener.
+struct HttpCall {
+  std::string method = "GET";
+  std::string target;
+  std::vector<HttpField> fields;
+  std::string body;
+};
+
+// How far an exchange got.
+enum class HttpStage {
+  // No byte of the request left this process.
+  kNotSent,
+  // The other side may have acted on the request; no whole answer came.
+  kSent,
+  // A whole answer came.
+  kAnswered,
+};
+
+inline constexpr EnumNames<HttpStage, 3> kHttpStageNames{
+    {"not sent", "sent", "answered"}};
+
+struct HttpOutcome {
+  HttpStage stage = HttpStage::kNotSent;
+  int status = 0;
+  std::vector<HttpField> fields;
+  std::string body;
+  // Why there is no answer.
+  std::string fault;
+
+  // The value of the field `name` in any case; empty when there is none.
+  std::string Field(const std::string& name) const;
+};
+
+// Sends `call` to `to` over a connection of its own, so that no connection can
+// have gone silent unseen, and waits at most `limit` for the whole answer, of
+// at most 16 MiB. Never throws for what happens on the network.
+HttpOutcome Exchange(const Endpoint& to, const HttpCall& call, Duration limit);
+
+}  // namespace toucanknot
+
+#endif  // SRC_STORE_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/store/http_store.cc
@@ -0,0 +1,168 @@
+#include "src/store/http_store.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+std::string Encoded(const std::string& text) {
+  std::string out;
+  for (const unsigned char c : text) {
+    const bool plain = std::isalnum(c) || c == '-' || c == '_' || c == '.' ||
+                       c == '~' || c == '/';
+    out += plain ? std::string(1, static_cast<char>(c))
+                 : fmt::format("%{:02X}", c);
+  }
+  return out;
+}
+
+std::string KeyTarget(const std::string& key) {
+  return "/v1/kv/" + Encoded(key);
+}
+
+std::string Describe(const HttpOutcome& outcome) {
+  if (outcome.stage == HttpStage::kAnswered)
+    return fmt::format("the store answered {}", outcome.status);
+  return "the store did not answer: " + outcome.fault;
+}
+
+// Runs `read` on the body as JSON; a body of another shape is no answer.
+template <typename Fn>
+auto FromJson(const HttpOutcome& outcome, Fn read) {
+  try {
+    return read(boost::json::parse(outcome.body));
+  } catch (const std::exception& e) {
+    throw StoreUnavailableError(
+        std::string("the store's answer is malformed: ") + e.what());
+  }
+}
+
+std::string TextOf(const boost::json::value& value) {
+  return std::string(value.as_string());
+}
+
+}  // namespace
+
+HttpStore::HttpStore(Endpoint address, Duration limit)
+    : address_(std::move(address)), limit_(limit) {}
+
+HttpOutcome HttpStore::Read(const std::string& target, Duration limit) const {
+  HttpOutcome outcome = Exchange(address_, {"GET", target}, limit);
+  const bool known = outcome.status == kOk || outcome.status == kNotFound ||
+                     outcome.status == kNotModified;
+  if (outcome.stage != HttpStage::kAnswered || !known)
+    throw StoreUnavailableError(Describe(outcome));
+  return outcome;
+}
+
+HttpOutcome HttpStore::Write(const HttpCall& call) const {
+  HttpOutcome outcome = Exchange(address_, call, limit_);
+  const bool lost =
+      outcome.stage == HttpStage::kSent ||
+      (outcome.status >= kServerError && outcome.status != kUnavailable);
+  if (lost)
+    throw StoreOutcomeUnknownError(Describe(outcome));
+  const bool known = outcome.status == kOk || outcome.status == kConflict ||
+                     outcome.status == kPreconditionFailed;
+  if (!known)
+    throw StoreUnavailableError(Describe(outcome));
+  return outcome;
+}
+
+uint64_t HttpStore::RevisionOf(const HttpOutcome& outcome) const {
+  const std::string text = outcome.Field("Revision");
+  const char* end = text.data() + text.size();
+  uint64_t revision = 0;
+  const auto [rest, ec] = std::from_chars(text.data(), end, revision);
+  if (ec != std::errc() || rest != end)
+    throw StoreUnavailableError("the store's answer has no revision");
+  return revision;
+}
+
+StoreValue HttpStore::ValueOf(HttpOutcome outcome) const {
+  const uint64_t revision = RevisionOf(outcome);
+  return {std::move(outcome.body), revision};
+}
+
+std::optional<StoreValue> HttpStore::Get(const std::string& key) {
+  HttpOutcome outcome = Read(KeyTarget(key), limit_);
+  if (outcome.status == kNotFound)
+    return std::nullopt;
+  return ValueOf(std::move(outcome));
+}
+
+SwapResult HttpStore::CompareAndSwap(const std::string& key,
+                                     uint64_t expected,
+                                     const std::string& data) {
+  const HttpOutcome outcome =
+      Write({"PUT",
+             KeyTarget(key),
+             {{"If-Revision", std::to_string(expected)}},
+             data});
+  try {
+    return {outcome.status == kOk, RevisionOf(outcome)};
+  } catch (const StoreUnavailableError& e) {
+    throw StoreOutcomeUnknownError(e.what());
+  }
+}
+
+std::optional<StoreValue> HttpStore::Watch(const std::string& key,
+                                           uint64_t seen,
+                                           Duration limit) {
+  HttpOutcome outcome = Read(fmt::format("{}?watch={}&timeout_ms={}",
+                                         KeyTarget(key), seen, limit.ms()),
+                             limit_ + limit);
+  if (outcome.status != kOk)
+    return std::nullopt;
+  return ValueOf(std::move(outcome));
+}
+
+std::vector<std::string> HttpStore::List(const std::string& prefix) {
+  const HttpOutcome outcome =
+      Read("/v1/keys?prefix=" + Encoded(prefix), limit_);
+  return FromJson(outcome, [](const boost::json::value& value) {
+    std::vector<std::string> keys;
+    for (const auto& it : value.as_array())
+      keys.push_back(TextOf(it));
+    return keys;
+  });
+}
+
+LeaseResult HttpStore::AcquireLease(const std::string& key,
+                                    const std::string& holder,
+                                    Duration ttl) {
+  const std::string body = boost::json::serialize(boost::json::object{
+      {"key", key}, {"holder", holder}, {"ttl_ms", ttl.ms()}});
+  const HttpOutcome outcome = Write(
+      {"POST", "/v1/leases", {{"Content-Type", "application/json"}}, body});
+  return FromJson(outcome, [&](const boost::json::value& value) {
+    if (outcome.status != kOk)
+      return LeaseResult{false, 0, TextOf(value.at("holder"))};
+    return LeaseResult{true, value.at("epoch").to_number<uint64_t>(), holder};
+  });
+}
+
+std::vector<PlatformHost> HttpStore::Hosts() {
+  const HttpOutcome outcome = Read("/v1/hosts", limit_);
+  return FromJson(outcome, [](const boost::json::value& value) {
+    std::vector<PlatformHost> hosts;
+    for (const auto& it : value.as_array())
+      hosts.push_back({TextOf(it.at("id")), it.at("leaving").as_bool()});
+    return hosts;
+  });
+}
+
+}  // namespace toucanknot
