--- /dev/null
+++ b/include/health/health_table.h
@@ -0,0 +1,89 @@
+#ifndef INCLUDE_HEALTH_HEALTH_TABLE_H_
+#define INCLUDE_HEALTH_HEALTH_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+#include "include/config/tunables.h"
+#include "include/health/server_health.h"
+#include "include/health/server_life_cycle.h"
+
+namespace toucanknot {
+
+// What one host believes of the backend servers of one service. Fed with the
+// host's own answers and probes, peers' views, the host list and operators'
+// exceptions; says what share of work each server may get. Own answers weigh
+// most; a report can raise doubt, but only own trials bring an ejected server
+// back. No more than Tunables::max_ejected_share of the servers that are not
+// leaving is ejected at once, whatever the signs say.
+class HealthTable {
+ public:
+  // Called on every change of a server's state.
+  using OnChange = std::function<
+      void(const ServerId& server, ServerState from, ServerState to)>;
+
+  explicit HealthTable(const Tunables& tunables);
+
+  void set_on_change(OnChange on_change) { on_change_ = std::move(on_change); }
+  void SetTunables(const Tunables& tunables);
+  // The service's servers. Those of the first call count as warm, those that
+  // come later as cold.
+  void SetServers(const std::vector<ServerId>& servers, Instant now);
+
+  // Events. Those about unknown servers are ignored.
+  void OnAnswer(const ServerAnswer& answer, Instant now);
+  void OnProbe(const ServerProbe& probe, Instant now);
+  void OnPeerView(const ServerView& view, Instant now);
+  // The host list, or an exception (drain), says whether a server leaves.
+  void OnLeaving(const ServerId& server,
+                 LeavingSource source,
+                 bool leaving,
+                 Duration age,
+                 Instant now);
+  // Moves what only time moves; call several times a second.
+  void Advance(Instant now);
+
+  // The share of its fair part that `server` may get, from 0 (no new work) to
+  // 1; 0 for an unknown server.
+  double Weight(const ServerId& server, Instant now) const;
+  ServerState StateOf(const ServerId& server) const;
+  // Whether an ejected server is due for one trial request, which should be an
+  // idempotent one.
+  bool TrialDue(const ServerId& server, Instant now) const;
+  // Claims the trial. The attempt's OnAnswer() ends it.
+  void BeginTrial(const ServerId& server, Instant now);
+
+  // What peers should know: servers that this host ejected or knows to leave.
+  std::vector<ServerView> OwnView(Instant now) const;
+  int ejected() const;
+  // Every server's state and the figures behind it with their ages, as JSON.
+  std::string Explain(Instant now) const;
+
+ private:
+  ServerHealth* Find(const ServerId& server);
+  const ServerHealth* Find(const ServerId& server) const;
+  // Applies what a server's figures call for, within the floor.
+  void Settle(ServerHealth* server, ServerAdvice advice, Instant now);
+  void Apply(ServerHealth* server, ServerSignal signal, Instant now);
+  bool MayEjectMore() const;
+  // The middle of the servers' mean times; 0 when too few have one.
+  double MedianTook() const;
+
+  HealthOptions options_;
+  double max_ejected_share_;
+  std::vector<ServerHealth> servers_;
+  boost::unordered_flat_map<ServerId, size_t, std::hash<ServerId>> index_;
+  bool first_servers_ = true;
+  OnChange on_change_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_HEALTH_HEALTH_TABLE_H_
--- /dev/null
+++ b/include/health/server_health.h
@@ -0,0 +1,156 @@
+#ifndef INCLUDE_HEALTH_SERVER_HEALTH_H_
+#define INCLUDE_HEALTH_SERVER_HEALTH_H_
+
+#include <cstdint>
+#include <string>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+#include "include/config/tunables.h"
+#include "include/health/leaving_signs.h"
+#include "include/health/server_life_cycle.h"
+
+namespace toucanknot {
+
+// How an attempt at a backend server speaks for or against it.
+enum class AnswerOutcome {
+  kSuccess,
+  // An error of the server, a broken connection, no connection, or time up.
+  kFailure,
+  // It said that it is overloaded, or the attempt was cancelled: no sign.
+  kNeutral,
+};
+
+inline constexpr EnumNames<AnswerOutcome, 3> kAnswerOutcomeNames{
+    {"success", "failure", "neutral"}};
+
+// The end of an attempt of this host's own.
+struct ServerAnswer {
+  ServerId server;
+  AnswerOutcome outcome = AnswerOutcome::kSuccess;
+  Duration took;
+  Instant sent_at;
+  // The answer said that the server is leaving.
+  bool leaving = false;
+};
+
+// What this host's own probe of a health endpoint found.
+struct ServerProbe {
+  ServerId server;
+  // False also when the endpoint could not be reached.
+  bool healthy = true;
+  bool leaving = false;
+  // Time since the server made the figure.
+  Duration age;
+};
+
+// What another entry host says of a server.
+struct ServerView {
+  ServerId server;
+  ServerState state = ServerState::kEjected;
+  // Time since the sign behind it was first-hand; it does not start again when
+  // a view is passed on.
+  Duration age;
+};
+
+// Taken from Tunables.
+struct HealthOptions {
+  Duration warmup{10'000};
+  Duration max_report_age{5'000};
+  int64_t eject_after_failures = 5;
+  Duration eject_for{5'000};
+
+  static HealthOptions From(const Tunables& tunables);
+};
+
+// What a server's figures call for.
+enum class ServerAdvice { kNone, kDoubt, kEject, kRecover, kReturn };
+
+// The figures that one host has of one backend server, and its state. Used by
+// HealthTable, which adds what needs all servers of a service.
+class ServerHealth {
+ public:
+  explicit ServerHealth(ServerId id) : id_(std::move(id)) {}
+
+  const ServerId& id() const { return id_; }
+  ServerState state() const { return state_; }
+
+  // Events; each says what the figures call for now.
+  ServerAdvice OnAnswer(const ServerAnswer& answer,
+                        const HealthOptions& options,
+                        Instant now);
+  ServerAdvice OnProbe(const ServerProbe& probe,
+                       const HealthOptions& options,
+                       Instant now);
+  ServerAdvice OnPeerView(const ServerView& view,
+                          const HealthOptions& options,
+                          Instant now);
+  ServerAdvice OnLeaving(LeavingSource source, bool leaving, Instant seen);
+  ServerAdvice Advance(const HealthOptions& options, Instant now);
+
+  // Compares with the service's median of MeanTook(), in milliseconds; 0 when
+  // there is none. Says kDoubt for an outlier.
+  ServerAdvice CompareTook(double median);
+
+  // Applies `signal`; true when the state changed.
+  bool Apply(ServerSignal signal, const HealthOptions& options, Instant now);
+
+  double Weight(const HealthOptions& options, Instant now) const;
+  bool TrialDue(const HealthOptions& options, Instant now) const;
+  void BeginTrial(Instant now);
+
+  // The moving mean of answers' times in milliseconds; 0 until there are
+  // enough of them.
+  double MeanTook() const;
+  const LeavingSigns& signs() const { return signs_; }
+  // Time since the sign that put it into its state.
+  Duration SignAge(Instant now) const;
+  void MarkWarm() { warm_since_ = Instant(-Duration::Max().ms()); }
+  void MarkCold(Instant now) { warm_since_ = now; }
+  std::string Explain(const HealthOptions& options, Instant now) const;
+
+ private:
+  ServerAdvice OnSuccess(const ServerAnswer& answer, Instant now);
+  ServerAdvice OnFailure(const ServerAnswer& answer,
+                         const HealthOptions& options,
+                         Instant now);
+  void EndTrial(bool passed, const HealthOptions& options, Instant now);
+  double RampShare(const HealthOptions& options, Instant now) const;
+
+  ServerId id_;
+  ServerLifeCycle life_;
+  ServerState state_ = ServerState::kCold;
+  LeavingSigns signs_;
+
+  // Own answers.
+  int failures_in_row_ = 0;
+  int successes_in_row_ = 0;
+  double failure_share_ = 0;
+  int64_t answers_ = 0;
+  double mean_took_ = 0;
+  Instant last_success_;
+  Instant last_bad_sign_;
+  double slow_factor_ = 1;
+
+  // Probes and peers.
+  bool probed_ = false;
+  bool probe_healthy_ = true;
+  int unhealthy_in_row_ = 0;
+  Instant probe_seen_;
+  Instant unhealthy_since_;
+  Instant peer_doubt_until_;
+
+  // Ejection.
+  Instant ejected_at_;
+  Instant trial_at_;
+  Instant trial_sent_;
+  bool trial_running_ = false;
+  int trials_passed_ = 0;
+  int ejections_ = 0;
+  Instant warm_since_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_HEALTH_SERVER_HEALTH_H_
--- /dev/null
+++ b/include/limits/retry_budget.h
@@ -0,0 +1,53 @@
+#ifndef INCLUDE_LIMITS_RETRY_BUDGET_H_
+#define INCLUDE_LIMITS_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+
+#include "include/base/clock.h"
+
+namespace toucanknot {
+
+// Bounds extra attempts (retries, or hedges) to a share of the successes of
+// the last seconds, so that they cannot multiply an overload: when successes
+// stop, so do extra attempts. Use one object for retries and one for hedges.
+class RetryBudget {
+ public:
+  // The span of recent successes that counts.
+  static constexpr Duration kWindow{10'000};
+
+  // `ratio` is the share, from 0 to 1. `floor` attempts per window are allowed
+  // without any success, so that a quiet service can retry at all.
+  explicit RetryBudget(double ratio, int64_t floor = 3);
+
+  // A first attempt succeeded.
+  void OnSuccess(Instant now);
+  // Takes one extra attempt from the budget; false when it is spent.
+  bool TryTake(Instant now);
+
+  // Extra attempts that could be taken now.
+  int64_t Available(Instant now);
+  void set_ratio(double ratio) { ratio_ = ratio; }
+
+ private:
+  static constexpr int kBuckets = 10;
+
+  struct Bucket {
+    int64_t successes = 0;
+    int64_t taken = 0;
+  };
+
+  // Empties the buckets that have left the window.
+  void Roll(Instant now);
+
+  double ratio_;
+  int64_t floor_;
+  std::array<Bucket, kBuckets> buckets_{};
+  int64_t tick_ = 0;
+  int64_t successes_ = 0;
+  int64_t taken_ = 0;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_LIMITS_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/health/quarantine.cc
@@ -0,0 +1,411 @@
+#include "include/health/quarantine.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+// Servers that one fingerprint may take down.
+constexpr size_t kMaxServers = 2;
+// Reservations of one host at once, so that trials don't empty the fleet.
+constexpr int64_t kMaxReservations = 2;
+// Breaks remembered; more change nothing.
+constexpr size_t kMaxBreaks = 64;
+// Notices not yet taken; the oldest are dropped.
+constexpr size_t kMaxNotices = 1'024;
+
+void AddServer(const ServerId& server, std::vector<ServerId>* servers) {
+  if (servers->size() < kMaxServers &&
+      std::find(servers->begin(), servers->end(), server) == servers->end())
+    servers->push_back(server);
+}
+
+}  // namespace
+
+Quarantine::Quarantine(HostId host,
+                       Options options,
+                       PeersInFlight peers_in_flight)
+    : host_(std::move(host)),
+      options_(options),
+      peers_in_flight_(std::move(peers_in_flight)) {}
+
+RunMode Quarantine::ModeOf(uint64_t fingerprint, Instant now) {
+  if (const Record* record = Find(fingerprint, now)) {
+    if (record->quarantined)
+      return RunMode::kRefuse;
+    const Reservation* held = ReservationOf(fingerprint, now);
+    const bool busy = held && (held->host != host_ || held->running);
+    return busy || in_flight_.contains(fingerprint) ? RunMode::kWait
+                                                    : RunMode::kAlone;
+  }
+  const auto flight = in_flight_.find(fingerprint);
+  if (flight == in_flight_.end() || flight->second.size() < kMaxServers ||
+      proven_.Contains(fingerprint, now))
+    return RunMode::kFree;
+  return RunMode::kWait;
+}
+
+bool Quarantine::TryRunAlone(uint64_t fingerprint,
+                             const ServerId& server,
+                             int own_in_flight,
+                             Instant now) {
+  Reservation* held = ReservationOf(fingerprint, now);
+  if (held && (held->host != host_ || held->running || held->server != server))
+    return false;
+  if (!held) {
+    const auto own =
+        std::count_if(reservations_.begin(), reservations_.end(),
+                      [&](const Reservation& it) { return it.host == host_; });
+    if (own >= kMaxReservations || IsReserved(server, now))
+      return false;
+    reservations_.push_back({.fingerprint = fingerprint,
+                             .host = host_,
+                             .server = server,
+                             .since = now,
+                             .end = now + options_.reserve_for});
+    Tell(CrashNoticeKind::kReserve, fingerprint, {server}, false,
+         options_.reserve_for);
+    return false;
+  }
+  if (now < held->since + kReserveWait || own_in_flight > 0)
+    return false;
+  return peers_in_flight_(server, held->since) == 0;
+}
+
+void Quarantine::GiveUp(uint64_t fingerprint, Instant now) {
+  const Reservation* held = ReservationOf(fingerprint, now);
+  if (!held || held->host != host_ || held->running)
+    return;
+  DropReservations(fingerprint, host_);
+  Tell(CrashNoticeKind::kRelease, fingerprint, {}, false, Duration());
+}
+
+ServerId Quarantine::ReservedFor(uint64_t fingerprint) const {
+  for (const Reservation& it : reservations_) {
+    if (it.fingerprint == fingerprint && it.host == host_)
+      return it.server;
+  }
+  return ServerId();
+}
+
+bool Quarantine::IsReserved(const ServerId& server, Instant now) const {
+  return std::any_of(reservations_.begin(), reservations_.end(),
+                     [&](const Reservation& it) {
+                       return it.server == server && now < it.end;
+                     });
+}
+
+void Quarantine::OnSent(uint64_t fingerprint,
+                        const ServerId& server,
+                        Instant now) {
+  in_flight_[fingerprint].push_back(server);
+  Reservation* held = ReservationOf(fingerprint, now);
+  if (held && held->host == host_ && held->server == server) {
+    held->running = true;
+    held->end = now + options_.reserve_for;
+  }
+}
+
+void Quarantine::OnEnded(uint64_t fingerprint,
+                         const ServerId& server,
+                         bool answered,
+                         Instant now) {
+  EndFlight(fingerprint, server);
+  if (answered)
+    proven_.Add(fingerprint, now);
+  const Record* record = Find(fingerprint, now);
+  if (!record || record->quarantined)
+    return;
+  if (answered) {
+    Clear(fingerprint, now);
+    return;
+  }
+  const Reservation* held = ReservationOf(fingerprint, now);
+  if (held && held->host == host_ && held->server == server) {
+    DropReservations(fingerprint, host_);
+    Tell(CrashNoticeKind::kRelease, fingerprint, {}, false, Duration());
+  }
+}
+
+void Quarantine::OnBroken(uint64_t fingerprint,
+                          const ServerId& server,
+                          Instant now) {
+  EndFlight(fingerprint, server);
+  const Reservation* held = ReservationOf(fingerprint, now);
+  const bool alone =
+      held && held->host == host_ && held->running && held->server == server;
+  if (alone)
+    DropReservations(fingerprint, host_);
+  const bool mass = IsMassBreak(server, now);
+  if (mass)
+    DropRecentCharges(now);
+  if (!mass || alone)
+    Charge(fingerprint, server, now);
+  Record* record = Find(fingerprint, now);
+  if (record && alone && !record->quarantined)
+    Convict(fingerprint, record, now);
+}
+
+void Quarantine::Charge(uint64_t fingerprint,
+                        const ServerId& server,
+                        Instant now) {
+  const bool first = Find(fingerprint, now) == nullptr;
+  Record* record = Remember(fingerprint, now + options_.suspect_for, now);
+  if (record->quarantined)
+    return;
+  if (first) {
+    record->proven = proven_.Contains(fingerprint, now);
+    record->own_charge = true;
+    record->charged_at = now;
+    proven_.Remove(fingerprint);
+  }
+  AddServer(server, &record->servers);
+  if (record->servers.size() >= kMaxServers && !record->proven) {
+    Convict(fingerprint, record, now);
+    return;
+  }
+  Tell(CrashNoticeKind::kSuspect, fingerprint, record->servers, record->proven,
+       options_.suspect_for);
+}
+
+void Quarantine::Convict(uint64_t fingerprint, Record* record, Instant now) {
+  record->quarantined = true;
+  record->end = now + options_.quarantine_for;
+  proven_.Remove(fingerprint);
+  Tell(CrashNoticeKind::kQuarantined, fingerprint, record->servers, false,
+       options_.quarantine_for);
+}
+
+void Quarantine::Clear(uint64_t fingerprint, Instant now) {
+  records_.erase(fingerprint);
+  std::erase_if(reservations_, [&](const Reservation& it) {
+    return it.fingerprint == fingerprint;
+  });
+  proven_.Add(fingerprint, now);
+  Tell(CrashNoticeKind::kCleared, fingerprint, {}, true, Duration());
+}
+
+bool Quarantine::IsMassBreak(const ServerId& server, Instant now) {
+  breaks_.push_back({server, now});
+  while (breaks_.size() > kMaxBreaks || now - breaks_.front().at >= kMassWindow)
+    breaks_.pop_front();
+  std::vector<ServerId> servers;
+  for (const Break& it : breaks_) {
+    if (std::find(servers.begin(), servers.end(), it.server) == servers.end())
+      servers.push_back(it.server);
+  }
+  return servers.size() >= kMassBreak;
+}
+
+void Quarantine::DropRecentCharges(Instant now) {
+  std::vector<uint64_t> dropped;
+  for (const auto& [fingerprint, it] : records_) {
+    if (!it.quarantined && it.own_charge && it.servers.size() == 1 &&
+        now - it.charged_at < kMassWindow)
+      dropped.push_back(fingerprint);
+  }
+  // The order of the table must not show.
+  std::sort(dropped.begin(), dropped.end());
+  for (const uint64_t it : dropped) {
+    records_.erase(it);
+    DropReservations(it, host_);
+    Tell(CrashNoticeKind::kCleared, it, {}, false, Duration());
+  }
+}
+
+void Quarantine::OnNotice(const CrashNotice& notice, Instant now) {
+  if (notice.sender == host_)
+    return;
+  switch (notice.kind) {
+    case CrashNoticeKind::kSuspect: {
+      Record* record =
+          Remember(notice.fingerprint,
+                   now + std::min(notice.remaining, options_.suspect_for), now);
+      record->proven |= notice.proven;
+      for (const ServerId& it : notice.servers)
+        AddServer(it, &record->servers);
+      if (!record->quarantined && !record->proven &&
+          record->servers.size() >= kMaxServers)
+        Convict(notice.fingerprint, record, now);
+      DropReservations(notice.fingerprint, notice.sender);
+      break;
+    }
+    case CrashNoticeKind::kReserve:
+      OnReserve(notice, now);
+      break;
+    case CrashNoticeKind::kRelease:
+      DropReservations(notice.fingerprint, notice.sender);
+      break;
+    case CrashNoticeKind::kCleared: {
+      const Record* record = Find(notice.fingerprint, now);
+      if (record && !record->quarantined)
+        records_.erase(notice.fingerprint);
+      DropReservations(notice.fingerprint, notice.sender);
+      if (notice.proven)
+        proven_.Add(notice.fingerprint, now);
+      break;
+    }
+    case CrashNoticeKind::kQuarantined: {
+      const Instant end =
+          now + std::min(notice.remaining, options_.quarantine_for);
+      Record* record = Remember(notice.fingerprint, end, now);
+      record->end = record->quarantined ? std::max(record->end, end) : end;
+      record->quarantined = true;
+      for (const ServerId& it : notice.servers)
+        AddServer(it, &record->servers);
+      DropReservations(notice.fingerprint, notice.sender);
+      DropReservations(notice.fingerprint, host_);
+      break;
+    }
+  }
+}
+
+void Quarantine::OnReserve(const CrashNotice& notice, Instant now) {
+  if (notice.servers.empty())
+    return;
+  const ServerId& server = notice.servers.front();
+  // Of two hosts that want one fingerprint or one server, a run that has begun
+  // wins, then the lesser name; the other starts again.
+  std::vector<uint64_t> yielded;
+  for (const Reservation& it : reservations_) {
+    const bool rival =
+        it.fingerprint == notice.fingerprint || it.server == server;
+    if (rival && it.host == host_ && !it.running && notice.sender < host_)
+      yielded.push_back(it.fingerprint);
+  }
+  for (const uint64_t it : yielded)
+    GiveUp(it, now);
+  DropReservations(notice.fingerprint, notice.sender);
+  reservations_.push_back(
+      {.fingerprint = notice.fingerprint,
+       .host = notice.sender,
+       .server = server,
+       .since = now,
+       .end = now + std::min(notice.remaining, options_.reserve_for)});
+}
+
+std::vector<CrashNotice> Quarantine::TakeNotices() {
+  return std::exchange(notices_, {});
+}
+
+std::vector<CrashNotice> Quarantine::Snapshot(Instant now) const {
+  std::vector<CrashNotice> out;
+  for (const auto& [fingerprint, it] : records_) {
+    if (now >= it.end)
+      continue;
+    out.push_back({it.quarantined ? CrashNoticeKind::kQuarantined
+                                  : CrashNoticeKind::kSuspect,
+                   fingerprint, host_, it.servers, it.proven, it.end - now});
+  }
+  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+    return a.fingerprint < b.fingerprint;
+  });
+  return out;
+}
+
+size_t Quarantine::quarantined() const {
+  return static_cast<size_t>(
+      std::count_if(records_.begin(), records_.end(),
+                    [](const auto& it) { return it.second.quarantined; }));
+}
+
+Quarantine::Record* Quarantine::Find(uint64_t fingerprint, Instant now) {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end())
+    return nullptr;
+  if (now < it->second.end)
+    return &it->second;
+  records_.erase(it);
+  return nullptr;
+}
+
+Quarantine::Record* Quarantine::Remember(uint64_t fingerprint,
+                                         Instant end,
+                                         Instant now) {
+  if (Record* record = Find(fingerprint, now))
+    return record;
+  if (records_.size() >= options_.max_records)
+    MakeRoom(now);
+  Record& record = records_[fingerprint];
+  record.end = end;
+  return &record;
+}
+
+void Quarantine::MakeRoom(Instant now) {
+  erase_if(records_, [&](const auto& it) { return now >= it.second.end; });
+  if (records_.size() < options_.max_records)
+    return;
+  const auto sooner = [](const auto& a, const auto& b) {
+    return std::tie(a.second.quarantined, a.second.end, a.first) <
+           std::tie(b.second.quarantined, b.second.end, b.first);
+  };
+  records_.erase(std::min_element(records_.begin(), records_.end(), sooner));
+}
+
+void Quarantine::EndFlight(uint64_t fingerprint, const ServerId& server) {
+  const auto flight = in_flight_.find(fingerprint);
+  if (flight == in_flight_.end())
+    return;
+  std::vector<ServerId>& servers = flight->second;
+  const auto it = std::find(servers.begin(), servers.end(), server);
+  if (it != servers.end())
+    servers.erase(it);
+  if (servers.empty())
+    in_flight_.erase(flight);
+}
+
+Quarantine::Reservation* Quarantine::ReservationOf(uint64_t fingerprint,
+                                                   Instant now) {
+  std::erase_if(reservations_,
+                [&](const Reservation& it) { return now >= it.end; });
+  // One of this host's own has not yielded, so it comes first.
+  Reservation* held = nullptr;
+  for (Reservation& it : reservations_) {
+    if (it.fingerprint == fingerprint && (!held || it.host == host_))
+      held = &it;
+  }
+  return held;
+}
+
+void Quarantine::DropReservations(uint64_t fingerprint, const HostId& host) {
+  std::erase_if(reservations_, [&](const Reservation& it) {
+    return it.fingerprint == fingerprint && it.host == host;
+  });
+}
+
+void Quarantine::Tell(CrashNoticeKind kind,
+                      uint64_t fingerprint,
+                      std::vector<ServerId> servers,
+                      bool proven,
+                      Duration remaining) {
+  if (notices_.size() >= kMaxNotices)
+    notices_.erase(notices_.begin());
+  notices_.push_back(
+      {kind, fingerprint, host_, std::move(servers), proven, remaining});
+}
+
+std::string Quarantine::Explain(Instant now) const {
+  boost::json::array fingerprints;
+  for (const CrashNotice& it : Snapshot(now)) {
+    boost::json::array servers;
+    for (const ServerId& server : it.servers)
+      servers.push_back(boost::json::value(server.str()));
+    fingerprints.push_back({{"fingerprint", it.fingerprint},
+                            {"state", kCrashNoticeKindNames.Name(it.kind)},
+                            {"servers", std::move(servers)},
+                            {"ends_in_ms", it.remaining.ms()}});
+  }
+  boost::json::array reserved;
+  for (const Reservation& it : reservations_) {
+    reserved.push_back({{"server", it.server.str()},
+                        {"host", it.host.str()},
+                        {"age_ms", (now - it.since).ms()}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"fingerprints", std::move(fingerprints)},
+                          {"reserved", std::move(reserved)}});
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/health/server_health.cc
@@ -0,0 +1,309 @@
+#include "include/health/server_health.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace toucanknot {
+namespace {
+
+// Own failures in a row that make a server suspect.
+constexpr int kDoubtAfterFailures = 2;
+// Own successes in a row that end suspicion, and passed trials that end an
+// ejection.
+constexpr int kRecoverAfterSuccesses = 3;
+constexpr int kTrialsToReturn = 2;
+// Unhealthy probes in a row that eject a server without own successes.
+constexpr int kEjectAfterUnhealthy = 3;
+// A moving share of failures above this ejects, after enough answers.
+constexpr double kFailureShareLimit = 0.5;
+constexpr int64_t kEnoughAnswers = 20;
+// Weight of the newest answer in moving figures.
+constexpr double kNewest = 1.0 / 16;
+// An outlier takes this many times the service's median; it is none any more
+// below the second figure. Differences under the third, in milliseconds, are
+// noise.
+constexpr double kSlowAbove = 3;
+constexpr double kSlowUntil = 2;
+constexpr double kSlowMinMs = 5;
+constexpr double kMinSlowFactor = 0.05;
+// Shares of the full weight.
+constexpr double kFirstShare = 0.1;
+constexpr double kSuspectShare = 0.25;
+// An ejection lasts up to 2^this times Tunables::eject_for.
+constexpr int kMaxBackoff = 4;
+// An ejected server whose own probes say unhealthy waits this much longer.
+constexpr int64_t kUnhealthyTrialFactor = 4;
+
+}  // namespace
+
+HealthOptions HealthOptions::From(const Tunables& tunables) {
+  return {.warmup = tunables.warmup,
+          .max_report_age = tunables.max_report_age,
+          .eject_after_failures = tunables.eject_after_failures,
+          .eject_for = tunables.eject_for};
+}
+
+ServerAdvice ServerHealth::OnAnswer(const ServerAnswer& answer,
+                                    const HealthOptions& options,
+                                    Instant now) {
+  if (answer.leaving)
+    signs_.Note(LeavingSource::kAnswer, true, now);
+  if (state_ == ServerState::kEjected) {
+    // What was sent before the ejection says nothing about a return.
+    if (trial_running_ && answer.sent_at >= trial_sent_ &&
+        answer.outcome != AnswerOutcome::kNeutral)
+      EndTrial(answer.outcome == AnswerOutcome::kSuccess, options, now);
+    else if (trial_running_ && answer.sent_at >= trial_sent_)
+      trial_running_ = false;
+    return trials_passed_ >= kTrialsToReturn ? ServerAdvice::kRecover
+                                             : ServerAdvice::kNone;
+  }
+  switch (answer.outcome) {
+    case AnswerOutcome::kSuccess:
+      return OnSuccess(answer, now);
+    case AnswerOutcome::kFailure:
+      return OnFailure(answer, options, now);
+    case AnswerOutcome::kNeutral:
+      return ServerAdvice::kNone;
+  }
+  return ServerAdvice::kNone;
+}
+
+ServerAdvice ServerHealth::OnSuccess(const ServerAnswer& answer, Instant now) {
+  failures_in_row_ = 0;
+  ++successes_in_row_;
+  ++answers_;
+  last_success_ = now;
+  failure_share_ -= kNewest * failure_share_;
+  const auto took = static_cast<double>(answer.took.ms());
+  mean_took_ =
+      answers_ == 1 ? took : mean_took_ + kNewest * (took - mean_took_);
+  const bool recovered = state_ == ServerState::kSuspect &&
+                         successes_in_row_ >= kRecoverAfterSuccesses &&
+                         slow_factor_ >= 1 &&
+                         failure_share_ < kFailureShareLimit;
+  return recovered ? ServerAdvice::kRecover : ServerAdvice::kNone;
+}
+
+ServerAdvice ServerHealth::OnFailure(const ServerAnswer& answer,
+                                     const HealthOptions& options,
+                                     Instant now) {
+  // An attempt that was sent before the last return belongs to the past.
+  if (answer.sent_at < ejected_at_)
+    return ServerAdvice::kNone;
+  successes_in_row_ = 0;
+  ++failures_in_row_;
+  ++answers_;
+  last_bad_sign_ = now;
+  failure_share_ += kNewest * (1 - failure_share_);
+  const bool doubted = now < peer_doubt_until_;
+  const int64_t limit =
+      doubted ? std::max<int64_t>(options.eject_after_failures / 2, 2)
+              : options.eject_after_failures;
+  if (failures_in_row_ >= limit)
+    return ServerAdvice::kEject;
+  if (failure_share_ > kFailureShareLimit && answers_ >= kEnoughAnswers)
+    return ServerAdvice::kEject;
+  return failures_in_row_ >= kDoubtAfterFailures ? ServerAdvice::kDoubt
+                                                 : ServerAdvice::kNone;
+}
+
+ServerAdvice ServerHealth::OnProbe(const ServerProbe& probe,
+                                   const HealthOptions& options,
+                                   Instant now) {
+  const Instant seen = now - probe.age;
+  const ServerAdvice leaving =
+      OnLeaving(LeavingSource::kProbe, probe.leaving, seen);
+  if (probed_ && seen < probe_seen_)
+    return leaving;
+  probed_ = true;
+  probe_seen_ = seen;
+  probe_healthy_ = probe.healthy;
+  if (probe.healthy) {
+    unhealthy_in_row_ = 0;
+    return leaving;
+  }
+  if (probe.age > options.max_report_age)
+    return leaving;
+  if (unhealthy_in_row_ == 0)
+    unhealthy_since_ = seen;
+  ++unhealthy_in_row_;
+  last_bad_sign_ = now;
+  if (leaving != ServerAdvice::kNone)
+    return leaving;
+  // Own answers outrank an endpoint that misleads.
+  const bool serves = last_success_ > unhealthy_since_;
+  return unhealthy_in_row_ >= kEjectAfterUnhealthy && !serves
+             ? ServerAdvice::kEject
+             : ServerAdvice::kDoubt;
+}
+
+ServerAdvice ServerHealth::OnPeerView(const ServerView& view,
+                                      const HealthOptions& options,
+                                      Instant now) {
+  if (view.state == ServerState::kLeaving)
+    return OnLeaving(LeavingSource::kPeer, true, now - view.age);
+  if (view.state != ServerState::kEjected || view.age > options.max_report_age)
+    return ServerAdvice::kNone;
+  peer_doubt_until_ = now + options.max_report_age - view.age;
+  // Own answers since then outrank what a peer saw.
+  return last_success_ > now - view.age ? ServerAdvice::kNone
+                                        : ServerAdvice::kDoubt;
+}
+
+ServerAdvice ServerHealth::OnLeaving(LeavingSource source,
+                                     bool leaving,
+                                     Instant seen) {
+  signs_.Note(source, leaving, seen);
+  return state_ == ServerState::kLeaving && !signs_.leaving()
+             ? ServerAdvice::kReturn
+             : ServerAdvice::kNone;
+}
+
+ServerAdvice ServerHealth::Advance(const HealthOptions& options, Instant now) {
+  if (state_ == ServerState::kCold && RampShare(options, now) >= 1)
+    Apply(ServerSignal::kWarmedUp, options, now);
+  // A trial whose end was never reported.
+  if (trial_running_ && now - trial_sent_ > options.eject_for * 2)
+    trial_running_ = false;
+  if (state_ != ServerState::kSuspect)
+    return ServerAdvice::kNone;
+  const bool quiet = now - last_bad_sign_ >= options.eject_for &&
+                     now >= peer_doubt_until_ && slow_factor_ >= 1 &&
+                     failures_in_row_ < kDoubtAfterFailures;
+  return quiet ? ServerAdvice::kRecover : ServerAdvice::kNone;
+}
+
+ServerAdvice ServerHealth::CompareTook(double median) {
+  const double took = MeanTook();
+  if (median <= 0 || took <= 0) {
+    slow_factor_ = 1;
+    return ServerAdvice::kNone;
+  }
+  const double limit = median * (slow_factor_ < 1 ? kSlowUntil : kSlowAbove);
+  if (took <= limit || took < median + kSlowMinMs) {
+    slow_factor_ = 1;
+    return ServerAdvice::kNone;
+  }
+  slow_factor_ = std::clamp(median / took, kMinSlowFactor, 1.0);
+  return ServerAdvice::kDoubt;
+}
+
+bool ServerHealth::Apply(ServerSignal signal,
+                         const HealthOptions& options,
+                         Instant now) {
+  if (!life_.Apply(signal))
+    return false;
+  const ServerState before = state_;
+  state_ = life_.state();
+  if (state_ == ServerState::kEjected) {
+    ejected_at_ = now;
+    // Ejected again soon after a return: longer each time.
+    const bool again = now - warm_since_ < options.eject_for * 4;
+    ejections_ = again ? std::min(ejections_ + 1, kMaxBackoff) : 0;
+    trial_at_ = now + options.eject_for * (int64_t{1} << ejections_);
+    trials_passed_ = 0;
+    trial_running_ = false;
+  }
+  const bool returned =
+      before == ServerState::kEjected || before == ServerState::kLeaving;
+  if (returned && state_ == ServerState::kCold) {
+    warm_since_ = now;
+    failures_in_row_ = 0;
+    successes_in_row_ = 0;
+    failure_share_ = 0;
+    answers_ = 0;
+    mean_took_ = 0;
+    slow_factor_ = 1;
+  }
+  return true;
+}
+
+double ServerHealth::Weight(const HealthOptions& options, Instant now) const {
+  switch (state_) {
+    case ServerState::kCold:
+    case ServerState::kWarm:
+      return RampShare(options, now) * slow_factor_;
+    case ServerState::kSuspect:
+      return kSuspectShare * RampShare(options, now) * slow_factor_;
+    case ServerState::kEjected:
+    case ServerState::kLeaving:
+      return 0;
+  }
+  return 0;
+}
+
+bool ServerHealth::TrialDue(const HealthOptions& options, Instant now) const {
+  if (state_ != ServerState::kEjected || trial_running_ || now < trial_at_)
+    return false;
+  const bool unhealthy =
+      probed_ && !probe_healthy_ && now - probe_seen_ <= options.max_report_age;
+  return !unhealthy ||
+         now >= ejected_at_ + options.eject_for * kUnhealthyTrialFactor;
+}
+
+void ServerHealth::BeginTrial(Instant now) {
+  trial_running_ = true;
+  trial_sent_ = now;
+}
+
+void ServerHealth::EndTrial(bool passed,
+                            const HealthOptions& options,
+                            Instant now) {
+  trial_running_ = false;
+  if (passed) {
+    ++trials_passed_;
+    last_success_ = now;
+    return;
+  }
+  trials_passed_ = 0;
+  ejections_ = std::min(ejections_ + 1, kMaxBackoff);
+  trial_at_ = now + options.eject_for * (int64_t{1} << ejections_);
+}
+
+double ServerHealth::MeanTook() const {
+  return answers_ >= kEnoughAnswers ? mean_took_ : 0;
+}
+
+Duration ServerHealth::SignAge(Instant now) const {
+  return now - (state_ == ServerState::kLeaving ? signs_.since() : ejected_at_);
+}
+
+double ServerHealth::RampShare(const HealthOptions& options,
+                               Instant now) const {
+  if (options.warmup.ms() <= 0)
+    return 1;
+  const double done = static_cast<double>((now - warm_since_).ms()) /
+                      static_cast<double>(options.warmup.ms());
+  return std::clamp(kFirstShare + (1 - kFirstShare) * done, 0.0, 1.0);
+}
+
+std::string ServerHealth::Explain(const HealthOptions& options,
+                                  Instant now) const {
+  boost::json::object out{{"server", id_.str()},
+                          {"state", kServerStateNames.Name(state_)},
+                          {"weight", Weight(options, now)},
+                          {"answers", answers_},
+                          {"failures_in_row", failures_in_row_},
+                          {"failure_share", failure_share_},
+                          {"mean_took_ms", mean_took_},
+                          {"slow_factor", slow_factor_}};
+  if (probed_) {
+    out["probe_healthy"] = probe_healthy_;
+    out["probe_age_ms"] = (now - probe_seen_).ms();
+  }
+  boost::json::array leaving;
+  for (size_t i = 0; i < kLeavingSourceNames.names.size(); ++i) {
+    if (signs_.from(static_cast<LeavingSource>(i)))
+      leaving.push_back(boost::json::value(kLeavingSourceNames.names[i]));
+  }
+  if (!leaving.empty())
+    out["leaving_by"] = std::move(leaving);
+  if (state_ == ServerState::kEjected || state_ == ServerState::kLeaving)
+    out["sign_age_ms"] = SignAge(now).ms();
+  if (state_ == ServerState::kEjected)
+    out["trial_in_ms"] = std::max<int64_t>((trial_at_ - now).ms(), 0);
+  return boost::json::serialize(out);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/limits/host_budget.cc
@@ -0,0 +1,224 @@
+#include "include/limits/host_budget.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace toucanknot {
+namespace {
+
+// What a host wants in hand for `demand` units: some more, so that a small
+// rise needs no exchange.
+int64_t WithSlack(int64_t demand) {
+  return demand + demand / 4 + 1;
+}
+
+}  // namespace
+
+HostBudget::HostBudget(HostId host,
+                       Incarnation incarnation,
+                       BudgetTimes times,
+                       Instant now)
+    : host_(std::move(host)),
+      incarnation_(incarnation),
+      times_(times),
+      hold_until_(now + times.AtLeast(std::max(times.loan, times.settle))) {}
+
+void HostBudget::SetCaps(const std::vector<Cap>& caps,
+                         Duration grow_after,
+                         Instant now) {
+  std::map<CapId, Entry> kept;
+  for (const Cap& it : caps) {
+    const int64_t share = it.StaticShare(host_);
+    const auto old = entries_.find(it.id);
+    if (old == entries_.end()) {
+      kept[it.id].share = share;
+      continue;
+    }
+    Entry entry = std::move(old->second);
+    if (now >= entry.grows_at)
+      entry.share = entry.next_share;
+    const bool pending = entry.next_share == share && now < entry.grows_at;
+    if (share <= entry.share) {
+      entry.share = share;
+      entry.grows_at = Instant::Never();
+    } else if (!pending) {
+      entry.next_share = share;
+      entry.grows_at = now + grow_after;
+    }
+    kept[it.id] = std::move(entry);
+  }
+  entries_ = std::move(kept);
+}
+
+void HostBudget::EndHold(Instant now) {
+  hold_until_ = std::min(hold_until_, now);
+}
+
+void HostBudget::SetUse(const CapId& cap, int64_t in_use, int64_t demand) {
+  const auto it = entries_.find(cap);
+  if (it == entries_.end())
+    return;
+  it->second.in_use = in_use;
+  it->second.demand = std::max(in_use, demand);
+}
+
+int64_t HostBudget::Limit(const CapId& cap, Instant now) const {
+  const auto it = entries_.find(cap);
+  if (it == entries_.end())
+    return 0;
+  const Entry& entry = it->second;
+  const int64_t own =
+      std::max<int64_t>(Owned(entry, now) - Lent(entry, now), 0);
+  return own + Granted(entry, now);
+}
+
+void HostBudget::OnHolder(const HolderId& holder) {
+  if (holder <= holder_)
+    return;
+  holder_ = holder;
+  holder_stamp_ = 0;
+}
+
+BudgetRequest HostBudget::MakeRequest(Instant now) {
+  BudgetRequest request{.host = host_,
+                        .incarnation = incarnation_,
+                        .number = ++number_,
+                        .holder = holder_,
+                        .holder_stamp = holder_stamp_};
+  for (auto& [id, entry] : entries_) {
+    DropEnded(&entry, now);
+    const int64_t loan = ChooseLoan(entry, now);
+    AddLoan(&entry, loan, now);
+    const int64_t own =
+        std::max<int64_t>(Owned(entry, now) - Lent(entry, now), 0);
+    const bool followed = entry.grant && entry.grant->holder == holder_;
+    request.uses.push_back(
+        {.cap = id,
+         .wanted = std::max<int64_t>(WithSlack(entry.demand) - own, 0),
+         .lent = loan,
+         .followed = followed ? entry.grant->sequence : 0,
+         .held = std::max<int64_t>(entry.in_use - own, 0)});
+  }
+  asked_.push_back({number_, now});
+  if (asked_.size() > kMaxAsked)
+    asked_.pop_front();
+  return request;
+}
+
+bool HostBudget::OnReply(const BudgetReply& reply, Instant now) {
+  if (reply.incarnation != incarnation_ || reply.holder < holder_)
+    return false;
+  const auto asked =
+      std::find_if(asked_.begin(), asked_.end(),
+                   [&](const Asked& it) { return it.number == reply.number; });
+  if (asked == asked_.end())
+    return false;
+  const Instant at = asked->at;
+  asked_.erase(asked);
+  OnHolder(reply.holder);
+  holder_stamp_ = std::max(holder_stamp_, reply.stamp);
+  if (now >= at + times_.grant)
+    return false;
+  for (const CapGrant& it : reply.grants) {
+    const auto found = entries_.find(it.cap);
+    if (found == entries_.end())
+      continue;
+    std::optional<Grant>& grant = found->second.grant;
+    if (grant && grant->holder == reply.holder &&
+        grant->sequence >= it.sequence)
+      continue;
+    grant = Grant{reply.holder, it.sequence, it.units, at, at + times_.grant};
+  }
+  return true;
+}
+
+int64_t HostBudget::Owned(const Entry& entry, Instant now) const {
+  if (now < hold_until_)
+    return 0;
+  return now >= entry.grows_at ? entry.next_share : entry.share;
+}
+
+int64_t HostBudget::Lent(const Entry& entry, Instant now) const {
+  // Loans to one holder replace each other, so the largest counts; loans to
+  // different holders are different units. Loans are sorted by holder.
+  int64_t sum = 0;
+  int64_t largest = 0;
+  const HolderId* holder = nullptr;
+  for (const Loan& it : entry.loans) {
+    if (now >= it.end)
+      continue;
+    if (!holder || *holder != it.holder) {
+      sum += largest;
+      largest = 0;
+      holder = &it.holder;
+    }
+    largest = std::max(largest, it.units);
+  }
+  return sum + largest;
+}
+
+int64_t HostBudget::Granted(const Entry& entry, Instant now) const {
+  return entry.grant && now < entry.grant->end ? entry.grant->units : 0;
+}
+
+int64_t HostBudget::ChooseLoan(const Entry& entry, Instant now) const {
+  if (holder_stamp_ == 0)
+    return 0;
+  int64_t lent_elsewhere = 0;
+  for (const Loan& it : entry.loans) {
+    if (now < it.end && it.holder != holder_)
+      lent_elsewhere += it.units;
+  }
+  const int64_t owned = Owned(entry, now);
+  const int64_t kept =
+      std::max(WithSlack(entry.demand), owned * kKeptPercent / 100);
+  return std::max<int64_t>(owned - kept - lent_elsewhere, 0);
+}
+
+void HostBudget::AddLoan(Entry* entry, int64_t units, Instant now) const {
+  if (units <= 0)
+    return;
+  std::vector<Loan>& loans = entry->loans;
+  // The new loan ends last: it covers every smaller one to this holder.
+  std::erase_if(loans, [&](const Loan& it) {
+    return it.holder == holder_ && it.units <= units;
+  });
+  // Hosts only follow a greater holder, so that appending keeps the order.
+  loans.push_back({holder_, units, now + times_.loan});
+  if (loans.size() <= kMaxLoans)
+    return;
+  Loan& second = loans[1];
+  second.units = second.holder == loans[0].holder
+                     ? std::max(second.units, loans[0].units)
+                     : second.units + loans[0].units;
+  loans.erase(loans.begin());
+}
+
+void HostBudget::DropEnded(Entry* entry, Instant now) {
+  std::erase_if(entry->loans, [&](const Loan& it) { return now >= it.end; });
+  if (entry->grant && now >= entry->grant->end)
+    entry->grant.reset();
+}
+
+std::string HostBudget::Explain(Instant now) const {
+  boost::json::array caps;
+  for (const auto& [id, entry] : entries_) {
+    boost::json::object cap{
+        {"cap", id.ToString()},           {"limit", Limit(id, now)},
+        {"share", Owned(entry, now)},     {"lent", Lent(entry, now)},
+        {"granted", Granted(entry, now)}, {"in_use", entry.in_use},
+        {"demand", entry.demand}};
+    if (entry.grant)
+      cap["grant_age_ms"] = (now - entry.grant->asked).ms();
+    caps.push_back(std::move(cap));
+  }
+  const boost::json::object out{
+      {"holder", holder_.host.str()},
+      {"epoch", holder_.epoch},
+      {"hold_ms", std::max<int64_t>((hold_until_ - now).ms(), 0)},
+      {"caps", std::move(caps)}};
+  return boost::json::serialize(out);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/limits/retry_budget.cc
@@ -0,0 +1,50 @@
+#include "include/limits/retry_budget.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+constexpr int64_t kBucketMs = RetryBudget::kWindow.ms() / 10;
+
+}  // namespace
+
+RetryBudget::RetryBudget(double ratio, int64_t floor)
+    : ratio_(ratio), floor_(floor) {}
+
+void RetryBudget::OnSuccess(Instant now) {
+  Roll(now);
+  ++buckets_[tick_ % kBuckets].successes;
+  ++successes_;
+}
+
+bool RetryBudget::TryTake(Instant now) {
+  if (Available(now) <= 0)
+    return false;
+  ++buckets_[tick_ % kBuckets].taken;
+  ++taken_;
+  return true;
+}
+
+int64_t RetryBudget::Available(Instant now) {
+  Roll(now);
+  const auto earned =
+      static_cast<int64_t>(ratio_ * static_cast<double>(successes_));
+  return std::max(earned, floor_) - taken_;
+}
+
+void RetryBudget::Roll(Instant now) {
+  const int64_t tick = now.ms() / kBucketMs;
+  if (tick <= tick_)
+    return;
+  const int64_t steps = std::min<int64_t>(tick - tick_, kBuckets);
+  for (int64_t i = 0; i < steps; ++i) {
+    Bucket& bucket = buckets_[(tick - i) % kBuckets];
+    successes_ -= bucket.successes;
+    taken_ -= bucket.taken;
+    bucket = Bucket();
+  }
+  tick_ = tick;
+}
+
+}  // namespace toucanknot
