--- a/include/base/clock.h
+++ b/include/base/clock.h
@@ -23,6 +23,8 @@
   constexpr int64_t ms() const { return ms_; }
   constexpr double seconds() const { return static_cast<double>(ms_) / 1000; }
 
+  // The linter takes the 0 in a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Duration&) const = default;
   constexpr Duration operator+(Duration d) const {
     return Duration(ms_ + d.ms_);
@@ -52,6 +54,8 @@
 
   constexpr int64_t ms() const { return ms_; }
 
+  // The linter takes the 0 in a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Instant&) const = default;
   constexpr Instant operator+(Duration d) const {
     return Instant(ms_ + d.ms());
