--- /dev/null
+++ b/src/daemon/lookup_table.cc
@@ -0,0 +1,72 @@
+#include "src/daemon/lookup_table.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace toucanknot {
+namespace {
+
+using Ranked = LookupTable::Source::Ranked;
+
+// Orders in which hosts of one rank are named, at most.
+constexpr size_t kMaxTurns = 16;
+// Lifetimes differ by up to this part, so that callers do not come back
+// together.
+constexpr double kLifetimeSpread = 0.2;
+
+// The hosts with each run of equal ranks rotated by `turn`.
+std::vector<Ranked> RotateRanks(std::vector<Ranked> hosts, size_t turn) {
+  for (auto from = hosts.begin(); from != hosts.end();) {
+    const auto to = std::find_if(from, hosts.end(), [&](const Ranked& it) {
+      return it.rank != from->rank;
+    });
+    const auto n = static_cast<size_t>(to - from);
+    std::rotate(from, from + static_cast<ptrdiff_t>(turn % n), to);
+    from = to;
+  }
+  return hosts;
+}
+
+boost::json::array HostsJson(const FleetConfig& config,
+                             const std::vector<Ranked>& hosts) {
+  boost::json::array list;
+  for (const Ranked& it : hosts) {
+    list.push_back({{"id", it.host.id.str()},
+                    {"address", it.host.address.ToString()},
+                    {"zone", it.host.zone.str()},
+                    {"region", config.RegionOf(it.host.zone).str()}});
+  }
+  return list;
+}
+
+}  // namespace
+
+LookupTable::LookupTable(const Source& source)
+    : host_count_(source.hosts.size()) {
+  const size_t turns = std::clamp<size_t>(host_count_, 1, kMaxTurns);
+  for (const Service& service : source.config->services) {
+    Answers& answers = services_[service.id.str()];
+    for (size_t i = 0; i < turns; ++i) {
+      const double part = static_cast<double>(i) / static_cast<double>(turns);
+      const double factor = 1 - kLifetimeSpread * part;
+      const auto lifetime = static_cast<int64_t>(
+          static_cast<double>(source.lifetime.ms()) * factor);
+      answers.push_back(boost::json::serialize(boost::json::value{
+          {"service", service.id.str()},
+          {"version", source.config->version},
+          {"lifetime_ms", lifetime},
+          {"hosts",
+           HostsJson(*source.config, RotateRanks(source.hosts, i))}}));
+    }
+  }
+}
+
+const std::string* LookupTable::Find(std::string_view service,
+                                     uint64_t turn) const {
+  const auto it = services_.find(service);
+  if (it == services_.end())
+    return nullptr;
+  return &it->second[turn % it->second.size()];
+}
+
+}  // namespace toucanknot
