--- a/include/config/config_text.h
+++ b/include/config/config_text.h
@@ -22,8 +22,9 @@
                                 const std::string& source,
                                 std::optional<uint64_t> version = {});
 
-// The canonical text: every member written out but the version, no comments.
-// Reading it gives an equal configuration and the same text again.
+// The canonical text: no version, no comments, and of the defaults those that
+// differ from the built-in ones. Reading it gives an equal configuration and
+// the same text again.
 std::string WriteFleetConfig(const FleetConfig& config);
 
 // The canonical text with the version as its first member, so that who changes
--- /dev/null
+++ b/src/config/config_offer.cc
@@ -0,0 +1,59 @@
+#include "include/config/config_offer.h"
+
+#include <boost/json/value.hpp>
+#include <limits>
+#include <memory>
+
+#include "include/base/digest.h"
+#include "include/config/config_text.h"
+#include "include/config/json_text.h"
+#include "include/config/object_reader.h"
+
+namespace toucanknot {
+
+ConfigOffer MakeOffer(const FleetConfig& config, uint64_t version) {
+  std::string text = WriteFleetConfig(config);
+  std::string digest = DigestOf(text);
+  return {version, std::move(digest), std::move(text), {}};
+}
+
+FleetConfigPtr CheckOffer(const ConfigOffer& offer) {
+  const std::string source = "version " + std::to_string(offer.version);
+  const std::string digest = DigestOf(offer.text);
+  if (digest != offer.digest) {
+    throw InvalidConfigError(
+        source, {{"(whole text)", "digest " + digest, offer.digest}});
+  }
+  // Another release may write the same configuration as another text: the
+  // digest is that of the text as it was offered.
+  auto config = std::make_shared<FleetConfig>(
+      *ParseFleetConfig(offer.text, source, offer.version));
+  config->digest = offer.digest;
+  return config;
+}
+
+std::string WriteOffer(const ConfigOffer& offer) {
+  boost::json::array parts(offer.client_parts.begin(),
+                           offer.client_parts.end());
+  return WriteJson(boost::json::object{{"version", offer.version},
+                                       {"digest", offer.digest},
+                                       {"client_parts", std::move(parts)},
+                                       {"config", offer.text}});
+}
+
+ConfigOffer ReadOffer(std::string_view text, const std::string& source) {
+  const boost::json::value value = ParseJson(text, source);
+  std::vector<Problem> problems;
+  ObjectReader reader("", value, problems);
+  ConfigOffer offer;
+  offer.version = static_cast<uint64_t>(
+      reader.Integer("version", 1, std::numeric_limits<int64_t>::max()));
+  offer.digest = reader.Text("digest");
+  offer.client_parts = reader.Texts("client_parts");
+  offer.text = reader.Text("config");
+  if (!problems.empty())
+    throw InvalidConfigError(source, std::move(problems));
+  return offer;
+}
+
+}  // namespace toucanknot
--- a/src/config/config_writer.cc
+++ b/src/config/config_writer.cc
@@ -96,10 +96,16 @@
   return out;
 }
 
-value WriteTunables(const Tunables& tunables) {
+// What the operators changed: a release that knows more tunables writes the
+// same text, which hosts of an older release still can read.
+value WriteDefaults(const Tunables& defaults) {
+  const Tunables built_in;
   object out;
-  for (const TunableSpec& it : TunableTable())
-    out[it.key] = GetTunable(tunables, it);
+  for (const TunableSpec& it : TunableTable()) {
+    value present = GetTunable(defaults, it);
+    if (present != GetTunable(built_in, it))
+      out[it.key] = std::move(present);
+  }
   return out;
 }
 
@@ -109,7 +115,7 @@
                 {"hosts", MapToArray(config.hosts, WriteHost)},
                 {"services", MapToArray(config.services, WriteService)},
                 {"refusal_order", MapToArray(config.refusal_order, WriteText)},
-                {"defaults", WriteTunables(config.defaults)},
+                {"defaults", WriteDefaults(config.defaults)},
                 {"exceptions", MapToArray(config.exceptions, WriteException)}};
 }
 
--- /dev/null
+++ b/src/store/change_writer.cc
@@ -0,0 +1,175 @@
+#include "include/store/change_writer.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "include/base/digest.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr Duration kLongestPause{5'000};
+
+// The revision that a change's id begins with; 0 if it has none.
+uint64_t BaseRevision(const std::string& id) {
+  uint64_t revision = 0;
+  std::from_chars(id.data(), id.data() + id.size(), revision);
+  return revision;
+}
+
+// Calls `take` for the trail's entries, newest first, until it returns false.
+template <typename Take>
+void WalkTrail(Store& store, const RootValue& root, Take take) {
+  const auto take_all = [&](const std::vector<TrailEntry>& entries) {
+    return std::all_of(entries.begin(), entries.end(), take);
+  };
+  if (!take_all(root.trail))
+    return;
+  std::string older = root.older_trail;
+  while (!older.empty()) {
+    TrailPart part = ReadTrailPart(ReadPart(store, older));
+    if (!take_all(part.entries))
+      return;
+    older = std::move(part.older);
+  }
+}
+
+}  // namespace
+
+std::string NewChangeId(uint64_t base_revision, uint64_t random) {
+  return fmt::format("{}-{:016x}", base_revision, random);
+}
+
+ChangeWriter::ChangeWriter(Store& store) : ChangeWriter(store, Options()) {}
+
+ChangeWriter::ChangeWriter(Store& store, Options options)
+    : store_(store), options_(std::move(options)) {
+  if (!options_.wait) {
+    options_.wait = [](Duration d) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(d.ms()));
+    };
+  }
+}
+
+void ChangeWriter::SetText(const std::string& text, RootValue& root) {
+  root.digest = DigestOf(text);
+  root.config_parts.clear();
+  root.config_text.clear();
+  if (text.size() <= kMaxInlineBytes) {
+    root.config_text = text;
+    return;
+  }
+  for (size_t at = 0; at < text.size(); at += kMaxInlineBytes) {
+    root.config_parts.push_back(
+        WritePart(store_, text.substr(at, kMaxInlineBytes)));
+  }
+}
+
+void ChangeWriter::AddToTrail(const Change& change, RootValue& root) {
+  std::vector<TrailEntry>& trail = root.trail;
+  const auto add = [&](ChangeKind kind, const std::string& summary) {
+    trail.insert(trail.begin(),
+                 {root.version, change.id, kind, change.author, change.unix_ms,
+                  change.reason, summary, root.digest});
+  };
+  for (const std::string& it : change.expired)
+    add(ChangeKind::kExpired, it);
+  add(change.kind, change.summary);
+  if (trail.size() <= kMaxTrail)
+    return;
+  const auto first = trail.begin() + kKeptTrail;
+  const TrailPart part{{first, trail.end()}, root.older_trail};
+  root.older_trail = WritePart(store_, WriteTrailPart(part));
+  trail.erase(first, trail.end());
+}
+
+RootValue ChangeWriter::Next(const RootSnapshot& base, const Change& change) {
+  RootValue root = base.root;
+  root.version = std::max(base.root.version, change.newest_known) + 1;
+  SetText(change.config_text, root);
+  if (change.client_parts)
+    root.client_parts = *change.client_parts;
+  AddToTrail(change, root);
+  return root;
+}
+
+ChangeResult ChangeWriter::Write(const RootSnapshot& base,
+                                 const Change& change) {
+  ChangeResult result;
+  std::string data;
+  Duration pause = options_.pause;
+  for (int i = 0; i < options_.attempts; ++i) {
+    if (i > 0) {
+      options_.wait(pause);
+      pause = std::min(pause * 2, kLongestPause);
+    }
+    try {
+      if (data.empty())
+        data = WriteRoot(Next(base, change));
+      if (store_.CompareAndSwap(kRootKey, base.revision, data).swapped) {
+        result.outcome = ChangeOutcome::kLanded;
+        result.version = ReadRoot(data).version;
+        return result;
+      }
+      return Settle(change.id);
+    } catch (const StoreOutcomeUnknownError& e) {
+      result.outcome = ChangeOutcome::kUnknown;
+      result.fault = e.what();
+    } catch (const StoreUnavailableError& e) {
+      result.fault = e.what();
+    }
+  }
+  return result;
+}
+
+ChangeResult ChangeWriter::Settle(const std::string& id) {
+  ChangeResult result;
+  result.present = ReadRootSnapshot(store_);
+  const auto entry = FindEntry(result.present.root, id);
+  if (entry) {
+    result.outcome = ChangeOutcome::kLanded;
+    result.version = entry->version;
+  } else {
+    result.outcome = ChangeOutcome::kConflict;
+  }
+  return result;
+}
+
+ChangeResult ChangeWriter::Find(const std::string& id) {
+  ChangeResult result = Settle(id);
+  const bool can_land = result.present.revision == BaseRevision(id);
+  if (result.outcome == ChangeOutcome::kConflict && can_land)
+    result.outcome = ChangeOutcome::kUnknown;
+  return result;
+}
+
+std::optional<TrailEntry> ChangeWriter::FindEntry(const RootValue& root,
+                                                  const std::string& id) {
+  std::optional<TrailEntry> found;
+  WalkTrail(store_, root, [&](const TrailEntry& it) {
+    if (it.change_id == id)
+      found = it;
+    // Entries further on are based on still older revisions.
+    return !found && BaseRevision(it.change_id) >= BaseRevision(id);
+  });
+  return found;
+}
+
+std::vector<TrailEntry> ReadTrail(Store& store,
+                                  const RootValue& root,
+                                  size_t limit) {
+  std::vector<TrailEntry> entries;
+  WalkTrail(store, root, [&](const TrailEntry& it) {
+    if (entries.size() < limit)
+      entries.push_back(it);
+    return entries.size() < limit;
+  });
+  return entries;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/store/config_reader.cc
@@ -0,0 +1,50 @@
+#include "include/store/config_reader.h"
+
+#include "include/base/digest.h"
+
+namespace toucanknot {
+
+RootSnapshot ReadRootSnapshot(Store& store) {
+  const auto value = store.Get(kRootKey);
+  if (!value)
+    return {};
+  return {ReadRoot(value->data), value->revision};
+}
+
+ConfigOffer FetchOffer(Store& store, const RootValue& root) {
+  ConfigOffer offer{root.version, root.digest, root.config_text,
+                    root.client_parts};
+  for (const std::string& it : root.config_parts)
+    offer.text += ReadPart(store, it);
+  return offer;
+}
+
+FleetConfigPtr ReadConfig(Store& store) {
+  const RootSnapshot snapshot = ReadRootSnapshot(store);
+  if (!snapshot.exists())
+    return nullptr;
+  return CheckOffer(FetchOffer(store, snapshot.root));
+}
+
+std::string ReadPart(Store& store, const std::string& digest) {
+  auto value = store.Get(kPartPrefix + digest);
+  if (!value)
+    throw MalformedRootError("the store lacks part " + digest);
+  if (DigestOf(value->data) != digest)
+    throw MalformedRootError("part " + digest + " does not have its digest");
+  return std::move(value->data);
+}
+
+std::string WritePart(Store& store, const std::string& data) {
+  std::string digest = DigestOf(data);
+  const std::string key = kPartPrefix + digest;
+  try {
+    store.CompareAndSwap(key, 0, data);
+  } catch (const StoreOutcomeUnknownError&) {
+    if (!store.Get(key))
+      throw StoreUnavailableError("a part could not be written");
+  }
+  return digest;
+}
+
+}  // namespace toucanknot
