--- a/src/daemon/caller_handler.cc
+++ b/src/daemon/caller_handler.cc
@@ -58,8 +58,7 @@
   return answer;
 }
 
-boost::asio::awaitable<HttpResponse> CallerHandler::Serve(
-    HttpRequest request) {
+boost::asio::awaitable<HttpResponse> CallerHandler::Serve(HttpRequest request) {
   const Instant start = SteadyNow();
   RoutingTablesPtr tables = parts_.tables->Get();
   if (!tables)
@@ -68,9 +67,9 @@
   auto pass = VerifyPass(request, parts_.self, *parts_.keys, &forged);
   if (forged) {
     parts_.metrics->CountForgedPass();
-    co_return HostAnswer(403, Verdict::kNotRun, "forged-pass",
-                         std::string(kPassHeader) +
-                             " is for entry hosts, and is not authentic");
+    co_return HostAnswer(
+        403, Verdict::kNotRun, "forged-pass",
+        std::string(kPassHeader) + " is for entry hosts, and is not authentic");
   }
   HttpResponse answer;
   try {
@@ -78,8 +77,7 @@
         ParseCall(std::move(request), std::move(tables), pass, start);
     answer = co_await Dispatch(call);
   } catch (const BadCallError& e) {
-    answer =
-        HostAnswer(e.status(), Verdict::kNotRun, "bad-request", e.what());
+    answer = HostAnswer(e.status(), Verdict::kNotRun, "bad-request", e.what());
   }
   const auto verdict = kVerdictNames.Parse(answer.fields.Get(kVerdictHeader));
   parts_.metrics->CountRequest(verdict.value_or(Verdict::kUnknown),
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -138,8 +138,8 @@
   sender_->set_observer([this](const Call& call, const AttemptResult& result) {
     OnAttempt(call, result);
   });
-  once_ = std::make_unique<OnceRunner>(workers_, *sender_, tickets_,
-                                       next_item_);
+  once_ =
+      std::make_unique<OnceRunner>(workers_, *sender_, tickets_, next_item_);
   idempotent_ = std::make_unique<IdempotentRunner>(
       workers_, *sender_, next_item_, [this](const ServiceEntry& entry) {
         return StateOf(entry.service.id)->TakeRetry(SteadyNow());
@@ -154,8 +154,8 @@
   parts.tickets = &tickets_;
   parts.metrics = &metrics_;
   callers_ = std::make_unique<CallerHandler>(std::move(parts));
-  admin_ = std::make_unique<AdminHandler>(settings_.admin_token,
-                                          AdminSources());
+  admin_ =
+      std::make_unique<AdminHandler>(settings_.admin_token, AdminSources());
   prober_ = std::make_unique<Prober>(
       workers_, *sender_, tables_,
       [this](const ServiceEntry& entry, const ServerProbe& probe,
@@ -207,9 +207,8 @@
   boost::asio::co_spawn(workers_.loop(0), TickLoop(), boost::asio::detached);
   boost::asio::co_spawn(workers_.loop(0), HousekeepingLoop(),
                         boost::asio::detached);
-  spdlog::info("state=serving host={} zone={} callers={}",
-               settings_.host.str(), settings_.zone.str(),
-               settings_.callers.ToString());
+  spdlog::info("state=serving host={} zone={} callers={}", settings_.host.str(),
+               settings_.zone.str(), settings_.callers.ToString());
 }
 
 uint64_t HostDaemon::Impl::BodyLimit(std::string_view target) const {
@@ -219,8 +218,7 @@
   if (!tables)
     return kMaxOtherBodyBytes;
   target.remove_prefix(kServicesPrefix.size());
-  const auto entry =
-      tables->Find(target.substr(0, target.find_first_of("/?")));
+  const auto entry = tables->Find(target.substr(0, target.find_first_of("/?")));
   return entry ? static_cast<uint64_t>(entry->tunables.max_request_bytes)
                : kMaxOtherBodyBytes;
 }
@@ -289,18 +287,20 @@
     const bool near = config.RegionOf(it.zone) == own_region;
     source.hosts.push_back({it, it.zone == settings_.zone ? 0 : near ? 1 : 2});
   }
-  std::stable_sort(source.hosts.begin(), source.hosts.end(),
-                   [](const auto& a, const auto& b) { return a.rank < b.rank; });
+  std::stable_sort(
+      source.hosts.begin(), source.hosts.end(),
+      [](const auto& a, const auto& b) { return a.rank < b.rank; });
   lookups_ = std::make_shared<const LookupTable>(source);
 }
 
 void HostDaemon::Impl::OnProbe(const ServiceEntry& entry,
-                              const ServerProbe& probe,
-                              const std::optional<LoadReport>& load) {
+                               const ServerProbe& probe,
+                               const std::optional<LoadReport>& load) {
   StateOf(entry.service.id)->OnProbe(probe, load, SteadyNow());
 }
 
-void HostDaemon::Impl::OnAttempt(const Call& call, const AttemptResult& result) {
+void HostDaemon::Impl::OnAttempt(const Call& call,
+                                 const AttemptResult& result) {
   metrics_.CountAttempt(result.end);
   StateOf(call.entry->service.id)->OnAttempt(result, SteadyNow());
 }
@@ -380,9 +380,7 @@
     facts.leaving = leaving_;
     facts.store_up = store_up_;
     facts.store_calls = watcher_ ? watcher_->calls() : 0;
-    facts.tables = tables_.Get();
-    facts.config_age = SteadyNow() - intake_.Since();
-    facts.refused = intake_.Refused();
+    facts.config = intake_.Status(SteadyNow());
     facts.ticket_records = tickets_.records();
     facts.kept_answer_bytes = tickets_.kept_bytes();
     facts.callers = caller_server_->Counts();
--- a/src/daemon/host_metrics.cc
+++ b/src/daemon/host_metrics.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <sstream>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -15,11 +17,11 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.99, 0.999};
 
-using Accumulator = acc::accumulator_set<
-    double,
-    acc::stats<acc::tag::count,
-               acc::tag::sum,
-               acc::tag::extended_p_square_quantile>>;
+using Accumulator =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count,
+                                    acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
 
 std::string Label(const char* name, std::string_view value) {
   return fmt::format("{}=\"{}\"", name, value);
@@ -37,9 +39,9 @@
     std::string text;
     if (acc::count(all_) > 0) {
       for (const double it : kQuantiles) {
-        text += MetricLine(
-            "toucanknot_request_ms", fmt::format("quantile=\"{}\"", it),
-            acc::quantile(all_, acc::quantile_probability = it));
+        text += MetricLine("toucanknot_request_ms",
+                           fmt::format("quantile=\"{}\"", it),
+                           acc::quantile(all_, acc::quantile_probability = it));
       }
     }
     text += MetricLine("toucanknot_request_ms_sum", "", acc::sum(all_));
--- a/src/daemon/lookup_table.cc
+++ b/src/daemon/lookup_table.cc
@@ -55,8 +55,7 @@
           {"service", service.id.str()},
           {"version", source.config->version},
           {"lifetime_ms", lifetime},
-          {"hosts",
-           HostsJson(*source.config, RotateRanks(source.hosts, i))}}));
+          {"hosts", HostsJson(*source.config, RotateRanks(source.hosts, i))}}));
     }
   }
 }
--- a/src/daemon/prober.cc
+++ b/src/daemon/prober.cc
@@ -95,9 +95,8 @@
       boost::asio::co_spawn(workers_.loop(next++ % workers_.size()),
                             Probe(targets[i].entry, targets[i].server),
                             boost::asio::detached);
-      const Duration due =
-          interval * static_cast<int64_t>(i + 1) /
-          static_cast<int64_t>(targets.size());
+      const Duration due = interval * static_cast<int64_t>(i + 1) /
+                           static_cast<int64_t>(targets.size());
       co_await SleepFor(start + due - SteadyNow());
     }
   }
@@ -121,8 +120,8 @@
   std::optional<LoadReport> load;
   if (answered)
     load = ParseLoadReport(server, result.response.body);
-  probe.healthy = answered && result.response.status / 100 == 2 &&
-                  (!load || load->healthy);
+  probe.healthy =
+      answered && result.response.status / 100 == 2 && (!load || load->healthy);
   probe.leaving = load && load->leaving;
   if (load)
     probe.age = load->age;
--- a/src/daemon/service_desk.cc
+++ b/src/daemon/service_desk.cc
@@ -31,7 +31,11 @@
     const std::lock_guard lock(mutex_);
     if (waiters_.erase(item.id) > 0) {
       dispatcher_->Withdraw(item.id, SteadyNow());
-      co_return Decision{item.id, Step::kRefuse, {}, {}, Refusal::kDeadline};
+      Decision late;
+      late.item = item.id;
+      late.step = Step::kRefuse;
+      late.refusal = Refusal::kDeadline;
+      co_return late;
     }
   }
   // It was decided on in this very moment; the decision is on its way.
--- /dev/null
+++ b/src/daemon/service_state.cc
@@ -0,0 +1,138 @@
+#include "src/daemon/service_state.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+#include <vector>
+
+#include "include/steering/dispatcher_builder.h"
+
+namespace toucanknot {
+namespace {
+
+AnswerOutcome OutcomeOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return AnswerOutcome::kSuccess;
+    case AttemptEnd::kShed:
+    case AttemptEnd::kCancelled:
+      return AnswerOutcome::kNeutral;
+    default:
+      return AnswerOutcome::kFailure;
+  }
+}
+
+std::unique_ptr<Dispatcher> MakeDispatcher(
+    const ServiceId& service,
+    const HostId& host,
+    uint64_t seed,
+    const std::shared_ptr<HealthDesk>& health) {
+  SteeringHooks hooks;
+  hooks.usable = [health](const ServerId& server, Instant now) {
+    return health->With(
+        [&](HealthTable& it) { return it.Weight(server, now); });
+  };
+  return DispatcherBuilder()
+      .SetService(service)
+      .SetHost(host)
+      .SetSeed(seed)
+      .SetHooks(std::move(hooks))
+      .Build();
+}
+
+}  // namespace
+
+ServiceState::ServiceState(const ServiceId& service,
+                           const HostId& host,
+                           uint64_t seed)
+    : health_(std::make_shared<HealthDesk>(Tunables())),
+      retries_(Tunables().retry_ratio),
+      desk_(std::make_shared<ServiceDesk>(
+          MakeDispatcher(service, host, seed, health_))) {
+  health_->With([&](HealthTable& it) {
+    it.set_on_change(
+        [service](const ServerId& server, ServerState from, ServerState to) {
+          spdlog::info("server service={} id={} state={} was={}", service.str(),
+                       server.str(), kServerStateNames.Name(to),
+                       kServerStateNames.Name(from));
+        });
+  });
+}
+
+void ServiceState::OnConfig(const FleetConfigPtr& config,
+                            const ServiceEntry& entry,
+                            int64_t unix_ms,
+                            Instant now) {
+  std::vector<ServerId> servers;
+  for (const BackendServer& it : entry.service.servers)
+    servers.push_back(it.id);
+  health_->With([&](HealthTable& it) {
+    it.SetTunables(entry.tunables);
+    it.SetServers(servers, now);
+    for (const BackendServer& server : entry.service.servers) {
+      Scope place;
+      place.service = entry.service.id;
+      place.zone = server.zone;
+      place.region = config->RegionOf(server.zone);
+      place.server = server.id;
+      it.OnLeaving(server.id, LeavingSource::kException,
+                   config->Resolve(place, unix_ms).drain, Duration(0), now);
+    }
+  });
+  {
+    const std::lock_guard lock(retries_mutex_);
+    retries_.set_ratio(entry.tunables.retry_ratio);
+  }
+  desk_->Update(
+      [&](Dispatcher& it, Instant at) { it.OnConfig(config, unix_ms, at); });
+}
+
+void ServiceState::OnProbe(const ServerProbe& probe,
+                           const std::optional<LoadReport>& load,
+                           Instant now) {
+  health_->With([&](HealthTable& it) { it.OnProbe(probe, now); });
+  if (!load)
+    return;
+  desk_->Update(
+      [&](Dispatcher& it, Instant at) { it.OnLoadReport(*load, at); });
+}
+
+void ServiceState::OnAttempt(const AttemptResult& result, Instant now) {
+  if (!result.server.empty()) {
+    ServerAnswer answer;
+    answer.server = result.server;
+    answer.outcome = OutcomeOf(result.end);
+    answer.took = result.took;
+    answer.sent_at = now - result.took;
+    health_->With([&](HealthTable& it) { it.OnAnswer(answer, now); });
+  }
+  if (result.end == AttemptEnd::kAnswered) {
+    const std::lock_guard lock(retries_mutex_);
+    retries_.OnSuccess(now);
+  }
+}
+
+void ServiceState::OnHostListed(const ServerId& server,
+                                bool leaving,
+                                Instant now) {
+  health_->With([&](HealthTable& it) {
+    it.OnLeaving(server, LeavingSource::kHostList, leaving, Duration(0), now);
+  });
+}
+
+bool ServiceState::TakeRetry(Instant now) {
+  const std::lock_guard lock(retries_mutex_);
+  return retries_.TryTake(now);
+}
+
+void ServiceState::Advance(Instant now) {
+  health_->With([&](HealthTable& it) { it.Advance(now); });
+}
+
+std::string ServiceState::Explain(Instant now) const {
+  const std::string health =
+      health_->With([&](HealthTable& it) { return it.Explain(now); });
+  return "{\"dispatcher\":" + desk_->Explain() + ",\"servers\":" + health + "}";
+}
+
+}  // namespace toucanknot
--- a/src/daemon/store_watcher.cc
+++ b/src/daemon/store_watcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -44,7 +45,7 @@
 void StoreWatcher::Run() {
   std::minstd_rand random(seed_);
   Duration pause = kMinPause;
-  bool up = true;
+  std::optional<bool> up;
   for (;;) {
     {
       std::unique_lock lock(mutex_);
@@ -60,9 +61,9 @@
     }
     if (up != error.empty()) {
       up = error.empty();
-      hooks_.on_state(up, error);
+      hooks_.on_state(*up, error);
     }
-    if (up) {
+    if (*up) {
       pause = kMinPause;
       continue;
     }
@@ -78,7 +79,7 @@
     ++calls_;
     const RootSnapshot snapshot = ReadRootSnapshot(*store_);
     if (snapshot.exists())
-      hooks_.on_offer(ReadOffer(*store_, snapshot.root));
+      hooks_.on_offer(FetchOffer(*store_, snapshot.root));
     seen_ = snapshot.revision;
   }
   if (SteadyNow() - hosts_read_at_ >= kHostListInterval) {
@@ -90,7 +91,7 @@
   const auto value = store_->Watch(kRootKey, seen_, kWatchLimit);
   if (!value)
     return;
-  hooks_.on_offer(ReadOffer(*store_, ReadRoot(value->data)));
+  hooks_.on_offer(FetchOffer(*store_, ReadRoot(value->data)));
   seen_ = value->revision;
 }
 
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "include/base/clock.h"
+#include "include/config/config_offer.h"
 #include "include/store/config_reader.h"
 #include "include/store/store.h"
 
