--- a/src/daemon/pass_mark.cc
+++ b/src/daemon/pass_mark.cc
@@ -87,7 +87,7 @@
   } catch (const boost::algorithm::hex_decode_error&) {
     return std::nullopt;
   }
-  const auto mark = ReadMark(parts);
+  auto mark = ReadMark(parts);
   if (!mark)
     return std::nullopt;
   const std::string text = SignedText(MarkText(*mark), receiver, request);
--- a/src/daemon/ticket_desk.cc
+++ b/src/daemon/ticket_desk.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-TicketDesk::TicketDesk(HostLife self, Limits limits)
+TicketDesk::TicketDesk(const HostLife& self, Limits limits)
     : self_(self),
       answers_(std::make_shared<AnswerStore>(limits.kept_answers_bytes,
                                              limits.keep_answer)),
--- a/src/daemon/ticket_desk.h
+++ b/src/daemon/ticket_desk.h
@@ -32,7 +32,7 @@
   };
 
   // Draws the secret of this life of the host.
-  TicketDesk(HostLife self, Limits limits);
+  TicketDesk(const HostLife& self, Limits limits);
 
   std::string Mint(Duration lifetime);
 
