--- /dev/null
+++ b/tests/config/config_holder_test.cc
@@ -0,0 +1,113 @@
+#include "include/config/config_holder.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/json/value.hpp>
+#include <catch2/catch.hpp>
+
+#include "include/config/config_text.h"
+#include "tests/config/small_fleet.h"
+
+namespace toucanknot {
+namespace {
+
+// A valid offer; `queue` makes its text differ.
+ConfigOffer OfferOf(uint64_t version, int queue = 7) {
+  FleetConfig config = *ParseFleetConfig(kSmallFleet, "test");
+  config.defaults.max_queue = queue;
+  return MakeOffer(config, version);
+}
+
+}  // namespace
+
+TEST_CASE("a host takes higher versions only") {
+  ConfigHolder holder;
+  CHECK(holder.current() == nullptr);
+  CHECK(holder.Offer(OfferOf(5), "store", Instant(1)) == OfferOutcome::kTaken);
+  CHECK(holder.Offer(OfferOf(5), "h-2", Instant(2)) == OfferOutcome::kSame);
+  CHECK(holder.Offer(OfferOf(4), "h-2", Instant(3)) == OfferOutcome::kOlder);
+  CHECK(holder.Offer(OfferOf(0), "h-2", Instant(3)) == OfferOutcome::kOlder);
+  CHECK(holder.since() == Instant(1));
+  CHECK(holder.Offer(OfferOf(9, 8), "h-2", Instant(4)) == OfferOutcome::kTaken);
+  CHECK(holder.current()->version == 9);
+  CHECK(holder.current()->defaults.max_queue == 8);
+  CHECK(holder.current()->digest == OfferOf(9, 8).digest);
+  CHECK(holder.refused().empty());
+}
+
+TEST_CASE("the same version with another digest is refused and reported") {
+  ConfigHolder holder;
+  holder.Offer(OfferOf(5), "store", Instant(1));
+  for (int i = 0; i < 3; ++i) {
+    CHECK(holder.Offer(OfferOf(5, 8), "h-2", Instant(2)) ==
+          OfferOutcome::kConflicting);
+  }
+  CHECK(holder.current()->defaults.max_queue == 7);
+  REQUIRE(holder.refused().size() == 1);
+  CHECK(holder.refused()[0].from == "h-2");
+  const auto status = HolderStatus(holder, Instant(10));
+  CHECK(status.at("refused").at(0).at("age_ms") == 8);
+  CHECK(status.at("version") == 5);
+}
+
+TEST_CASE("a version that is not valid leaves the last good one in force") {
+  ConfigHolder holder;
+  holder.Offer(OfferOf(1), "store", Instant(1));
+  ConfigOffer cut = OfferOf(2);
+  cut.text.pop_back();
+  CHECK(holder.Offer(cut, "h-2", Instant(2)) == OfferOutcome::kRefused);
+  FleetConfig drained = *holder.current();
+  drained.defaults.drain = true;
+  const ConfigOffer bad = MakeOffer(drained, 3);
+  CHECK(holder.Wants(3, bad.digest));
+  CHECK(holder.Offer(bad, "store", Instant(3)) == OfferOutcome::kRefused);
+  CHECK_FALSE(holder.Wants(3, bad.digest));
+  CHECK(holder.version() == 1);
+  REQUIRE(holder.refused().size() == 2);
+  CHECK(holder.refused()[1].reason.find("defaults.drain") != std::string::npos);
+  for (uint64_t i = 0; i < 20; ++i)
+    holder.Offer(MakeOffer(drained, 10 + i), "store", Instant(4));
+  CHECK(holder.refused().size() == 8);
+  CHECK(holder.Offer(OfferOf(99), "store", Instant(5)) == OfferOutcome::kTaken);
+}
+
+TEST_CASE("a store that came back older is reported until it catches up") {
+  ConfigHolder holder;
+  holder.Offer(OfferOf(7), "store", Instant(1));
+  holder.OnStoreVersion(7, Instant(2));
+  CHECK_FALSE(holder.regression());
+  holder.OnStoreVersion(5, Instant(3));
+  holder.OnStoreVersion(6, Instant(4));
+  REQUIRE(holder.regression());
+  CHECK(holder.regression()->store_version == 6);
+  CHECK(holder.regression()->since == Instant(3));
+  CHECK(HolderStatus(holder, Instant(5)).at("store_version") == 6);
+  holder.OnStoreVersion(8, Instant(5));
+  CHECK_FALSE(holder.regression());
+}
+
+TEST_CASE("in any order of offers the highest version stays in force") {
+  const auto outcome = rc::check([] {
+    ConfigHolder holder;
+    uint64_t highest = 0;
+    const int n = *rc::gen::inRange(1, 10);
+    for (int i = 0; i < n; ++i) {
+      const auto version = *rc::gen::inRange<uint64_t>(1, 6);
+      holder.Offer(OfferOf(version, static_cast<int>(version)), "h",
+                   Instant(i));
+      highest = std::max(highest, version);
+      RC_ASSERT(holder.version() == highest);
+    }
+  });
+  CHECK(outcome);
+}
+
+TEST_CASE("an offer keeps its shape as JSON") {
+  ConfigOffer offer = OfferOf(3);
+  offer.client_parts = {"a", "b"};
+  CHECK(ReadOffer(WriteOffer(offer), "host") == offer);
+  CHECK_THROWS_AS(ReadOffer("{}", "host"), InvalidConfigError);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/store/change_writer_test.cc
@@ -0,0 +1,232 @@
+#include "include/store/change_writer.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "src/standin/memory_store.h"
+#include "tests/store/scripted_store.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr size_t kWholeTrail = 100'000;
+
+Change MakeChange(const RootSnapshot& base, uint64_t n) {
+  Change change;
+  change.id = NewChangeId(base.revision, n);
+  change.author = "author-" + std::to_string(n);
+  change.unix_ms = 1000;
+  change.reason = "reason";
+  change.summary = "summary";
+  change.config_text = "text " + std::to_string(n);
+  return change;
+}
+
+ChangeWriter WriterOf(Store& store) {
+  ChangeWriter::Options options;
+  options.attempts = 3;
+  options.wait = [](Duration) {};
+  return {store, options};
+}
+
+// Reads the root and writes change `n` on it.
+ChangeResult ChangeOnce(Store& store, uint64_t n) {
+  const RootSnapshot base = ReadRootSnapshot(store);
+  return WriterOf(store).Write(base, MakeChange(base, n));
+}
+
+// How often each change stands in the trail.
+std::map<std::string, int> CountTrail(Store& store) {
+  std::map<std::string, int> counts;
+  const RootSnapshot present = ReadRootSnapshot(store);
+  for (const TrailEntry& it : ReadTrail(store, present.root, kWholeTrail))
+    ++counts[it.change_id];
+  return counts;
+}
+
+// Whether what a writer was told of `id` is what the store shows.
+bool IsTrue(Store& store, const ChangeResult& told, const std::string& id) {
+  const auto counts = CountTrail(store);
+  const auto it = counts.find(id);
+  const int times = it == counts.end() ? 0 : it->second;
+  if (times > 1)
+    return false;
+  switch (told.outcome) {
+    case ChangeOutcome::kLanded:
+      return times == 1;
+    case ChangeOutcome::kConflict:
+    case ChangeOutcome::kNotLanded:
+      return times == 0;
+    case ChangeOutcome::kUnknown:
+      break;
+  }
+  // Asked again, the store says it, or that it still can land.
+  const ChangeResult again = WriterOf(store).Find(id);
+  return (again.outcome == ChangeOutcome::kLanded) == (times == 1);
+}
+
+}  // namespace
+
+TEST_CASE("a change lands with its entry in the trail") {
+  MemoryStore store;
+  CHECK(ChangeOnce(store, 1).version == 1);
+  CHECK(ChangeOnce(store, 2).version == 2);
+  const RootSnapshot present = ReadRootSnapshot(store);
+  CHECK(present.root.config_text == "text 2");
+  REQUIRE(present.root.trail.size() == 2);
+  CHECK(present.root.trail[0].author == "author-2");
+  CHECK(present.root.trail[0].digest == present.root.digest);
+  CHECK(ReadRoot(WriteRoot(present.root)) == present.root);
+}
+
+TEST_CASE("an answer lost at any call is settled, and nothing is doubled") {
+  for (int lost = 0; lost < 8; ++lost) {
+    for (const CallFault fault :
+         {CallFault::kDown, CallFault::kLostBefore, CallFault::kLostAfter}) {
+      for (const size_t bytes :
+           {size_t{10}, ChangeWriter::kMaxInlineBytes + 1}) {
+        MemoryStore store;
+        ChangeOnce(store, 1);
+        const RootSnapshot base = ReadRootSnapshot(store);
+        Change change = MakeChange(base, 2);
+        change.config_text = std::string(bytes, 'x');
+        ScriptedStore flaky(store, [&](int call) {
+          return call == lost ? fault : CallFault::kNone;
+        });
+        const ChangeResult told = WriterOf(flaky).Write(base, change);
+        CHECK(told.outcome == ChangeOutcome::kLanded);
+        CHECK(told.version == 2);
+        CHECK(CountTrail(store)[change.id] == 1);
+        const ConfigOffer offer =
+            FetchOffer(store, ReadRootSnapshot(store).root);
+        CHECK(offer.text == change.config_text);
+      }
+    }
+  }
+}
+
+TEST_CASE("a write that stays unanswered is not known until the store moves") {
+  MemoryStore store;
+  const RootSnapshot base = ReadRootSnapshot(store);
+  const Change change = MakeChange(base, 1);
+  const auto write = [&](CallFault fault) {
+    ScriptedStore flaky(store, [&](int) { return fault; });
+    return WriterOf(flaky).Write(base, change).outcome;
+  };
+  CHECK(write(CallFault::kDown) == ChangeOutcome::kNotLanded);
+  CHECK(write(CallFault::kLostBefore) == ChangeOutcome::kUnknown);
+  CHECK(WriterOf(store).Find(change.id).outcome == ChangeOutcome::kUnknown);
+
+  SECTION("it took effect after all") {
+    CHECK(write(CallFault::kLostAfter) == ChangeOutcome::kUnknown);
+    CHECK(WriterOf(store).Find(change.id).outcome == ChangeOutcome::kLanded);
+    CHECK(write(CallFault::kNone) == ChangeOutcome::kLanded);
+    CHECK(CountTrail(store)[change.id] == 1);
+  }
+  SECTION("another change came first") {
+    ChangeOnce(store, 2);
+    CHECK(WriterOf(store).Find(change.id).outcome == ChangeOutcome::kConflict);
+    CHECK(write(CallFault::kNone) == ChangeOutcome::kConflict);
+  }
+}
+
+TEST_CASE("two operators at once: one lands, the other sees what did") {
+  // The other operator's whole change comes before each call in turn.
+  for (int at = 0; at < 4; ++at) {
+    MemoryStore store;
+    ChangeOnce(store, 1);
+    ChangeResult other;
+    ScriptedStore shared(store, [&](int call) {
+      if (call == at)
+        other = ChangeOnce(store, 3);
+      return CallFault::kNone;
+    });
+    const RootSnapshot base = ReadRootSnapshot(shared);
+    const Change change = MakeChange(base, 2);
+    const ChangeResult mine = WriterOf(shared).Write(base, change);
+    INFO("before call " << at);
+    CHECK(IsTrue(store, mine, change.id));
+    // Call 0 is the read, call 1 the swap.
+    CHECK((mine.outcome == ChangeOutcome::kLanded) == (at != 1));
+    const RootSnapshot present = ReadRootSnapshot(store);
+    if (at == 1) {
+      CHECK(mine.outcome == ChangeOutcome::kConflict);
+      CHECK(mine.present.root.config_text == "text 3");
+      CHECK(present.root.config_text == "text 3");
+    }
+    CHECK(CountTrail(store).size() == present.root.version);
+  }
+}
+
+TEST_CASE("whatever the faults, the writer's word is true") {
+  CHECK(rc::check([] {
+    MemoryStore store;
+    ChangeOnce(store, 1);
+    uint64_t others = 100;
+    ScriptedStore flaky(store, [&](int) {
+      if (*rc::gen::inRange(0, 4) == 0)
+        ChangeOnce(store, ++others);
+      return static_cast<CallFault>(*rc::gen::inRange(0, 4));
+    });
+    for (uint64_t n = 2; n < 5; ++n) {
+      const RootSnapshot base = ReadRootSnapshot(store);
+      const Change change = MakeChange(base, n);
+      const ChangeResult told = WriterOf(flaky).Write(base, change);
+      RC_ASSERT(IsTrue(store, told, change.id));
+    }
+    RC_ASSERT(CountTrail(store).size() == ReadRootSnapshot(store).root.version);
+  }));
+}
+
+TEST_CASE("the trail is bounded in the root and goes on in parts") {
+  MemoryStore store;
+  constexpr uint64_t kChanges = 200;
+  std::vector<std::string> ids;
+  for (uint64_t i = 0; i < kChanges; ++i) {
+    const RootSnapshot base = ReadRootSnapshot(store);
+    ids.push_back(NewChangeId(base.revision, i));
+    REQUIRE(ChangeOnce(store, i).outcome == ChangeOutcome::kLanded);
+  }
+  const RootSnapshot present = ReadRootSnapshot(store);
+  CHECK(present.root.trail.size() <= ChangeWriter::kMaxTrail);
+  const auto trail = ReadTrail(store, present.root, kWholeTrail);
+  REQUIRE(trail.size() == kChanges);
+  for (uint64_t i = 0; i < kChanges; ++i)
+    CHECK(trail[i].change_id == ids[kChanges - 1 - i]);
+  CHECK(ReadTrail(store, present.root, 70).size() == 70);
+  for (const std::string& it : ids)
+    CHECK(WriterOf(store).Find(it).outcome == ChangeOutcome::kLanded);
+  CHECK(WriterOf(store).Find(NewChangeId(50, 7'777)).outcome ==
+        ChangeOutcome::kConflict);
+}
+
+TEST_CASE(
+    "a store restored to an older state is brought above what hosts have") {
+  MemoryStore store;
+  ChangeOnce(store, 1);
+  const auto backup = store.TakeSnapshot();
+  ChangeOnce(store, 2);
+  ChangeOnce(store, 3);
+  store.Restore(backup);
+  const RootSnapshot base = ReadRootSnapshot(store);
+  Change change = MakeChange(base, 4);
+  change.kind = ChangeKind::kRestore;
+  change.newest_known = 3;
+  CHECK(WriterOf(store).Write(base, change).version == 4);
+}
+
+TEST_CASE("what is not a root value is said to be none") {
+  MemoryStore store;
+  store.CompareAndSwap(kRootKey, 0, "{}");
+  CHECK_THROWS_AS(ReadRootSnapshot(store), MalformedRootError);
+  store.CompareAndSwap(kRootKey, 1, "nonsense");
+  CHECK_THROWS_AS(ChangeOnce(store, 1), MalformedRootError);
+  CHECK_THROWS_AS(ReadPart(store, "absent"), MalformedRootError);
+  store.CompareAndSwap(std::string(kPartPrefix) + "d", 0, "other data");
+  CHECK_THROWS_AS(ReadPart(store, "d"), MalformedRootError);
+}
+
+}  // namespace toucanknot
