--- /dev/null
+++ b/include/cli/command_line.h
@@ -0,0 +1,39 @@
+#ifndef INCLUDE_CLI_COMMAND_LINE_H_
+#define INCLUDE_CLI_COMMAND_LINE_H_
+
+#include <string>
+#include <vector>
+
+#include "include/cli/command.h"
+
+namespace toucanknot {
+
+// The operators' commands. A command of another package is added to the list
+// in tools/toucanknot.cc.
+std::vector<CliCommand> OperatorCommands();
+
+// Finds the command in the arguments, reads its options and runs it.
+class CommandLine {
+ public:
+  explicit CommandLine(std::vector<CliCommand> commands);
+
+  // Runs what `args` (without the program's name) ask for. Never throws:
+  // errors are told on env.err and by the exit code.
+  ExitCode Run(const std::vector<std::string>& args,
+               const CliEnvironment& env) const;
+
+ private:
+  const CliCommand* Find(const std::vector<std::string>& args,
+                         size_t& words) const;
+  ExitCode RunCommand(const CliCommand& command,
+                      const std::vector<std::string>& rest,
+                      const CliEnvironment& env) const;
+  void PrintCommands(std::ostream& out) const;
+  static void PrintUsage(const CliCommand& command, std::ostream& out);
+
+  std::vector<CliCommand> commands_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_CLI_COMMAND_LINE_H_
--- a/src/store/http_exchange.h
+++ b/include/store/http_exchange.h
@@ -1,5 +1,5 @@
-#ifndef SRC_STORE_HTTP_EXCHANGE_H_
-#define SRC_STORE_HTTP_EXCHANGE_H_
+#ifndef INCLUDE_STORE_HTTP_EXCHANGE_H_
+#define INCLUDE_STORE_HTTP_EXCHANGE_H_
 
 #include <cstdint>
 #include <string>
@@ -56,4 +56,4 @@
 
 }  // namespace toucanknot
 
-#endif  // SRC_STORE_HTTP_EXCHANGE_H_
+#endif  // INCLUDE_STORE_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/cli/operator_commands.cc
@@ -0,0 +1,16 @@
+#include "include/cli/command_line.h"
+#include "src/cli/config_commands.h"
+#include "src/cli/exception_commands.h"
+#include "src/cli/watch_commands.h"
+
+namespace toucanknot {
+
+std::vector<CliCommand> OperatorCommands() {
+  std::vector<CliCommand> all;
+  for (auto group :
+       {ConfigCommands::All(), ExceptionCommands::All(), WatchCommands::All()})
+    all.insert(all.end(), group.begin(), group.end());
+  return all;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/cli/scope_args.cc
@@ -0,0 +1,130 @@
+#include "src/cli/scope_args.h"
+
+#include <boost/json/value.hpp>
+#include <charconv>
+#include <string_view>
+
+#include "include/base/utc_time.h"
+#include "include/config/json_text.h"
+#include "include/config/tunable_table.h"
+
+namespace toucanknot {
+namespace {
+
+template <typename T>
+std::optional<T> Part(const CliArgs& args, const char* option) {
+  const auto text = args.Text(option);
+  return text ? std::optional<T>(T(*text)) : std::nullopt;
+}
+
+// Joins the names and values of the parts that are set.
+std::string JoinParts(const Scope& scope,
+                      const char* between,
+                      const char* separator) {
+  std::string text;
+  const auto add = [&](const char* name, const auto& part) {
+    if (part)
+      text += (text.empty() ? "" : separator) + std::string(name) + between +
+              part->str();
+  };
+  add("service", scope.service);
+  add("region", scope.region);
+  add("zone", scope.zone);
+  add("host", scope.host);
+  add("server", scope.server);
+  return text;
+}
+
+int64_t UnitMillis(char unit) {
+  switch (unit) {
+    case 's':
+      return 1000;
+    case 'm':
+      return 60'000;
+    case 'h':
+      return 3'600'000;
+    case 'd':
+      return 86'400'000;
+    default:
+      return 0;
+  }
+}
+
+// "+90m" as milliseconds.
+std::optional<int64_t> ParseSpan(std::string_view text) {
+  if (text.size() < 3 || text.front() != '+')
+    return std::nullopt;
+  const int64_t unit = UnitMillis(text.back());
+  const char* end = text.data() + text.size() - 1;
+  int32_t n = 0;
+  const auto [rest, ec] = std::from_chars(text.data() + 1, end, n);
+  if (unit == 0 || ec != std::errc() || rest != end || n <= 0)
+    return std::nullopt;
+  return n * unit;
+}
+
+}  // namespace
+
+std::vector<CliOption> ScopeOptions() {
+  return {{"service", "ID", "part of the scope"},
+          {"region", "ID", "part of the scope"},
+          {"zone", "ID", "part of the scope"},
+          {"host", "ID", "part of the scope: an entry host"},
+          {"server", "ID", "part of the scope: a backend server"}};
+}
+
+Scope ScopeIn(const CliArgs& args) {
+  Scope scope;
+  scope.service = Part<ServiceId>(args, "service");
+  scope.region = Part<RegionId>(args, "region");
+  scope.zone = Part<ZoneId>(args, "zone");
+  scope.host = Part<HostId>(args, "host");
+  scope.server = Part<ServerId>(args, "server");
+  if (scope == Scope())
+    throw UsageError(
+        "a scope is needed: --service, --region, --zone, --host "
+        "or --server");
+  return scope;
+}
+
+std::string DescribeScope(const Scope& scope) {
+  return JoinParts(scope, " ", ", ");
+}
+
+std::string ScopeId(const std::string& prefix, const Scope& scope) {
+  return prefix + "-" + JoinParts(scope, "-", "-");
+}
+
+TunableValue ParseTunable(const std::string& text) {
+  const size_t at = text.find('=');
+  if (at == std::string::npos)
+    throw UsageError("found " + text + ", valid: KEY=VALUE");
+  return ParseTunable(text.substr(0, at), text.substr(at + 1));
+}
+
+TunableValue ParseTunable(const std::string& key, const std::string& value) {
+  const TunableSpec* spec = FindTunable(key);
+  if (!spec)
+    throw UsageError(key + ": valid: " + ValidTunableKey(key));
+  Tunables scratch;
+  if (!SetTunable(*spec, ParseJson(value, key), scratch))
+    throw UsageError(key + ": found " + value +
+                     ", valid: " + ValidTunable(*spec));
+  return {key, WriteJsonLine(GetTunable(scratch, *spec))};
+}
+
+std::optional<int64_t> EndIn(const CliArgs& args, int64_t now_unix_ms) {
+  const auto text = args.Text("ends");
+  if (!text)
+    return std::nullopt;
+  std::optional<int64_t> ends = ParseUtc(*text);
+  if (const auto span = ParseSpan(*text))
+    ends = now_unix_ms + *span;
+  if (!ends || *ends <= now_unix_ms)
+    throw UsageError("--ends: found " + *text +
+                     ", valid: a time to come, 2026-12-31T18:00:00Z or +90m "
+                     "(s, m, h, d)");
+  return ends;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/cli/watch_commands.cc
@@ -0,0 +1,219 @@
+#include "src/cli/watch_commands.h"
+
+#include <fmt/format.h>
+
+#include <boost/json/value.hpp>
+
+#include "include/base/utc_time.h"
+#include "include/config/json_text.h"
+#include "include/store/change_writer.h"
+#include "src/cli/config_change.h"
+#include "src/cli/host_client.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr uint64_t kDefaultEntries = 50;
+
+boost::json::value EntryJson(const TrailEntry& entry) {
+  return boost::json::object{{"version", entry.version},
+                             {"change", entry.change_id},
+                             {"kind", kChangeKindNames.Name(entry.kind)},
+                             {"author", entry.author},
+                             {"at", FormatUtc(entry.unix_ms)},
+                             {"reason", entry.reason},
+                             {"summary", entry.summary},
+                             {"digest", entry.digest}};
+}
+
+// The store's version, or what hindered asking for it.
+struct StoreVersion {
+  uint64_t version = 0;
+  std::string fault;
+};
+
+StoreVersion AskStoreVersion(const CliContext& context) {
+  StoreVersion answer;
+  if (!context.settings.store) {
+    answer.fault = "not set";
+    return answer;
+  }
+  try {
+    answer.version = ReadRootSnapshot(*OpenStore(context)).root.version;
+  } catch (const Error& e) {
+    answer.fault = e.what();
+  }
+  return answer;
+}
+
+boost::json::value StatusJson(const HostStatus& status) {
+  if (!status.fault.empty()) {
+    return boost::json::object{{"admin", status.admin.ToString()},
+                               {"fault", status.fault}};
+  }
+  boost::json::array refused;
+  for (const HostStatus::Refused& it : status.refused) {
+    refused.push_back(boost::json::object{{"version", it.version},
+                                          {"from", it.from},
+                                          {"reason", it.reason},
+                                          {"age_ms", it.age_ms}});
+  }
+  boost::json::object out{{"admin", status.admin.ToString()},
+                          {"host", status.host},
+                          {"state", status.state},
+                          {"version", status.version},
+                          {"digest", status.digest},
+                          {"age_ms", status.age_ms},
+                          {"refused", std::move(refused)}};
+  if (status.older_store_version)
+    out["older_store_version"] = *status.older_store_version;
+  return out;
+}
+
+std::string DescribeStatus(const HostStatus& status) {
+  if (!status.fault.empty())
+    return fmt::format("{:22} no answer: {}\n", status.admin.ToString(),
+                       status.fault);
+  std::string text = fmt::format(
+      "{:22} {:16} {:10} version {} since {} s\n", status.admin.ToString(),
+      status.host, status.state, status.version, status.age_ms / 1000);
+  if (status.older_store_version) {
+    text += fmt::format(
+        "    the store has the older version {}: `config "
+        "restore` brings it up\n",
+        *status.older_store_version);
+  }
+  for (const HostStatus::Refused& it : status.refused) {
+    text += fmt::format("    refused version {} from {} {} s ago: {}\n",
+                        it.version, it.from, it.age_ms / 1000, it.reason);
+  }
+  return text;
+}
+
+}  // namespace
+
+std::vector<CliCommand> WatchCommands::All() {
+  return {
+      {"history",
+       "",
+       "the audit trail, newest first",
+       {{"limit", "N", "entries at most; 50 when not given"},
+        {"change", "ID", "only what became of this change"}},
+       0,
+       0,
+       History},
+      {"status",
+       "",
+       "which host has which version, since when",
+       {},
+       0,
+       0,
+       Status},
+      {"explain",
+       "",
+       "why a look-up of a service comes out as it does",
+       {{"service", "ID", "the service"},
+        {"client", "IP", "the client's IP number"}},
+       0,
+       0,
+       Explain},
+  };
+}
+
+ExitCode WatchCommands::History(const CliContext& context) {
+  if (const auto id = context.args.Text("change"))
+    return FindChange(context, *id);
+  const auto store = OpenStore(context);
+  const RootSnapshot snapshot = ReadRootSnapshot(*store);
+  const auto limit = context.args.Number("limit").value_or(kDefaultEntries);
+  boost::json::array list;
+  for (const TrailEntry& it : ReadTrail(*store, snapshot.root, limit)) {
+    list.push_back(EntryJson(it));
+    if (!context.settings.json) {
+      context.out() << fmt::format("{:>6}  {}  {:16} {}: {}\n        {} ({})\n",
+                                   it.version, FormatUtc(it.unix_ms),
+                                   kChangeKindNames.Name(it.kind), it.author,
+                                   it.summary, it.reason, it.change_id);
+    }
+  }
+  if (context.settings.json)
+    context.out() << WriteJson(boost::json::object{
+        {"version", snapshot.root.version}, {"trail", std::move(list)}});
+  return ExitCode::kOk;
+}
+
+ExitCode WatchCommands::FindChange(const CliContext& context,
+                                   const std::string& id) {
+  const auto store = OpenStore(context);
+  const ChangeResult result = ChangeWriter(*store).Find(id);
+  const bool landed = result.outcome == ChangeOutcome::kLanded;
+  const bool unknown = result.outcome == ChangeOutcome::kUnknown;
+  const char* word =
+      landed ? "landed" : (unknown ? "not known yet" : "not landed");
+  if (context.settings.json) {
+    context.out() << WriteJson(boost::json::object{
+        {"change", id}, {"outcome", word}, {"version", result.version}});
+  } else {
+    context.out() << "change " << id << ": " << word;
+    if (landed)
+      context.out() << " as version " << result.version;
+    if (unknown)
+      context.out() << "; any other change that lands settles it";
+    context.out() << '\n';
+  }
+  if (landed)
+    return ExitCode::kOk;
+  return unknown ? ExitCode::kUnknown : ExitCode::kConflict;
+}
+
+ExitCode WatchCommands::Status(const CliContext& context) {
+  if (context.settings.admins.empty())
+    throw UsageError(
+        "--admin IP:PORT is needed, or \"admins\" in the settings");
+  const StoreVersion store = AskStoreVersion(context);
+  bool same = store.fault.empty();
+  boost::json::array hosts;
+  std::string text;
+  for (const Endpoint& it : context.settings.admins) {
+    const HostStatus status = AskStatus(context, it);
+    same = same && status.fault.empty() && status.version == store.version;
+    hosts.push_back(StatusJson(status));
+    text += DescribeStatus(status);
+  }
+  if (context.settings.json) {
+    context.out() << WriteJson(
+        boost::json::object{{"store_version", store.version},
+                            {"store_fault", store.fault},
+                            {"hosts", std::move(hosts)}});
+  } else if (store.fault.empty()) {
+    context.out() << "store                  version " << store.version << "\n"
+                  << text;
+  } else {
+    context.out() << "store                  no answer: " << store.fault << "\n"
+                  << text;
+  }
+  return same ? ExitCode::kOk : ExitCode::kFailure;
+}
+
+ExitCode WatchCommands::Explain(const CliContext& context) {
+  const std::string service = context.args.Required("service");
+  if (context.settings.admins.empty())
+    throw UsageError(
+        "--admin IP:PORT is needed, or \"admins\" in the settings");
+  std::string target = "/v1/explain?service=" + QueryEncoded(service);
+  if (const auto client = context.args.Text("client"))
+    target += "&client=" + QueryEncoded(*client);
+  std::string faults;
+  for (const Endpoint& it : context.settings.admins) {
+    try {
+      context.out() << WriteJson(
+          ParseJson(AskHost(context, it, target), it.ToString()));
+      return ExitCode::kOk;
+    } catch (const Error& e) {
+      faults += std::string("\n") + e.what();
+    }
+  }
+  throw Error("no host answered:" + faults);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/cli/watch_commands.h
@@ -0,0 +1,24 @@
+#ifndef SRC_CLI_WATCH_COMMANDS_H_
+#define SRC_CLI_WATCH_COMMANDS_H_
+
+#include <vector>
+
+#include "include/cli/command.h"
+
+namespace toucanknot {
+
+// history, status, explain: what is in force, who did it, and why.
+class WatchCommands {
+ public:
+  static std::vector<CliCommand> All();
+
+ private:
+  static ExitCode History(const CliContext& context);
+  static ExitCode FindChange(const CliContext& context, const std::string& id);
+  static ExitCode Status(const CliContext& context);
+  static ExitCode Explain(const CliContext& context);
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_CLI_WATCH_COMMANDS_H_
--- a/src/store/http_exchange.cc
+++ b/src/store/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "src/store/http_exchange.h"
+#include "include/store/http_exchange.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -7,7 +7,7 @@
 
 #include "include/base/endpoint.h"
 #include "include/store/store.h"
-#include "src/store/http_exchange.h"
+#include "include/store/http_exchange.h"
 
 namespace toucanknot {
 
--- /dev/null
+++ b/tests/cli/cli_fixture.h
@@ -0,0 +1,110 @@
+#ifndef TESTS_CLI_CLI_FIXTURE_H_
+#define TESTS_CLI_CLI_FIXTURE_H_
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "include/cli/command_line.h"
+#include "include/config/config_text.h"
+#include "src/standin/memory_store.h"
+#include "tests/config/small_fleet.h"
+#include "tests/store/scripted_store.h"
+
+namespace toucanknot {
+
+// A file that is gone with this object.
+class TempFile {
+ public:
+  explicit TempFile(const std::string& text) {
+    const int fd = mkstemp(path_.data());
+    REQUIRE(fd >= 0);
+    close(fd);
+    std::ofstream(path_) << text;
+  }
+  TempFile(const TempFile&) = delete;
+  ~TempFile() { std::remove(path_.c_str()); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_ = "/tmp/toucanknot-test-XXXXXX";
+};
+
+// Runs commands against a store in memory and hosts that answer what the test
+// says.
+class CliFixture {
+ public:
+  CliFixture() {
+    env.out = &out_;
+    env.err = &err_;
+    env.open_store = [this](const Endpoint&, Duration) {
+      return std::make_unique<ScriptedStore>(
+          store, [this](int call) { return script(call); });
+    };
+    env.fetch = [this](const Endpoint& to, const HttpCall& call, Duration) {
+      last_call = call;
+      HttpOutcome outcome;
+      const auto it = answers.find(to.ToString() + call.target);
+      if (it == answers.end()) {
+        outcome.fault = "refused";
+        return outcome;
+      }
+      outcome.stage = HttpStage::kAnswered;
+      outcome.status = 200;
+      outcome.body = it->second;
+      return outcome;
+    };
+    env.getenv = [](const std::string&) { return std::nullopt; };
+    env.unix_ms = [this] { return now; };
+    env.random = [this] { return ++random_; };
+    env.wait = [](Duration) {};
+  }
+
+  // Runs `words` with a store and an author; returns the exit code.
+  int Run(std::vector<std::string> words) {
+    words.insert(words.end(), {"--store", "127.0.0.1:1", "--author", "ana"});
+    return RunBare(words);
+  }
+  int RunBare(const std::vector<std::string>& words) {
+    out_.str("");
+    err_.str("");
+    return static_cast<int>(CommandLine(OperatorCommands()).Run(words, env));
+  }
+
+  std::string out() const { return out_.str(); }
+  std::string err() const { return err_.str(); }
+  bool Says(const std::string& text) const {
+    return (out() + err()).find(text) != std::string::npos;
+  }
+  FleetConfigPtr InForce() { return ReadConfig(store); }
+
+  // Puts the small fleet in force as version 1.
+  void Begin() {
+    REQUIRE(Run({"config", "apply", fleet.path(), "--reason", "first"}) == 0);
+  }
+
+  MemoryStore store;
+  ScriptedStore::Script script = [](int) { return CallFault::kNone; };
+  // By address and target.
+  std::map<std::string, std::string> answers;
+  HttpCall last_call;
+  int64_t now = 1'000'000;
+  CliEnvironment env;
+  TempFile fleet{kSmallFleet};
+
+ private:
+  std::ostringstream out_;
+  std::ostringstream err_;
+  uint64_t random_ = 0;
+};
+
+}  // namespace toucanknot
+
+#endif  // TESTS_CLI_CLI_FIXTURE_H_
