--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -33,7 +33,7 @@
 }
 
 std::string CliArgs::Required(const std::string& option) const {
-  const std::string text = Text(option).value_or("");
+  std::string text = Text(option).value_or("");
   const bool blank = std::all_of(text.begin(), text.end(), [](unsigned char c) {
     return std::isspace(c);
   });
@@ -46,7 +46,7 @@
   const auto text = Text(option);
   if (!text)
     return std::nullopt;
-  const auto address = Endpoint::Parse(*text);
+  auto address = Endpoint::Parse(*text);
   if (!address)
     throw UsageError("--" + option + ": found " + *text +
                      ", valid: an IP number and a port, 127.0.0.1:80");
--- a/src/cli/exception_commands.cc
+++ b/src/cli/exception_commands.cc
@@ -12,6 +12,9 @@
 namespace toucanknot {
 namespace {
 
+// Values that one exception may set on the command line.
+constexpr size_t kMaxValues = 64;
+
 const TunableValue kDrained{"drain", "true"};
 
 ExitCode RunChange(const CliContext& context, const ChangeRequest& request) {
@@ -88,7 +91,6 @@
 }  // namespace
 
 std::vector<CliCommand> ExceptionCommands::All() {
-  constexpr size_t kMaxValues = 64;
   const CliOption reason{"reason", "TEXT", "why; kept in the audit trail"};
   const CliOption ends{"ends", "TIME",
                        "2026-12-31T18:00:00Z or +90m; out of force from then"};
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "include/base/endpoint.h"
-#include "include/store/store.h"
 #include "include/store/http_exchange.h"
+#include "include/store/store.h"
 
 namespace toucanknot {
 
