--- /dev/null
+++ b/bench/once/plain_host_model.cc
@@ -0,0 +1,194 @@
+#include "bench/once/plain_host_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr uint64_t kRun = 1;
+constexpr uint64_t kFingerprint = 7;
+constexpr int kKeyOwner = 0;
+
+}  // namespace
+
+PlainHostModel::PlainHostModel(int index, Incarnation life, Design design)
+    : index_(index),
+      life_(life),
+      design_(design),
+      runs_({}, std::make_shared<AnswerStore>(0, Duration(0))) {}
+
+std::unique_ptr<HostModel> PlainHostModel::Clone() const {
+  return std::make_unique<PlainHostModel>(*this);
+}
+
+void PlainHostModel::OnMessage(const Message& m,
+                               Instant now,
+                               std::vector<Message>& out) {
+  switch (m.kind) {
+    case MessageKind::kRequest:
+      return OnRequest(m, now, out);
+    case MessageKind::kAsk:
+      return RunOrJoin(m, now, out);
+    case MessageKind::kAskReply: {
+      const auto question = TakeWait(MessageKind::kAskReply, m.tag);
+      if (question)
+        Tell(*question, static_cast<Verdict>(m.value), out);
+      return;
+    }
+    case MessageKind::kStoreReply:
+      return OnStoreReply(m, now, out);
+    case MessageKind::kRan:
+    case MessageKind::kRunRefused: {
+      TakeWait(MessageKind::kRan, kRun);
+      const RunAttempt attempt{kRun, m.attempt};
+      return End(m.kind == MessageKind::kRan
+                     ? runs_.Answer(attempt, nullptr, now)
+                     : runs_.Refuse(attempt, nullptr, now),
+                 out);
+    }
+    default:
+      return;
+  }
+}
+
+void PlainHostModel::OnSilence(size_t i,
+                               Instant now,
+                               std::vector<Message>& out) {
+  const Wait wait = waits_[i];
+  waits_.erase(waits_.begin() + static_cast<ptrdiff_t>(i));
+  if (wait.awaited == MessageKind::kRan)
+    return End(runs_.Break({kRun, wait.question.attempt}, now), out);
+  // Neither the store nor another host says whether it ran under this key.
+  Tell(wait.question, Verdict::kUnknown, out);
+}
+
+void PlainHostModel::Send(size_t,
+                          int place,
+                          Incarnation,
+                          Instant,
+                          std::vector<Message>& out) {
+  ready_ = false;
+  const auto attempt = runs_.HandOver(kRun);
+  if (!attempt)
+    return;
+  Message m = To(place, MessageKind::kRun, kRun);
+  m.attempt = attempt->number;
+  waits_.push_back({MessageKind::kRan, m});
+  out.push_back(m);
+}
+
+void PlainHostModel::Refuse(size_t, Instant now, std::vector<Message>& out) {
+  ready_ = false;
+  End(runs_.Void(kRun, Instant::Never(), now), out);
+}
+
+void PlainHostModel::OnRequest(const Message& m,
+                               Instant now,
+                               std::vector<Message>& out) {
+  if (design_ == Design::kKeyOwner) {
+    if (index_ == kKeyOwner)
+      return RunOrJoin(m, now, out);
+    waits_.push_back({MessageKind::kAskReply, m});
+    return out.push_back(To(kKeyOwner, MessageKind::kAsk, m.tag));
+  }
+  if (runs_.View(kRun).state != TicketState::kUnused)
+    return RunOrJoin(m, now, out);
+  waits_.push_back({MessageKind::kStoreReply, m});
+  out.push_back(To(kStore, MessageKind::kStoreClaim, m.tag));
+}
+
+// value: a Verdict when the store holds the outcome, else -1 - HOLDER.
+void PlainHostModel::OnStoreReply(const Message& m,
+                                  Instant now,
+                                  std::vector<Message>& out) {
+  const auto question = TakeWait(MessageKind::kStoreReply, m.tag);
+  if (!question)
+    return;
+  if (m.value >= 0)
+    return Tell(*question, static_cast<Verdict>(m.value), out);
+  const int holder = -1 - m.value;
+  const bool mine = holder == index_ && m.attempt == life_;
+  if (mine)
+    return RunOrJoin(*question, now, out);
+  if (holder == index_)
+    return Tell(*question, Verdict::kUnknown, out);
+  waits_.push_back({MessageKind::kAskReply, *question});
+  out.push_back(To(holder, MessageKind::kAsk, m.tag));
+}
+
+void PlainHostModel::RunOrJoin(const Message& m,
+                               Instant now,
+                               std::vector<Message>& out) {
+  const RunView view = runs_.View(kRun);
+  const bool asked = m.kind == MessageKind::kAsk;
+  const bool lost_record = life_ > 1 && view.state == TicketState::kUnused;
+  const bool only_asked = asked && design_ == Design::kStoreClaim;
+  switch (view.state) {
+    case TicketState::kUnused:
+      if ((design_ == Design::kKeyOwner && lost_record) || only_asked)
+        return Tell(m, Verdict::kUnknown, out);
+      runs_.Admit(kRun, kFingerprint, false, Instant::Never(), now);
+      ready_ = true;
+      break;
+    case TicketState::kRan:
+      return Tell(m, Verdict::kRan, out);
+    case TicketState::kVoided:
+      return Tell(m, Verdict::kNotRun, out);
+    case TicketState::kBroken:
+      return Tell(m, Verdict::kUnknown, out);
+    default:
+      break;
+  }
+  questions_.push_back(m);
+  runs_.Join(kRun, questions_.size() - 1);
+}
+
+void PlainHostModel::Tell(const Message& question,
+                          Verdict verdict,
+                          std::vector<Message>& out) const {
+  const bool asked = question.kind == MessageKind::kAsk;
+  Message m =
+      To(question.from, asked ? MessageKind::kAskReply : MessageKind::kVerdict,
+         question.tag);
+  m.to_life = question.from_life;
+  m.value = static_cast<int>(verdict);
+  out.push_back(m);
+}
+
+void PlainHostModel::End(const RunEnd& end, std::vector<Message>& out) {
+  if (!end.accepted)
+    return;
+  for (const uint64_t it : end.waiters)
+    Tell(questions_[it], end.verdict, out);
+  if (design_ != Design::kStoreClaim || end.verdict == Verdict::kUnknown)
+    return;
+  Message m = To(kStore, MessageKind::kStoreOutcome, 0);
+  m.value = static_cast<int>(end.verdict);
+  out.push_back(m);
+}
+
+std::optional<Message> PlainHostModel::TakeWait(MessageKind kind,
+                                                uint64_t tag) {
+  const auto it =
+      std::find_if(waits_.begin(), waits_.end(), [&](const Wait& w) {
+        return w.awaited == kind && w.question.tag == tag;
+      });
+  if (it == waits_.end())
+    return std::nullopt;
+  const Message question = it->question;
+  waits_.erase(it);
+  return question;
+}
+
+Message PlainHostModel::To(int place, MessageKind kind, uint64_t tag) const {
+  Message m;
+  m.kind = kind;
+  m.from = index_;
+  m.to = place;
+  m.from_life = life_;
+  m.tag = tag;
+  return m;
+}
+
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/bench/once/plain_host_model.h
@@ -0,0 +1,68 @@
+#ifndef BENCH_ONCE_PLAIN_HOST_MODEL_H_
+#define BENCH_ONCE_PLAIN_HOST_MODEL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bench/once/host_model.h"
+#include "include/once/run_records.h"
+
+namespace toucanknot::bench {
+
+// The two designs that were weighed against tickets. In both the caller names
+// its request by a key of its own.
+//   kStoreClaim: the host that gets it claims the key in the platform's store.
+//   kKeyOwner: host 0 owns the key by hashing; the others ask it to run it. An
+//   owner that was restarted has lost its record and must say unknown.
+class PlainHostModel : public HostModel {
+ public:
+  enum class Design { kStoreClaim, kKeyOwner };
+
+  PlainHostModel(int index, Incarnation life, Design design);
+
+  std::unique_ptr<HostModel> Clone() const override;
+  std::string Key() const override { return ""; }
+  void OnMessage(const Message& message,
+                 Instant now,
+                 std::vector<Message>& out) override;
+  size_t Waits() const override { return waits_.size(); }
+  void OnSilence(size_t i, Instant now, std::vector<Message>& out) override;
+  size_t Ready() const override { return ready_ ? 1 : 0; }
+  void Send(size_t i,
+            int place,
+            Incarnation life,
+            Instant now,
+            std::vector<Message>& out) override;
+  void Refuse(size_t i, Instant now, std::vector<Message>& out) override;
+
+ private:
+  void OnRequest(const Message& m, Instant now, std::vector<Message>& out);
+  void OnStoreReply(const Message& m, Instant now, std::vector<Message>& out);
+  void RunOrJoin(const Message& m, Instant now, std::vector<Message>& out);
+  void Tell(const Message& question,
+            Verdict verdict,
+            std::vector<Message>& out) const;
+  void End(const RunEnd& end, std::vector<Message>& out);
+  std::optional<Message> TakeWait(MessageKind kind, uint64_t tag);
+  Message To(int place, MessageKind kind, uint64_t tag) const;
+
+  // A question of a caller or host, and what is waited for on its behalf.
+  struct Wait {
+    MessageKind awaited;
+    Message question;
+  };
+
+  int index_;
+  Incarnation life_;
+  Design design_;
+  RunRecords runs_;
+  std::vector<Message> questions_;
+  std::vector<Wait> waits_;
+  bool ready_ = false;
+};
+
+}  // namespace toucanknot::bench
+
+#endif  // BENCH_ONCE_PLAIN_HOST_MODEL_H_
--- /dev/null
+++ b/bench/once/ticket_host_model.cc
@@ -0,0 +1,582 @@
+#include "bench/once/ticket_host_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr uint64_t kFingerprint = 7;
+constexpr int64_t kAnswerBytes = 1'000;
+constexpr Instant kStart{0};
+constexpr uint32_t kShownAttempts = 3;
+
+const KeptAnswerPtr& TheAnswer() {
+  static const KeptAnswerPtr answer =
+      std::make_shared<KeptAnswer>(KeptAnswer{200, "", "done"});
+  return answer;
+}
+
+std::unique_ptr<TicketMint> MintFor(const HostLife& self) {
+  TicketKey key{};
+  key[0] = static_cast<uint8_t>(self.incarnation);
+  return std::make_unique<TicketMint>(self, key, kStart);
+}
+
+RunRecords::Limits ModelLimits() {
+  return {kRecordKeep, 16};
+}
+
+int IndexOf(const HostLife& life) {
+  return life.host.str().back() - '0';
+}
+
+}  // namespace
+
+TicketHostModel::TicketHostModel(int index, Incarnation life, Fault fault)
+    : index_(index),
+      self_(LifeOf(index, life)),
+      fault_(fault),
+      table_(MintFor(self_),
+             ModelLimits(),
+             std::make_shared<AnswerStore>(kAnswerBytes, kRecordKeep)),
+      witness_(self_, {kRecordKeep, kRecordKeep * 4, 16}),
+      passes_(ModelLimits(),
+              std::make_shared<AnswerStore>(kAnswerBytes, kRecordKeep)) {}
+
+HostLife TicketHostModel::LifeOf(int index, Incarnation life) {
+  return {HostId("h" + std::to_string(index)), life};
+}
+
+Ticket TicketHostModel::Mint(int witness, Incarnation witness_life) {
+  std::optional<HostLife> second;
+  if (witness >= 0)
+    second = LifeOf(witness, witness_life);
+  return table_.Mint(kTicketLife, kStart, second);
+}
+
+void TicketHostModel::SetTicket(const std::string& text) {
+  text_ = text;
+  ticket_ = *Ticket::Parse(text);
+}
+
+std::unique_ptr<HostModel> TicketHostModel::Clone() const {
+  return std::make_unique<TicketHostModel>(*this);
+}
+
+std::string TicketHostModel::Key() const {
+  std::string key;
+  const auto add = [&key](auto n) { key += std::to_string(n) + ","; };
+  const auto add_view = [&](const RunView& view) {
+    add(static_cast<int>(view.state) + 10 * view.forgotten + 20 * view.dead);
+  };
+  add(self_.incarnation);
+  add(closed_);
+  add(handed_over_);
+  add_view(table_.runs().View(ticket_.sequence));
+  WitnessTable asked = witness_;
+  WitnessTable claimed = witness_;
+  add(static_cast<int>(asked.Ask(ticket_, kStart)));
+  add(static_cast<int>(claimed.Claim(ticket_, kStart)));
+  add(witness_.HasTakenOver(ticket_.owner));
+  PassTable passes = passes_;
+  for (uint32_t n = 1; n <= kShownAttempts; ++n) {
+    add_view(passes.RunsOf(ticket_.owner)
+                 .View(PassTable::Key({ticket_.sequence, n})));
+  }
+  key += '|';
+  for (const Run& it : runs_) {
+    add(it.passed_here);
+    add(it.key);
+    add(static_cast<int>(it.stage));
+    add(it.attempt.number);
+    add(it.place);
+    add(it.place_life);
+    add(it.handed_at.ms());
+  }
+  key += '|';
+  for (const Waiter& it : waiters_) {
+    add(it.id);
+    add(static_cast<int>(it.question.kind));
+    add(it.question.from);
+    add(it.question.from_life);
+    add(it.question.tag);
+  }
+  key += '|';
+  for (const Inquiry& it : inquiries_) {
+    add(it.id);
+    add(it.question.tag);
+    add(it.actions);
+    add(static_cast<int>(it.awaiting.step));
+  }
+  return key;
+}
+
+void TicketHostModel::OnMessage(const Message& m,
+                                Instant now,
+                                std::vector<Message>& out) {
+  switch (m.kind) {
+    case MessageKind::kRequest:
+      return OnRequest(m, now, out);
+    case MessageKind::kAsk:
+      return OnAsk(m, now, out);
+    case MessageKind::kClaim:
+      return out.push_back(To(m.from, MessageKind::kClaimReply, m.tag,
+                              static_cast<int>(witness_.Claim(ticket_, now))));
+    case MessageKind::kWitnessAsk:
+      return out.push_back(To(m.from, MessageKind::kWitnessReply, m.tag,
+                              static_cast<int>(witness_.Ask(ticket_, now))));
+    case MessageKind::kSettle:
+      return witness_.Settle(ticket_, static_cast<Verdict>(m.value), now);
+    case MessageKind::kClaimReply:
+      return OnClaimReply(m, now, out);
+    case MessageKind::kRan:
+    case MessageKind::kRunRefused:
+      return OnServer(m, now, out);
+    case MessageKind::kPass:
+    case MessageKind::kPassAsk:
+      return OnPass(m, now, out);
+    case MessageKind::kPassReply:
+      return OnPassReply(m, now, out);
+    case MessageKind::kAskReply:
+    case MessageKind::kWitnessReply:
+      return OnInquiryReply(m, now, out);
+    case MessageKind::kHandoff: {
+      TicketHandoff handoff{LifeOf(m.from, m.from_life), 0, {}};
+      if (m.value >= 0) {
+        handoff.finished.push_back(
+            {ticket_.sequence, static_cast<Verdict>(m.value)});
+      }
+      handoff.forgotten_mark = m.tag;
+      return witness_.TakeOver(handoff, now);
+    }
+    default:
+      return;
+  }
+}
+
+size_t TicketHostModel::Waits() const {
+  return runs_.size() - Ready() + inquiries_.size();
+}
+
+void TicketHostModel::OnSilence(size_t i,
+                                Instant now,
+                                std::vector<Message>& out) {
+  const size_t waiting_runs = runs_.size() - Ready();
+  if (i >= waiting_runs) {
+    const size_t n = i - waiting_runs;
+    return Act(n, inquiries_[n].inquiry.OnSilence(now), now, out);
+  }
+  const size_t n = NthInStage(i, false);
+  Run& run = runs_[n];
+  if (run.stage == Stage::kClaiming)
+    return VoidRun(n, now, out);
+  // An answer about a passing is believed only while the other host's record
+  // cannot be forgotten.
+  if (run.stage == Stage::kPassed && now < run.handed_at + kRecordKeep) {
+    run.stage = Stage::kAskingPass;
+    Message ask = To(run.place, MessageKind::kPassAsk, run.key, 1);
+    ask.to_life = run.place_life;
+    ask.attempt = run.attempt.number;
+    return out.push_back(ask);
+  }
+  if (fault_ == Fault::kSendsAgain && run.stage == Stage::kAtServer &&
+      !run.passed_here) {
+    run.stage = Stage::kReady;
+    return;
+  }
+  BreakRun(n, now, out);
+}
+
+size_t TicketHostModel::Ready() const {
+  return static_cast<size_t>(
+      std::count_if(runs_.begin(), runs_.end(),
+                    [](const Run& r) { return r.stage == Stage::kReady; }));
+}
+
+void TicketHostModel::Send(size_t i,
+                           int place,
+                           Incarnation life,
+                           Instant now,
+                           std::vector<Message>& out) {
+  const size_t n = NthInStage(i, true);
+  Run& run = runs_[n];
+  const auto attempt = RunsFor(run).HandOver(run.key);
+  const bool careless =
+      fault_ == Fault::kNoClaim || fault_ == Fault::kSendsAgain;
+  if (!attempt && !careless)
+    return VoidRun(n, now, out);
+  if (attempt)
+    run.attempt = *attempt;
+  if (!run.passed_here)
+    ++handed_over_;
+  run.place = place;
+  run.place_life = life;
+  run.handed_at = now;
+  const bool to_server = place >= kFirstServer;
+  run.stage = to_server ? Stage::kAtServer : Stage::kPassed;
+  Message message =
+      To(place, to_server ? MessageKind::kRun : MessageKind::kPass, run.key, 0);
+  message.to_life = life;
+  message.attempt = run.attempt.number;
+  message.value = run.passed_here ? IndexOf(run.pass.owner) : index_;
+  out.push_back(message);
+}
+
+void TicketHostModel::Refuse(size_t i, Instant now, std::vector<Message>& out) {
+  VoidRun(NthInStage(i, true), now, out);
+}
+
+bool TicketHostModel::MayPass(size_t i) const {
+  return !runs_[NthInStage(i, true)].passed_here;
+}
+
+void TicketHostModel::Close() {
+  closed_ = true;
+  handoff_ = table_.Close();
+}
+
+bool TicketHostModel::Idle() const {
+  return closed_ && runs_.empty() && inquiries_.empty() && waiters_.empty();
+}
+
+void TicketHostModel::HandOff(std::vector<Message>& out) {
+  handoff_ = table_.Close();
+  int value = -1;
+  for (const auto& it : handoff_.finished) {
+    if (it.run == ticket_.sequence)
+      value = static_cast<int>(it.verdict);
+  }
+  // The model sends it to every host; World fills in the places.
+  out.push_back(
+      To(kCaller, MessageKind::kHandoff, handoff_.forgotten_mark, value));
+}
+
+void TicketHostModel::OnTime(Instant now) {
+  table_.runs().Expire(now);
+  witness_.Expire(now);
+  passes_.Expire(now);
+}
+
+RunRecords& TicketHostModel::RunsFor(const Run& run) {
+  return run.passed_here ? passes_.RunsOf(run.pass.owner) : table_.runs();
+}
+
+uint64_t TicketHostModel::AddWaiter(const Message& question) {
+  uint64_t id = 1;
+  const auto used = [&](const Waiter& w) { return w.id == id; };
+  while (std::any_of(waiters_.begin(), waiters_.end(), used))
+    ++id;
+  waiters_.push_back({id, question});
+  return id;
+}
+
+void TicketHostModel::DropWaiter(uint64_t id) {
+  std::erase_if(waiters_, [id](const Waiter& w) { return w.id == id; });
+}
+
+size_t TicketHostModel::NthInStage(size_t i, bool ready) const {
+  size_t n = 0;
+  for (; n < runs_.size(); ++n) {
+    if ((runs_[n].stage == Stage::kReady) != ready)
+      continue;
+    if (i-- == 0)
+      break;
+  }
+  return n;
+}
+
+// Answers a question for good, or tells another host that the run goes on.
+void TicketHostModel::Reply(const Message& question,
+                            const TicketReply& reply,
+                            std::vector<Message>& out) {
+  Message m = To(question.from, MessageKind::kVerdict, question.tag,
+                 static_cast<int>(reply.verdict));
+  if (question.kind != MessageKind::kRequest) {
+    m.kind = question.kind == MessageKind::kAsk ? MessageKind::kAskReply
+                                                : MessageKind::kPassReply;
+    m.value = static_cast<int>(reply.step);
+    m.attempt = question.attempt;
+  }
+  m.to_life = question.from_life;
+  out.push_back(m);
+}
+
+void TicketHostModel::End(const Run& run,
+                          const RunEnd& end,
+                          std::vector<Message>& out) {
+  if (!end.accepted)
+    return;
+  if (!run.passed_here)
+    Settle(end.verdict, out);
+  TicketReply reply;
+  reply.verdict = end.verdict;
+  reply.step = end.verdict == Verdict::kRan      ? TicketStep::kAnswer
+               : end.verdict == Verdict::kNotRun ? TicketStep::kNotRun
+                                                 : TicketStep::kUnknown;
+  for (const uint64_t id : end.waiters) {
+    const auto it = std::find_if(waiters_.begin(), waiters_.end(),
+                                 [id](const Waiter& w) { return w.id == id; });
+    if (it == waiters_.end())
+      continue;
+    Reply(it->question, reply, out);
+    waiters_.erase(it);
+  }
+}
+
+void TicketHostModel::Settle(Verdict verdict, std::vector<Message>& out) {
+  if (!ticket_.witness || verdict == Verdict::kUnknown)
+    return;
+  Message m = To(IndexOf(*ticket_.witness), MessageKind::kSettle, 0,
+                 static_cast<int>(verdict));
+  m.to_life = ticket_.witness->incarnation;
+  out.push_back(m);
+}
+
+TicketReply TicketHostModel::Corrupt(TicketReply reply) const {
+  if (fault_ == Fault::kExpiredIsNotRun &&
+      reply.reason == TicketReason::kForgotten) {
+    reply.step = TicketStep::kNotRun;
+    reply.verdict = Verdict::kNotRun;
+  }
+  return reply;
+}
+
+void TicketHostModel::OnRequest(const Message& m,
+                                Instant now,
+                                std::vector<Message>& out) {
+  const uint64_t waiter = AddWaiter(m);
+  const TicketReply reply =
+      Corrupt(table_.Begin(text_, kFingerprint, waiter, now));
+  if (reply.step == TicketStep::kStart) {
+    Run run;
+    run.key = reply.run;
+    return StartRun(run, out);
+  }
+  if (reply.step == TicketStep::kJoin)
+    return;
+  DropWaiter(waiter);
+  if (reply.step != TicketStep::kNotMine)
+    return Reply(m, reply, out);
+  OwnerInquiry::Options options;
+  if (ticket_.owner.host == self_.host)
+    options.known_incarnation = self_.incarnation;
+  if (witness_.HasTakenOver(ticket_.owner))
+    options.successors.push_back(self_);
+  uint64_t id = 1;
+  for (const Inquiry& it : inquiries_)
+    id = std::max(id, it.id + 1);
+  inquiries_.push_back(
+      {id, m, OwnerInquiry(ticket_, options, Instant::Never()), {}, 0});
+  Act(inquiries_.size() - 1, inquiries_.back().inquiry.Start(now), now, out);
+}
+
+void TicketHostModel::OnAsk(const Message& m,
+                            Instant now,
+                            std::vector<Message>& out) {
+  const uint64_t waiter = AddWaiter(m);
+  // With the fault, the void goes to a copy.
+  TicketTable copy = table_;
+  TicketTable& table = fault_ == Fault::kVoidNotKept ? copy : table_;
+  TicketReply reply = Corrupt(table.Ask(text_, kFingerprint, waiter, now));
+  if (reply.step == TicketStep::kNotMine &&
+      fault_ == Fault::kEarlierLifeIsNotRun) {
+    reply.step = TicketStep::kNotRun;
+    reply.verdict = Verdict::kNotRun;
+  }
+  if (reply.step != TicketStep::kJoin)
+    DropWaiter(waiter);
+  Reply(m, reply, out);
+}
+
+void TicketHostModel::OnClaimReply(const Message& m,
+                                   Instant now,
+                                   std::vector<Message>& out) {
+  for (size_t n = 0; n < runs_.size(); ++n) {
+    if (runs_[n].stage != Stage::kClaiming)
+      continue;
+    if (static_cast<WitnessWord>(m.value) != WitnessWord::kGranted)
+      return VoidRun(n, now, out);
+    table_.runs().Claimed(runs_[n].key);
+    runs_[n].stage = Stage::kReady;
+    return;
+  }
+}
+
+void TicketHostModel::OnServer(const Message& m,
+                               Instant now,
+                               std::vector<Message>& out) {
+  Run run;
+  run.passed_here = m.value != index_;
+  run.pass.owner = ticket_.owner;
+  run.key = m.tag;
+  const RunAttempt attempt{m.tag, m.attempt};
+  RunRecords& runs = RunsFor(run);
+  const RunEnd end = m.kind == MessageKind::kRan
+                         ? runs.Answer(attempt, TheAnswer(), now)
+                         : runs.Refuse(attempt, nullptr, now);
+  std::erase_if(runs_, [&](const Run& r) {
+    return r.passed_here == run.passed_here && r.key == run.key &&
+           r.stage == Stage::kAtServer;
+  });
+  End(run, end, out);
+}
+
+void TicketHostModel::OnPass(const Message& m,
+                             Instant now,
+                             std::vector<Message>& out) {
+  Run run;
+  run.passed_here = true;
+  run.pass = {LifeOf(m.from, m.from_life), {m.tag, m.attempt}};
+  run.key = PassTable::Key(run.pass.attempt);
+  const uint64_t waiter = AddWaiter(m);
+  if (m.kind == MessageKind::kPass) {
+    const TicketReply reply =
+        passes_.Begin(run.pass, kFingerprint, waiter, now);
+    if (reply.step == TicketStep::kStart)
+      return StartRun(run, out);
+    if (reply.step != TicketStep::kJoin) {
+      DropWaiter(waiter);
+      Reply(m, reply, out);
+    }
+    return;
+  }
+  const bool was_ready = passes_.RunsOf(run.pass.owner).MayChooseAgain(run.key);
+  const TicketReply reply = passes_.Ask(run.pass, true, waiter, now);
+  if (was_ready) {
+    std::erase_if(
+        runs_, [&](const Run& r) { return r.passed_here && r.key == run.key; });
+    // Those that waited for it ask under the same tag.
+    std::erase_if(waiters_, [](const Waiter& w) {
+      return w.question.kind == MessageKind::kPass;
+    });
+  }
+  if (reply.step == TicketStep::kJoin)
+    return;
+  DropWaiter(waiter);
+  Reply(m, reply, out);
+}
+
+void TicketHostModel::OnPassReply(const Message& m,
+                                  Instant now,
+                                  std::vector<Message>& out) {
+  const RunAttempt attempt{m.tag, m.attempt};
+  const auto step = static_cast<TicketStep>(m.value);
+  const auto it = std::find_if(runs_.begin(), runs_.end(), [&](const Run& r) {
+    return !r.passed_here && r.attempt == attempt &&
+           (r.stage == Stage::kPassed || r.stage == Stage::kAskingPass);
+  });
+  Run run;
+  run.key = m.tag;
+  if (step == TicketStep::kAnswer || step == TicketStep::kAnswerGone) {
+    if (it != runs_.end())
+      runs_.erase(it);
+    return End(run, table_.runs().Answer(attempt, TheAnswer(), now), out);
+  }
+  if (it == runs_.end())
+    return;
+  const bool believed = now < it->handed_at + kRecordKeep;
+  if (step == TicketStep::kNotRun && believed &&
+      table_.runs().TakeBack(attempt)) {
+    it->stage = Stage::kReady;
+    return;
+  }
+  BreakRun(static_cast<size_t>(it - runs_.begin()), now, out);
+}
+
+void TicketHostModel::OnInquiryReply(const Message& m,
+                                     Instant now,
+                                     std::vector<Message>& out) {
+  const bool from_owner = m.kind == MessageKind::kAskReply;
+  for (size_t n = 0; n < inquiries_.size(); ++n) {
+    Inquiry& it = inquiries_[n];
+    const bool to_owner = it.awaiting.step == InquiryStep::kAskOwner;
+    if (it.id != m.tag || to_owner != from_owner)
+      continue;
+    if (!from_owner) {
+      return Act(
+          n, it.inquiry.OnWitnessWord(static_cast<WitnessWord>(m.value), now),
+          now, out);
+    }
+    TicketReply reply;
+    reply.step = static_cast<TicketStep>(m.value);
+    if (reply.step == TicketStep::kAnswer ||
+        reply.step == TicketStep::kAnswerGone)
+      reply.verdict = Verdict::kRan;
+    if (reply.step == TicketStep::kNotRun)
+      reply.verdict = Verdict::kNotRun;
+    return Act(n, it.inquiry.OnOwnerReply(reply, now), now, out);
+  }
+}
+
+void TicketHostModel::Act(size_t i,
+                          InquiryAction action,
+                          Instant now,
+                          std::vector<Message>& out) {
+  Inquiry& it = inquiries_[i];
+  ++it.actions;
+  const bool waits_on = it.awaiting.step == InquiryStep::kAskOwner &&
+                        action.step == InquiryStep::kAskOwner && it.actions > 1;
+  it.awaiting = action;
+  if (waits_on)
+    return;
+  if (action.step == InquiryStep::kAnswer) {
+    Reply(it.question, action.reply, out);
+    inquiries_.erase(inquiries_.begin() + static_cast<ptrdiff_t>(i));
+    return;
+  }
+  if (action.step == InquiryStep::kAskWitness && action.target == self_) {
+    return Act(i, it.inquiry.OnWitnessWord(witness_.Ask(ticket_, now), now),
+               now, out);
+  }
+  const bool owner = action.step == InquiryStep::kAskOwner;
+  Message m =
+      To(IndexOf(action.target),
+         owner ? MessageKind::kAsk : MessageKind::kWitnessAsk, it.id, 0);
+  out.push_back(m);
+}
+
+void TicketHostModel::StartRun(Run run, std::vector<Message>& out) {
+  const bool claims = !run.passed_here && ticket_.witness.has_value() &&
+                      fault_ != Fault::kNoClaim;
+  if (claims) {
+    run.stage = Stage::kClaiming;
+    out.push_back(
+        To(IndexOf(*ticket_.witness), MessageKind::kClaim, run.key, 0));
+  }
+  runs_.push_back(run);
+}
+
+void TicketHostModel::VoidRun(size_t i,
+                              Instant now,
+                              std::vector<Message>& out) {
+  const Run run = runs_[i];
+  runs_.erase(runs_.begin() + static_cast<ptrdiff_t>(i));
+  const RunEnd end =
+      run.passed_here ? passes_.Void(run.pass, now) : table_.Void(ticket_, now);
+  End(run, end, out);
+}
+
+void TicketHostModel::BreakRun(size_t i,
+                               Instant now,
+                               std::vector<Message>& out) {
+  const Run run = runs_[i];
+  runs_.erase(runs_.begin() + static_cast<ptrdiff_t>(i));
+  End(run, RunsFor(run).Break(run.attempt, now), out);
+}
+
+Message TicketHostModel::To(int place,
+                            MessageKind kind,
+                            uint64_t tag,
+                            int value) const {
+  Message m;
+  m.kind = kind;
+  m.from = index_;
+  m.to = place;
+  m.from_life = self_.incarnation;
+  m.tag = tag;
+  m.value = value;
+  return m;
+}
+
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/bench/once/world_model.cc
@@ -0,0 +1,393 @@
+#include "bench/once/world_model.h"
+
+#include <algorithm>
+
+#include "bench/once/plain_host_model.h"
+#include "bench/once/ticket_host_model.h"
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr int kOwner = 0;
+constexpr int kWitness = 1;
+// One step passes a ticket's expiry, three a record's.
+constexpr Duration kStep = kTicketLife;
+
+}  // namespace
+
+World::World(const WorldOptions& options) : options_(options) {
+  for (int i = 0; i < options_.hosts; ++i) {
+    hosts_.emplace_back();
+    hosts_.back().model = NewHost(i, 1);
+  }
+  if (!Ticketed())
+    return;
+  const bool witnessed = options_.design == Design::kTicketsWithWitness;
+  auto* owner = static_cast<TicketHostModel*>(hosts_[kOwner].model.get());
+  ticket_ = owner->Mint(witnessed ? kWitness : -1, 1).ToString();
+  for (Host& it : hosts_)
+    static_cast<TicketHostModel*>(it.model.get())->SetTicket(ticket_);
+}
+
+World::World(const World& other)
+    : options_(other.options_),
+      ticket_(other.ticket_),
+      messages_(other.messages_),
+      now_(other.now_),
+      next_request_(other.next_request_),
+      runs_(other.runs_),
+      told_not_run_(other.told_not_run_),
+      bytes_left_(other.bytes_left_),
+      messages_sent_(other.messages_sent_),
+      known_(other.known_),
+      violation_(other.violation_),
+      cut_zone_(other.cut_zone_),
+      store_up_(other.store_up_),
+      holder_(other.holder_),
+      holder_life_(other.holder_life_),
+      outcome_(other.outcome_) {
+  for (const Host& it : other.hosts_) {
+    hosts_.push_back(
+        {it.model ? it.model->Clone() : nullptr, it.life, it.closing});
+  }
+}
+
+std::vector<Action> World::Enabled() const {
+  std::vector<Action> out;
+  if (violation_ != Violation::kNone)
+    return out;
+  EnableRequests(out);
+  EnableMessages(out);
+  EnableHosts(out);
+  EnableFaults(out);
+  return out;
+}
+
+void World::EnableRequests(std::vector<Action>& out) const {
+  if (options_.requests == 0 || (options_.sensible_caller && told()))
+    return;
+  const bool first = next_request_ == 1;
+  for (int i = 0; i < options_.hosts; ++i) {
+    if (options_.sensible_caller && first && Ticketed() && i != kOwner)
+      continue;
+    if (hosts_[i].model || options_.sensible_caller)
+      out.push_back({ActionKind::kRequest, i});
+  }
+}
+
+void World::EnableMessages(std::vector<Action>& out) const {
+  for (size_t i = 0; i < messages_.size(); ++i) {
+    if (i > 0 && messages_[i] == messages_[i - 1])
+      continue;
+    const int n = static_cast<int>(i);
+    out.push_back({ActionKind::kDeliver, n});
+    if (options_.losses)
+      out.push_back({ActionKind::kLose, n});
+    if (options_.refuses && messages_[i].kind == MessageKind::kRun)
+      out.push_back({ActionKind::kServerRefuses, n});
+  }
+}
+
+void World::EnableHosts(std::vector<Action>& out) const {
+  for (int h = 0; h < options_.hosts; ++h) {
+    const HostModel* model = hosts_[h].model.get();
+    if (!model)
+      continue;
+    for (int i = 0; i < static_cast<int>(model->Waits()); ++i)
+      out.push_back({ActionKind::kSilence, h, i});
+    for (int i = 0; i < static_cast<int>(model->Ready()); ++i) {
+      for (int s = 0; s < options_.servers; ++s)
+        out.push_back({ActionKind::kSend, h, i, kFirstServer + s});
+      for (int p = 0; options_.passes && p < options_.hosts; ++p) {
+        if (p != h && hosts_[p].model && model->MayPass(i))
+          out.push_back({ActionKind::kSend, h, i, p});
+      }
+      if (options_.refuses)
+        out.push_back({ActionKind::kRefuse, h, i});
+    }
+    if (hosts_[h].closing && model->Idle())
+      out.push_back({ActionKind::kLeave, h});
+  }
+}
+
+void World::EnableFaults(std::vector<Action>& out) const {
+  for (int h = 0; h < options_.hosts; ++h) {
+    const bool alive = hosts_[h].model != nullptr;
+    if (alive && options_.kills > 0)
+      out.push_back({ActionKind::kKill, h});
+    if (alive && options_.closes > 0 && !hosts_[h].closing && Ticketed())
+      out.push_back({ActionKind::kClose, h});
+    if (!alive && options_.restarts > 0)
+      out.push_back({ActionKind::kRestart, h});
+  }
+  if (options_.ticks > 0)
+    out.push_back({ActionKind::kTick});
+  for (int z = 0; options_.cuts > 0 && cut_zone_ < 0 && z < options_.zones; ++z)
+    out.push_back({ActionKind::kCut, z});
+  if (cut_zone_ >= 0)
+    out.push_back({ActionKind::kHeal});
+  if (options_.outages > 0 && store_up_)
+    out.push_back({ActionKind::kStoreDown});
+  if (!store_up_)
+    out.push_back({ActionKind::kStoreUp});
+}
+
+void World::Apply(const Action& action) {
+  std::vector<Message> out;
+  const auto take = [this](int i) {
+    const Message m = messages_[i];
+    messages_.erase(messages_.begin() + i);
+    return m;
+  };
+  const auto model = [&]() -> HostModel& { return *hosts_[action.a].model; };
+  switch (action.kind) {
+    case ActionKind::kRequest: {
+      --options_.requests;
+      Message m{MessageKind::kRequest, kCaller, action.a};
+      m.tag = next_request_++;
+      out.push_back(m);
+      break;
+    }
+    case ActionKind::kDeliver:
+      Deliver(take(action.a), false, out);
+      break;
+    case ActionKind::kServerRefuses:
+      Deliver(take(action.a), true, out);
+      break;
+    case ActionKind::kLose:
+      take(action.a);
+      break;
+    case ActionKind::kSilence:
+      model().OnSilence(action.b, now_, out);
+      break;
+    case ActionKind::kSend: {
+      const bool host = action.c < kFirstServer;
+      const Incarnation life = host ? hosts_[action.c].life : 0;
+      model().Send(action.b, action.c, life, now_, out);
+      break;
+    }
+    case ActionKind::kRefuse:
+      model().Refuse(action.b, now_, out);
+      break;
+    case ActionKind::kKill:
+      --options_.kills;
+      Drop(action.a);
+      break;
+    case ActionKind::kRestart:
+      --options_.restarts;
+      Restart(action.a);
+      break;
+    case ActionKind::kClose:
+      --options_.closes;
+      model().Close();
+      hosts_[action.a].closing = true;
+      break;
+    case ActionKind::kLeave:
+      model().HandOff(out);
+      Drop(action.a);
+      break;
+    case ActionKind::kTick:
+      --options_.ticks;
+      now_ = now_ + kStep;
+      for (Host& it : hosts_) {
+        if (it.model)
+          it.model->OnTime(now_);
+      }
+      break;
+    case ActionKind::kCut:
+      --options_.cuts;
+      cut_zone_ = action.a;
+      break;
+    case ActionKind::kHeal:
+      cut_zone_ = -1;
+      break;
+    case ActionKind::kStoreDown:
+      --options_.outages;
+      store_up_ = false;
+      break;
+    case ActionKind::kStoreUp:
+      store_up_ = true;
+      break;
+  }
+  Post(out);
+  Check();
+}
+
+std::string World::Key() const {
+  std::string key;
+  const auto add = [&key](auto n) { key += std::to_string(n) + ","; };
+  for (const int n :
+       {options_.requests, options_.ticks, options_.kills, options_.closes,
+        options_.restarts, runs_, static_cast<int>(told_not_run_)}) {
+    add(n);
+  }
+  for (const Host& it : hosts_) {
+    add(it.life);
+    add(it.closing);
+    key += it.model ? it.model->Key() : "-";
+    key += '/';
+  }
+  for (const Message& it : messages_) {
+    add(static_cast<int>(it.kind));
+    add(it.from);
+    add(it.to);
+    add(it.from_life);
+    add(it.to_life);
+    add(it.tag);
+    add(it.attempt);
+    add(it.value);
+    key += ';';
+  }
+  return key;
+}
+
+std::unique_ptr<HostModel> World::NewHost(int index, Incarnation life) const {
+  switch (options_.design) {
+    case Design::kStoreClaim:
+      return std::make_unique<PlainHostModel>(
+          index, life, PlainHostModel::Design::kStoreClaim);
+    case Design::kKeyOwner:
+      return std::make_unique<PlainHostModel>(
+          index, life, PlainHostModel::Design::kKeyOwner);
+    default:
+      return std::make_unique<TicketHostModel>(index, life, options_.fault);
+  }
+}
+
+bool World::Ticketed() const {
+  return options_.design == Design::kTickets ||
+         options_.design == Design::kTicketsWithWitness;
+}
+
+int World::ZoneOf(int place) const {
+  if (place == kStore)
+    return 0;
+  return (place >= kFirstServer ? place - kFirstServer : place) %
+         options_.zones;
+}
+
+// Callers reach every zone. A cut zone reaches only itself.
+bool World::Reachable(int from, int to) const {
+  if (from == kCaller || to == kCaller || cut_zone_ < 0)
+    return true;
+  const int one = ZoneOf(from);
+  const int other = ZoneOf(to);
+  return one == other || (one != cut_zone_ && other != cut_zone_);
+}
+
+void World::Deliver(const Message& m,
+                    bool server_refuses,
+                    std::vector<Message>& out) {
+  if (!Reachable(m.from, m.to))
+    return;
+  if (m.to == kCaller) {
+    const auto verdict = static_cast<Verdict>(m.value);
+    if (verdict != Verdict::kUnknown)
+      known_ = verdict;
+    return;
+  }
+  if (m.to == kStore)
+    return DeliverToStore(m, out);
+  if (m.to >= kFirstServer)
+    return DeliverToServer(m, server_refuses, out);
+  Host& host = hosts_[m.to];
+  const bool for_it = m.to_life == 0 || m.to_life == host.life;
+  if (host.model && for_it)
+    host.model->OnMessage(m, now_, out);
+}
+
+void World::DeliverToServer(const Message& m,
+                            bool refuses,
+                            std::vector<Message>& out) {
+  if (!refuses)
+    ++runs_;
+  Message reply = m;
+  reply.kind = refuses ? MessageKind::kRunRefused : MessageKind::kRan;
+  reply.from = m.to;
+  reply.to = m.from;
+  reply.to_life = m.from_life;
+  out.push_back(reply);
+}
+
+void World::DeliverToStore(const Message& m, std::vector<Message>& out) {
+  if (!store_up_)
+    return;
+  if (m.kind == MessageKind::kStoreOutcome) {
+    outcome_ = m.value;
+    return;
+  }
+  if (holder_ < 0) {
+    holder_ = m.from;
+    holder_life_ = m.from_life;
+  }
+  Message reply = m;
+  reply.kind = MessageKind::kStoreReply;
+  reply.from = kStore;
+  reply.to = m.from;
+  reply.to_life = m.from_life;
+  reply.value = outcome_ >= 0 ? outcome_ : -1 - holder_;
+  reply.attempt = static_cast<uint32_t>(holder_life_);
+  out.push_back(reply);
+}
+
+void World::Post(const std::vector<Message>& out) {
+  for (const Message& it : out) {
+    if (it.kind != MessageKind::kHandoff) {
+      PostOne(it);
+      continue;
+    }
+    for (int h = 0; h < options_.hosts; ++h) {
+      Message m = it;
+      m.to = h;
+      if (h != it.from)
+        PostOne(m);
+    }
+  }
+}
+
+void World::PostOne(const Message& m) {
+  ++messages_sent_;
+  if (m.kind == MessageKind::kRun || m.kind == MessageKind::kPass)
+    bytes_left_ = true;
+  if (m.kind == MessageKind::kVerdict) {
+    OnVerdict(static_cast<Verdict>(m.value));
+    // A caller that sends whatever it was told needs no answer.
+    if (!options_.sensible_caller)
+      return;
+  }
+  const auto it = std::upper_bound(messages_.begin(), messages_.end(), m);
+  messages_.insert(it, m);
+}
+
+void World::OnVerdict(Verdict verdict) {
+  if (verdict == Verdict::kNotRun)
+    told_not_run_ = true;
+  if (verdict == Verdict::kRan && runs_ == 0)
+    violation_ = Violation::kFalseRan;
+}
+
+void World::Drop(int host) {
+  hosts_[host].model = nullptr;
+  hosts_[host].closing = false;
+  std::erase_if(messages_, [&](const Message& m) {
+    return m.to == host && m.to_life == hosts_[host].life;
+  });
+}
+
+void World::Restart(int host) {
+  hosts_[host].life += 1;
+  hosts_[host].model = NewHost(host, hosts_[host].life);
+  if (Ticketed())
+    static_cast<TicketHostModel*>(hosts_[host].model.get())->SetTicket(ticket_);
+}
+
+void World::Check() {
+  if (violation_ != Violation::kNone)
+    return;
+  if (runs_ > 1)
+    violation_ = Violation::kDoubled;
+  else if (told_not_run_ && runs_ > 0)
+    violation_ = Violation::kFalseNotRun;
+}
+
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/bench/once/world_model.h
@@ -0,0 +1,160 @@
+#ifndef BENCH_ONCE_WORLD_MODEL_H_
+#define BENCH_ONCE_WORLD_MODEL_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/once/host_model.h"
+#include "include/base/enum_names.h"
+
+namespace toucanknot::bench {
+
+// The ways to run a request at most once that were weighed.
+enum class Design { kStoreClaim, kKeyOwner, kTickets, kTicketsWithWitness };
+
+inline constexpr EnumNames<Design, 4> kDesignNames{
+    {"store-claim", "key-owner", "tickets", "tickets+witness"}};
+
+enum class Violation { kNone, kDoubled, kFalseNotRun, kFalseRan };
+
+inline constexpr EnumNames<Violation, 4> kViolationNames{
+    {"none", "doubled", "false-not-run", "false-ran"}};
+
+struct WorldOptions {
+  Design design = Design::kTickets;
+  Fault fault = Fault::kNone;
+  int hosts = 2;
+  int servers = 1;
+  // Host i is in zone i % zones; the store is in zone 0.
+  int zones = 2;
+  // How often the caller sends the request; how often time moves on, hosts die,
+  // stop gracefully and come back, zones or the store are cut off.
+  int requests = 2;
+  int ticks = 0;
+  int kills = 0;
+  int closes = 0;
+  int restarts = 0;
+  int cuts = 0;
+  int outages = 0;
+  // Hosts may pass requests to other hosts.
+  bool passes = false;
+  // Hosts, and backend servers, may refuse the request.
+  bool refuses = false;
+  // Messages may get lost one by one.
+  bool losses = true;
+  // The caller stops when it has been told ran or not run, and its first
+  // request goes to the ticket's owner. Else it sends whatever it was told.
+  bool sensible_caller = false;
+};
+
+enum class ActionKind {
+  kRequest,
+  kDeliver,
+  kServerRefuses,
+  kLose,
+  kSilence,
+  kSend,
+  kRefuse,
+  kKill,
+  kRestart,
+  kClose,
+  kLeave,
+  kTick,
+  kCut,
+  kHeal,
+  kStoreDown,
+  kStoreUp,
+};
+
+inline constexpr EnumNames<ActionKind, 16> kActionNames{
+    {"request", "deliver", "server-refuses", "lose", "silence", "send",
+     "refuse", "kill", "restart", "close", "leave", "tick", "cut", "heal",
+     "store-down", "store-up"}};
+
+struct Action {
+  ActionKind kind = ActionKind::kRequest;
+  // A host, message or zone; the number of a run or wait; a place.
+  int a = 0;
+  int b = 0;
+  int c = 0;
+};
+
+// One run-once request, its caller, entry hosts, backend servers and store, and
+// everything that may happen to them. Copies are independent.
+class World {
+ public:
+  explicit World(const WorldOptions& options);
+  World(const World& other);
+  World& operator=(const World&) = delete;
+
+  // What may happen next.
+  std::vector<Action> Enabled() const;
+  void Apply(const Action& action);
+  // Worlds with the same key behave alike.
+  std::string Key() const;
+
+  // What the checks found so far.
+  Violation violation() const { return violation_; }
+  // The caller's best knowledge: kUnknown also when it was told nothing.
+  Verdict known() const { return known_; }
+  int runs() const { return runs_; }
+  // Bytes left for a backend server, or for another host.
+  bool bytes_left() const { return bytes_left_; }
+  int messages_sent() const { return messages_sent_; }
+  bool told() const { return known_ != Verdict::kUnknown; }
+
+ private:
+  struct Host {
+    std::unique_ptr<HostModel> model;
+    Incarnation life = 1;
+    bool closing = false;
+  };
+
+  std::unique_ptr<HostModel> NewHost(int index, Incarnation life) const;
+  bool Ticketed() const;
+  bool Reachable(int from, int to) const;
+  int ZoneOf(int place) const;
+  void EnableRequests(std::vector<Action>& out) const;
+  void EnableMessages(std::vector<Action>& out) const;
+  void EnableHosts(std::vector<Action>& out) const;
+  void EnableFaults(std::vector<Action>& out) const;
+  void Deliver(const Message& m,
+               bool server_refuses,
+               std::vector<Message>& out);
+  void DeliverToServer(const Message& m,
+                       bool refuses,
+                       std::vector<Message>& out);
+  void DeliverToStore(const Message& m, std::vector<Message>& out);
+  void Post(const std::vector<Message>& out);
+  void PostOne(const Message& m);
+  void OnVerdict(Verdict verdict);
+  void Drop(int host);
+  void Restart(int host);
+  void Check();
+
+  WorldOptions options_;
+  std::string ticket_;
+  std::vector<Host> hosts_;
+  // In order, so that equal worlds have equal keys.
+  std::vector<Message> messages_;
+  Instant now_;
+  uint64_t next_request_ = 1;
+  int runs_ = 0;
+  bool told_not_run_ = false;
+  bool bytes_left_ = false;
+  int messages_sent_ = 0;
+  Verdict known_ = Verdict::kUnknown;
+  Violation violation_ = Violation::kNone;
+  int cut_zone_ = -1;
+  bool store_up_ = true;
+  // What the store holds: nothing, a holder and its life, an outcome.
+  int holder_ = -1;
+  Incarnation holder_life_ = 0;
+  int outcome_ = -1;
+};
+
+}  // namespace toucanknot::bench
+
+#endif  // BENCH_ONCE_WORLD_MODEL_H_
