--- /dev/null
+++ b/bench/steering/scenario.h
@@ -0,0 +1,50 @@
+#ifndef BENCH_STEERING_SCENARIO_H_
+#define BENCH_STEERING_SCENARIO_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanknot::bench {
+
+// What is lost between kFaultStartMs and kFaultEndMs.
+enum class Fault {
+  kNone,
+  kHost,
+  kZone,
+  kRegion,
+  // The two zones of the first region cannot reach each other.
+  kPartition,
+  // Servers say that they are idle; one in ten takes ten times as long, one
+  // in ten fails at once and says that it is healthy.
+  kMisleading,
+  // The servers of the first region are cold at the start.
+  kCold,
+  // The load is kBurstLoad.
+  kBurst,
+};
+
+// One row of the table.
+struct Scenario {
+  std::string name;
+  // Offered work over the capacity of all slots.
+  double load = 0;
+  Fault fault = Fault::kNone;
+  // How late load reports and peers' figures arrive.
+  int lag_ms = 0;
+  // Callers repeat what was refused or failed.
+  bool callers_repeat = false;
+};
+
+inline constexpr int kWarmMs = 5'000;
+inline constexpr int kFaultStartMs = 10'000;
+inline constexpr int kFaultEndMs = 25'000;
+inline constexpr int kRunMs = 40'000;
+inline constexpr double kBurstLoad = 2;
+inline constexpr int kBurstMs = 5'000;
+
+const std::vector<Scenario>& Scenarios();
+
+}  // namespace toucanknot::bench
+
+#endif  // BENCH_STEERING_SCENARIO_H_
--- a/src/steering/fleet_view.cc
+++ b/src/steering/fleet_view.cc
@@ -5,13 +5,11 @@
 #include <algorithm>
 #include <string>
 
+#include "include/config/places.h"
+
 namespace toucanknot {
 namespace {
 
-Tunables Resolve(const FleetConfig& config, const Scope&, int64_t) {
-  return config.defaults;
-}
-
 // A host and its replacement may hold connections at the same time.
 constexpr int kLivesPerHost = 2;
 
@@ -54,12 +52,17 @@
   const ZoneId own_zone = own_host ? own_host->zone : ZoneId();
   const RegionId own_region = config.RegionOf(own_zone);
   tunables_ =
-      Resolve(config, {service, own_region, own_zone, own, {}}, unix_ms);
+      config.Resolve(own_host ? PlaceOfService(config, *own_host, service)
+                              : Scope{.service = service},
+                     unix_ms);
   for (size_t i = 0; i < places_.size(); ++i) {
     if (places_[i].id == own_region)
       own_place_ = i;
     const Link* link = config.FindLink(own_region, places_[i].id);
     places_[i].one_way = link ? link->one_way : Duration();
+    places_[i].load_limit =
+        config.Resolve(PlaceOfRegion(places_[i].id, service), unix_ms)
+            .region_load_limit;
   }
   for (const EntryHost& it : config.hosts) {
     const RegionId region = config.RegionOf(it.zone);
@@ -67,7 +70,7 @@
       if (place.id == region)
         place.hosts.push_back(it.id);
     }
-    if (Resolve(config, {{}, region, it.zone, it.id, {}}, unix_ms).drain)
+    if (config.Resolve(PlaceOfHost(config, it), unix_ms).drain)
       draining_.push_back(it.id);
   }
   if (const Service* it = config.FindService(service))
@@ -96,8 +99,7 @@
            .zone = it.zone,
            .slots = it.slots,
            .connection_share = ConnectionShare(place.hosts, own, it),
-           .tunables = Resolve(config, {service.id, region, it.zone, {}, it.id},
-                               unix_ms)});
+           .tunables = config.Resolve(PlaceOfServer(config, service.id, it), unix_ms)});
     }
   }
 }
--- a/src/steering/fleet_view.h
+++ b/src/steering/fleet_view.h
@@ -40,6 +40,8 @@
     std::vector<Pool> pools;
     // One way from the own region.
     Duration one_way;
+    // Share of the slots up to which work from other regions is taken.
+    double load_limit = 1;
   };
 
   FleetView(const FleetConfig& config,
--- a/src/steering/region_shifter.cc
+++ b/src/steering/region_shifter.cc
@@ -64,8 +64,7 @@
   }
   if (!fresh)
     return need.must;
-  const double load_limit = place.servers.front().tunables.region_load_limit;
-  if (free <= Reserve(place, load_limit))
+  if (free <= Reserve(place, place.load_limit))
     return false;
   const auto way_ms = static_cast<double>(place.one_way.ms()) * 2;
   return need.must || need.wait_ms > kWorthRatio * way_ms;
--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -131,7 +131,7 @@
 
 bool SteeringDispatcher::RegionHasRoom(const WorkItem& item,
                                        Instant now) const {
-  const double limit = view_->tunables().region_load_limit * OwnSlots(now);
+  const double limit = view_->own_place().load_limit * OwnSlots(now);
   const auto taken = OwnInFlight() + static_cast<int>(queue_.size());
   return taken + 1 <= limit && parts_.hooks.region_has_room(item, now);
 }
