--- /dev/null
+++ b/bench/steering/fake_fleet.cc
@@ -0,0 +1,409 @@
+#include "bench/steering/fake_fleet.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr int64_t kUsPerMs = 1'000;
+constexpr int64_t kUsPerSecond = 1'000'000;
+// Peers' figures inside a region and between regions.
+constexpr int64_t kShareUs = 20 * kUsPerMs;
+constexpr int64_t kShareFarUs = 100 * kUsPerMs;
+constexpr int64_t kProbeUs = kUsPerSecond;
+constexpr int64_t kAdvanceUs = 100 * kUsPerMs;
+// How late the host list and the membership notice a change.
+constexpr int64_t kNoticeUs = kUsPerSecond;
+// One in this many servers is slow, one fails, with Fault::kMisleading.
+constexpr size_t kMisleadingStep = 10;
+
+constexpr size_t Second(int64_t us) {
+  return static_cast<size_t>(us / kUsPerSecond);
+}
+
+}  // namespace
+
+FakeFleet::FakeFleet(const Deployment& deployment,
+                     const Scenario& scenario,
+                     Policy policy,
+                     QueueOrder order,
+                     uint64_t seed)
+    : deployment_(deployment),
+      scenario_(scenario),
+      policy_(policy),
+      order_(order),
+      seed_(seed),
+      rng_(seed ^ 0x5eed),
+      arrivals_(MakeArrivals(deployment, scenario, seed)) {
+  const FleetConfig& config = *deployment.config;
+  const size_t regions = config.regions.size();
+  links_.resize(regions, std::vector<LinkState>(regions));
+  for (size_t from = 0; from < regions; ++from) {
+    for (size_t to = 0; to < regions; ++to) {
+      const Link* link =
+          config.FindLink(config.regions[from].id, config.regions[to].id);
+      if (link) {
+        links_[from][to] = {.bits_per_us = link->mbit_per_s,
+                            .one_way_us = link->one_way.ms() * kUsPerMs};
+      }
+      links_[from][to].bytes_in_second.resize(kRunMs / 1000 + 60);
+    }
+  }
+  for (const Traffic& it : deployment.traffic) {
+    ServiceMeasures measures{.service = it.service};
+    measures.answered_in_second.resize(kRunMs / 1000 + 60);
+    measures.arrived_in_second.resize(kRunMs / 1000 + 60);
+    measures.shifted_in_second.resize(kRunMs / 1000 + 60);
+    measures_.services.push_back(std::move(measures));
+  }
+  capacity_.resize(deployment.traffic.size());
+  leaving_since_us_.resize(deployment.traffic.size(), -1);
+  MakeServers();
+  for (const EntryHost& it : config.hosts) {
+    Host host{.config = it};
+    host.region = PlaceOf(it.zone).region;
+    hosts_.push_back(std::move(host));
+  }
+  believed_.assign(hosts_.size(), true);
+  for (size_t i = 0; i < hosts_.size(); ++i)
+    StartHost(i);
+  TellHosts();
+}
+
+void FakeFleet::MakeServers() {
+  const bool misleading = scenario_.fault == Fault::kMisleading;
+  for (const Service& service : deployment_.config->services) {
+    auto& list = servers_.emplace_back();
+    for (const BackendServer& it : service.servers) {
+      auto server = std::make_unique<FakeServer>(events_, it);
+      FakeServer::Traits& traits = server->traits();
+      const size_t i = list.size();
+      traits.misleads = misleading;
+      if (misleading && i % kMisleadingStep == 0)
+        traits.slowness = 10;
+      traits.fails = misleading && i % kMisleadingStep == 1;
+      if (scenario_.fault == Fault::kCold && PlaceOf(it.zone).region == 0)
+        traits.cold_since_us = 0;
+      list.push_back(std::move(server));
+    }
+  }
+}
+
+void FakeFleet::StartHost(size_t index) {
+  Host& host = hosts_[index];
+  host.alive = true;
+  ++host.life;
+  host.legs.clear();
+  host.dispatchers.clear();
+  host.limits =
+      std::make_unique<HostLimits>(deployment_, host.config.id, events_.now());
+  const FleetConfigPtr config = deployment_.config;
+  host.wake_ms.assign(config->services.size(), -1);
+  for (size_t i = 0; i < config->services.size(); ++i) {
+    host.dispatchers.push_back(DispatcherBuilder()
+                                   .SetService(config->services[i].id)
+                                   .SetHost(host.config.id)
+                                   .SetSeed(seed_ * 100 + index)
+                                   .SetPolicy(policy_)
+                                   .SetQueueOrder(order_)
+                                   .SetHooks(host.limits->HooksFor(i))
+                                   .Build());
+    host.dispatchers.back()->OnConfig(config, 0, events_.now());
+  }
+}
+
+FakeFleet::Place FakeFleet::PlaceOf(const ZoneId& zone) const {
+  const auto& regions = deployment_.config->regions;
+  const RegionId region = deployment_.config->RegionOf(zone);
+  size_t i = 0;
+  while (i < regions.size() && regions[i].id != region)
+    ++i;
+  return {zone, i};
+}
+
+FakeFleet::Place FakeFleet::PlaceOf(const Host& host) const {
+  return {host.config.zone, host.region};
+}
+
+bool FakeFleet::IsHit(const Place& place) const {
+  const Region& first = deployment_.config->regions.front();
+  switch (scenario_.fault) {
+    case Fault::kZone:
+      return place.zone == first.zones.front();
+    case Fault::kRegion:
+      return place.region == 0;
+    default:
+      return false;
+  }
+}
+
+bool FakeFleet::Reachable(const Place& a, const Place& b) const {
+  if (!faulty_)
+    return true;
+  if (scenario_.fault == Fault::kPartition)
+    return a.region != 0 || b.region != 0 || a.zone == b.zone;
+  return !IsHit(a) && !IsHit(b);
+}
+
+void FakeFleet::Carry(const Place& from,
+                      const Place& to,
+                      int64_t bytes,
+                      std::function<void()> arrive) {
+  if (!Reachable(from, to))
+    return;
+  if (from.region == to.region) {
+    const int64_t us = from.zone == to.zone ? deployment_.same_zone_us
+                                            : deployment_.between_zones_us;
+    events_.After(us, std::move(arrive));
+    return;
+  }
+  LinkState& link = links_[from.region][to.region];
+  const auto us =
+      static_cast<int64_t>(static_cast<double>(bytes * 8) / link.bits_per_us);
+  link.bytes_in_second[Second(events_.now_us())] += bytes;
+  link.busy_until_us = std::max(link.busy_until_us, events_.now_us()) + us;
+  events_.At(link.busy_until_us + link.one_way_us, std::move(arrive));
+}
+
+void FakeFleet::ScheduleFaults() {
+  const bool timed =
+      scenario_.fault == Fault::kHost || scenario_.fault == Fault::kZone ||
+      scenario_.fault == Fault::kRegion || scenario_.fault == Fault::kPartition;
+  if (timed) {
+    events_.At(kFaultStartMs * kUsPerMs, [this] { Lose(true); });
+    events_.At(kFaultEndMs * kUsPerMs, [this] { Lose(false); });
+  }
+  if (scenario_.server_leaves)
+    events_.At(kLeaveMs * kUsPerMs, [this] { StartLeaving(); });
+}
+
+void FakeFleet::Lose(bool lost) {
+  faulty_ = lost;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const bool one_host = scenario_.fault == Fault::kHost && i == 0;
+    if (!one_host && !IsHit(PlaceOf(hosts_[i])))
+      continue;
+    if (lost)
+      KillHost(i);
+    else
+      StartHost(i);
+  }
+  for (auto& list : servers_) {
+    for (auto& it : list) {
+      if (!IsHit(PlaceOf(it->config().zone)))
+        continue;
+      if (lost)
+        it->Kill();
+      else
+        it->Restart(true);
+    }
+  }
+  events_.After(kNoticeUs, [this] {
+    for (size_t i = 0; i < hosts_.size(); ++i)
+      believed_[i] = hosts_[i].alive;
+    TellHosts();
+  });
+}
+
+void FakeFleet::TellHosts() {
+  for (Host& host : hosts_) {
+    if (!host.alive)
+      continue;
+    std::vector<HostId> live;
+    for (size_t i = 0; i < hosts_.size(); ++i) {
+      if (believed_[i] && Reachable(PlaceOf(host), PlaceOf(hosts_[i])))
+        live.push_back(hosts_[i].config.id);
+    }
+    for (const auto& it : host.dispatchers)
+      it->OnHosts(live, events_.now());
+  }
+}
+
+void FakeFleet::StartLeaving() {
+  for (size_t service = 0; service < servers_.size(); ++service) {
+    const size_t last = servers_[service].size() - 1;
+    servers_[service][last]->leaving = true;
+    leaving_since_us_[service] = events_.now_us();
+    const ServerId id = servers_[service][last]->config().id;
+    events_.After(kNoticeUs, [this, service, id] {
+      for (size_t i = 0; i < hosts_.size(); ++i) {
+        if (!hosts_[i].alive)
+          continue;
+        hosts_[i].limits->OnLeaving(service, id, events_.now());
+        Advance(i, service);
+      }
+    });
+  }
+}
+
+void FakeFleet::Probe() {
+  const int64_t lag_us = scenario_.lag_ms * kUsPerMs;
+  for (size_t h = 0; h < hosts_.size(); ++h) {
+    if (!hosts_[h].alive)
+      continue;
+    for (size_t service = 0; service < servers_.size(); ++service) {
+      for (const auto& server : servers_[service]) {
+        const Place place = PlaceOf(server->config().zone);
+        if (place.region != hosts_[h].region)
+          continue;
+        const bool reached =
+            server->alive() && Reachable(PlaceOf(hosts_[h]), place);
+        LoadReport report = server->Report();
+        report.age = Duration(scenario_.lag_ms + 3);
+        const int life = hosts_[h].life;
+        events_.After(
+            lag_us + 3 * kUsPerMs, [this, h, service, report, reached, life] {
+              Host& host = hosts_[h];
+              if (!host.alive || host.life != life)
+                return;
+              host.limits->OnProbe(service,
+                                   {.server = report.server,
+                                    .healthy = reached && report.healthy,
+                                    .leaving = reached && report.leaving,
+                                    .age = report.age},
+                                   events_.now());
+              if (reached)
+                host.dispatchers[service]->OnLoadReport(report, events_.now());
+              Advance(h, service);
+            });
+      }
+    }
+  }
+}
+
+void FakeFleet::ShareLoads(bool far) {
+  for (size_t from = 0; from < hosts_.size(); ++from) {
+    if (!hosts_[from].alive)
+      continue;
+    for (size_t service = 0; service < servers_.size(); ++service) {
+      const PeerLoad load = hosts_[from].dispatchers[service]->OwnLoad();
+      for (size_t to = 0; to < hosts_.size(); ++to) {
+        const Place a = PlaceOf(hosts_[from]);
+        const Place b = PlaceOf(hosts_[to]);
+        if (from == to || (a.region != b.region) != far || !Reachable(a, b))
+          continue;
+        const int64_t us = (far ? links_[a.region][b.region].one_way_us
+                                : deployment_.between_zones_us) +
+                           scenario_.lag_ms * kUsPerMs;
+        events_.After(us, [this, to, service, load, us] {
+          if (!hosts_[to].alive)
+            return;
+          PeerLoad aged = load;
+          aged.age = Duration(us / kUsPerMs);
+          hosts_[to].dispatchers[service]->OnPeerLoad(aged, events_.now());
+          Advance(to, service);
+        });
+      }
+    }
+  }
+}
+
+void FakeFleet::ScheduleTicks() {
+  for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kShareUs)
+    events_.At(us, [this] { ShareLoads(false); });
+  for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kShareFarUs)
+    events_.At(us, [this] { ShareLoads(true); });
+  for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kProbeUs)
+    events_.At(us, [this] { Probe(); });
+  for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kAdvanceUs) {
+    events_.At(us, [this] {
+      Sample();
+      for (Host& it : hosts_) {
+        if (it.alive)
+          it.limits->Advance(events_.now());
+      }
+    });
+  }
+}
+
+double FakeFleet::AliveSlots(size_t service) const {
+  double slots = 0;
+  for (const auto& it : servers_[service]) {
+    if (it->alive() && !it->traits().fails)
+      slots += it->config().slots / it->traits().slowness;
+  }
+  return slots;
+}
+
+void FakeFleet::Sample() {
+  if (events_.now_us() < kWarmMs * kUsPerMs)
+    return;
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    capacity_[i] += AliveSlots(i) / deployment_.traffic[i].mean_ms *
+                    static_cast<double>(kAdvanceUs) / kUsPerMs;
+  }
+}
+
+Measures FakeFleet::Run() {
+  ScheduleTicks();
+  ScheduleFaults();
+  StartCall(arrivals_.front());
+  events_.RunUntil(kRunMs * kUsPerMs);
+  Collect();
+  // Requests that still run are not counted, but for their latency so far.
+  return std::move(measures_);
+}
+
+void FakeFleet::Collect() {
+  const auto run_us = static_cast<double>(kRunMs * kUsPerMs);
+  std::vector<double> busy(links_.size());
+  std::vector<double> slots(links_.size());
+  for (size_t service = 0; service < servers_.size(); ++service) {
+    ServiceMeasures& m = measures_.services[service];
+    m.goodput = static_cast<double>(m.answered) / capacity_[service];
+    for (const auto& it : servers_[service]) {
+      const size_t region = PlaceOf(it->config().zone).region;
+      busy[region] += it->BusySlotUs();
+      slots[region] += it->config().slots * run_us;
+      m.queued_at_servers += it->queued();
+      measures_.connection_caps_passed += it->over_connections();
+    }
+    const FakeServer& left = *servers_[service].back();
+    m.drain_ms = std::max<int64_t>(
+                     left.last_arrival_us() - leaving_since_us_[service], 0) /
+                 kUsPerMs;
+    // The rule of a shift: what moves in a second exceeds what moved in the
+    // one before by at most the share of that second's requests.
+    const double share = deployment_.config->defaults.shift_share;
+    for (size_t s = kWarmMs / 1000; s < kRunMs / 1000; ++s) {
+      const double more = static_cast<double>(m.shifted_in_second[s]) -
+                          static_cast<double>(m.shifted_in_second[s - 1]);
+      if (more > share * static_cast<double>(m.arrived_in_second[s - 1]))
+        ++measures_.shift_caps_passed;
+    }
+    if (scenario_.fault == Fault::kBurst) {
+      size_t s = (kFaultStartMs + kBurstMs) / 1000;
+      const size_t end = s;
+      const auto keeps_up = [&](size_t at) {
+        return static_cast<double>(m.answered_in_second[at]) >=
+               0.95 * static_cast<double>(m.arrived_in_second[at]);
+      };
+      while (s < kRunMs / 1000 && !keeps_up(s))
+        ++s;
+      m.recovery_ms = static_cast<int64_t>(s - end) * 1000;
+    }
+  }
+  measures_.region_headroom = 1;
+  measures_.link_headroom = 1;
+  for (size_t i = 0; i < busy.size(); ++i) {
+    measures_.region_headroom =
+        std::min(measures_.region_headroom, 1 - busy[i] / slots[i]);
+  }
+  for (const auto& row : links_) {
+    for (const LinkState& link : row) {
+      if (link.bits_per_us == 0)
+        continue;
+      for (const int64_t bytes : link.bytes_in_second) {
+        const double used =
+            static_cast<double>(bytes * 8) / (link.bits_per_us * kUsPerSecond);
+        measures_.link_headroom = std::min(measures_.link_headroom, 1 - used);
+        if (used > 1)
+          ++measures_.link_caps_passed;
+      }
+    }
+  }
+}
+
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/bench/steering/fake_fleet.h
@@ -0,0 +1,168 @@
+#ifndef BENCH_STEERING_FAKE_FLEET_H_
+#define BENCH_STEERING_FAKE_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/steering/arrivals.h"
+#include "bench/steering/deployment.h"
+#include "bench/steering/event_queue.h"
+#include "bench/steering/fake_server.h"
+#include "bench/steering/host_limits.h"
+#include "bench/steering/measures.h"
+#include "bench/steering/scenario.h"
+#include "include/steering/dispatcher_builder.h"
+
+namespace toucanknot::bench {
+
+// Entry hosts with real dispatchers, between fake callers, links and backend
+// servers, in the fake's own time.
+class FakeFleet {
+ public:
+  FakeFleet(const Deployment& deployment,
+            const Scenario& scenario,
+            Policy policy,
+            QueueOrder order,
+            uint64_t seed);
+
+  // Runs the scenario once.
+  Measures Run();
+
+ private:
+  enum class Outcome { kAnswered, kRefused, kFailed, kBroken };
+  using Reply = std::function<void(Outcome, Refusal)>;
+
+  // One request at one entry host.
+  struct Leg {
+    size_t host = 0;
+    size_t service = 0;
+    int64_t work_us = 0;
+    int64_t deadline_us = 0;
+    WorkItem item;
+    Reply reply;
+    int tries = 0;
+    // Counts attempts, so that late events of earlier ones are ignored.
+    int attempt = 0;
+    int64_t sent_us = 0;
+    Decision last;
+    std::function<void()> cancel;
+  };
+  struct Host {
+    EntryHost config;
+    size_t region = 0;
+    bool alive = true;
+    // Goes up with each start.
+    int life = 0;
+    std::unique_ptr<HostLimits> limits;
+    std::vector<std::unique_ptr<Dispatcher>> dispatchers;
+    std::vector<int64_t> wake_ms;
+    std::map<uint64_t, Leg> legs;
+  };
+  struct Place {
+    ZoneId zone;
+    size_t region = 0;
+  };
+  struct LinkState {
+    double bits_per_us = 0;
+    int64_t one_way_us = 0;
+    int64_t busy_until_us = 0;
+    std::vector<int64_t> bytes_in_second;
+  };
+  // A caller's request.
+  struct Call {
+    Arrival arrival;
+    int64_t first_us = 0;
+    int tries = 0;
+    int repeats = 0;
+    // Entry hosts that did not answer.
+    std::vector<size_t> dead;
+  };
+
+  // Set-up.
+  void MakeServers();
+  void StartHost(size_t host);
+  void ScheduleFaults();
+  void ScheduleTicks();
+
+  // Callers.
+  void StartCall(const Arrival& arrival);
+  void TryCall(const std::shared_ptr<Call>& call);
+  void EndCall(const std::shared_ptr<Call>& call, Outcome outcome);
+  bool PickHost(const Call& call, size_t* host);
+
+  // Entry hosts.
+  void StartLeg(size_t host, Leg leg, uint64_t* id);
+  void Apply(size_t host, size_t service, const Decision& decision);
+  void SendTo(Host& host, Leg& leg, const Decision& decision);
+  void PassTo(Host& host, Leg& leg, const Decision& decision);
+  void AttemptEnded(size_t host,
+                    uint64_t id,
+                    int attempt,
+                    AttemptEnd end,
+                    const Decision& decision);
+  void PassEnded(size_t host,
+                 uint64_t id,
+                 int attempt,
+                 Outcome outcome,
+                 Refusal refusal,
+                 const Decision& decision);
+  // The link of a request that was passed to `peer` is free again.
+  void SettlePass(Host& host, size_t service, const HostId& peer);
+  void Offer(Host& host, Leg& leg);
+  void EndLeg(size_t host, uint64_t id, Outcome outcome, Refusal refusal);
+  void ExpireLeg(size_t host, uint64_t id);
+  void Advance(size_t host, size_t service);
+  void ScheduleWake(size_t host, size_t service);
+
+  // Network. Nothing arrives where the parts cannot reach each other.
+  bool Reachable(const Place& a, const Place& b) const;
+  void Carry(const Place& from,
+             const Place& to,
+             int64_t bytes,
+             std::function<void()> arrive);
+
+  // Faults and news.
+  void Lose(bool lost);
+  bool IsHit(const Place& place) const;
+  void KillHost(size_t host);
+  void TellHosts();
+  void Probe();
+  void ShareLoads(bool all_regions);
+  void StartLeaving();
+
+  void Sample();
+  void Collect();
+  double AliveSlots(size_t service) const;
+  Place PlaceOf(const ZoneId& zone) const;
+  Place PlaceOf(const Host& host) const;
+
+  const Deployment& deployment_;
+  const Scenario scenario_;
+  const Policy policy_;
+  const QueueOrder order_;
+  const uint64_t seed_;
+  EventQueue events_;
+  Rng rng_;
+  std::vector<Arrival> arrivals_;
+  size_t next_arrival_ = 0;
+  std::vector<std::vector<std::unique_ptr<FakeServer>>> servers_;
+  std::vector<Host> hosts_;
+  std::vector<std::vector<LinkState>> links_;
+  // Hosts that callers and peers believe to live.
+  std::vector<bool> believed_;
+  bool faulty_ = false;
+  uint64_t next_item_ = 1;
+  std::vector<int64_t> leaving_since_us_;
+  std::vector<double> capacity_;
+  Measures measures_;
+};
+
+}  // namespace toucanknot::bench
+
+#endif  // BENCH_STEERING_FAKE_FLEET_H_
--- a/bench/steering/fake_server.cc
+++ b/bench/steering/fake_server.cc
@@ -30,8 +30,7 @@
   if (traits_.cold_since_us < 0)
     return traits_.slowness;
   const int64_t age = events_.now_us() - traits_.cold_since_us;
-  const double cold =
-      std::max(0.0, 1 - static_cast<double>(age) / kWarmupUs);
+  const double cold = std::max(0.0, 1 - static_cast<double>(age) / kWarmupUs);
   return traits_.slowness * (1 + (kColdSlowness - 1) * cold);
 }
 
--- /dev/null
+++ b/bench/steering/host_limits.h
@@ -0,0 +1,49 @@
+#ifndef BENCH_STEERING_HOST_LIMITS_H_
+#define BENCH_STEERING_HOST_LIMITS_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "bench/steering/deployment.h"
+#include "include/health/health_table.h"
+#include "include/limits/class_shedder.h"
+#include "include/limits/link_limiter.h"
+#include "include/limits/shift_limiter.h"
+#include "include/steering/dispatcher_builder.h"
+
+namespace toucanknot::bench {
+
+// The health and limits of one entry host, wired to its dispatchers as a
+// daemon without peers and store has them: static shares of every link.
+class HostLimits {
+ public:
+  HostLimits(const Deployment& deployment, const HostId& host, Instant now);
+
+  // Hooks for the dispatcher of the service with this index.
+  SteeringHooks HooksFor(size_t service);
+
+  void OnRequest(size_t service, Instant now);
+  void OnSent(size_t service, const ServerId& server, Instant now);
+  void OnAttempt(size_t service,
+                 const AttemptResult& result,
+                 Instant sent_at,
+                 Instant now);
+  // A request that was passed to `region` came back.
+  void OnPassEnded(const RegionId& region, size_t service, Instant now);
+  void OnProbe(size_t service, const ServerProbe& probe, Instant now);
+  void OnLeaving(size_t service, const ServerId& server, Instant now);
+  void Advance(Instant now);
+
+ private:
+  Refusal MayPass(size_t service, const RegionId& region, Instant now);
+
+  const Deployment& deployment_;
+  std::vector<std::unique_ptr<HealthTable>> health_;
+  std::vector<std::unique_ptr<ShiftLimiter>> shifts_;
+  std::map<RegionId, LinkLimiter> links_;
+};
+
+}  // namespace toucanknot::bench
+
+#endif  // BENCH_STEERING_HOST_LIMITS_H_
--- a/bench/steering/measures.h
+++ b/bench/steering/measures.h
@@ -42,10 +42,11 @@
 // What happened in one run.
 struct Measures {
   std::vector<ServiceMeasures> services;
-  // Least share of slots that is free on average in a region.
-  double region_headroom = 1;
-  // Least share of a link that is free in any second.
-  double link_headroom = 1;
+  // Least share of slots that is free on average in a region; negative when it
+  // was not measured.
+  double region_headroom = -1;
+  // Least share of a link that is free in any second; the same.
+  double link_headroom = -1;
   // Seconds of links over their rate, requests over servers' connections, and
   // seconds of shifts over their share.
   int64_t link_caps_passed = 0;
--- a/bench/steering/scenario.h
+++ b/bench/steering/scenario.h
@@ -32,6 +32,8 @@
   Fault fault = Fault::kNone;
   // How late load reports and peers' figures arrive.
   int lag_ms = 0;
+  // One server of each service says at kLeaveMs that it leaves.
+  bool server_leaves = false;
   // Callers repeat what was refused or failed.
   bool callers_repeat = false;
 };
@@ -39,6 +41,7 @@
 inline constexpr int kWarmMs = 5'000;
 inline constexpr int kFaultStartMs = 10'000;
 inline constexpr int kFaultEndMs = 25'000;
+inline constexpr int kLeaveMs = 30'000;
 inline constexpr int kRunMs = 40'000;
 inline constexpr double kBurstLoad = 2;
 inline constexpr int kBurstMs = 5'000;
