steering: shifts are a share of the requests decided at the home

Cause: the shift limiter saw only the home's own callers, a third of the region's requests, so a region that was short could not shift what its limit allows; and goodput left out what still waited when the run ended.

--- a/bench/steering/fake_fleet.cc
+++ b/bench/steering/fake_fleet.cc
@@ -352,7 +352,7 @@
   std::vector<double> slots(links_.size());
   for (size_t service = 0; service < servers_.size(); ++service) {
     ServiceMeasures& m = measures_.services[service];
-    m.goodput = static_cast<double>(m.answered) / capacity_[service];
+    m.goodput = static_cast<double>(m.answered_in_window) / capacity_[service];
     for (const auto& it : servers_[service]) {
       const size_t region = PlaceOf(it->config().zone).region;
       busy[region] += it->BusySlotUs();
--- a/bench/steering/measures.h
+++ b/bench/steering/measures.h
@@ -16,12 +16,14 @@
   std::vector<int64_t> latencies_us;
   int64_t offered = 0;
   int64_t answered = 0;
+  // Answers after the warm-up, also to requests that came before its end.
+  int64_t answered_in_window = 0;
   int64_t refused = 0;
   // Neither answered nor refused: timed out, or broken too often.
   int64_t failed = 0;
   // Requests that found all slots of their backend server taken.
   int64_t queued_at_servers = 0;
-  // Answers over what the slots alive could have answered.
+  // answered_in_window over what the slots alive could have answered.
   double goodput = 0;
   // From the first sign that a server leaves to its last new request; negative
   // without such a server.
--- a/include/steering/dispatcher_builder.h
+++ b/include/steering/dispatcher_builder.h
@@ -60,6 +60,9 @@
   std::function<double(const ServerId& server, Instant now)> usable;
   // Whether the request may be served at all: quarantine, class of work.
   std::function<Refusal(const WorkItem& item, Instant now)> admit;
+  // A request whose region's part is decided here, at its home; not called
+  // where it is only passed on to the home. What shifts are a share of.
+  std::function<void(const WorkItem& item, Instant now)> on_request;
   // Whether the request may be passed to `region`, by the limits of the links
   // and of shifts. A kNone answer takes the budget.
   std::function<
--- a/src/steering/dispatcher_builder.cc
+++ b/src/steering/dispatcher_builder.cc
@@ -14,6 +14,8 @@
     hooks.usable = [](const ServerId&, Instant) { return 1.0; };
   if (!hooks.admit)
     hooks.admit = [](const WorkItem&, Instant) { return Refusal::kNone; };
+  if (!hooks.on_request)
+    hooks.on_request = [](const WorkItem&, Instant) {};
   if (!hooks.may_pass) {
     hooks.may_pass = [](const RegionId&, const WorkItem&, Instant) {
       return Refusal::kNone;
--- a/src/steering/fleet_view.cc
+++ b/src/steering/fleet_view.cc
@@ -99,7 +99,8 @@
            .zone = it.zone,
            .slots = it.slots,
            .connection_share = ConnectionShare(place.hosts, own, it),
-           .tunables = config.Resolve(PlaceOfServer(config, service.id, it), unix_ms)});
+           .tunables =
+               config.Resolve(PlaceOfServer(config, service.id, it), unix_ms)});
     }
   }
 }
--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -74,6 +74,9 @@
   }
   if (!queue_.empty() && pick.kind == Pick::Kind::kServer)
     pick.kind = Pick::Kind::kWait;
+  const bool first = item.avoid.empty() && item.avoid_hosts.empty();
+  if (first && MayCross(item))
+    parts_.hooks.on_request(item, now);
   return DecideHere(item, pick, now);
 }
 
