--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -74,6 +74,9 @@
   }
   if (!queue_.empty() && pick.kind == Pick::Kind::kServer)
     pick.kind = Pick::Kind::kWait;
+  const bool first = item.avoid.empty() && item.avoid_hosts.empty();
+  if (first && MayCross(item))
+    parts_.hooks.on_request(item, now);
   return DecideHere(item, pick, now);
 }
 
@@ -131,7 +134,7 @@
 
 bool SteeringDispatcher::RegionHasRoom(const WorkItem& item,
                                        Instant now) const {
-  const double limit = view_->tunables().region_load_limit * OwnSlots(now);
+  const double limit = view_->own_place().load_limit * OwnSlots(now);
   const auto taken = OwnInFlight() + static_cast<int>(queue_.size());
   return taken + 1 <= limit && parts_.hooks.region_has_room(item, now);
 }
