membership: hosts by heartbeats, zones by digests, configuration by a tree

Cause: each host must know whom to send callers to, and every host must get the newest configuration, at a cost that grows with its zone and not with the fleet.

--- /dev/null
+++ b/include/membership/fleet_agent.h
@@ -0,0 +1,92 @@
+#ifndef INCLUDE_MEMBERSHIP_FLEET_AGENT_H_
+#define INCLUDE_MEMBERSHIP_FLEET_AGENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "include/membership/config_spread.h"
+#include "include/membership/membership.h"
+#include "include/membership/store_pacer.h"
+
+namespace toucanknot {
+
+// What a host has to do for its fleet now.
+struct FleetActions {
+  std::vector<Outgoing> messages;
+  // Start this watch at the store and report its end to OnWatch...().
+  std::optional<WatchRequest> watch;
+  // Ask the platform for its host list and report to OnHostList...().
+  bool list_hosts = false;
+};
+
+// Membership and the spread of configuration of one host, joined. After any
+// call, and at NextWake() at the latest, call Tick() and carry out what it
+// returns. Does no I/O; not thread-safe.
+class FleetAgent {
+ public:
+  class Builder;
+
+  void OnRoster(RosterPtr roster, Instant now);
+  void OnMessage(const PeerSender& from,
+                 const PeerMessage& message,
+                 Instant now);
+
+  void OnWatchValue(uint64_t revision, const std::string& text, Instant now);
+  void OnWatchTimeout(Instant now);
+  void OnWatchFailure(Instant now);
+  void OnHostList(const std::vector<HostListEntry>& list, Instant now);
+  void OnHostListFailure(Instant now);
+
+  FleetActions Tick(Instant now);
+  Instant NextWake() const;
+
+  Membership& membership() { return membership_; }
+  const Membership& membership() const { return membership_; }
+  const ConfigSpread& spread() const { return spread_; }
+  // Calls to the store that Tick() has asked for, of both kinds.
+  uint64_t store_calls() const;
+
+ private:
+  explicit FleetAgent(const Builder& builder);
+
+  Membership membership_;
+  ConfigSpread spread_;
+  StorePacer list_pacer_;
+  bool is_reader_ = false;
+};
+
+// What a FleetAgent is made of. The hooks and the host have no default.
+class FleetAgent::Builder {
+ public:
+  Builder& SetSelf(PeerSender self, ZoneId zone);
+  Builder& SetMembershipOptions(MembershipOptions options);
+  Builder& SetSpreadOptions(ConfigSpreadOptions options);
+  // How often readers ask for the host list.
+  Builder& SetHostListPace(StorePace pace);
+  Builder& SetHooks(ConfigSpread::StampFn stamp_of,
+                    ConfigSpread::AcceptFn accept);
+  // Makes random choices differ between hosts.
+  Builder& SetSeed(uint64_t seed);
+
+  // Throws Error when the host or a hook is missing.
+  std::unique_ptr<FleetAgent> Build() const;
+
+ private:
+  friend class FleetAgent;
+
+  PeerSender self_;
+  ZoneId zone_;
+  MembershipOptions membership_options_;
+  ConfigSpreadOptions spread_options_;
+  StorePace list_pace_{Duration(10'000)};
+  ConfigSpread::StampFn stamp_of_;
+  ConfigSpread::AcceptFn accept_;
+  uint64_t seed_ = 1;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_MEMBERSHIP_FLEET_AGENT_H_
--- a/include/peer/messages.h
+++ b/include/peer/messages.h
@@ -29,6 +29,8 @@
   // configurations of one version apart.
   std::string digest;
 
+  // The linter takes the 0 in a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const ConfigStamp&) const = default;
 };
 
--- /dev/null
+++ b/src/membership/config_spread.cc
@@ -0,0 +1,229 @@
+#include "include/membership/config_spread.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "include/membership/rank.h"
+
+namespace toucanknot {
+
+ConfigSpread::ConfigSpread(Membership* membership,
+                           ConfigSpreadOptions options,
+                           StampFn stamp_of,
+                           AcceptFn accept,
+                           uint64_t seed)
+    : membership_(membership),
+      options_(options),
+      stamp_of_(std::move(stamp_of)),
+      accept_(std::move(accept)),
+      random_(seed),
+      pacer_(options.watch_pace, random_()) {}
+
+void ConfigSpread::OnMessage(const PeerSender& from,
+                             const PeerMessage& message,
+                             Instant now) {
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message))
+    Hear(from.host, heartbeat->config, now);
+  else if (const auto* digests = std::get_if<ZoneDigests>(&message))
+    HearDigests(*digests, now);
+  else if (const auto* compare = std::get_if<ConfigCompare>(&message))
+    OnCompare(from.host, compare->have, now);
+  else if (const auto* ask = std::get_if<ConfigAsk>(&message))
+    OnCompare(from.host, ask->have, now);
+  else if (const auto* push = std::get_if<ConfigPush>(&message))
+    OnPush(from.host, *push, now);
+}
+
+// Remembers who has a newer version; a push is probably on its way.
+void ConfigSpread::Hear(const HostId& host,
+                        const ConfigStamp& stamp,
+                        Instant now) {
+  if (stamp.version == stamp_.version && stamp.version != 0 &&
+      stamp.digest != stamp_.digest) {
+    ++stats_.conflicts;
+  }
+  if (stamp.version <= stamp_.version || stamp == refused_)
+    return;
+  newest_heard_ = std::max(newest_heard_, stamp.version);
+  const Instant since = lead_ ? lead_->since : now;
+  if (!lead_ || stamp.version >= lead_->stamp.version)
+    lead_ = Lead{host, stamp, since};
+}
+
+// Only the zone's readers ask another zone, or all of its hosts would.
+void ConfigSpread::HearDigests(const ZoneDigests& digests, Instant now) {
+  for (const ZoneDigest& it : digests.zones) {
+    if (it.config.version <= stamp_.version || !is_reader_)
+      continue;
+    const auto contacts = membership_->ContactsOf(it.zone, options_.readers);
+    if (!contacts.empty())
+      Hear(contacts[random_() % contacts.size()], it.config, now);
+  }
+}
+
+void ConfigSpread::OnCompare(const HostId& from,
+                             const ConfigStamp& have,
+                             Instant now) {
+  if (have.version < stamp_.version)
+    PushTo(from, now);
+  else
+    Hear(from, have, now);
+}
+
+void ConfigSpread::OnPush(const HostId& from,
+                          const ConfigPush& push,
+                          Instant now) {
+  ++stats_.pushes_received;
+  if (push.stamp.version < stamp_.version || push.stamp == stamp_)
+    return;
+  if (stamp_of_(push.text) != push.stamp || !Consider(push.stamp, push.text))
+    return;
+  const RosterPtr& roster = membership_->roster();
+  const Roster::Zone* zone = roster ? roster->ZoneOf(from) : nullptr;
+  PushOn(!zone || zone->id != membership_->zone(), now);
+}
+
+bool ConfigSpread::Consider(const ConfigStamp& stamp, const std::string& text) {
+  if (stamp.version == stamp_.version && stamp.digest != stamp_.digest)
+    ++stats_.conflicts;
+  if (stamp.version <= stamp_.version || stamp == refused_)
+    return false;
+  newest_heard_ = std::max(newest_heard_, stamp.version);
+  if (!accept_(stamp, text)) {
+    refused_ = stamp;
+    lead_.reset();
+    ++stats_.refused;
+    return false;
+  }
+  stamp_ = stamp;
+  text_ = text;
+  membership_->SetOwnConfig(stamp_);
+  pushed_.clear();
+  if (lead_ && lead_->stamp.version <= stamp_.version)
+    lead_.reset();
+  return true;
+}
+
+void ConfigSpread::OnWatchValue(uint64_t revision,
+                                const std::string& text,
+                                Instant now) {
+  pacer_.OnSuccess(now);
+  seen_revision_ = revision;
+  const std::optional<ConfigStamp> stamp = stamp_of_(text);
+  if (!stamp) {
+    ++stats_.refused;
+    return;
+  }
+  store_version_ = stamp->version;
+  if (Consider(*stamp, text))
+    PushOn(true, now);
+}
+
+void ConfigSpread::OnWatchTimeout(Instant now) {
+  pacer_.OnSuccess(now);
+}
+
+void ConfigSpread::OnWatchFailure(Instant now) {
+  pacer_.OnFailure(now);
+}
+
+// Each version has a tree of its own.
+void ConfigSpread::PushOn(bool is_origin, Instant now) {
+  const auto targets =
+      RelayTargets(membership_->PresentHosts(now), membership_->self().host,
+                   stamp_.version, options_.fan_out, is_origin);
+  const auto configs = membership_->Configs();
+  Outgoing out;
+  for (const HostId& it : targets) {
+    const auto known = configs.find(it);
+    if (known != configs.end() && known->second.version >= stamp_.version)
+      continue;
+    pushed_[it] = now;
+    out.to.push_back(it);
+  }
+  if (out.to.empty())
+    return;
+  stats_.pushes_sent += out.to.size();
+  out.message = ConfigPush{stamp_, text_};
+  pending_.push_back(std::move(out));
+}
+
+void ConfigSpread::PushTo(const HostId& host, Instant now) {
+  const auto [it, is_new] = pushed_.try_emplace(host, now);
+  if (!is_new && now - it->second < options_.ask_after)
+    return;
+  it->second = now;
+  ++stats_.pushes_sent;
+  pending_.push_back({{host}, ConfigPush{stamp_, text_}});
+}
+
+std::vector<Outgoing> ConfigSpread::Tick(Instant now,
+                                         std::optional<WatchRequest>* watch) {
+  is_reader_ = IsReader(now);
+  if (is_reader_ && pacer_.IsDue(now)) {
+    pacer_.OnStart(now);
+    *watch = WatchRequest{seen_revision_, options_.watch_limit};
+  }
+  if (lead_)
+    AskLead(now);
+  if (now >= next_compare_)
+    Compare(now);
+  return std::exchange(pending_, {});
+}
+
+void ConfigSpread::AskLead(Instant now) {
+  const bool wait_for_push = stamp_.version != 0;
+  if (now < next_ask_ ||
+      (wait_for_push && now - lead_->since < options_.ask_after)) {
+    return;
+  }
+  next_ask_ = now + options_.ask_limit;
+  ++stats_.asks_sent;
+  pending_.push_back({{lead_->host}, ConfigAsk{stamp_}});
+  // The next heartbeat names another host, should this one not answer.
+  lead_.reset();
+}
+
+void ConfigSpread::Compare(Instant now) {
+  std::uniform_int_distribution<int64_t> ms(options_.compare_interval.ms() / 2,
+                                            options_.compare_interval.ms());
+  next_compare_ = now + Duration(ms(random_));
+  const RosterPtr& roster = membership_->roster();
+  if (!roster || roster->zones().empty())
+    return;
+  const auto& zones = roster->zones();
+  const Roster::Zone& zone = zones[random_() % zones.size()];
+  const auto hosts = membership_->ContactsOf(zone.id, zone.hosts.size());
+  if (hosts.empty())
+    return;
+  const HostId& host = hosts[random_() % hosts.size()];
+  if (host != membership_->self().host)
+    pending_.push_back({{host}, ConfigCompare{stamp_}});
+}
+
+Instant ConfigSpread::NextWake() const {
+  if (!pending_.empty())
+    return Instant();
+  Instant wake = next_compare_;
+  if (is_reader_)
+    wake = std::min(wake, pacer_.NextDue());
+  if (lead_)
+    wake =
+        std::min(wake, std::max(next_ask_, lead_->since + options_.ask_after));
+  return wake;
+}
+
+bool ConfigSpread::IsReader(Instant now) const {
+  const auto first = membership_->FirstHosts(options_.readers, now);
+  return std::find(first.begin(), first.end(), membership_->self().host) !=
+         first.end();
+}
+
+ConfigSpreadStats ConfigSpread::stats() const {
+  ConfigSpreadStats stats = stats_;
+  stats.store_calls = pacer_.calls();
+  return stats;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/membership/fleet_agent.cc
@@ -0,0 +1,125 @@
+#include "include/membership/fleet_agent.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "include/base/error.h"
+
+namespace toucanknot {
+
+FleetAgent::FleetAgent(const Builder& builder)
+    : membership_(builder.self_,
+                  builder.zone_,
+                  builder.membership_options_,
+                  builder.seed_),
+      spread_(&membership_,
+              builder.spread_options_,
+              builder.stamp_of_,
+              builder.accept_,
+              builder.seed_ + 1),
+      list_pacer_(builder.list_pace_, builder.seed_ + 2) {}
+
+void FleetAgent::OnRoster(RosterPtr roster, Instant now) {
+  membership_.OnRoster(std::move(roster), now);
+}
+
+void FleetAgent::OnMessage(const PeerSender& from,
+                           const PeerMessage& message,
+                           Instant now) {
+  membership_.OnMessage(from, message, now);
+  spread_.OnMessage(from, message, now);
+}
+
+void FleetAgent::OnWatchValue(uint64_t revision,
+                              const std::string& text,
+                              Instant now) {
+  spread_.OnWatchValue(revision, text, now);
+}
+
+void FleetAgent::OnWatchTimeout(Instant now) {
+  spread_.OnWatchTimeout(now);
+}
+
+void FleetAgent::OnWatchFailure(Instant now) {
+  spread_.OnWatchFailure(now);
+}
+
+void FleetAgent::OnHostList(const std::vector<HostListEntry>& list,
+                            Instant now) {
+  list_pacer_.OnSuccess(now);
+  membership_.OnHostList(list, now);
+}
+
+void FleetAgent::OnHostListFailure(Instant now) {
+  list_pacer_.OnFailure(now);
+}
+
+FleetActions FleetAgent::Tick(Instant now) {
+  FleetActions actions;
+  actions.messages = membership_.Tick(now);
+  auto more = spread_.Tick(now, &actions.watch);
+  std::move(more.begin(), more.end(), std::back_inserter(actions.messages));
+  is_reader_ = spread_.IsReader(now);
+  if (is_reader_ && list_pacer_.IsDue(now)) {
+    list_pacer_.OnStart(now);
+    actions.list_hosts = true;
+  }
+  return actions;
+}
+
+Instant FleetAgent::NextWake() const {
+  Instant wake = std::min(membership_.NextWake(), spread_.NextWake());
+  if (is_reader_)
+    wake = std::min(wake, list_pacer_.NextDue());
+  return wake;
+}
+
+uint64_t FleetAgent::store_calls() const {
+  return spread_.stats().store_calls + list_pacer_.calls();
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetSelf(PeerSender self,
+                                                  ZoneId zone) {
+  self_ = std::move(self);
+  zone_ = std::move(zone);
+  return *this;
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetMembershipOptions(
+    MembershipOptions options) {
+  membership_options_ = options;
+  return *this;
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetSpreadOptions(
+    ConfigSpreadOptions options) {
+  spread_options_ = options;
+  return *this;
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetHostListPace(StorePace pace) {
+  list_pace_ = pace;
+  return *this;
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetHooks(
+    ConfigSpread::StampFn stamp_of,
+    ConfigSpread::AcceptFn accept) {
+  stamp_of_ = std::move(stamp_of);
+  accept_ = std::move(accept);
+  return *this;
+}
+
+FleetAgent::Builder& FleetAgent::Builder::SetSeed(uint64_t seed) {
+  seed_ = seed;
+  return *this;
+}
+
+std::unique_ptr<FleetAgent> FleetAgent::Builder::Build() const {
+  if (self_.host.empty() || zone_.empty() || !stamp_of_ || !accept_)
+    throw Error("a fleet agent needs a host, its zone and both hooks");
+  return std::unique_ptr<FleetAgent>(new FleetAgent(*this));
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/membership/host_life.cc
@@ -0,0 +1,96 @@
+#include "include/membership/host_life.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace toucanknot {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct ReadyEvent {};
+struct LeaveEvent {};
+struct StopEvent {};
+
+struct LifeDef : msm::front::state_machine_def<LifeDef> {
+  struct Starting : msm::front::state<> {};
+  struct Serving : msm::front::state<> {};
+  struct Leaving : msm::front::state<> {};
+  struct Stopped : msm::front::state<> {};
+
+  // The names that the library looks for.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using initial_state = Starting;
+  struct transition_table
+      : boost::mpl::vector<Row<Starting, ReadyEvent, Serving, none, none>,
+                           Row<Starting, LeaveEvent, Leaving, none, none>,
+                           Row<Serving, LeaveEvent, Leaving, none, none>,
+                           Row<Starting, StopEvent, Stopped, none, none>,
+                           Row<Serving, StopEvent, Stopped, none, none>,
+                           Row<Leaving, StopEvent, Stopped, none, none>> {};
+
+  // What the present state does not allow is ignored.
+  template <typename Fsm, typename Event>
+  void no_transition(const Event&, Fsm&, int) {}
+  // NOLINTEND(readability-identifier-naming)
+};
+
+}  // namespace
+
+struct HostLife::Machine {
+  Machine() { fsm.start(); }
+
+  // The library numbers states in the order of the table's first column.
+  HostState State() const {
+    return static_cast<HostState>(fsm.current_state()[0]);
+  }
+
+  template <typename Event>
+  bool Process(const Event& event) {
+    const HostState before = State();
+    fsm.process_event(event);
+    return State() != before;
+  }
+
+  msm::back::state_machine<LifeDef> fsm;
+};
+
+HostLife::HostLife() : machine_(std::make_unique<Machine>()) {}
+HostLife::HostLife(HostLife&&) noexcept = default;
+HostLife& HostLife::operator=(HostLife&&) noexcept = default;
+HostLife::~HostLife() = default;
+
+HostState HostLife::state() const {
+  return machine_->State();
+}
+
+bool HostLife::Ready() {
+  return machine_->Process(ReadyEvent());
+}
+
+bool HostLife::Leave() {
+  return machine_->Process(LeaveEvent());
+}
+
+bool HostLife::Stop() {
+  return machine_->Process(StopEvent());
+}
+
+bool HostLife::Report(HostState reported) {
+  switch (reported) {
+    case HostState::kStarting:
+      return false;
+    case HostState::kServing:
+      return Ready();
+    case HostState::kLeaving:
+      return Leave();
+    case HostState::kStopped:
+      return Stop();
+  }
+  return false;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/membership/membership_view.cc
@@ -0,0 +1,270 @@
+// What Membership answers about the hosts.
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "include/membership/membership.h"
+#include "include/membership/rank.h"
+
+namespace toucanknot {
+namespace {
+
+// The rank by which hosts carry digests and are spoken to from other zones.
+constexpr uint64_t kCarrierTag = 1;
+
+}  // namespace
+
+Duration Membership::HeartbeatInterval() const {
+  const auto targets = static_cast<int64_t>(members_.size());
+  return std::max(options_.min_heartbeat_interval,
+                  options_.heartbeat_spacing * targets);
+}
+
+Duration Membership::DigestInterval() const {
+  const auto zones = static_cast<int64_t>(roster_->zones().size());
+  return std::max(options_.min_digest_interval,
+                  options_.digest_spacing * zones);
+}
+
+SilenceLimits Membership::Limits() const {
+  const Duration interval = HeartbeatInterval();
+  return {interval * options_.suspect_intervals,
+          interval * options_.dead_intervals};
+}
+
+Duration Membership::StaleDigestAfter() const {
+  return DigestInterval() * options_.stale_digest_rounds;
+}
+
+Liveness Membership::LivenessOf(const HostId& host,
+                                const Member& member,
+                                Instant now) const {
+  const bool unlisted = now < host_list_until_ && unlisted_.contains(host);
+  return member.LivenessAt(now, Limits(), unlisted);
+}
+
+bool Membership::IsUsable(const HostId& host, Instant now) const {
+  if (host == self_.host)
+    return life_.state() == HostState::kServing;
+  const auto it = members_.find(host);
+  return it != members_.end() && it->second.state() == HostState::kServing &&
+         LivenessOf(host, it->second, now) != Liveness::kDead;
+}
+
+bool Membership::IsConfirmed(const HostId& host, Instant now) const {
+  if (host == self_.host)
+    return true;
+  const auto it = members_.find(host);
+  return it != members_.end() &&
+         LivenessOf(host, it->second, now) == Liveness::kLive;
+}
+
+std::vector<HostId> Membership::ExcludedOf(const Roster::Zone& zone,
+                                           Instant now) const {
+  std::vector<HostId> excluded;
+  if (IsInMesh(zone)) {
+    for (const HostId& it : zone.hosts) {
+      if (!IsUsable(it, now))
+        excluded.push_back(it);
+    }
+  } else if (const ZoneDigest* digest = zones_.Find(zone.id)) {
+    excluded = digest->excluded;
+  }
+  return excluded;
+}
+
+std::vector<HostId> Membership::LiveHosts(const ZoneId& zone,
+                                          Instant now) const {
+  std::vector<HostId> live;
+  for (const EntryCandidate& it : HostsOf(zone, now)) {
+    if (it.confirmed)
+      live.push_back(it.host);
+  }
+  return live;
+}
+
+std::vector<EntryCandidate> Membership::HostsOf(const ZoneId& id,
+                                                Instant now) const {
+  std::vector<EntryCandidate> hosts;
+  const Roster::Zone* zone = roster_ ? roster_->FindZone(id) : nullptr;
+  if (!zone)
+    return hosts;
+  const bool mesh = IsInMesh(*zone);
+  const bool fresh = now - zones_.MadeAt(id) <= StaleDigestAfter();
+  const std::vector<HostId> excluded = ExcludedOf(*zone, now);
+  for (const HostId& it : zone->hosts) {
+    if (std::find(excluded.begin(), excluded.end(), it) != excluded.end())
+      continue;
+    hosts.push_back(
+        {it, id, Proximity::kZone, mesh ? IsConfirmed(it, now) : fresh});
+  }
+  return hosts;
+}
+
+std::vector<HostId> Membership::PresentHosts(Instant now) const {
+  std::vector<HostId> present;
+  const Roster::Zone* own = roster_ ? roster_->FindZone(zone_) : nullptr;
+  if (!own)
+    return {self_.host};
+  for (const HostId& it : own->hosts) {
+    if (it == self_.host) {
+      present.push_back(it);
+      continue;
+    }
+    const auto member = members_.find(it);
+    if (member != members_.end() &&
+        LivenessOf(it, member->second, now) == Liveness::kLive) {
+      present.push_back(it);
+    }
+  }
+  return present;
+}
+
+std::vector<HostId> Membership::FirstHosts(size_t count, Instant now) const {
+  const std::vector<HostId> present = PresentHosts(now);
+  std::vector<HostId> staying;
+  for (const HostId& it : present) {
+    const HostState state =
+        it == self_.host ? life_.state() : members_.at(it).state();
+    if (state <= HostState::kServing)
+      staying.push_back(it);
+  }
+  auto ranked = Ranked(staying.empty() ? present : staying, kCarrierTag);
+  ranked.resize(std::min(ranked.size(), count));
+  return ranked;
+}
+
+std::vector<HostId> Membership::ContactsOf(const ZoneId& id,
+                                           size_t count) const {
+  const Roster::Zone* zone = roster_ ? roster_->FindZone(id) : nullptr;
+  if (!zone)
+    return {};
+  std::vector<HostId> hosts;
+  const ZoneDigest* digest = zones_.Find(id);
+  for (const HostId& it : zone->hosts) {
+    if (!digest || std::find(digest->excluded.begin(), digest->excluded.end(),
+                             it) == digest->excluded.end()) {
+      hosts.push_back(it);
+    }
+  }
+  // All excluded may be old news: someone has to be asked.
+  auto ranked = Ranked(hosts.empty() ? zone->hosts : hosts, kCarrierTag);
+  ranked.resize(std::min(ranked.size(), count));
+  return ranked;
+}
+
+std::vector<EntryCandidate> Membership::CandidatesFor(const ZoneId& zone,
+                                                      uint64_t salt,
+                                                      Instant now) const {
+  std::vector<EntryCandidate> out;
+  const Roster::Zone* own = roster_ ? roster_->FindZone(zone) : nullptr;
+  if (!own)
+    return out;
+  AppendCandidates(zone, Proximity::kZone, salt, now, &out);
+  for (const RegionId& region : roster_->RegionsFrom(own->region)) {
+    const auto proximity =
+        region == own->region ? Proximity::kRegion : Proximity::kOtherRegion;
+    for (const Roster::Zone& it : roster_->zones()) {
+      if (it.region == region && it.id != zone)
+        AppendCandidates(it.id, proximity, salt, now, &out);
+    }
+  }
+  std::stable_partition(out.begin(), out.end(),
+                        [](const EntryCandidate& c) { return c.confirmed; });
+  return out;
+}
+
+void Membership::AppendCandidates(const ZoneId& zone,
+                                  Proximity proximity,
+                                  uint64_t salt,
+                                  Instant now,
+                                  std::vector<EntryCandidate>* out) const {
+  std::vector<EntryCandidate> hosts = HostsOf(zone, now);
+  std::sort(hosts.begin(), hosts.end(), [&](const auto& a, const auto& b) {
+    return RankOf(a.host.str(), salt) < RankOf(b.host.str(), salt);
+  });
+  for (EntryCandidate& it : hosts) {
+    it.proximity = proximity;
+    out->push_back(std::move(it));
+  }
+}
+
+ZoneDigest Membership::OwnDigest(Instant now) const {
+  ZoneDigest digest;
+  digest.zone = zone_;
+  digest.capacity = own_capacity_;
+  digest.config = own_config_;
+  for (const ServerInFlight& it : own_in_flight_)
+    digest.in_flight += it.requests;
+  for (const auto& [host, member] : members_) {
+    const Roster::Zone* zone = roster_->ZoneOf(host);
+    if (!zone || zone->id != zone_ ||
+        LivenessOf(host, member, now) != Liveness::kLive) {
+      continue;
+    }
+    digest.capacity += member.capacity();
+    digest.config = std::max(digest.config, member.config());
+    for (const ServerInFlight& it : member.in_flight())
+      digest.in_flight += it.requests;
+  }
+  if (const Roster::Zone* own = roster_->FindZone(zone_)) {
+    digest.excluded = ExcludedOf(*own, now);
+    digest.live_hosts =
+        static_cast<int32_t>(own->hosts.size() - digest.excluded.size());
+  }
+  return digest;
+}
+
+std::vector<ZoneDigest> Membership::Digests(Instant now) const {
+  if (!roster_)
+    return {};
+  auto digests = zones_.Since(now - StaleDigestAfter(), now);
+  digests.push_back(OwnDigest(now));
+  return digests;
+}
+
+std::vector<HostLoad> Membership::Loads() const {
+  std::vector<HostLoad> loads;
+  for (const auto& [host, member] : members_) {
+    if (member.heard()) {
+      loads.push_back(
+          {host, member.in_flight(), member.capacity(), member.in_flight_at()});
+    }
+  }
+  return loads;
+}
+
+std::map<HostId, ConfigStamp> Membership::Configs() const {
+  std::map<HostId, ConfigStamp> configs;
+  configs[self_.host] = own_config_;
+  for (const auto& [host, member] : members_)
+    configs[host] = member.config();
+  return configs;
+}
+
+// A hash of all that answers depend on tells whether they may have changed.
+void Membership::RefreshView(Instant now) {
+  uint64_t hash = 0;
+  const auto add = [&](std::string_view text, uint64_t fact) {
+    hash = XXH64(text.data(), text.size(), hash * 31 + fact);
+  };
+  for (const auto& [host, member] : members_) {
+    const auto liveness = static_cast<uint64_t>(LivenessOf(host, member, now));
+    add(host.str(), liveness * 4 + static_cast<uint64_t>(member.state()));
+  }
+  for (const Roster::Zone& zone : roster_->zones()) {
+    const ZoneDigest* digest = zones_.Find(zone.id);
+    if (!digest)
+      continue;
+    add(zone.id.str(), now - zones_.MadeAt(zone.id) <= StaleDigestAfter());
+    for (const HostId& it : digest->excluded)
+      add(it.str(), 0);
+  }
+  if (hash != view_hash_)
+    ++view_version_;
+  view_hash_ = hash;
+}
+
+}  // namespace toucanknot
