membership: ranks and zones are found once, not at each tick

Cause: a Tick ranked all hosts of the zone three times and looked up the region's zones for each question. Change: ranks and mesh zones are kept with the roster; what other zones are told is worked out only when the view has changed; first hosts by partial sort.

--- a/include/membership/config_spread.h
+++ b/include/membership/config_spread.h
@@ -103,6 +103,8 @@
   // Whether the last call to the store failed.
   bool store_failing() const { return pacer_.failing(); }
   bool IsReader(Instant now) const;
+  // IsReader() as of the last Tick().
+  bool is_reader() const { return is_reader_; }
   ConfigSpreadStats stats() const;
 
  private:
@@ -136,7 +138,6 @@
   uint64_t newest_heard_ = 0;
   uint64_t store_version_ = 0;
   uint64_t seen_revision_ = 0;
-  // As of the last Tick().
   bool is_reader_ = false;
 
   std::optional<Lead> lead_;
--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -157,6 +157,14 @@
   std::map<HostId, ConfigStamp> Configs() const;
 
  private:
+  struct MeshHost {
+    Member member;
+    // Whether it is of this host's own zone.
+    bool in_zone = false;
+    // Its place among the hosts that carry digests and watch the store.
+    uint64_t rank = 0;
+  };
+
   Duration HeartbeatInterval() const;
   Duration DigestInterval() const;
   Duration StaleDigestAfter() const;
@@ -165,7 +173,7 @@
                       const Member& member,
                       Instant now) const;
   // Whether hosts of `zone` exchange heartbeats with this one.
-  bool IsInMesh(const Roster::Zone& zone) const;
+  bool IsInMesh(const ZoneId& zone) const { return mesh_zones_.contains(zone); }
   // Of this host and those it exchanges heartbeats with: serving and not dead.
   bool IsUsable(const HostId& host, Instant now) const;
   bool IsConfirmed(const HostId& host, Instant now) const;
@@ -180,6 +188,7 @@
   ZoneDigest OwnDigest(Instant now) const;
   Heartbeat OwnHeartbeat(Instant now);
 
+  void FindMeshZones();
   void AddMembers(bool optimistic, Instant now);
   void DropMembers();
   void OnHeartbeat(const PeerSender& from,
@@ -204,8 +213,10 @@
   std::mt19937_64 random_;
   HostLife life_;
   RosterPtr roster_;
-  // The other hosts that heartbeats are exchanged with.
-  std::map<HostId, Member> members_;
+  // The zones whose hosts exchange heartbeats with this one.
+  std::set<ZoneId> mesh_zones_;
+  // The other hosts of those zones.
+  std::map<HostId, MeshHost> members_;
   ZoneTable zones_;
 
   std::vector<ServerInFlight> own_in_flight_;
@@ -226,6 +237,8 @@
   Instant next_notice_;
   // The excluded hosts of this zone that other zones were last told.
   std::vector<HostId> told_excluded_;
+  // The view by which they were found.
+  uint64_t told_view_ = 0;
   // Rounds of digests that were passed on in the zone.
   std::vector<uint64_t> relayed_rounds_;
   uint64_t view_hash_ = 0;
--- a/include/membership/rank.h
+++ b/include/membership/rank.h
@@ -12,6 +12,10 @@
 // Orders hosts without asking anyone: all who see the same hosts find the same
 // order, and who sees one host less finds the others in the same order.
 
+// The rank by which hosts of a zone carry digests, watch the store, and are
+// spoken to from other zones.
+inline constexpr uint64_t kCarrierTag = 1;
+
 // A number that is the same on every host.
 uint64_t RankOf(std::string_view text, uint64_t tag);
 
--- a/src/membership/fleet_agent.cc
+++ b/src/membership/fleet_agent.cc
@@ -60,7 +60,7 @@
   actions.messages = membership_.Tick(now);
   auto more = spread_.Tick(now, &actions.watch);
   std::move(more.begin(), more.end(), std::back_inserter(actions.messages));
-  is_reader_ = spread_.IsReader(now);
+  is_reader_ = spread_.is_reader();
   if (is_reader_ && list_pacer_.IsDue(now)) {
     list_pacer_.OnStart(now);
     actions.list_hosts = true;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -28,30 +28,38 @@
   roster_ = std::move(roster);
   if (is_first)
     last_tick_ = next_heartbeat_ = next_digest_ = now;
+  FindMeshZones();
   DropMembers();
   AddMembers(is_first, now);
   ++view_version_;
 }
 
-bool Membership::IsInMesh(const Roster::Zone& zone) const {
-  if (zone.id == zone_)
-    return true;
+// The own zone, and the region's other zones while the region is small.
+void Membership::FindMeshZones() {
+  mesh_zones_ = {zone_};
   const Roster::Zone* own = roster_->FindZone(zone_);
-  if (!own || own->region != zone.region)
-    return false;
+  std::set<ZoneId> in_region;
   size_t hosts = 0;
-  for (const Roster::Zone& it : roster_->zones())
-    hosts += it.region == zone.region ? it.hosts.size() : 0;
-  return hosts <= options_.max_region_mesh;
+  for (const Roster::Zone& it : roster_->zones()) {
+    if (!own || it.region != own->region)
+      continue;
+    in_region.insert(it.id);
+    hosts += it.hosts.size();
+  }
+  if (hosts <= options_.max_region_mesh)
+    mesh_zones_.merge(in_region);
 }
 
 void Membership::AddMembers(bool optimistic, Instant now) {
-  for (const Roster::Zone& zone : roster_->zones()) {
-    if (!IsInMesh(zone))
+  for (const ZoneId& id : mesh_zones_) {
+    const Roster::Zone* zone = roster_->FindZone(id);
+    if (!zone)
       continue;
-    for (const HostId& it : zone.hosts) {
-      if (it != self_.host)
-        members_.try_emplace(it, optimistic, now);
+    for (const HostId& it : zone->hosts) {
+      if (it == self_.host)
+        continue;
+      members_.try_emplace(it, MeshHost{Member(optimistic, now), id == zone_,
+                                        RankOf(it.str(), kCarrierTag)});
     }
   }
 }
@@ -59,7 +67,7 @@
 void Membership::DropMembers() {
   std::erase_if(members_, [&](const auto& item) {
     const Roster::Zone* zone = roster_->ZoneOf(item.first);
-    return !zone || !IsInMesh(*zone);
+    return !zone || !IsInMesh(zone->id);
   });
 }
 
@@ -82,12 +90,12 @@
   const auto member = members_.find(from.host);
   if (member == members_.end())
     return;
-  if (!member->second.OnHeartbeat(from, heartbeat, Limits(), now))
+  if (!member->second.member.OnHeartbeat(from, heartbeat, Limits(), now))
     return;
   const Instant until = now + HeartbeatInterval() * options_.suspect_intervals;
   for (const HostId& it : heartbeat.unlisted) {
     if (const auto other = members_.find(it); other != members_.end())
-      other->second.OnUnlistedHint(until);
+      other->second.member.OnUnlistedHint(until);
   }
 }
 
@@ -95,7 +103,7 @@
                                  const LeavingNotice& notice) {
   const auto member = members_.find(from.host);
   if (member != members_.end())
-    member->second.OnNotice(from, notice.state);
+    member->second.member.OnNotice(from, notice.state);
 }
 
 void Membership::OnZoneDigests(const PeerSender& from,
@@ -218,8 +226,8 @@
   const Duration gap = now - last_tick_;
   if (gap <= HeartbeatInterval() * 2)
     return;
-  for (auto& [host, member] : members_)
-    member.Forgive(gap);
+  for (auto& [host, it] : members_)
+    it.member.Forgive(gap);
 }
 
 void Membership::SendHeartbeats(Instant now) {
@@ -277,8 +285,9 @@
 // What callers in other zones must know at once does not wait for its turn.
 void Membership::SendOwnDigestIfChanged(Instant now) {
   const Roster::Zone* own = roster_->FindZone(zone_);
-  if (!own || now < next_notice_)
+  if (!own || now < next_notice_ || told_view_ == view_version_)
     return;
+  told_view_ = view_version_;
   std::vector<HostId> excluded = ExcludedOf(*own, now);
   if (excluded == told_excluded_)
     return;
--- a/src/membership/membership_view.cc
+++ b/src/membership/membership_view.cc
@@ -3,18 +3,13 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "include/membership/membership.h"
 #include "include/membership/rank.h"
 
 namespace toucanknot {
-namespace {
-
-// The rank by which hosts carry digests and are spoken to from other zones.
-constexpr uint64_t kCarrierTag = 1;
-
-}  // namespace
 
 Duration Membership::HeartbeatInterval() const {
   const auto targets = static_cast<int64_t>(members_.size());
@@ -49,8 +44,9 @@
   if (host == self_.host)
     return life_.state() == HostState::kServing;
   const auto it = members_.find(host);
-  return it != members_.end() && it->second.state() == HostState::kServing &&
-         LivenessOf(host, it->second, now) != Liveness::kDead;
+  return it != members_.end() &&
+         it->second.member.state() == HostState::kServing &&
+         LivenessOf(host, it->second.member, now) != Liveness::kDead;
 }
 
 bool Membership::IsConfirmed(const HostId& host, Instant now) const {
@@ -58,13 +54,13 @@
     return true;
   const auto it = members_.find(host);
   return it != members_.end() &&
-         LivenessOf(host, it->second, now) == Liveness::kLive;
+         LivenessOf(host, it->second.member, now) == Liveness::kLive;
 }
 
 std::vector<HostId> Membership::ExcludedOf(const Roster::Zone& zone,
                                            Instant now) const {
   std::vector<HostId> excluded;
-  if (IsInMesh(zone)) {
+  if (IsInMesh(zone.id)) {
     for (const HostId& it : zone.hosts) {
       if (!IsUsable(it, now))
         excluded.push_back(it);
@@ -91,7 +87,7 @@
   const Roster::Zone* zone = roster_ ? roster_->FindZone(id) : nullptr;
   if (!zone)
     return hosts;
-  const bool mesh = IsInMesh(*zone);
+  const bool mesh = IsInMesh(id);
   const bool fresh = now - zones_.MadeAt(id) <= StaleDigestAfter();
   const std::vector<HostId> excluded = ExcludedOf(*zone, now);
   for (const HostId& it : zone->hosts) {
@@ -115,7 +111,7 @@
     }
     const auto member = members_.find(it);
     if (member != members_.end() &&
-        LivenessOf(it, member->second, now) == Liveness::kLive) {
+        LivenessOf(it, member->second.member, now) == Liveness::kLive) {
       present.push_back(it);
     }
   }
@@ -123,17 +119,29 @@
 }
 
 std::vector<HostId> Membership::FirstHosts(size_t count, Instant now) const {
-  const std::vector<HostId> present = PresentHosts(now);
-  std::vector<HostId> staying;
-  for (const HostId& it : present) {
-    const HostState state =
-        it == self_.host ? life_.state() : members_.at(it).state();
-    if (state <= HostState::kServing)
-      staying.push_back(it);
+  using Place = std::pair<uint64_t, const HostId*>;
+  std::vector<Place> staying;
+  std::vector<Place> leaving;
+  const auto add = [&](HostState state, uint64_t rank, const HostId& host) {
+    (state <= HostState::kServing ? staying : leaving)
+        .emplace_back(rank, &host);
+  };
+  add(life_.state(), RankOf(self_.host.str(), kCarrierTag), self_.host);
+  for (const auto& [host, it] : members_) {
+    if (it.in_zone && LivenessOf(host, it.member, now) == Liveness::kLive)
+      add(it.member.state(), it.rank, host);
   }
-  auto ranked = Ranked(staying.empty() ? present : staying, kCarrierTag);
-  ranked.resize(std::min(ranked.size(), count));
-  return ranked;
+  std::vector<Place>& places = staying.empty() ? leaving : staying;
+  const size_t n = std::min(places.size(), count);
+  const auto by_rank = [](const Place& a, const Place& b) {
+    return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+  };
+  std::partial_sort(places.begin(), places.begin() + static_cast<long>(n),
+                    places.end(), by_rank);
+  std::vector<HostId> first;
+  for (size_t i = 0; i < n; ++i)
+    first.push_back(*places[i].second);
+  return first;
 }
 
 std::vector<HostId> Membership::ContactsOf(const ZoneId& id,
@@ -198,16 +206,14 @@
   digest.config = own_config_;
   for (const ServerInFlight& it : own_in_flight_)
     digest.in_flight += it.requests;
-  for (const auto& [host, member] : members_) {
-    const Roster::Zone* zone = roster_->ZoneOf(host);
-    if (!zone || zone->id != zone_ ||
-        LivenessOf(host, member, now) != Liveness::kLive) {
+  for (const auto& [host, it] : members_) {
+    const Member& member = it.member;
+    if (!it.in_zone || LivenessOf(host, member, now) != Liveness::kLive)
       continue;
-    }
     digest.capacity += member.capacity();
     digest.config = std::max(digest.config, member.config());
-    for (const ServerInFlight& it : member.in_flight())
-      digest.in_flight += it.requests;
+    for (const ServerInFlight& load : member.in_flight())
+      digest.in_flight += load.requests;
   }
   if (const Roster::Zone* own = roster_->FindZone(zone_)) {
     digest.excluded = ExcludedOf(*own, now);
@@ -227,7 +233,8 @@
 
 std::vector<HostLoad> Membership::Loads() const {
   std::vector<HostLoad> loads;
-  for (const auto& [host, member] : members_) {
+  for (const auto& [host, it] : members_) {
+    const Member& member = it.member;
     if (member.heard()) {
       loads.push_back(
           {host, member.in_flight(), member.capacity(), member.in_flight_at()});
@@ -239,8 +246,8 @@
 std::map<HostId, ConfigStamp> Membership::Configs() const {
   std::map<HostId, ConfigStamp> configs;
   configs[self_.host] = own_config_;
-  for (const auto& [host, member] : members_)
-    configs[host] = member.config();
+  for (const auto& [host, it] : members_)
+    configs[host] = it.member.config();
   return configs;
 }
 
@@ -250,9 +257,10 @@
   const auto add = [&](std::string_view text, uint64_t fact) {
     hash = XXH64(text.data(), text.size(), hash * 31 + fact);
   };
-  for (const auto& [host, member] : members_) {
-    const auto liveness = static_cast<uint64_t>(LivenessOf(host, member, now));
-    add(host.str(), liveness * 4 + static_cast<uint64_t>(member.state()));
+  for (const auto& [host, it] : members_) {
+    const Liveness liveness = LivenessOf(host, it.member, now);
+    add(host.str(), static_cast<uint64_t>(liveness) * 4 +
+                        static_cast<uint64_t>(it.member.state()));
   }
   for (const Roster::Zone& zone : roster_->zones()) {
     const ZoneDigest* digest = zones_.Find(zone.id);
