membership, peer: names that once and health use already

Cause: HostLife and TicketState each named two classes of one namespace. Change: HostLifeCycle, as ServerLifeCycle; TicketFate on the wire. Conclusion: one name, one class.

--- a/include/membership/host_life.h
+++ b/include/membership/host_life_cycle.h
@@ -1,5 +1,5 @@
-#ifndef INCLUDE_MEMBERSHIP_HOST_LIFE_H_
-#define INCLUDE_MEMBERSHIP_HOST_LIFE_H_
+#ifndef INCLUDE_MEMBERSHIP_HOST_LIFE_CYCLE_H_
+#define INCLUDE_MEMBERSHIP_HOST_LIFE_CYCLE_H_
 
 #include <memory>
 
@@ -9,12 +9,12 @@
 
 // The life cycle of one incarnation of a host: starting, serving, leaving,
 // stopped. It only goes forward; a host that is back is another incarnation.
-class HostLife {
+class HostLifeCycle {
  public:
-  HostLife();
-  HostLife(HostLife&&) noexcept;
-  HostLife& operator=(HostLife&&) noexcept;
-  ~HostLife();
+  HostLifeCycle();
+  HostLifeCycle(HostLifeCycle&&) noexcept;
+  HostLifeCycle& operator=(HostLifeCycle&&) noexcept;
+  ~HostLifeCycle();
 
   HostState state() const;
 
@@ -37,4 +37,4 @@
 
 }  // namespace toucanknot
 
-#endif  // INCLUDE_MEMBERSHIP_HOST_LIFE_H_
+#endif  // INCLUDE_MEMBERSHIP_HOST_LIFE_CYCLE_H_
--- a/include/membership/member.h
+++ b/include/membership/member.h
@@ -6,7 +6,7 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
-#include "include/membership/host_life.h"
+#include "include/membership/host_life_cycle.h"
 #include "include/peer/messages.h"
 
 namespace toucanknot {
@@ -65,7 +65,7 @@
                const SilenceLimits& limits,
                Instant now) const;
 
-  HostLife life_;
+  HostLifeCycle life_;
   bool assumed_;
   bool heard_ = false;
   Incarnation incarnation_ = 0;
--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -11,7 +11,7 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
-#include "include/membership/host_life.h"
+#include "include/membership/host_life_cycle.h"
 #include "include/membership/member.h"
 #include "include/membership/roster.h"
 #include "include/membership/zone_table.h"
@@ -211,7 +211,7 @@
   const ZoneId zone_;
   const MembershipOptions options_;
   std::mt19937_64 random_;
-  HostLife life_;
+  HostLifeCycle life_;
   RosterPtr roster_;
   // The zones whose hosts exchange heartbeats with this one.
   std::set<ZoneId> mesh_zones_;
--- a/include/peer/messages.h
+++ b/include/peer/messages.h
@@ -155,7 +155,7 @@
 };
 
 // What the owner knows of a ticket.
-enum class TicketState {
+enum class TicketFate {
   // The owner cannot tell.
   kUnknown,
   // Unused, and voided by this ask: it will never run.
@@ -166,12 +166,12 @@
   kEnded,
 };
 
-inline constexpr EnumNames<TicketState, 4> kTicketStateNames{
+inline constexpr EnumNames<TicketFate, 4> kTicketFateNames{
     {"unknown", "voided", "running", "ended"}};
 
 struct TicketAnswer {
   uint64_t ask = 0;
-  TicketState state = TicketState::kUnknown;
+  TicketFate state = TicketFate::kUnknown;
   // The kept answer, as the ticket's owner encodes it.
   std::string answer;
 
--- a/src/membership/host_life.cc
+++ b/src/membership/host_life_cycle.cc
@@ -1,4 +1,4 @@
-#include "include/membership/host_life.h"
+#include "include/membership/host_life_cycle.h"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-struct HostLife::Machine {
+struct HostLifeCycle::Machine {
   Machine() { fsm.start(); }
 
   // The library numbers states in the order of the table's first column.
@@ -58,28 +58,28 @@
   msm::back::state_machine<LifeDef> fsm;
 };
 
-HostLife::HostLife() : machine_(std::make_unique<Machine>()) {}
-HostLife::HostLife(HostLife&&) noexcept = default;
-HostLife& HostLife::operator=(HostLife&&) noexcept = default;
-HostLife::~HostLife() = default;
+HostLifeCycle::HostLifeCycle() : machine_(std::make_unique<Machine>()) {}
+HostLifeCycle::HostLifeCycle(HostLifeCycle&&) noexcept = default;
+HostLifeCycle& HostLifeCycle::operator=(HostLifeCycle&&) noexcept = default;
+HostLifeCycle::~HostLifeCycle() = default;
 
-HostState HostLife::state() const {
+HostState HostLifeCycle::state() const {
   return machine_->State();
 }
 
-bool HostLife::Ready() {
+bool HostLifeCycle::Ready() {
   return machine_->Process(ReadyEvent());
 }
 
-bool HostLife::Leave() {
+bool HostLifeCycle::Leave() {
   return machine_->Process(LeaveEvent());
 }
 
-bool HostLife::Stop() {
+bool HostLifeCycle::Stop() {
   return machine_->Process(StopEvent());
 }
 
-bool HostLife::Report(HostState reported) {
+bool HostLifeCycle::Report(HostState reported) {
   switch (reported) {
     case HostState::kStarting:
       return false;
--- a/src/membership/member.cc
+++ b/src/membership/member.cc
@@ -15,7 +15,7 @@
     if (heard_ && !IsNewer(from, limits, now))
       return false;
     incarnation_ = from.incarnation;
-    life_ = HostLife();
+    life_ = HostLifeCycle();
   } else if (heartbeat.sequence <= last_.sequence) {
     return false;
   }
--- a/src/peer/wire_convert.cc
+++ b/src/peer/wire_convert.cc
@@ -344,7 +344,7 @@
   });
   taker.Take(set.ticket_answer, [&] {
     const wire::TicketAnswer& it = in.ticket_answer;
-    return TicketAnswer{Unsigned(it.ask), ToEnum(it.state, kTicketStateNames),
+    return TicketAnswer{Unsigned(it.ask), ToEnum(it.state, kTicketFateNames),
                         it.answer};
   });
   taker.Take(set.budget_demand, [&] { return FromWire(in.budget_demand); });
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 TEST_CASE("a host's life goes forward only") {
-  HostLife life;
+  HostLifeCycle life;
   CHECK(life.state() == HostState::kStarting);
   CHECK(life.Ready());
   CHECK_FALSE(life.Ready());
@@ -52,7 +52,7 @@
   CHECK(life.Stop());
   CHECK_FALSE(life.Report(HostState::kLeaving));
   CHECK(life.state() == HostState::kStopped);
-  HostLife other;
+  HostLifeCycle other;
   CHECK(other.Leave());
   CHECK(other.state() == HostState::kLeaving);
 }
--- a/tests/peer/envelope_test.cc
+++ b/tests/peer/envelope_test.cc
@@ -34,7 +34,7 @@
           PartGive{"aa", true, std::string(5000, '\xff')},
           QuarantineNotice{ServiceId("orders"), ~0ULL, Duration(300'000)},
           TicketAsk{5, "ticket", 6, false},
-          TicketAnswer{5, TicketState::kEnded, "answer"},
+          TicketAnswer{5, TicketFate::kEnded, "answer"},
           BudgetDemand{3, {{"region/khomas", 12.5}}},
           BudgetGrant{3, {{"region/khomas", 12.5, Duration(2000)}}}};
 }
