--- a/include/store/http_exchange.h
+++ b/include/store/http_exchange.h
@@ -8,14 +8,10 @@
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
 #include "include/base/enum_names.h"
+#include "include/base/http_field.h"
 
 namespace toucanknot {
 
-struct HttpField {
-  std::string name;
-  std::string value;
-};
-
 // A request to the platform or to a host's admin listener.
 struct HttpCall {
   std::string method = "GET";
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -112,14 +112,13 @@
   std::atomic<LookupTablePtr> lookups_;
   HostMetrics metrics_;
   TicketDesk tickets_;
-  // The workers go before what their coroutines use.
+  WorkerPool workers_;
   std::unique_ptr<Sender> sender_;
   std::unique_ptr<OnceRunner> once_;
   std::unique_ptr<IdempotentRunner> idempotent_;
   std::unique_ptr<CallerHandler> callers_;
   std::unique_ptr<AdminHandler> admin_;
   std::unique_ptr<Prober> prober_;
-  WorkerPool workers_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> admin_server_;
   ConfigIntake intake_;
@@ -166,8 +165,6 @@
 
 HostDaemon::Impl::~Impl() {
   watcher_.reset();
-  caller_server_.reset();
-  admin_server_.reset();
   workers_.Stop();
 }
 
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -6,15 +6,10 @@
 #include <vector>
 
 #include "include/base/clock.h"
+#include "include/base/http_field.h"
 
 namespace toucanknot {
 
-// One header field.
-struct HttpField {
-  std::string name;
-  std::string value;
-};
-
 // The fields of a message, in the order in which they came. Names compare
 // without regard to case.
 class HttpFields {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <unordered_set>
 #include <utility>
 
@@ -89,12 +90,15 @@
         limits_(limits),
         body_limit_(std::move(body_limit)),
         handler_(std::move(handler)),
-        acceptor_(workers.loop(0)) {}
+        acceptor_(std::in_place, workers.loop(0)) {}
 
   Endpoint Listen(const Endpoint& endpoint);
   void BeginStop() { stopping_ = true; }
   void StopAccepting();
   void Abort();
+  // Closes all sockets in this thread; the workers must have been stopped.
+  void Release();
+  WorkerPool& workers() { return workers_; }
   HttpServerCounts Counts() const;
 
  private:
@@ -111,7 +115,8 @@
   const HttpServerLimits limits_;
   const BodyLimit body_limit_;
   const Handler handler_;
-  tcp::acceptor acceptor_;
+  // Nothing once the listener is released.
+  std::optional<tcp::acceptor> acceptor_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> accepting_{false};
 
@@ -146,10 +151,13 @@
   void Interrupt(bool force) {
     asio::post(stream_.get_executor(), [self = shared_from_this(), force] {
       if (force || self->idle_)
-        self->stream_.close();
+        self->Close();
     });
   }
 
+  // On its worker, or when the workers have been stopped.
+  void Close() { stream_.close(); }
+
  private:
   using Parser = http::request_parser<http::string_body>;
 
@@ -347,27 +355,27 @@
 Endpoint HttpServer::Listener::Listen(const Endpoint& endpoint) {
   const tcp::endpoint address(asio::ip::make_address(endpoint.ip),
                               endpoint.port);
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(address);
-  acceptor_.listen();
+  acceptor_->open(address.protocol());
+  acceptor_->set_option(asio::socket_base::reuse_address(true));
+  acceptor_->bind(address);
+  acceptor_->listen();
   accepting_ = true;
   asio::co_spawn(
-      acceptor_.get_executor(),
+      acceptor_->get_executor(),
       [self = shared_from_this()] { return self->AcceptLoop(); },
       asio::detached);
-  return {endpoint.ip, acceptor_.local_endpoint().port()};
+  return {endpoint.ip, acceptor_->local_endpoint().port()};
 }
 
 asio::awaitable<void> HttpServer::Listener::AcceptLoop() {
   while (accepting_) {
     auto [ec, socket] =
-        co_await acceptor_.async_accept(workers_.Next(), kAwait);
+        co_await acceptor_->async_accept(workers_.Next(), kAwait);
     if (ec == asio::error::operation_aborted)
       co_return;
     if (ec) {
       // Out of descriptors, most likely: give connections time to end.
-      asio::steady_timer pause(acceptor_.get_executor(),
+      asio::steady_timer pause(acceptor_->get_executor(),
                                std::chrono::milliseconds(50));
       co_await pause.async_wait(kAwait);
       continue;
@@ -411,18 +419,18 @@
   BeginStop();
   if (!accepting_.exchange(false))
     return;
-  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+  asio::post(acceptor_->get_executor(), [self = shared_from_this()] {
     beast::error_code ec;
-    self->acceptor_.cancel(ec);
-    self->acceptor_.non_blocking(true, ec);
+    self->acceptor_->cancel(ec);
+    self->acceptor_->non_blocking(true, ec);
     for (;;) {
       tcp::socket socket(self->workers_.Next());
-      self->acceptor_.accept(socket, ec);
+      self->acceptor_->accept(socket, ec);
       if (ec)
         break;
       self->Adopt(std::move(socket));
     }
-    self->acceptor_.close(ec);
+    self->acceptor_->close(ec);
     const std::lock_guard lock(self->mutex_);
     for (const auto& it : self->connections_)
       it->Interrupt(false);
@@ -432,15 +440,23 @@
 void HttpServer::Listener::Abort() {
   BeginStop();
   accepting_ = false;
-  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+  asio::post(acceptor_->get_executor(), [self = shared_from_this()] {
     beast::error_code ec;
-    self->acceptor_.close(ec);
+    self->acceptor_->close(ec);
   });
   const std::lock_guard lock(mutex_);
   for (const auto& it : connections_)
     it->Interrupt(true);
 }
 
+void HttpServer::Listener::Release() {
+  acceptor_.reset();
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : connections_)
+    it->Close();
+  connections_.clear();
+}
+
 HttpServerCounts HttpServer::Listener::Counts() const {
   HttpServerCounts counts;
   counts.accepted = accepted_;
@@ -465,7 +481,10 @@
                                            std::move(handler))) {}
 
 HttpServer::~HttpServer() {
-  listener_->Abort();
+  if (listener_->workers().stopped())
+    listener_->Release();
+  else
+    listener_->Abort();
 }
 
 Endpoint HttpServer::Listen(const Endpoint& endpoint) {
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -44,6 +44,7 @@
     if (it.joinable())
       it.join();
   }
+  stopped_ = true;
 }
 
 }  // namespace toucanknot
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -32,8 +32,10 @@
   static int Current();
 
   // Stops the loops at once and joins the threads. Not to be called from a
-  // worker.
+  // worker. What holds sockets must be destroyed between this and the pool's
+  // destruction, which destroys the coroutines that were left waiting.
   void Stop();
+  bool stopped() const { return stopped_; }
 
  private:
   using Guard = boost::asio::executor_work_guard<Loop::executor_type>;
@@ -42,6 +44,7 @@
   std::vector<Guard> guards_;
   std::vector<std::thread> threads_;
   std::atomic<unsigned> next_{0};
+  std::atomic<bool> stopped_{false};
 };
 
 }  // namespace toucanknot
--- a/src/standin/backend_server.cc
+++ b/src/standin/backend_server.cc
@@ -69,6 +69,11 @@
   boost::asio::co_spawn(workers_.Next(), restart, boost::asio::detached);
 }
 
+void StandinBackendServer::Close() {
+  const std::lock_guard lock(mutex_);
+  server_.reset();
+}
+
 void StandinBackendServer::SetFaults(const BackendFaults& faults) {
   const std::lock_guard lock(mutex_);
   faults_ = faults;
@@ -84,6 +89,11 @@
   return server_;
 }
 
+int StandinBackendServer::running() const {
+  const std::lock_guard lock(mutex_);
+  return running_;
+}
+
 int StandinBackendServer::peak_running() const {
   const std::lock_guard lock(mutex_);
   return peak_running_;
--- a/src/standin/backend_server.h
+++ b/src/standin/backend_server.h
@@ -51,6 +51,8 @@
   void Start();
   // Breaks every connection, as a crash does; comes back after `down`.
   void Crash(Duration down);
+  // Ends it for good; the workers must have been stopped.
+  void Close();
   void SetFaults(const BackendFaults& faults);
   BackendFaults faults() const;
 
@@ -58,6 +60,7 @@
   // The most connections and running requests seen at once.
   int64_t peak_connections() const { return peak_connections_; }
   int peak_running() const;
+  int running() const;
   // When the last request arrived.
   Instant last_arrival() const;
 
--- a/src/standin/standin_fleet.cc
+++ b/src/standin/standin_fleet.cc
@@ -71,9 +71,10 @@
 }
 
 StandinFleet::~StandinFleet() {
-  platform_.reset();
-  control_.reset();
+  store_->SetDown(true);
   workers_.Stop();
+  for (const auto& [id, server] : servers_)
+    server->Close();
 }
 
 void StandinFleet::Start(const Endpoint& store) {
