--- /dev/null
+++ b/bench/config/config_bench.cc
@@ -0,0 +1,37 @@
+#include <benchmark/benchmark.h>
+
+#include "bench/config/sized_fleet.h"
+#include "include/config/config_offer.h"
+#include "include/config/config_text.h"
+#include "include/config/places.h"
+
+namespace toucanknot::bench {
+namespace {
+
+// Reading and checking an accepted configuration, as each host does for each
+// version. Arguments: entry hosts, exceptions.
+void CheckOfferAtSize(benchmark::State& state) {
+  const FleetConfig config = SizedFleet(static_cast<int>(state.range(0)),
+                                        static_cast<int>(state.range(1)));
+  const ConfigOffer offer = MakeOffer(config, 1);
+  for (auto _ : state)
+    benchmark::DoNotOptimize(CheckOffer(offer));
+  state.counters["text_bytes"] = static_cast<double>(offer.text.size());
+}
+BENCHMARK(CheckOfferAtSize)
+    ->Unit(benchmark::kMillisecond)
+    ->ArgsProduct({{70, 700, 6800}, {20, 200}});
+
+// Resolving one place.
+void ResolveAtSize(benchmark::State& state) {
+  const FleetConfig config = SizedFleet(70, static_cast<int>(state.range(0)));
+  const Service& service = config.services.front();
+  const Scope place =
+      PlaceOfServer(config, service.id, service.servers.front());
+  for (auto _ : state)
+    benchmark::DoNotOptimize(config.Resolve(place, 0));
+}
+BENCHMARK(ResolveAtSize)->Arg(2)->Arg(20)->Arg(200);
+
+}  // namespace
+}  // namespace toucanknot::bench
--- a/include/config/config_text.h
+++ b/include/config/config_text.h
@@ -22,6 +22,9 @@
                                 const std::string& source,
                                 std::optional<uint64_t> version = {});
 
+// The same without the digest, for who has one already.
+FleetConfig ReadFleetConfig(std::string_view text, const std::string& source);
+
 // The canonical text: no version, no comments, and of the defaults those that
 // differ from the built-in ones. Reading it gives an equal configuration and
 // the same text again.
--- a/include/config/object_reader.h
+++ b/include/config/object_reader.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +65,7 @@
   // The member; notes that it is missing when `valid` is given.
   const boost::json::value* Required(std::string_view key,
                                      const std::string& valid);
+  void NoteUnknown(std::string_view key);
   std::string ItemPath(std::string_view key,
                        size_t i,
                        const boost::json::value& item) const;
@@ -73,7 +73,7 @@
   std::string path_;
   const boost::json::object* object_ = nullptr;
   std::vector<Problem>& problems_;
-  std::set<std::string, std::less<>> known_;
+  std::vector<std::string> known_;
 };
 
 // Whether `text` may be an id: 1 to 64 letters, digits, '-', '_' and '.'.
--- a/src/config/config_offer.cc
+++ b/src/config/config_offer.cc
@@ -26,8 +26,9 @@
   }
   // Another release may write the same configuration as another text: the
   // digest is that of the text as it was offered.
-  auto config = std::make_shared<FleetConfig>(
-      *ParseFleetConfig(offer.text, source, offer.version));
+  auto config =
+      std::make_shared<FleetConfig>(ReadFleetConfig(offer.text, source));
+  config->version = offer.version;
   config->digest = offer.digest;
   return config;
 }
--- a/src/config/config_parser.cc
+++ b/src/config/config_parser.cc
@@ -225,21 +225,24 @@
 
 }  // namespace
 
-FleetConfigPtr ParseFleetConfig(std::string_view text,
-                                const std::string& source,
-                                std::optional<uint64_t> version) {
+FleetConfig ReadFleetConfig(std::string_view text, const std::string& source) {
   const boost::json::value value = ParseJson(text, source);
   std::vector<Problem> problems;
-  auto config =
-      std::make_shared<FleetConfig>(ReadConfigObject(value, problems));
+  FleetConfig config = ReadConfigObject(value, problems);
   if (value.is_object()) {
-    for (Problem& it : CheckFleetConfig(*config))
+    for (Problem& it : CheckFleetConfig(config))
       problems.push_back(std::move(it));
   }
   if (!problems.empty())
     throw InvalidConfigError(source, std::move(problems));
-  if (version)
-    config->version = *version;
+  return config;
+}
+
+FleetConfigPtr ParseFleetConfig(std::string_view text,
+                                const std::string& source,
+                                std::optional<uint64_t> version) {
+  auto config = std::make_shared<FleetConfig>(ReadFleetConfig(text, source));
+  config->version = version.value_or(config->version);
   config->digest = DigestOf(WriteFleetConfig(*config));
   return config;
 }
--- /dev/null
+++ b/src/config/exception_check.cc
@@ -0,0 +1,211 @@
+#include "src/config/exception_check.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "include/config/tunable_table.h"
+
+namespace toucanknot {
+namespace {
+
+// Before every exception's end.
+constexpr int64_t kBeforeAllEnds = std::numeric_limits<int64_t>::min();
+
+// Extra requests that retries and hedges may make of each success.
+constexpr double kMaxExtraShare = 0.5;
+
+// The keys that CheckSums() compares.
+constexpr std::string_view kSummedKeys[] = {
+    "deadline_ms",        "max_deadline_ms",   "drain_limit_ms",
+    "max_report_age_ms",  "probe_interval_ms", "keep_answer_ms",
+    "ticket_lifetime_ms", "retry_ratio",       "hedge_ratio"};
+
+bool ChangesSums(const ConfigException& exception) {
+  return std::any_of(exception.values.begin(), exception.values.end(),
+                     [](const TunableValue& it) {
+                       return std::count(std::begin(kSummedKeys),
+                                         std::end(kSummedKeys), it.key) != 0;
+                     });
+}
+
+bool HasDrain(const ConfigException& exception) {
+  return std::any_of(exception.values.begin(), exception.values.end(),
+                     [](const TunableValue& it) { return it.key == "drain"; });
+}
+
+template <typename T>
+bool PartOverlaps(const std::optional<T>& a, const std::optional<T>& b) {
+  return !a || !b || *a == *b;
+}
+
+bool Overlaps(const Scope& a, const Scope& b) {
+  return PartOverlaps(a.service, b.service) &&
+         PartOverlaps(a.region, b.region) && PartOverlaps(a.zone, b.zone) &&
+         PartOverlaps(a.host, b.host) && PartOverlaps(a.server, b.server);
+}
+
+bool IsDrained(const FleetConfig& config, const Scope& place) {
+  return config.Resolve(place, kBeforeAllEnds).drain;
+}
+
+}  // namespace
+
+ExceptionCheck::ExceptionCheck(const FleetConfig& config,
+                               const PlaceIndex& index)
+    : config_(config), index_(index) {}
+
+std::vector<Problem> ExceptionCheck::Run() {
+  CheckSums(config_.defaults, "defaults");
+  std::set<std::string> ids;
+  for (size_t i = 0; i < config_.exceptions.size(); ++i) {
+    const ConfigException& it = config_.exceptions[i];
+    if (ChangesSums(it))
+      CheckSums(MergedUpTo(i), "exceptions." + it.id + ".values");
+    if (!it.id.empty() && !ids.insert(it.id).second)
+      Note("exceptions." + it.id, it.id, "an id that no other exception has");
+    CheckException(it);
+  }
+  CheckDrains();
+  return std::move(problems_);
+}
+
+void ExceptionCheck::Note(std::string path,
+                          std::string found,
+                          std::string valid) {
+  problems_.push_back({std::move(path), std::move(found), std::move(valid)});
+}
+
+void ExceptionCheck::CheckSums(const Tunables& t, const std::string& path) {
+  const auto at_least = [&](const char* key, Duration value, const char* other,
+                            Duration least) {
+    if (value < least) {
+      Note(path + "." + key, std::to_string(value.ms()),
+           fmt::format("at least {} ({})", least.ms(), other));
+    }
+  };
+  at_least("max_deadline_ms", t.max_deadline, "deadline_ms", t.deadline);
+  at_least("drain_limit_ms", t.drain_limit, "max_deadline_ms", t.max_deadline);
+  at_least("max_report_age_ms", t.max_report_age, "probe_interval_ms",
+           t.probe_interval);
+  at_least("keep_answer_ms", t.keep_answer, "ticket_lifetime_ms",
+           t.ticket_lifetime);
+  if (t.retry_ratio + t.hedge_ratio > kMaxExtraShare) {
+    Note(path + ".retry_ratio",
+         fmt::format("{} with hedge_ratio {}", t.retry_ratio, t.hedge_ratio),
+         fmt::format("at most {} together", kMaxExtraShare));
+  }
+}
+
+Tunables ExceptionCheck::MergedUpTo(size_t last) const {
+  const Scope& scope = config_.exceptions[last].scope;
+  FleetConfig part;
+  part.defaults = config_.defaults;
+  for (size_t i = 0; i <= last; ++i) {
+    const ConfigException& it = config_.exceptions[i];
+    if (!Overlaps(it.scope, scope))
+      continue;
+    part.exceptions.push_back(it);
+    part.exceptions.back().scope = Scope();
+  }
+  return part.Resolve(Scope(), kBeforeAllEnds);
+}
+
+void ExceptionCheck::CheckException(const ConfigException& exception) {
+  const std::string path = "exceptions." + exception.id + ".scope";
+  CheckScope(exception.scope, path);
+  for (const TunableValue& it : exception.values) {
+    const TunableSpec* spec = FindTunable(it.key);
+    if (spec && !PlaceAllows(spec->place, exception.scope)) {
+      Note(path, "a part that " + it.key + " does not have",
+           "any of " + AllowedParts(spec->place));
+    }
+  }
+}
+
+void ExceptionCheck::CheckScope(const Scope& scope, const std::string& path) {
+  if (scope.service && !config_.FindService(*scope.service))
+    Note(path + ".service", scope.service->str(), "one of the services");
+  if (scope.region && !index_.HasRegion(*scope.region))
+    Note(path + ".region", scope.region->str(), "one of the regions");
+  if (scope.zone && !index_.HasZone(*scope.zone))
+    Note(path + ".zone", scope.zone->str(), "one of the zones in regions");
+  if (scope.host && !index_.FindHost(*scope.host))
+    Note(path + ".host", scope.host->str(), "one of the entry hosts");
+  if (scope.server && !index_.FindServer(*scope.server))
+    Note(path + ".server", scope.server->str(), "one of the backend servers");
+  if (PartsAreKnown(scope) && !MatchesAnyPlace(scope)) {
+    Note(path, "parts that no place has together",
+         "parts that one host or backend server has");
+  }
+}
+
+bool ExceptionCheck::PartsAreKnown(const Scope& scope) const {
+  return (!scope.service || config_.FindService(*scope.service)) &&
+         (!scope.region || index_.HasRegion(*scope.region)) &&
+         (!scope.zone || index_.HasZone(*scope.zone)) &&
+         (!scope.host || index_.FindHost(*scope.host)) &&
+         (!scope.server || index_.FindServer(*scope.server));
+}
+
+bool ExceptionCheck::MatchesAnyPlace(const Scope& scope) const {
+  if (scope.server) {
+    const PlaceIndex::Server* found = index_.FindServer(*scope.server);
+    return scope.Matches(index_.PlaceOf(found->service->id, *found->server));
+  }
+  if (scope.host) {
+    Scope place = index_.PlaceOf(*index_.FindHost(*scope.host));
+    place.service = scope.service;
+    return scope.Matches(place);
+  }
+  return !scope.zone || !scope.region ||
+         index_.RegionOf(*scope.zone) == *scope.region;
+}
+
+void ExceptionCheck::CheckDrains() {
+  if (config_.defaults.drain) {
+    Note("defaults.drain", "true", "false: a drain is an exception");
+    return;
+  }
+  FleetConfig drains;
+  std::copy_if(config_.exceptions.begin(), config_.exceptions.end(),
+               std::back_inserter(drains.exceptions), HasDrain);
+  if (drains.exceptions.empty())
+    return;
+  for (const Service& it : config_.services)
+    CheckServiceDrain(drains, it);
+}
+
+// A service needs one region where both a backend server and an entry host
+// that serves it are not drained: only hosts of a server's region send to it.
+void ExceptionCheck::CheckServiceDrain(const FleetConfig& drains,
+                                       const Service& service) {
+  std::set<RegionId> open;
+  for (const EntryHost& it : config_.hosts) {
+    Scope place = index_.PlaceOf(it);
+    if (open.count(*place.region) != 0)
+      continue;
+    place.service = service.id;
+    if (!IsDrained(drains, place))
+      open.insert(*place.region);
+  }
+  const bool served =
+      std::any_of(service.servers.begin(), service.servers.end(),
+                  [&](const BackendServer& it) {
+                    return open.count(index_.RegionOf(it.zone)) != 0 &&
+                           !IsDrained(drains, index_.PlaceOf(service.id, it));
+                  });
+  if (!served && !service.servers.empty() && !config_.hosts.empty()) {
+    Note("exceptions",
+         "drains that leave service " + service.id.str() + " nowhere to go",
+         "at least one region with an entry host and a backend server of the "
+         "service that take work");
+  }
+}
+
+}  // namespace toucanknot
--- a/src/config/json_text.cc
+++ b/src/config/json_text.cc
@@ -6,6 +6,7 @@
 #include <boost/json/parse_options.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/stream_parser.hpp>
+#include <cstdint>
 
 #include "include/base/error.h"
 #include "src/config/duplicate_keys.h"
@@ -35,12 +36,42 @@
   return boost::json::serialize(boost::json::value(key));
 }
 
-void Write(const boost::json::value& value, size_t indent, std::string& out);
+// Appends `value` on one line. Gives up, with `out` partly written, as soon as
+// `out` is longer than `limit`. Returns whether it was written whole.
+bool AppendLine(const boost::json::value& value,
+                size_t limit,
+                std::string& out) {
+  const char* separator = "";
+  if (const auto* object = value.if_object()) {
+    out += '{';
+    for (const auto& it : *object) {
+      out += separator + Quoted(it.key()) + ": ";
+      if (!AppendLine(it.value(), limit, out))
+        return false;
+      separator = ", ";
+    }
+    out += '}';
+  } else if (const auto* array = value.if_array()) {
+    out += '[';
+    for (const auto& it : *array) {
+      out += separator;
+      if (!AppendLine(it, limit, out))
+        return false;
+      separator = ", ";
+    }
+    out += ']';
+  } else {
+    out += Scalar(value);
+  }
+  return out.size() <= limit;
+}
+
+void Append(const boost::json::value& value, size_t indent, std::string& out);
 
 // The members of an array or object, each on a line of its own.
-void WriteBroken(const boost::json::value& value,
-                 size_t indent,
-                 std::string& out) {
+void AppendBroken(const boost::json::value& value,
+                  size_t indent,
+                  std::string& out) {
   const std::string pad(indent + 2, ' ');
   const bool is_object = value.is_object();
   out += is_object ? "{\n" : "[\n";
@@ -53,24 +84,26 @@
     for (const auto& it : value.get_object()) {
       start_member();
       out += Quoted(it.key()) + ": ";
-      Write(it.value(), indent + 2, out);
+      Append(it.value(), indent + 2, out);
     }
   } else {
     for (const auto& it : value.get_array()) {
       start_member();
-      Write(it, indent + 2, out);
+      Append(it, indent + 2, out);
     }
   }
   out += '\n' + std::string(indent, ' ') + (is_object ? '}' : ']');
 }
 
-void Write(const boost::json::value& value, size_t indent, std::string& out) {
-  const std::string line = WriteJsonLine(value);
+void Append(const boost::json::value& value, size_t indent, std::string& out) {
   const bool structured = value.is_object() || value.is_array();
-  if (structured && indent + line.size() > kLineWidth)
-    WriteBroken(value, indent, out);
-  else
-    out += line;
+  const size_t start = out.size();
+  const size_t limit =
+      structured ? start + kLineWidth - std::min(indent, kLineWidth) : SIZE_MAX;
+  if (AppendLine(value, limit, out))
+    return;
+  out.resize(start);
+  AppendBroken(value, indent, out);
 }
 
 }  // namespace
@@ -99,27 +132,13 @@
 
 std::string WriteJsonLine(const boost::json::value& value) {
   std::string out;
-  const char* separator = "";
-  if (const auto* object = value.if_object()) {
-    for (const auto& it : *object) {
-      out += separator + Quoted(it.key()) + ": " + WriteJsonLine(it.value());
-      separator = ", ";
-    }
-    return "{" + out + "}";
-  }
-  if (const auto* array = value.if_array()) {
-    for (const auto& it : *array) {
-      out += separator + WriteJsonLine(it);
-      separator = ", ";
-    }
-    return "[" + out + "]";
-  }
-  return Scalar(value);
+  AppendLine(value, SIZE_MAX, out);
+  return out;
 }
 
 std::string WriteJson(const boost::json::value& value) {
   std::string out;
-  Write(value, 0, out);
+  Append(value, 0, out);
   return out + '\n';
 }
 
--- a/src/config/object_reader.cc
+++ b/src/config/object_reader.cc
@@ -67,7 +67,7 @@
 }
 
 const boost::json::value* ObjectReader::Member(std::string_view key) {
-  known_.emplace(key);
+  known_.emplace_back(key);
   return object_ ? object_->if_contains({key.data(), key.size()}) : nullptr;
 }
 
@@ -246,15 +246,20 @@
 void ObjectReader::Finish() {
   if (!object_)
     return;
+  std::sort(known_.begin(), known_.end());
+  known_.erase(std::unique(known_.begin(), known_.end()), known_.end());
+  for (const auto& it : *object_) {
+    const std::string_view key(it.key().data(), it.key().size());
+    if (!std::binary_search(known_.begin(), known_.end(), key))
+      NoteUnknown(key);
+  }
+}
+
+void ObjectReader::NoteUnknown(std::string_view key) {
   std::string valid;
   for (const std::string& it : known_)
     valid += (valid.empty() ? "one of " : ", ") + it;
-  for (const auto& it : *object_) {
-    if (known_.count(std::string_view(it.key().data(), it.key().size())) == 0) {
-      problems_.push_back({PathOf({it.key().data(), it.key().size()}),
-                           "an unknown key", valid});
-    }
-  }
+  problems_.push_back({PathOf(key), "an unknown key", std::move(valid)});
 }
 
 }  // namespace toucanknot
--- /dev/null
+++ b/src/config/place_index.h
@@ -0,0 +1,43 @@
+#ifndef SRC_CONFIG_PLACE_INDEX_H_
+#define SRC_CONFIG_PLACE_INDEX_H_
+
+#include <unordered_map>
+
+#include "include/config/fleet_config.h"
+
+namespace toucanknot {
+
+// Finds the members of a configuration by id without a search, for checks that
+// look at each of thousands. The configuration must outlive the index. Of
+// members with the same id the first one counts.
+class PlaceIndex {
+ public:
+  struct Server {
+    const Service* service = nullptr;
+    const BackendServer* server = nullptr;
+  };
+
+  explicit PlaceIndex(const FleetConfig& config);
+
+  bool HasRegion(const RegionId& id) const { return regions_.count(id) != 0; }
+  bool HasZone(const ZoneId& id) const { return zones_.count(id) != 0; }
+  // Empty when there is no such zone.
+  RegionId RegionOf(const ZoneId& zone) const;
+  // Null when there is none.
+  const EntryHost* FindHost(const HostId& id) const;
+  const Server* FindServer(const ServerId& id) const;
+
+  // As the functions of include/config/places.h.
+  Scope PlaceOf(const EntryHost& host) const;
+  Scope PlaceOf(const ServiceId& service, const BackendServer& server) const;
+
+ private:
+  std::unordered_map<RegionId, const Region*> regions_;
+  std::unordered_map<ZoneId, RegionId> zones_;
+  std::unordered_map<HostId, const EntryHost*> hosts_;
+  std::unordered_map<ServerId, Server> servers_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_CONFIG_PLACE_INDEX_H_
