--- a/src/config/text_parts.cc
+++ b/src/config/text_parts.cc
@@ -35,8 +35,7 @@
 TextParts::TextParts(std::string text) : text_(std::move(text)) {
   for (size_t start = 0; start < text_.size();) {
     const size_t end = EndOfPart(text_, start);
-    digests_.push_back(
-        DigestOf(std::string_view(text_).substr(start, end - start)));
+    digests_.push_back(DigestOf({text_.data() + start, end - start}));
     pieces_[digests_.back()] = {start, end - start};
     start = end;
   }
@@ -47,7 +46,8 @@
   const auto it = pieces_.find(digest);
   if (it == pieces_.end())
     return std::nullopt;
-  return std::string_view(text_).substr(it->second.offset, it->second.size);
+  const Piece& piece = it->second;
+  return std::string_view{text_.data() + piece.offset, piece.size};
 }
 
 std::vector<std::string> TextParts::Missing(
