--- a/include/store/store.h
+++ b/include/store/store.h
@@ -71,7 +71,7 @@
                                     const std::string& data) = 0;
 
   // Waits up to `limit` for a revision of `key` other than `seen`. Returns
-  // nothing when the time is up.
+  // nothing when the time is up, and revision 0 when the key is there no more.
   virtual std::optional<StoreValue> Watch(const std::string& key,
                                           uint64_t seen,
                                           Duration limit) = 0;
--- a/src/standin/memory_store.cc
+++ b/src/standin/memory_store.cc
@@ -74,14 +74,14 @@
                                              uint64_t seen,
                                              Duration limit) {
   Lock lock = Enter(&StoreCalls::watches);
-  std::optional<StoreValue> value;
+  StoreValue value;
   const bool woken =
       changed_.wait_for(lock, std::chrono::milliseconds(limit.ms()), [&] {
-        value = Find(key);
-        return down_ || (value ? value->revision : 0) != seen;
+        value = Find(key).value_or(StoreValue());
+        return down_ || value.revision != seen;
       });
   ThrowIfDown();
-  return woken ? value : std::nullopt;
+  return woken ? std::optional<StoreValue>(std::move(value)) : std::nullopt;
 }
 
 std::vector<std::string> MemoryStore::List(const std::string& prefix) {
--- a/src/store/http_store.cc
+++ b/src/store/http_store.cc
@@ -125,8 +125,10 @@
   HttpOutcome outcome = Read(fmt::format("{}?watch={}&timeout_ms={}",
                                          KeyTarget(key), seen, limit.ms()),
                              limit_ + limit);
-  if (outcome.status != kOk)
+  if (outcome.status == kNotModified)
     return std::nullopt;
+  if (outcome.status == kNotFound)
+    return StoreValue();
   return ValueOf(std::move(outcome));
 }
 
--- a/tests/store/http_store_test.cc
+++ b/tests/store/http_store_test.cc
@@ -90,6 +90,15 @@
   CHECK(watched.request().starts_with("GET /v1/kv/k?watch=8&timeout_ms=50 "));
 }
 
+TEST_CASE("a watch tells no change from a key that is there no more") {
+  OneReplyServer same(Reply("304 Not Modified", ""));
+  CHECK_FALSE(HttpStore(same.address(), kLimit).Watch("k", 8, Duration(50)));
+  OneReplyServer gone(Reply("404 Not Found", ""));
+  CHECK(
+      HttpStore(gone.address(), kLimit).Watch("k", 8, Duration(50))->revision ==
+      0);
+}
+
 TEST_CASE("answers are read as what they say") {
   CHECK(GetAnswered(Reply("200 OK", "revision: 4\r\n", "v"))->revision == 4);
   CHECK_FALSE(GetAnswered(Reply("404 Not Found", "")));
--- a/tests/store/memory_store_test.cc
+++ b/tests/store/memory_store_test.cc
@@ -37,6 +37,8 @@
   CHECK_FALSE(store.Watch("k", 1, Duration(0)));
   CHECK(store.calls().watches == 2);
   CHECK(store.calls().All() == 3);
+  store.Restore({});
+  CHECK(store.Watch("k", 1, Duration::Seconds(60))->revision == 0);
 }
 
 TEST_CASE("a lease has one holder, and a new epoch after it lapsed") {
