--- a/src/cli/host_client.cc
+++ b/src/cli/host_client.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kOk = 200;
+// Of a host's refusal.
+constexpr size_t kMaxShownBytes = 300;
 
 std::string TextOr(const boost::json::object& from, const char* key) {
   const auto* value = from.if_contains(key);
@@ -43,9 +45,11 @@
       context.env.fetch(admin, call, context.settings.timeout);
   if (outcome.stage != HttpStage::kAnswered)
     throw Error(admin.ToString() + ": " + outcome.fault);
-  if (outcome.status != kOk)
-    throw Error(
-        fmt::format("{} answered {}", admin.ToString(), outcome.status));
+  if (outcome.status != kOk) {
+    throw Error(fmt::format("{} answered {}: {}", admin.ToString(),
+                            outcome.status,
+                            outcome.body.substr(0, kMaxShownBytes)));
+  }
   return outcome.body;
 }
 
--- a/src/daemon/admin_handler.cc
+++ b/src/daemon/admin_handler.cc
@@ -39,6 +39,12 @@
     const std::string why = sources_.not_ready();
     return why.empty() ? TextResponse(200, "ready") : TextResponse(503, why);
   }
+  if (path == "/v1/config") {
+    std::string json = sources_.config();
+    if (json.empty())
+      return TextResponse(404, "no configuration is in force yet");
+    return JsonResponse(200, std::move(json));
+  }
   if (path == "/v1/explain") {
     const std::string service = QueryValue(request.target, "service");
     std::string json = sources_.explain(service);
@@ -47,8 +53,8 @@
     return JsonResponse(200, std::move(json));
   }
   return TextResponse(404,
-                      "use /metrics, /healthz, /readyz, /status or "
-                      "/v1/explain?service=NAME");
+                      "use /metrics, /healthz, /readyz, /status, /v1/config "
+                      "or /v1/explain?service=NAME");
 }
 
 }  // namespace toucanknot
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -12,6 +12,7 @@
 #include <thread>
 #include <utility>
 
+#include "include/config/config_offer.h"
 #include "include/config/config_text.h"
 #include "include/limits/retry_budget.h"
 #include "include/steering/dispatcher_builder.h"
@@ -373,6 +374,10 @@
   AdminHandler::Sources sources;
   sources.metrics = [this] { return MetricsText(); };
   sources.not_ready = [this] { return NotReady(); };
+  sources.config = [this] {
+    const ConfigOffer offer = intake_.Current();
+    return offer.version == 0 ? std::string() : WriteOffer(offer);
+  };
   sources.status = [this] {
     StatusFacts facts;
     facts.self = self_;
