config: a tunable's place is where the code reads it

Cause: the table let exceptions to warmup_ms, eject_*, silent_after_ms and fresh_for_ms name a backend server, keep_answer_ms and lookup_lifetime_ms a service, and drain a service at a host; steering, health and the daemon read them elsewhere, so such an exception was accepted and did nothing. Change: places as read; the place 'server' went, drain is read at hosts and at backend servers, never at both at once.

--- a/bench/config/sized_fleet.cc
+++ b/bench/config/sized_fleet.cc
@@ -82,7 +82,7 @@
       exception.scope.zone = ZoneOf(i % std::min(hosts, kZones));
     exception.reason = "a reason of ordinary length for a departure";
     exception.author = "operations";
-    exception.values = {{"warmup_ms", "20000"}, {"eject_for_ms", "6000"}};
+    exception.values = {{"drain", "false"}};
     config.exceptions.push_back(std::move(exception));
   }
   return config;
--- a/include/config/tunable_table.h
+++ b/include/config/tunable_table.h
@@ -24,22 +24,21 @@
 // At what kind of place a tunable is read, which says what parts the scope of
 // an exception to it may have.
 enum class TunablePlace {
-  // Everywhere: a host, a service at a host, a backend server.
-  kAny,
+  // An entry host: region, zone, host; and a backend server: service, region,
+  // zone, server.
+  kHostOrServer,
   // An entry host: region, zone, host.
   kHost,
   // A service at an entry host: service, region, zone, host.
   kService,
-  // A backend server: service, region, zone, server.
-  kServer,
   // A service in a region: service, region.
   kRegion,
   // A link, by the region it leads from: region.
   kLink,
 };
 
-inline constexpr EnumNames<TunablePlace, 6> kTunablePlaceNames{
-    {"any", "host", "service", "server", "region", "link"}};
+inline constexpr EnumNames<TunablePlace, 5> kTunablePlaceNames{
+    {"host or server", "host", "service", "region", "link"}};
 
 // One row of the table that parser, writer, merge and schema page share.
 struct TunableSpec {
@@ -81,7 +80,7 @@
 // Whether an exception to a tunable of this place may have `scope`.
 bool PlaceAllows(TunablePlace place, const Scope& scope);
 
-// The parts that PlaceAllows(): "service, region".
+// What PlaceAllows(): "service, region".
 std::string AllowedParts(TunablePlace place);
 
 }  // namespace toucanknot
--- a/src/cli/preview.cc
+++ b/src/cli/preview.cc
@@ -76,18 +76,18 @@
 }
 
 constexpr PlaceKind kPlaceKinds[] = {
-    {TunablePlace::kHost, AtHosts},     {TunablePlace::kService, AtServices},
-    {TunablePlace::kServer, AtServers}, {TunablePlace::kRegion, AtRegions},
+    {TunablePlace::kHost, AtHosts},
+    {TunablePlace::kHostOrServer, AtServers},
+    {TunablePlace::kService, AtServices},
+    {TunablePlace::kRegion, AtRegions},
     {TunablePlace::kLink, AtLinks},
 };
 
-// A tunable that is read anywhere is compared where it matters: for each
-// host, service at a host, and server.
+// Whether a tunable is read at places of the kind that stands for `place`.
 bool IsReadAt(const TunableSpec& spec, TunablePlace place) {
-  if (spec.place != TunablePlace::kAny)
-    return spec.place == place;
-  return place == TunablePlace::kHost || place == TunablePlace::kService ||
-         place == TunablePlace::kServer;
+  const bool also_at_hosts =
+      spec.place == TunablePlace::kHostOrServer && place == TunablePlace::kHost;
+  return spec.place == place || also_at_hosts;
 }
 
 // Collects changes and joins those that are alike.
--- a/src/config/exception_check.cc
+++ b/src/config/exception_check.cc
@@ -177,23 +177,20 @@
                std::back_inserter(drains.exceptions), HasDrain);
   if (drains.exceptions.empty())
     return;
+  std::set<RegionId> open;
+  for (const EntryHost& it : config_.hosts) {
+    const Scope place = index_.PlaceOf(it);
+    if (open.count(*place.region) == 0 && !IsDrained(drains, place))
+      open.insert(*place.region);
+  }
   for (const Service& it : config_.services)
-    CheckServiceDrain(drains, it);
+    CheckServiceDrain(drains, open, it);
 }
 
-// A service needs one region where both a backend server and an entry host
-// that serves it are not drained: only hosts of a server's region send to it.
+// Only hosts of a server's region send to it.
 void ExceptionCheck::CheckServiceDrain(const FleetConfig& drains,
+                                       const std::set<RegionId>& open,
                                        const Service& service) {
-  std::set<RegionId> open;
-  for (const EntryHost& it : config_.hosts) {
-    Scope place = index_.PlaceOf(it);
-    if (open.count(*place.region) != 0)
-      continue;
-    place.service = service.id;
-    if (!IsDrained(drains, place))
-      open.insert(*place.region);
-  }
   const bool served =
       std::any_of(service.servers.begin(), service.servers.end(),
                   [&](const BackendServer& it) {
--- a/src/config/exception_check.h
+++ b/src/config/exception_check.h
@@ -1,6 +1,7 @@
 #ifndef SRC_CONFIG_EXCEPTION_CHECK_H_
 #define SRC_CONFIG_EXCEPTION_CHECK_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,10 @@
   bool MatchesAnyPlace(const Scope& scope) const;
 
   void CheckDrains();
-  void CheckServiceDrain(const FleetConfig& drains, const Service& service);
+  // `open` are the regions with an entry host that is not drained.
+  void CheckServiceDrain(const FleetConfig& drains,
+                         const std::set<RegionId>& open,
+                         const Service& service);
 
   const FleetConfig& config_;
   const PlaceIndex& index_;
--- a/src/config/tunable_table.cc
+++ b/src/config/tunable_table.cc
@@ -22,16 +22,17 @@
   bool service, region, zone, host, server;
 };
 
+constexpr PlaceParts kHostParts{false, true, true, true, false};
+constexpr PlaceParts kServerParts{true, true, true, false, true};
+
 PlaceParts PartsOf(TunablePlace place) {
   switch (place) {
-    case Place::kAny:
-      return {true, true, true, true, true};
+    case Place::kHostOrServer:
+      return kServerParts;
     case Place::kHost:
-      return {false, true, true, true, false};
+      return kHostParts;
     case Place::kService:
       return {true, true, true, true, false};
-    case Place::kServer:
-      return {true, true, true, false, true};
     case Place::kRegion:
       return {true, true, false, false, false};
     case Place::kLink:
@@ -40,6 +41,26 @@
   return {};
 }
 
+bool Allows(const PlaceParts& parts, const Scope& scope) {
+  return (parts.service || !scope.service) && (parts.region || !scope.region) &&
+         (parts.zone || !scope.zone) && (parts.host || !scope.host) &&
+         (parts.server || !scope.server);
+}
+
+std::string Names(const PlaceParts& parts) {
+  std::string text;
+  const auto add = [&](bool allowed, const char* name) {
+    if (allowed)
+      text += (text.empty() ? "" : ", ") + std::string(name);
+  };
+  add(parts.service, "service");
+  add(parts.region, "region");
+  add(parts.zone, "zone");
+  add(parts.host, "host");
+  add(parts.server, "server");
+  return text;
+}
+
 // The number in `value` when it is one; a whole one when `whole` is set.
 std::optional<double> NumberIn(const boost::json::value& value, bool whole) {
   if (value.is_int64())
@@ -77,7 +98,7 @@
 
 const std::vector<TunableSpec>& TunableTable() {
   static const std::vector<TunableSpec> table = {
-      {"drain", kFlag, 0, 1, Place::kAny, &Tunables::drain},
+      {"drain", kFlag, 0, 1, Place::kHostOrServer, &Tunables::drain},
       {"deadline_ms", kMillis, 1, kHour, Place::kService, &Tunables::deadline},
       {"max_deadline_ms", kMillis, 1, kHour, Place::kService,
        &Tunables::max_deadline},
@@ -95,30 +116,30 @@
       {"shift_share", kShare, 0, 1, Place::kRegion, &Tunables::shift_share},
       {"shift_interval_ms", kMillis, 100, kHour, Place::kRegion,
        &Tunables::shift_interval},
-      {"warmup_ms", kMillis, 0, kHour, Place::kServer, &Tunables::warmup},
-      {"max_report_age_ms", kMillis, 100, 10 * kMinute, Place::kServer,
+      {"warmup_ms", kMillis, 0, kHour, Place::kService, &Tunables::warmup},
+      {"max_report_age_ms", kMillis, 100, 10 * kMinute, Place::kRegion,
        &Tunables::max_report_age},
-      {"probe_interval_ms", kMillis, 50, 10 * kMinute, Place::kServer,
+      {"probe_interval_ms", kMillis, 50, 10 * kMinute, Place::kHost,
        &Tunables::probe_interval},
-      {"eject_after_failures", kCount, 1, 1000, Place::kServer,
+      {"eject_after_failures", kCount, 1, 1000, Place::kService,
        &Tunables::eject_after_failures},
-      {"eject_for_ms", kMillis, 100, kHour, Place::kServer,
+      {"eject_for_ms", kMillis, 100, kHour, Place::kService,
        &Tunables::eject_for},
       {"max_ejected_share", kShare, 0, 1, Place::kService,
        &Tunables::max_ejected_share},
       {"quarantine_for_ms", kMillis, 1000, kDay, Place::kService,
        &Tunables::quarantine_for},
-      {"silent_after_ms", kMillis, 100, 10 * kMinute, Place::kServer,
+      {"silent_after_ms", kMillis, 100, 10 * kMinute, Place::kService,
        &Tunables::silent_after},
-      {"fresh_for_ms", kMillis, 0, kMinute, Place::kServer,
+      {"fresh_for_ms", kMillis, 0, kMinute, Place::kService,
        &Tunables::fresh_for},
       {"ticket_lifetime_ms", kMillis, 1000, kHour, Place::kService,
        &Tunables::ticket_lifetime},
-      {"keep_answer_ms", kMillis, 1000, kDay, Place::kService,
+      {"keep_answer_ms", kMillis, 1000, kDay, Place::kHost,
        &Tunables::keep_answer},
       {"kept_answers_bytes", kBytes, kMebibyte, 1024 * kMebibyte, Place::kHost,
        &Tunables::kept_answers_bytes},
-      {"lookup_lifetime_ms", kMillis, 100, kHour, Place::kService,
+      {"lookup_lifetime_ms", kMillis, 100, kHour, Place::kHost,
        &Tunables::lookup_lifetime},
       {"drain_limit_ms", kMillis, 1000, kHour, Place::kHost,
        &Tunables::drain_limit},
@@ -187,25 +208,14 @@
 }
 
 bool PlaceAllows(TunablePlace place, const Scope& scope) {
-  const PlaceParts parts = PartsOf(place);
-  return (parts.service || !scope.service) && (parts.region || !scope.region) &&
-         (parts.zone || !scope.zone) && (parts.host || !scope.host) &&
-         (parts.server || !scope.server);
+  return Allows(PartsOf(place), scope) ||
+         (place == Place::kHostOrServer && Allows(kHostParts, scope));
 }
 
 std::string AllowedParts(TunablePlace place) {
-  const PlaceParts parts = PartsOf(place);
-  std::string text;
-  const auto add = [&](bool allowed, const char* name) {
-    if (allowed)
-      text += (text.empty() ? "" : ", ") + std::string(name);
-  };
-  add(parts.service, "service");
-  add(parts.region, "region");
-  add(parts.zone, "zone");
-  add(parts.host, "host");
-  add(parts.server, "server");
-  return text;
+  if (place == Place::kHostOrServer)
+    return Names(kHostParts) + "; or " + Names(kServerParts);
+  return Names(PartsOf(place));
 }
 
 }  // namespace toucanknot
--- a/tests/config/config_text_test.cc
+++ b/tests/config/config_text_test.cc
@@ -200,6 +200,9 @@
                 "exceptions");
   CheckOneFault(fleet({north, drain("h", R"({"host": "h-2"})")}), "exceptions");
   CHECK(FaultyPaths(fleet({north, drain("h", R"({"host": "h-1"})")})).empty());
+  // No place is read that has both.
+  CheckOneFault(fleet({drain("b", R"({"host": "h-1", "service": "orders"})")}),
+                "exceptions.b.scope");
 }
 
 }  // namespace toucanknot
