cli, store: text that is not UTF-8 never reaches the root; hosts asked at once

Cause: a reason in Latin-1 would have been written into the root, which no host or operator could have read from then on. Hosts that do not answer each cost a command its whole time limit, one after another.

--- a/include/store/change_writer.h
+++ b/include/store/change_writer.h
@@ -92,7 +92,8 @@
   ChangeWriter(Store& store, Options options);
 
   // Applies `change` to `base` and finds out what became of it. Throws
-  // MalformedRootError when the store holds something else than a root.
+  // MalformedRootError when the store holds something else than a root, or the
+  // change has text that is not UTF-8; nothing was changed then.
   ChangeResult Write(const RootSnapshot& base, const Change& change);
 
   // What became of the change `id`, asked at any time and anywhere: kLanded,
--- a/src/cli/config_change.cc
+++ b/src/cli/config_change.cc
@@ -1,6 +1,7 @@
 #include "src/cli/config_change.h"
 
 #include <algorithm>
+#include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 #include <utility>
 
@@ -16,6 +17,26 @@
 
 constexpr size_t kMaxReasonBytes = 1000;
 constexpr size_t kMaxSummaryBytes = 500;
+constexpr unsigned char kContinuationMask = 0xC0;
+constexpr unsigned char kContinuation = 0x80;
+
+// The first `limit` bytes of UTF-8 text, less a character cut in two.
+std::string Shortened(const std::string& text, size_t limit) {
+  if (text.size() <= limit)
+    return text;
+  while (limit > 0 && (static_cast<unsigned char>(text[limit]) &
+                       kContinuationMask) == kContinuation)
+    --limit;
+  return text.substr(0, limit);
+}
+
+// Throws UsageError when `text` is not UTF-8.
+void RequireUtf8(const std::string& text, const std::string& what) {
+  boost::system::error_code ec;
+  boost::json::parse(WriteJsonLine(boost::json::value(text)), ec);
+  if (ec)
+    throw UsageError(what + " is not UTF-8");
+}
 
 ExitCode CodeOf(ChangeOutcome outcome) {
   switch (outcome) {
@@ -85,8 +106,7 @@
 
 uint64_t NewestAtHosts(const CliContext& context, uint64_t version) {
   uint64_t newest = 0;
-  for (const Endpoint& it : context.settings.admins) {
-    const HostStatus status = AskStatus(context, it);
+  for (const HostStatus& status : AskStatuses(context)) {
     newest = std::max(newest, status.version);
     if (status.version > version) {
       context.err() << "host " << status.host << " has version "
@@ -119,6 +139,9 @@
                      std::to_string(kMaxReasonBytes) + " bytes");
   if (context_.settings.author.empty())
     throw UsageError("--author is needed");
+  RequireUtf8(request.reason, "the reason");
+  RequireUtf8(request.summary, "the summary");
+  RequireUtf8(context_.settings.author, "the author");
   std::vector<std::string> expired;
   const FleetConfigPtr next = Next(request, expired);
   if (context_.settings.dry_run)
@@ -142,7 +165,7 @@
   change.author = context_.settings.author;
   change.unix_ms = context_.env.unix_ms();
   change.reason = request.reason;
-  change.summary = request.summary.substr(0, kMaxSummaryBytes);
+  change.summary = Shortened(request.summary, kMaxSummaryBytes);
   change.config_text = WriteFleetConfig(*next);
   change.client_parts = request.client_parts;
   change.expired = std::move(expired);
--- a/src/cli/host_client.cc
+++ b/src/cli/host_client.cc
@@ -2,13 +2,18 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cctype>
+#include <functional>
+#include <future>
 
 namespace toucanknot {
 namespace {
 
 constexpr int kOk = 200;
+// Hosts, so that one that does not answer delays few others.
+constexpr size_t kAskedAtOnce = 32;
 // Of a host's refusal.
 constexpr size_t kMaxShownBytes = 300;
 
@@ -53,6 +58,8 @@
   return outcome.body;
 }
 
+namespace {
+
 HostStatus AskStatus(const CliContext& context, const Endpoint& admin) {
   HostStatus status;
   status.admin = admin;
@@ -68,6 +75,24 @@
   return status;
 }
 
+}  // namespace
+
+std::vector<HostStatus> AskStatuses(const CliContext& context) {
+  const std::vector<Endpoint>& admins = context.settings.admins;
+  std::vector<HostStatus> all;
+  for (size_t first = 0; first < admins.size(); first += kAskedAtOnce) {
+    std::vector<std::future<HostStatus>> asked;
+    const size_t end = std::min(admins.size(), first + kAskedAtOnce);
+    for (size_t i = first; i < end; ++i) {
+      asked.push_back(std::async(std::launch::async, AskStatus,
+                                 std::cref(context), std::cref(admins[i])));
+    }
+    for (auto& it : asked)
+      all.push_back(it.get());
+  }
+  return all;
+}
+
 std::string QueryEncoded(const std::string& text) {
   std::string out;
   for (const unsigned char c : text) {
--- a/src/cli/host_client.h
+++ b/src/cli/host_client.h
@@ -37,8 +37,9 @@
                     const Endpoint& admin,
                     const std::string& target);
 
-// The status of one host; a host that does not answer has a fault.
-HostStatus AskStatus(const CliContext& context, const Endpoint& admin);
+// The status of every host whose admin listener the settings name, in their
+// order, asked at once; a host that does not answer has a fault.
+std::vector<HostStatus> AskStatuses(const CliContext& context);
 
 // `text` as the value of a URL's query.
 std::string QueryEncoded(const std::string& text);
--- a/src/cli/watch_commands.cc
+++ b/src/cli/watch_commands.cc
@@ -174,8 +174,7 @@
   bool same = store.fault.empty();
   boost::json::array hosts;
   std::string text;
-  for (const Endpoint& it : context.settings.admins) {
-    const HostStatus status = AskStatus(context, it);
+  for (const HostStatus& status : AskStatuses(context)) {
     same = same && status.fault.empty() && status.version == store.version;
     hosts.push_back(StatusJson(status));
     text += DescribeStatus(status);
--- a/src/store/change_writer.cc
+++ b/src/store/change_writer.cc
@@ -24,6 +24,15 @@
   return revision;
 }
 
+// The root's text, which whoever reads the store must be able to read:
+// MalformedRootError when, say, a reason is not UTF-8.
+std::string ReadableRoot(const RootValue& root) {
+  std::string data = WriteRoot(root);
+  if (ReadRoot(data) != root)
+    throw MalformedRootError("the change cannot be written as JSON");
+  return data;
+}
+
 // Calls `take` for the trail's entries, newest first, until it returns false.
 template <typename Take>
 void WalkTrail(Store& store, const RootValue& root, Take take) {
@@ -118,7 +127,7 @@
     }
     try {
       if (data.empty())
-        data = WriteRoot(Next(base, change));
+        data = ReadableRoot(Next(base, change));
       if (store_.CompareAndSwap(kRootKey, base.revision, data).swapped) {
         result.outcome = ChangeOutcome::kLanded;
         result.version = ReadRoot(data).version;
--- a/tests/cli/cli_fixture.h
+++ b/tests/cli/cli_fixture.h
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -49,6 +50,7 @@
           store, [this](int call) { return script(call); });
     };
     env.fetch = [this](const Endpoint& to, const HttpCall& call, Duration) {
+      const std::lock_guard lock(fetch_mutex_);
       last_call = call;
       HttpOutcome outcome;
       const auto it = answers.find(to.ToString() + call.target);
@@ -100,6 +102,7 @@
   TempFile fleet{kSmallFleet};
 
  private:
+  std::mutex fetch_mutex_;
   std::ostringstream out_;
   std::ostringstream err_;
   uint64_t random_ = 0;
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -243,6 +243,24 @@
                  "127.0.0.1:9"}) == 2);
 }
 
+TEST_CASE("text that is not UTF-8 never reaches the root") {
+  CliFixture cli;
+  cli.Begin();
+  const std::string latin = "caf\xE9";
+  CHECK(cli.Run({"default", "set", "max_queue", "4", "--reason", latin}) == 2);
+  CHECK(cli.Run({"drain", "--server", "s-1", "--reason", latin}) == 2);
+  CHECK(cli.Run({"exception", "add", "max_queue=4", "--service", "orders",
+                 "--reason", "r", "--id", latin}) == 2);
+  CHECK(cli.Run({"default", "set", "max_queue", "4", "--reason",
+                 "caf\u00E9"}) == 0);
+  const RootSnapshot base = ReadRootSnapshot(cli.store);
+  CHECK_THROWS_AS(ChangeWriter(cli.store).Write(
+                      base, {NewChangeId(base.revision, 1), ChangeKind::kApply,
+                             latin, 0, "r", "s", base.root.config_text}),
+                  MalformedRootError);
+  CHECK(cli.InForce() != nullptr);
+}
+
 TEST_CASE("a store that has lost everything is not taken for a new one") {
   CliFixture cli;
   cli.Begin();
