health: the quarantine told apart from innocents over seven hosts

A fake of seven hosts and up to 24 servers with callers that repeat. The naive version loses 21 servers to 21 sends. Broken variant: suspects that run beside others, with four servers, get innocents quarantined. Found by it: with few servers, reservations of all hosts together took every server. No more than an eighth of the servers (one at least) is reserved at once now.

--- a/include/health/quarantine.h
+++ b/include/health/quarantine.h
@@ -104,6 +104,9 @@
   Quarantine(HostId host, Options options, PeersInFlight peers_in_flight);
 
   void set_quarantine_for(Duration d) { options_.quarantine_for = d; }
+  // How many servers there are, so that no more than an eighth of them (one at
+  // least) is reserved at once, by this host's knowledge.
+  void set_servers(size_t n) { servers_ = n; }
 
   // How a request may run. Ask before each attempt.
   RunMode ModeOf(uint64_t fingerprint, Instant now);
@@ -190,6 +193,7 @@
   HostId host_;
   Options options_;
   PeersInFlight peers_in_flight_;
+  size_t servers_ = 0;
   boost::unordered_flat_map<uint64_t, Record> records_;
   FlightMap in_flight_;
   ProvenSet proven_;
--- a/src/health/quarantine.cc
+++ b/src/health/quarantine.cc
@@ -11,6 +11,8 @@
 constexpr size_t kMaxServers = 2;
 // Reservations of one host at once, so that trials don't empty the fleet.
 constexpr int64_t kMaxReservations = 2;
+// No more than one server in this many is reserved at once.
+constexpr size_t kReservedPart = 8;
 // Breaks remembered; more change nothing.
 constexpr size_t kMaxBreaks = 64;
 // Notices not yet taken; the oldest are dropped.
@@ -60,6 +62,9 @@
                       [&](const Reservation& it) { return it.host == host_; });
     if (own >= kMaxReservations || IsReserved(server, now))
       return false;
+    if (servers_ > 0 &&
+        reservations_.size() >= std::max(servers_ / kReservedPart, size_t{1}))
+      return false;
     reservations_.push_back({.fingerprint = fingerprint,
                              .host = host_,
                              .server = server,
--- /dev/null
+++ b/tests/health/crash_world.cc
@@ -0,0 +1,248 @@
+#include "tests/health/crash_world.h"
+
+#include <algorithm>
+#include <string>
+
+namespace toucanknot {
+
+CrashWorld::CrashWorld(Options options)
+    : options_(options),
+      random_(options.seed),
+      up_at_(options.servers, 0),
+      cut_(options.hosts, false) {
+  for (int i = 0; i < options_.hosts; ++i) {
+    const auto peers = [this, i](const ServerId& server, Instant since) {
+      // Peers report their load as it was one way ago.
+      if (now_ - kOneWayMs < since.ms() + kOneWayMs)
+        return 1;
+      int sum = 0;
+      for (const Attempt& it : attempts_)
+        sum += it.host != i && Name(it.server) == server && !cut_[it.host];
+      return sum;
+    };
+    hosts_.push_back({Quarantine(HostId("h" + std::to_string(i)), {}, peers)});
+    hosts_[i].quarantine.set_servers(options_.servers);
+  }
+}
+
+void CrashWorld::Step() {
+  ++now_;
+  Exchange();
+  Arrive();
+  FinishAttempts();
+  for (int i = 0; i < options_.hosts; ++i)
+    Serve(i);
+  for (Host& it : hosts_) {
+    for (const CrashNotice& n : it.quarantine.Snapshot(Now())) {
+      if (n.kind == CrashNoticeKind::kQuarantined && n.fingerprint != kKiller)
+        wronged_.insert(n.fingerprint);
+    }
+  }
+}
+
+void CrashWorld::Run(int64_t ms) {
+  for (const int64_t end = now_ + ms; now_ < end;)
+    Step();
+}
+
+void CrashWorld::SendKiller(int host, int repeats) {
+  hosts_[host].queue.push_back({kKiller, repeats});
+}
+
+void CrashWorld::BreakConnections(int host, int servers) {
+  std::vector<Attempt> broken;
+  std::erase_if(attempts_, [&](const Attempt& it) {
+    const bool hit = it.host == host && it.server < servers;
+    if (hit)
+      broken.push_back(it);
+    return hit;
+  });
+  for (const Attempt& it : broken)
+    Break(it);
+}
+
+int CrashWorld::refusing() {
+  int n = 0;
+  for (Host& it : hosts_)
+    n += it.quarantine.ModeOf(kKiller, Now()) == RunMode::kRefuse;
+  return n;
+}
+
+size_t CrashWorld::waiting() const {
+  size_t n = 0;
+  for (const Host& it : hosts_)
+    n += it.queue.size();
+  return n;
+}
+
+size_t CrashWorld::suspects() const {
+  size_t n = 0;
+  for (const Host& it : hosts_)
+    n += it.quarantine.records() - it.quarantine.quarantined();
+  return n;
+}
+
+ServerId CrashWorld::Name(int server) {
+  return ServerId("s" + std::to_string(server));
+}
+
+void CrashWorld::Arrive() {
+  for (int i = 0; i < options_.per_second / 1'000; ++i) {
+    const bool unique =
+        std::uniform_real_distribution<double>(0, 1)(random_) < options_.unique;
+    const uint64_t fingerprint =
+        unique ? ++next_unique_
+               : static_cast<uint64_t>(1 + Random(options_.popular));
+    hosts_[Random(options_.hosts)].queue.push_back({fingerprint});
+  }
+  while (!repeats_.empty() && repeats_.begin()->first <= now_) {
+    const Repeat it = repeats_.begin()->second;
+    repeats_.erase(repeats_.begin());
+    hosts_[it.host].queue.push_back(it.request);
+  }
+}
+
+void CrashWorld::Serve(int host) {
+  std::vector<Request> queue = std::move(hosts_[host].queue);
+  hosts_[host].queue.clear();
+  for (const Request& it : queue) {
+    if (!TryStart(host, it))
+      hosts_[host].queue.push_back(it);
+  }
+}
+
+bool CrashWorld::TryStart(int host, const Request& request) {
+  Quarantine& quarantine = hosts_[host].quarantine;
+  RunMode mode = quarantine.ModeOf(request.fingerprint, Now());
+  if (options_.naive)
+    mode = RunMode::kFree;
+  if (options_.run_beside && mode == RunMode::kAlone)
+    mode = RunMode::kFree;
+  switch (mode) {
+    case RunMode::kFree: {
+      const int server = PickServer(host);
+      if (server >= 0)
+        Start(host, server, request);
+      return server >= 0;
+    }
+    case RunMode::kAlone:
+      return TryAlone(host, request);
+    case RunMode::kWait:
+      return false;
+    case RunMode::kRefuse:
+      return true;
+  }
+  return true;
+}
+
+bool CrashWorld::TryAlone(int host, const Request& request) {
+  Host& self = hosts_[host];
+  const uint64_t fingerprint = request.fingerprint;
+  ServerId name = self.quarantine.ReservedFor(fingerprint);
+  if (name.empty()) {
+    const int picked = PickServer(host);
+    if (picked < 0)
+      return false;
+    name = Name(picked);
+    self.asked[fingerprint] = now_;
+  }
+  const int server = std::stoi(name.str().substr(1));
+  if (self.quarantine.TryRunAlone(fingerprint, name, InFlight(host, server),
+                                  Now())) {
+    Start(host, server, request);
+    return true;
+  }
+  if (now_ - self.asked[fingerprint] > 1'000)
+    self.quarantine.GiveUp(fingerprint, Now());
+  return false;
+}
+
+void CrashWorld::Start(int host, int server, const Request& request) {
+  hosts_[host].quarantine.OnSent(request.fingerprint, Name(server), Now());
+  const bool crash = request.fingerprint == kKiller;
+  attempts_.push_back(
+      {.request = request,
+       .host = host,
+       .server = server,
+       .end = now_ + (crash ? kCrashAfterMs : 1 + Random(2 * kServiceMs)),
+       .crash = crash});
+}
+
+void CrashWorld::FinishAttempts() {
+  std::vector<Attempt> ended;
+  std::erase_if(attempts_, [&](const Attempt& it) {
+    if (it.end <= now_)
+      ended.push_back(it);
+    return it.end <= now_;
+  });
+  for (const Attempt& it : ended) {
+    if (it.crash) {
+      ++killed_;
+      attempts_.push_back(it);
+      Crash(it.server);
+      continue;
+    }
+    ++answered_;
+    hosts_[it.host].quarantine.OnEnded(it.request.fingerprint, Name(it.server),
+                                       true, Now());
+  }
+}
+
+void CrashWorld::Crash(int server) {
+  up_at_[server] = now_ + kRestartMs;
+  std::vector<Attempt> broken;
+  std::erase_if(attempts_, [&](const Attempt& it) {
+    if (it.server == server)
+      broken.push_back(it);
+    return it.server == server;
+  });
+  std::shuffle(broken.begin(), broken.end(), random_);
+  for (const Attempt& it : broken)
+    Break(it);
+}
+
+void CrashWorld::Break(const Attempt& attempt) {
+  hosts_[attempt.host].quarantine.OnBroken(attempt.request.fingerprint,
+                                           Name(attempt.server), Now());
+  Request request = attempt.request;
+  if (request.fingerprint == kKiller && request.repeats-- <= 0)
+    return;
+  // The caller hears of it when the peers have, and repeats anywhere.
+  repeats_.emplace(now_ + Quarantine::kNoticeLead.ms(),
+                   Repeat{Random(options_.hosts), request});
+}
+
+void CrashWorld::Exchange() {
+  for (int i = 0; i < options_.hosts; ++i) {
+    for (const CrashNotice& n : hosts_[i].quarantine.TakeNotices()) {
+      for (int to = 0; to < options_.hosts; ++to) {
+        if (to != i && !cut_[i] && !cut_[to])
+          mail_.emplace(now_ + kOneWayMs, Mail{to, n});
+      }
+    }
+  }
+  while (!mail_.empty() && mail_.begin()->first <= now_) {
+    const Mail it = mail_.begin()->second;
+    mail_.erase(mail_.begin());
+    hosts_[it.to].quarantine.OnNotice(it.notice, Now());
+  }
+}
+
+int CrashWorld::InFlight(int host, int server) const {
+  return static_cast<int>(
+      std::count_if(attempts_.begin(), attempts_.end(), [&](const Attempt& it) {
+        return it.host == host && it.server == server;
+      }));
+}
+
+int CrashWorld::PickServer(int host) {
+  const Quarantine& quarantine = hosts_[host].quarantine;
+  std::vector<int> open;
+  for (int i = 0; i < options_.servers; ++i) {
+    if (now_ >= up_at_[i] && !quarantine.IsReserved(Name(i), Now()))
+      open.push_back(i);
+  }
+  return open.empty() ? -1 : open[Random(static_cast<int>(open.size()))];
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/health/quarantine_test.cc
@@ -0,0 +1,212 @@
+#include "include/health/quarantine.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "tests/health/crash_world.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr uint64_t kSeeds = 10;
+constexpr int kMaxKilled = 2;
+const ServerId kOne("s1");
+const ServerId kTwo("s2");
+
+Quarantine Single(Quarantine::Options options = {}) {
+  return Quarantine(HostId("h"), options,
+                    [](const ServerId&, Instant) { return 0; });
+}
+
+// Reserves, waits and sends `fingerprint` to `server` by itself.
+Instant SendAlone(Quarantine* quarantine,
+                  uint64_t fingerprint,
+                  const ServerId& server,
+                  Instant now) {
+  CHECK_FALSE(quarantine->TryRunAlone(fingerprint, server, 0, now));
+  CHECK(quarantine->IsReserved(server, now));
+  now = now + Quarantine::kReserveWait;
+  CHECK_FALSE(quarantine->TryRunAlone(fingerprint, server, 1, now));
+  REQUIRE(quarantine->TryRunAlone(fingerprint, server, 0, now));
+  quarantine->OnSent(fingerprint, server, now);
+  return now;
+}
+
+}  // namespace
+
+TEST_CASE("a killer takes two servers down and no innocent with it") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    CrashWorld world({.seed = seed});
+    world.Run(500);
+    world.SendKiller(static_cast<int>(seed % 7), 20);
+    world.Run(8'000);
+    CHECK(world.killed() == kMaxKilled);
+    CHECK(world.refusing() == 7);
+    CHECK(world.wronged().empty());
+    CHECK(world.suspects() == 0);
+    CHECK(world.waiting() < 20);
+  }
+}
+
+TEST_CASE("the naive version loses a server at every repeat") {
+  CrashWorld world({.naive = true});
+  world.Run(500);
+  world.SendKiller(0, 20);
+  world.Run(8'000);
+  CHECK(world.killed() == 21);
+}
+
+TEST_CASE("few servers: suspects must run by themselves to be told apart") {
+  const auto wronged = [](bool run_beside) {
+    size_t sum = 0;
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CrashWorld world({.seed = seed,
+                        .servers = 4,
+                        .unique = 0.9,
+                        .run_beside = run_beside});
+      world.Run(500);
+      world.SendKiller(0, 20);
+      world.Run(8'000);
+      CHECK(world.killed() <= kMaxKilled);
+      sum += world.wronged().size();
+    }
+    return sum;
+  };
+  CHECK(wronged(false) == 0);
+  // The broken variant lets suspects run beside others.
+  CHECK(wronged(true) > 0);
+}
+
+TEST_CASE("repeats at one host while the first runs cost two servers") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    CrashWorld world({.seed = seed});
+    world.Run(500);
+    for (int i = 0; i < 8; ++i)
+      world.SendKiller(2, 5);
+    world.Run(8'000);
+    CHECK(world.killed() <= kMaxKilled);
+    CHECK(world.refusing() == 7);
+    CHECK(world.wronged().empty());
+  }
+}
+
+TEST_CASE("a host that is cut off has its own count, the others theirs") {
+  CrashWorld world({});
+  world.Cut(6, true);
+  world.Run(500);
+  world.SendKiller(0, 20);
+  world.Run(8'000);
+  // Repeats reach the host that is cut off too.
+  CHECK(world.killed() <= 2 * kMaxKilled);
+  CHECK(world.wronged().empty());
+  // The news reaches it when it is back.
+  world.Cut(6, false);
+  for (const CrashNotice& it :
+       world.quarantine(0).Snapshot(Instant(world.now())))
+    world.quarantine(6).OnNotice(it, Instant(world.now()));
+  CHECK(world.refusing() == 7);
+}
+
+TEST_CASE("connections that break to many servers at once blame nobody") {
+  CrashWorld world({});
+  world.Run(500);
+  world.BreakConnections(3, 24);
+  world.Run(1'000);
+  CHECK(world.suspects() == 0);
+  CHECK(world.wronged().empty());
+  CHECK(world.waiting() < 20);
+}
+
+TEST_CASE("a crash alone makes a suspect, the second alone ends it") {
+  Quarantine quarantine = Single();
+  Instant now(0);
+  quarantine.OnSent(7, kOne, now);
+  quarantine.OnBroken(7, kOne, now);
+  CHECK(quarantine.ModeOf(7, now) == RunMode::kAlone);
+  now = SendAlone(&quarantine, 7, kTwo, now);
+  CHECK(quarantine.ModeOf(7, now) == RunMode::kWait);
+  quarantine.OnBroken(7, kTwo, now);
+  CHECK(quarantine.ModeOf(7, now) == RunMode::kRefuse);
+  CHECK_FALSE(quarantine.IsReserved(kTwo, now));
+  // It ends by itself.
+  CHECK(quarantine.ModeOf(7, now + Duration(299'999)) == RunMode::kRefuse);
+  CHECK(quarantine.ModeOf(7, now + Duration(300'000)) == RunMode::kFree);
+}
+
+TEST_CASE("a whole answer clears a suspect") {
+  Quarantine quarantine = Single();
+  quarantine.OnSent(7, kOne, Instant(0));
+  quarantine.OnSent(8, kOne, Instant(0));
+  quarantine.OnBroken(7, kOne, Instant(5));
+  quarantine.OnBroken(8, kOne, Instant(5));
+  const Instant now = SendAlone(&quarantine, 8, kTwo, Instant(5));
+  quarantine.OnEnded(8, kTwo, true, now);
+  CHECK(quarantine.ModeOf(8, now) == RunMode::kFree);
+  CHECK(quarantine.ModeOf(7, now) == RunMode::kAlone);
+}
+
+TEST_CASE("a run by itself that ends without a verdict leaves a suspect") {
+  Quarantine quarantine = Single();
+  quarantine.OnSent(7, kOne, Instant(0));
+  quarantine.OnBroken(7, kOne, Instant(0));
+  const Instant now = SendAlone(&quarantine, 7, kTwo, Instant(0));
+  quarantine.OnEnded(7, kTwo, false, now);
+  CHECK(quarantine.ModeOf(7, now) == RunMode::kAlone);
+  CHECK_FALSE(quarantine.IsReserved(kTwo, now));
+}
+
+TEST_CASE("one that ran well before is not convicted beside others") {
+  Quarantine quarantine = Single();
+  quarantine.OnSent(7, kOne, Instant(0));
+  quarantine.OnEnded(7, kOne, true, Instant(0));
+  quarantine.OnSent(7, kOne, Instant(10));
+  quarantine.OnSent(7, kTwo, Instant(10));
+  quarantine.OnBroken(7, kOne, Instant(20));
+  quarantine.OnBroken(7, kTwo, Instant(30));
+  CHECK(quarantine.ModeOf(7, Instant(30)) == RunMode::kAlone);
+}
+
+TEST_CASE("of two hosts that reserve at once, one yields") {
+  const auto none = [](const ServerId&, Instant) { return 0; };
+  Quarantine a(HostId("a"), {}, none);
+  Quarantine b(HostId("b"), {}, none);
+  const CrashNotice suspect{.fingerprint = 7,
+                            .sender = HostId("c"),
+                            .servers = {kOne},
+                            .remaining = Duration(60'000)};
+  for (Quarantine* it : {&a, &b})
+    it->OnNotice(suspect, Instant(0));
+  CHECK_FALSE(a.TryRunAlone(7, kOne, 0, Instant(0)));
+  CHECK_FALSE(b.TryRunAlone(7, kTwo, 0, Instant(5)));
+  for (const CrashNotice& it : a.TakeNotices())
+    b.OnNotice(it, Instant(20));
+  for (const CrashNotice& it : b.TakeNotices())
+    a.OnNotice(it, Instant(25));
+  CHECK(a.TryRunAlone(7, kOne, 0, Instant(200)));
+  CHECK_FALSE(b.TryRunAlone(7, kTwo, 0, Instant(200)));
+  CHECK(b.ModeOf(7, Instant(200)) == RunMode::kWait);
+  CHECK(b.IsReserved(kOne, Instant(200)));
+  CHECK_FALSE(a.IsReserved(kTwo, Instant(200)));
+}
+
+TEST_CASE("memory is bounded, and the quarantined outlast suspects") {
+  Quarantine quarantine = Single({.max_records = 100});
+  quarantine.OnNotice({.kind = CrashNoticeKind::kQuarantined,
+                       .fingerprint = 1,
+                       .sender = HostId("c"),
+                       .remaining = Duration(1'000'000)},
+                      Instant(0));
+  for (uint64_t i = 10; i < 5'000; ++i) {
+    quarantine.OnSent(i, kOne, Instant(0));
+    quarantine.OnBroken(i, kOne, Instant(0));
+  }
+  CHECK(quarantine.records() == 100);
+  CHECK(quarantine.ModeOf(1, Instant(0)) == RunMode::kRefuse);
+  CHECK(quarantine.TakeNotices().size() <= 1'024);
+  // A peer cannot set a longer time than the operators'.
+  CHECK(quarantine.ModeOf(1, Instant(300'000)) == RunMode::kFree);
+}
+
+}  // namespace toucanknot
