--- /dev/null
+++ b/bench/limits/limits_bench.cc
@@ -0,0 +1,329 @@
+// toucanknot-bench limits: how well a cap that several hosts share is used
+// while demand moves and hosts fail, by static shares, by loans and grants,
+// and by one pool that knows everything at once (the physical limit).
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bench/registry.h"
+#include "include/limits/budget_holder.h"
+#include "include/limits/host_budget.h"
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr int64_t kStepMs = 10;
+constexpr int64_t kRunMs = 120'000;
+constexpr int64_t kAskEveryMs = 100;
+constexpr int64_t kOneWayMs = 20;
+constexpr int64_t kFaultAtMs = 40'000;
+constexpr int64_t kFaultEndsMs = 80'000;
+// How long after a holder's loss another host has the lease.
+constexpr int64_t kTakeOverMs = 5'000;
+constexpr int64_t kHotSpotMs = 10'000;
+constexpr int kUsageExit = 2;
+
+enum class Fault { kNone, kHolderLost, kHostLost, kHostRestarts, kHostCut };
+
+struct Scenario {
+  const char* name;
+  // Demand of all hosts together as a share of the cap.
+  double load;
+  // The share of it that meets one host, which changes from time to time.
+  double hot;
+  Fault fault;
+};
+
+constexpr Scenario kScenarios[] = {
+    {"even-60", 0.6, 0, Fault::kNone},
+    {"even-90", 0.9, 0, Fault::kNone},
+    {"hot-spot-60", 0.6, 0.5, Fault::kNone},
+    {"hot-spot-90", 0.9, 0.5, Fault::kNone},
+    {"hot-spot-120", 1.2, 0.5, Fault::kNone},
+    {"holder-lost-90", 0.9, 0.3, Fault::kHolderLost},
+    {"host-lost-60", 0.6, 0.3, Fault::kHostLost},
+    {"host-lost-90", 0.9, 0.3, Fault::kHostLost},
+    {"host-restarts-90", 0.9, 0.3, Fault::kHostRestarts},
+    {"host-cut-off-90", 0.9, 0.3, Fault::kHostCut},
+};
+
+struct SharedCap {
+  const char* name;
+  int64_t total;
+  int hosts;
+};
+
+// What one way of dividing the cap came to.
+struct Outcome {
+  double served = 0;
+  double wanted = 0;
+  // The longest time for which a host got less than it wanted while the cap
+  // had room.
+  int64_t longest_short_ms = 0;
+  int64_t passed = 0;
+};
+
+// Demand per host over time: the same for every way of dividing.
+class Demand {
+ public:
+  Demand(const SharedCap& cap, const Scenario& scenario, uint64_t seed)
+      : cap_(cap), scenario_(scenario), random_(seed) {}
+
+  // The hosts' demands at `ms`, which grows; those in `dead` get none, their
+  // callers go to the others.
+  std::vector<int64_t> At(int64_t ms, const std::vector<bool>& dead) {
+    if (ms % kHotSpotMs == 0)
+      hot_host_ = static_cast<int>(random_() % cap_.hosts);
+    const auto alive = std::count(dead.begin(), dead.end(), false);
+    const double all =
+        scenario_.load * static_cast<double>(cap_.total) * Noise();
+    const double even = all * (1 - scenario_.hot) / static_cast<double>(alive);
+    int hot = hot_host_;
+    while (dead[hot])
+      hot = (hot + 1) % cap_.hosts;
+    std::vector<int64_t> out(cap_.hosts, 0);
+    for (int i = 0; i < cap_.hosts; ++i) {
+      if (!dead[i])
+        out[i] =
+            static_cast<int64_t>(even + (i == hot ? all * scenario_.hot : 0));
+    }
+    return out;
+  }
+
+ private:
+  double Noise() {
+    return std::uniform_real_distribution<double>(0.95, 1.05)(random_);
+  }
+
+  SharedCap cap_;
+  Scenario scenario_;
+  std::mt19937_64 random_;
+  int hot_host_ = 0;
+};
+
+// The hosts with the budgets that ship, joined by a network with a delay.
+class Fleet {
+ public:
+  explicit Fleet(const SharedCap& shared)
+      : cap_{LinkCap(RegionId("a"), RegionId("b")), shared.total} {
+    for (int i = 0; i < shared.hosts; ++i)
+      cap_.members.emplace_back("h" + std::to_string(i));
+    budgets_.resize(shared.hosts);
+    cut_.resize(shared.hosts, false);
+    for (int i = 0; i < shared.hosts; ++i) {
+      Start(i, 0);
+      budgets_[i]->EndHold(Instant(0));
+    }
+    TakeLease(0);
+  }
+
+  void Start(int host, int64_t ms) {
+    budgets_[host] = std::make_unique<HostBudget>(
+        cap_.members[host], ++incarnation_, BudgetTimes(), Instant(ms));
+    budgets_[host]->SetCaps({cap_}, Duration(0), Instant(ms));
+  }
+  void TakeLease(int host) {
+    holder_host_ = host;
+    holder_ = std::make_unique<BudgetHolder>(
+        HolderId{++epoch_, cap_.members[host], incarnation_}, BudgetTimes());
+  }
+  void DropLease() { holder_.reset(); }
+  void Cut(int host, bool cut) { cut_[host] = cut; }
+
+  void Step(int64_t ms, const std::vector<bool>& dead) {
+    const Instant now(ms);
+    for (; !wire_.empty() && wire_.begin()->first <= ms;
+         wire_.erase(wire_.begin()))
+      Deliver(wire_.begin()->second, ms, dead);
+    for (int i = 0; i < static_cast<int>(budgets_.size()); ++i) {
+      if (dead[i] || cut_[i] || (ms + i * kStepMs) % kAskEveryMs != 0)
+        continue;
+      wire_.emplace(ms + kOneWayMs,
+                    Message{i, budgets_[i]->MakeRequest(now), {}, false});
+    }
+  }
+  int64_t Limit(int host, int64_t ms) const {
+    return budgets_[host]->Limit(cap_.id, Instant(ms));
+  }
+  void SetUse(int host, int64_t used, int64_t wanted) {
+    budgets_[host]->SetUse(cap_.id, used, wanted);
+  }
+  int holder_host() const { return holder_host_; }
+
+ private:
+  struct Message {
+    int host = 0;
+    BudgetRequest request;
+    BudgetReply reply;
+    bool is_reply = false;
+  };
+
+  void Deliver(const Message& message,
+               int64_t ms,
+               const std::vector<bool>& dead) {
+    if (cut_[message.host] || dead[message.host])
+      return;
+    if (message.is_reply) {
+      budgets_[message.host]->OnReply(message.reply);
+      return;
+    }
+    if (!holder_ || cut_[holder_host_])
+      return;
+    wire_.emplace(ms + kOneWayMs,
+                  Message{message.host,
+                          {},
+                          holder_->Answer(message.request, Instant(ms)),
+                          true});
+  }
+
+  Cap cap_;
+  std::vector<std::unique_ptr<HostBudget>> budgets_;
+  std::vector<bool> cut_;
+  std::unique_ptr<BudgetHolder> holder_;
+  int holder_host_ = 0;
+  uint64_t epoch_ = 0;
+  Incarnation incarnation_ = 0;
+  std::multimap<int64_t, Message> wire_;
+};
+
+// Counts one step of one way of dividing.
+void Count(const std::vector<int64_t>& wanted,
+           const std::vector<int64_t>& limits,
+           const SharedCap& cap,
+           std::vector<int64_t>* short_ms,
+           Outcome* outcome) {
+  int64_t all = 0;
+  int64_t used = 0;
+  int64_t limit = 0;
+  for (size_t i = 0; i < wanted.size(); ++i) {
+    all += wanted[i];
+    used += std::min(wanted[i], limits[i]);
+    limit += limits[i];
+  }
+  for (size_t i = 0; i < wanted.size(); ++i) {
+    const bool is_short = limits[i] < wanted[i] && used < cap.total;
+    (*short_ms)[i] = is_short ? (*short_ms)[i] + kStepMs : 0;
+    outcome->longest_short_ms =
+        std::max(outcome->longest_short_ms, (*short_ms)[i]);
+  }
+  outcome->served += static_cast<double>(used);
+  outcome->wanted += static_cast<double>(std::min(all, cap.total));
+  outcome->passed += limit > cap.total ? 1 : 0;
+}
+
+void ApplyFault(const Scenario& scenario,
+                int64_t ms,
+                Fleet* fleet,
+                std::vector<bool>* dead) {
+  // The last host fails; the first holds the lease.
+  const auto last = static_cast<int>(dead->size()) - 1;
+  const bool begins = ms == kFaultAtMs;
+  const bool ends = ms == kFaultEndsMs;
+  switch (scenario.fault) {
+    case Fault::kNone:
+      break;
+    case Fault::kHolderLost:
+      if (begins) {
+        fleet->DropLease();
+        (*dead)[0] = true;
+      }
+      if (ms == kFaultAtMs + kTakeOverMs)
+        fleet->TakeLease(1);
+      break;
+    case Fault::kHostLost:
+      if (begins)
+        (*dead)[last] = true;
+      break;
+    case Fault::kHostRestarts:
+      if (begins)
+        fleet->Start(last, ms);
+      break;
+    case Fault::kHostCut:
+      if (begins || ends)
+        fleet->Cut(last, begins);
+      break;
+  }
+}
+
+struct Row {
+  Outcome fixed;
+  Outcome lent;
+};
+
+Row Measure(const SharedCap& cap, const Scenario& scenario, uint64_t seed) {
+  Demand demand(cap, scenario, seed);
+  Fleet fleet(cap);
+  std::vector<bool> dead(cap.hosts, false);
+  std::vector<int64_t> fixed_short(cap.hosts, 0);
+  std::vector<int64_t> lent_short(cap.hosts, 0);
+  std::vector<int64_t> fixed(cap.hosts, 0);
+  std::vector<int64_t> lent(cap.hosts, 0);
+  Row row;
+  for (int64_t ms = 0; ms < kRunMs; ms += kStepMs) {
+    ApplyFault(scenario, ms, &fleet, &dead);
+    const std::vector<int64_t> wanted = demand.At(ms, dead);
+    fleet.Step(ms, dead);
+    for (int i = 0; i < cap.hosts; ++i) {
+      fixed[i] = dead[i] ? 0 : cap.total / cap.hosts;
+      lent[i] = dead[i] ? 0 : fleet.Limit(i, ms);
+      fleet.SetUse(i, std::min(lent[i], wanted[i]), wanted[i]);
+    }
+    Count(wanted, fixed, cap, &fixed_short, &row.fixed);
+    Count(wanted, lent, cap, &lent_short, &row.lent);
+  }
+  return row;
+}
+
+double Percent(const Outcome& outcome) {
+  return 100 * outcome.served / outcome.wanted;
+}
+
+int RunLimits(const std::vector<std::string>& args) {
+  uint64_t seed = 1;
+  std::string deployment = "quetzal";
+  for (size_t i = 0; i + 1 < args.size(); i += 2) {
+    if (args[i] == "--seed")
+      seed = std::strtoull(args[i + 1].c_str(), nullptr, 10);
+    else if (args[i] == "--deployment")
+      deployment = args[i + 1];
+    else
+      return kUsageExit;
+  }
+  // A region's share of the tracker's or the orders' slots, and a link.
+  const bool haufiku = deployment == "haufiku";
+  const SharedCap caps[] = {
+      {"region-slots", haufiku ? 30 : 28, 3},
+      {"link-kbit/s", haufiku ? 3'600'000 : 270'000, 5},
+  };
+  std::printf(
+      "%s, seed %llu: served share of what one pool would serve; "
+      "longest time short\n",
+      deployment.c_str(), static_cast<unsigned long long>(seed));
+  std::printf("%-13s %-17s %9s %9s %12s %12s %6s\n", "cap", "scenario",
+              "static %", "loans %", "static ms", "loans ms", "passed");
+  for (const SharedCap& cap : caps) {
+    for (const Scenario& it : kScenarios) {
+      const Row row = Measure(cap, it, seed);
+      std::printf("%-13s %-17s %9.2f %9.2f %12lld %12lld %6lld\n", cap.name,
+                  it.name, Percent(row.fixed), Percent(row.lent),
+                  static_cast<long long>(row.fixed.longest_short_ms),
+                  static_cast<long long>(row.lent.longest_short_ms),
+                  static_cast<long long>(row.lent.passed));
+    }
+  }
+  return 0;
+}
+
+const Registration kLimits{
+    {"limits",
+     "use of shared caps; takes --deployment haufiku|quetzal --seed N",
+     RunLimits}};
+
+}  // namespace
+}  // namespace toucanknot::bench
