--- a/src/limits/host_budget.cc
+++ b/src/limits/host_budget.cc
@@ -11,7 +11,7 @@
 // What a host wants in hand for `demand` units: some more, so that a small
 // rise needs no exchange.
 int64_t WithSlack(int64_t demand) {
-  return demand + demand / 4 + 1;
+  return demand + demand / 8 + 1;
 }
 
 }  // namespace
