limits: ask by need, keep what nobody wants in the pool

Cause: surplus units were spread over hosts as grants, which had to be taken back before a host in need got them; all hosts asked ten times a second. Change: surplus stays in the pool; a host asks after 25 ms while it is short or its grant was reduced, after 100 ms when its demand has changed, else after 500 ms. Ended entries are dropped once a second. The fake's holders tell hosts their id now, as the lease does.

--- a/bench/limits/limits_bench.cc
+++ b/bench/limits/limits_bench.cc
@@ -20,7 +20,6 @@
 
 constexpr int64_t kStepMs = 10;
 constexpr int64_t kRunMs = 120'000;
-constexpr int64_t kAskEveryMs = 100;
 constexpr int64_t kOneWayMs = 20;
 constexpr int64_t kFaultAtMs = 40'000;
 constexpr int64_t kFaultEndsMs = 80'000;
@@ -142,8 +141,9 @@
          wire_.erase(wire_.begin()))
       Deliver(wire_.begin()->second, ms, dead);
     for (int i = 0; i < static_cast<int>(budgets_.size()); ++i) {
-      if (dead[i] || cut_[i] || (ms + i * kStepMs) % kAskEveryMs != 0)
+      if (dead[i] || cut_[i] || now < budgets_[i]->NextAsk(now))
         continue;
+      ++requests_;
       wire_.emplace(ms + kOneWayMs,
                     Message{i, budgets_[i]->MakeRequest(now), {}, false});
     }
@@ -154,7 +154,7 @@
   void SetUse(int host, int64_t used, int64_t wanted) {
     budgets_[host]->SetUse(cap_.id, used, wanted);
   }
-  int holder_host() const { return holder_host_; }
+  int64_t requests() const { return requests_; }
 
  private:
   struct Message {
@@ -188,6 +188,7 @@
   std::unique_ptr<BudgetHolder> holder_;
   int holder_host_ = 0;
   uint64_t epoch_ = 0;
+  int64_t requests_ = 0;
   Incarnation incarnation_ = 0;
   std::multimap<int64_t, Message> wire_;
 };
@@ -254,6 +255,7 @@
 struct Row {
   Outcome fixed;
   Outcome lent;
+  int64_t requests = 0;
 };
 
 Row Measure(const SharedCap& cap, const Scenario& scenario, uint64_t seed) {
@@ -277,6 +279,7 @@
     Count(wanted, fixed, cap, &fixed_short, &row.fixed);
     Count(wanted, lent, cap, &lent_short, &row.lent);
   }
+  row.requests = fleet.requests();
   return row;
 }
 
@@ -303,18 +306,21 @@
   };
   std::printf(
       "%s, seed %llu: served share of what one pool would serve; "
-      "longest time short\n",
+      "longest time short; requests per host\n",
       deployment.c_str(), static_cast<unsigned long long>(seed));
-  std::printf("%-13s %-17s %9s %9s %12s %12s %6s\n", "cap", "scenario",
-              "static %", "loans %", "static ms", "loans ms", "passed");
+  std::printf("%-13s %-17s %9s %9s %10s %9s %6s %7s\n", "cap", "scenario",
+              "static %", "loans %", "static ms", "loans ms", "passed",
+              "asks/s");
   for (const SharedCap& cap : caps) {
     for (const Scenario& it : kScenarios) {
       const Row row = Measure(cap, it, seed);
-      std::printf("%-13s %-17s %9.2f %9.2f %12lld %12lld %6lld\n", cap.name,
-                  it.name, Percent(row.fixed), Percent(row.lent),
+      const double asks = static_cast<double>(row.requests) * 1'000 /
+                          static_cast<double>(kRunMs * cap.hosts);
+      std::printf("%-13s %-17s %9.2f %9.2f %10lld %9lld %6lld %7.1f\n",
+                  cap.name, it.name, Percent(row.fixed), Percent(row.lent),
                   static_cast<long long>(row.fixed.longest_short_ms),
                   static_cast<long long>(row.lent.longest_short_ms),
-                  static_cast<long long>(row.lent.passed));
+                  static_cast<long long>(row.lent.passed), asks);
     }
   }
   return 0;
--- a/include/limits/budget_holder.h
+++ b/include/limits/budget_holder.h
@@ -69,6 +69,8 @@
 
   // A host that has been silent for longer has no say in the division.
   static constexpr Duration kSilentAfter{3'000};
+  // How often what has ended is dropped.
+  static constexpr Duration kForgetEvery{1'000};
 
   void TakeUse(const CapUse& use,
                const BudgetRequest& request,
@@ -93,6 +95,7 @@
   HolderId id_;
   BudgetTimes times_;
   uint64_t sequence_ = 0;
+  Instant forgotten_;
   std::map<HostKey, HostSeen> seen_;
   std::map<CapId, Accounts> caps_;
 };
--- a/include/limits/host_budget.h
+++ b/include/limits/host_budget.h
@@ -54,6 +54,10 @@
   void OnHolder(const HolderId& holder);
   const HolderId& holder() const { return holder_; }
 
+  // When to send the next request: soon while the host is short of units
+  // or the holder waits for its confirmation, in a tenth of a second after its
+  // demand has changed, else half a second.
+  Instant NextAsk(Instant now) const;
   // The next request to the holder. Its loans bind this host from now on,
   // whether the request arrives or not.
   BudgetRequest MakeRequest(Instant now);
@@ -88,6 +92,8 @@
     Instant grows_at = Instant::Never();
     int64_t in_use = 0;
     int64_t demand = 0;
+    // The demand at the last request.
+    int64_t told = 0;
     std::vector<Loan> loans;
     std::optional<Grant> grant;
   };
@@ -96,6 +102,11 @@
     Instant at;
   };
 
+  static constexpr Duration kAskShort{25};
+  static constexpr Duration kAskChanged{100};
+  static constexpr Duration kAskSteady{500};
+  // A change of demand by this part of the static share is worth telling.
+  static constexpr int64_t kToldPart = 8;
   // Requests whose replies are still accepted.
   static constexpr size_t kMaxAsked = 16;
   // Loans of one cap kept apart; further ones are merged.
@@ -115,7 +126,7 @@
   void TakeGrant(const CapGrant& granted,
                  uint64_t number,
                  Instant asked,
-                 Entry* entry) const;
+                 Entry* entry);
 
   HostId host_;
   Incarnation incarnation_;
@@ -125,6 +136,9 @@
   int64_t holder_stamp_ = 0;
   // When the newest request was sent that the holder has answered.
   Instant answered_;
+  // A grant was reduced: the holder waits to hear that it is followed.
+  bool confirm_ = false;
+  Instant last_ask_ = Instant(-Duration::Max().ms());
   uint64_t number_ = 0;
   std::deque<Asked> asked_;
   std::map<CapId, Entry> entries_;
--- a/src/limits/budget_holder.cc
+++ b/src/limits/budget_holder.cc
@@ -109,7 +109,6 @@
                              Instant now) const {
   int64_t pool = 0;
   int64_t others = 0;
-  int64_t all_wanted = 0;
   std::vector<int64_t> wanted;
   for (const auto& [key, it] : accounts) {
     pool += LentUntil(it, end);
@@ -118,14 +117,11 @@
     if (now - it.heard > kSilentAfter)
       continue;
     wanted.push_back(it.wanted);
-    all_wanted += it.wanted;
   }
-  const auto n = static_cast<int64_t>(wanted.size());
-  const int64_t own = accounts.at(host).wanted;
-  int64_t part = std::min(own, FairLevel(std::move(wanted), pool));
-  // What nobody wants is spread evenly, so that a sudden rise meets it.
-  if (pool > all_wanted)
-    part = own + (pool - all_wanted) / n;
+  // What nobody wants stays in the pool: it is at hand for whoever asks next,
+  // while a grant would have to be taken back first.
+  const int64_t part =
+      std::min(accounts.at(host).wanted, FairLevel(std::move(wanted), pool));
   return std::clamp<int64_t>(part, 0, std::max<int64_t>(pool - others, 0));
 }
 
@@ -148,6 +144,9 @@
 }
 
 void BudgetHolder::Forget(Instant now) {
+  if (now - forgotten_ < kForgetEvery)
+    return;
+  forgotten_ = now;
   for (auto& [cap, accounts] : caps_) {
     for (auto& [host, it] : accounts) {
       std::erase_if(it.loans, [&](const Loan& l) { return now >= l.end; });
--- a/src/limits/host_budget.cc
+++ b/src/limits/host_budget.cc
@@ -81,6 +81,24 @@
   holder_stamp_ = 0;
 }
 
+Instant HostBudget::NextAsk(Instant now) const {
+  if (confirm_)
+    return last_ask_ + kAskShort;
+  Duration wait = kAskSteady;
+  // Until the holder has answered once, nothing can be lent.
+  if (holder_stamp_ == 0)
+    wait = kAskChanged;
+  for (const auto& [id, it] : entries_) {
+    if (it.demand > Limit(id, now))
+      return last_ask_ + kAskShort;
+    const int64_t change =
+        std::max(it.demand, it.told) - std::min(it.demand, it.told);
+    if (change > 0 && change >= Owned(it, now) / kToldPart)
+      wait = kAskChanged;
+  }
+  return last_ask_ + wait;
+}
+
 BudgetRequest HostBudget::MakeRequest(Instant now) {
   BudgetRequest request{.host = host_,
                         .incarnation = incarnation_,
@@ -89,6 +107,7 @@
                         .holder_stamp = holder_stamp_};
   for (auto& [id, entry] : entries_) {
     DropEnded(&entry, now);
+    entry.told = entry.demand;
     const int64_t loan = ChooseLoan(entry, now);
     AddLoan(&entry, loan, now);
     const int64_t own =
@@ -101,6 +120,8 @@
          .followed = followed ? entry.grant->sequence : 0,
          .held = std::max<int64_t>(entry.in_use - own, 0)});
   }
+  last_ask_ = now;
+  confirm_ = false;
   asked_.push_back({number_, now});
   if (asked_.size() > kMaxAsked)
     asked_.pop_front();
@@ -131,7 +152,7 @@
 void HostBudget::TakeGrant(const CapGrant& granted,
                            uint64_t number,
                            Instant asked,
-                           Entry* entry) const {
+                           Entry* entry) {
   for (Loan& it : entry->loans) {
     if (it.holder == holder_ && it.number <= number)
       it.units = std::min(it.units, granted.bound);
@@ -139,6 +160,7 @@
   std::optional<Grant>& grant = entry->grant;
   if (grant && grant->holder == holder_ && grant->sequence >= granted.sequence)
     return;
+  confirm_ |= grant && granted.units < grant->units;
   grant = Grant{holder_, granted.sequence, granted.units, asked,
                 asked + times_.grant};
 }
--- a/tests/limits/budget_world.cc
+++ b/tests/limits/budget_world.cc
@@ -38,9 +38,8 @@
     if (now_ < it.paused_until)
       continue;
     MoveWork(&it);
-    if (now_ < it.next_ask)
+    if (Local(it) < it.budget->NextAsk(Local(it)))
       continue;
-    it.next_ask = now_ + kAskEveryMs;
     const int from = static_cast<int>(&it - hosts_.data());
     Send({.from = from,
           .to = it.believed,
@@ -88,12 +87,14 @@
 
 void BudgetWorld::MakeHolder(int i) {
   Host& host = hosts_[i];
-  host.holder = std::make_unique<BudgetHolder>(
-      HolderId{++epoch_, host.id, host.incarnation}, options_.holder_times);
+  const HolderId id{++epoch_, host.id, host.incarnation};
+  host.holder = std::make_unique<BudgetHolder>(id, options_.holder_times);
   for (Host& it : hosts_) {
     // The news reaches some hosts at once, the others by replies or never.
-    if (it.side == host.side && (options_.loss <= 0 || Pick(0, 1) == 0))
+    if (it.side == host.side && (options_.loss <= 0 || Pick(0, 1) == 0)) {
       it.believed = i;
+      it.budget->OnHolder(id);
+    }
   }
 }
 
--- a/tests/limits/budget_world.h
+++ b/tests/limits/budget_world.h
@@ -67,8 +67,6 @@
   const HostBudget& budget(int i) const { return *hosts_[i].budget; }
 
   static constexpr int64_t kStepMs = 10;
-  // How often a host asks.
-  static constexpr int64_t kAskEveryMs = 100;
 
  private:
   struct Work {
@@ -83,7 +81,6 @@
     int64_t paused_until = 0;
     int side = 0;
     int64_t demand = 0;
-    int64_t next_ask = 0;
     // The host that it takes for the holder.
     int believed = 0;
     std::unique_ptr<HostBudget> budget;
