--- /dev/null
+++ b/src/daemon/once_runner.cc
@@ -0,0 +1,256 @@
+#include "src/daemon/once_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "include/once/owner_inquiry.h"
+#include "src/daemon/answers.h"
+#include "src/http/headers.h"
+
+namespace toucanknot {
+namespace {
+
+// Servers or hosts that a run-once request is offered to at most, as long as
+// none of them can have run it.
+constexpr int kMaxChoices = 4;
+
+constexpr char kTicketAdvice[] =
+    "; repeat it with the Idempotency-Key of this answer";
+
+}  // namespace
+
+class OnceRunner::Record {
+ public:
+  Record(TicketDesk& tickets, Ticket ticket)
+      : tickets_(tickets), run_(ticket.sequence), ticket_(std::move(ticket)) {}
+  Record(TicketDesk& tickets, PassId pass)
+      : tickets_(tickets), run_(PassTable::Key(pass.attempt)), pass_(pass) {}
+
+  std::optional<RunAttempt> HandOver() {
+    With([this](RunRecords& runs) { attempt_ = runs.HandOver(run_); });
+    return attempt_;
+  }
+  // The attempt proved that it did not and will not run. Whether the request
+  // may be sent elsewhere.
+  bool TakeBack() {
+    bool may = false;
+    With([&](RunRecords& runs) {
+      may = attempt_ ? runs.TakeBack(*attempt_) : runs.MayChooseAgain(run_);
+    });
+    attempt_.reset();
+    return may;
+  }
+  RunEnd Answer(KeptAnswerPtr answer) {
+    return End([&](RunRecords& runs, Instant now) {
+      return runs.Answer(*attempt_, std::move(answer), now);
+    });
+  }
+  RunEnd Break() {
+    return End([&](RunRecords& runs, Instant now) {
+      return runs.Break(*attempt_, now);
+    });
+  }
+  RunEnd Void() {
+    return pass_ ? tickets_.VoidPassed(*pass_) : tickets_.VoidTicket(*ticket_);
+  }
+  bool handed_over() const { return attempt_.has_value(); }
+
+ private:
+  void With(const std::function<void(RunRecords&)>& act) {
+    if (pass_)
+      tickets_.WithPassed(pass_->owner, act);
+    else
+      tickets_.With(act);
+  }
+  RunEnd End(const TicketDesk::Act& act) {
+    return pass_ ? tickets_.EndPassed(pass_->owner, act) : tickets_.End(act);
+  }
+
+  TicketDesk& tickets_;
+  const uint64_t run_;
+  const std::optional<Ticket> ticket_;
+  const std::optional<PassId> pass_;
+  std::optional<RunAttempt> attempt_;
+};
+
+OnceRunner::OnceRunner(WorkerPool& workers,
+                       Sender& sender,
+                       TicketDesk& tickets,
+                       std::atomic<uint64_t>& next_item)
+    : workers_(workers),
+      sender_(sender),
+      tickets_(tickets),
+      next_item_(next_item) {}
+
+TicketDesk::WaiterPtr OnceRunner::NewWaiter() const {
+  return std::make_shared<TicketDesk::Waiter>(
+      workers_.loop(WorkerPool::Current()));
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::Serve(CallPtr call) {
+  const std::string ticket(call->original.fields.Get(kTicketHeader));
+  if (ticket.empty()) {
+    HttpResponse answer = HostAnswer(
+        428, Verdict::kNotRun, "ticket-required",
+        std::string("this request runs at most once and needs a ticket") +
+            kTicketAdvice);
+    OfferTicket(*call, answer);
+    co_return answer;
+  }
+  const auto waiter = NewWaiter();
+  const TicketReply reply = tickets_.Begin(ticket, call->fingerprint, waiter);
+  if (reply.step == TicketStep::kStart) {
+    co_return co_await Run(call,
+                           std::make_shared<Record>(tickets_, *reply.ticket));
+  }
+  if (reply.step == TicketStep::kJoin)
+    co_return co_await Await(waiter, call);
+  if (reply.step == TicketStep::kNotMine)
+    co_return co_await AskOwner(call, *reply.ticket);
+  co_return AnswerFor(reply, *call);
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::ServePassed(CallPtr call) {
+  const PassId pass{call->pass->sender, call->pass->attempt};
+  const auto waiter = NewWaiter();
+  const TicketReply reply =
+      tickets_.BeginPassed(pass, call->fingerprint, waiter);
+  if (reply.step == TicketStep::kStart)
+    co_return co_await Run(call, std::make_shared<Record>(tickets_, pass));
+  if (reply.step == TicketStep::kJoin)
+    co_return co_await Await(waiter, call);
+  co_return AnswerFor(reply, *call);
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::ServeQuestion(CallPtr call) {
+  const std::string ticket(call->original.fields.Get(kTicketHeader));
+  const auto waiter = NewWaiter();
+  const TicketReply reply = tickets_.Ask(ticket, call->fingerprint, waiter);
+  if (reply.step == TicketStep::kJoin)
+    co_return co_await Await(waiter, call);
+  co_return AnswerFor(reply, *call);
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::Run(
+    CallPtr call,
+    std::shared_ptr<Record> record) {
+  const auto hand_over = [record] { return record->HandOver(); };
+  WorkItem item = call->ToWorkItem(0);
+  Refusal refusal = Refusal::kNoServer;
+  for (int i = 0; i < kMaxChoices; ++i) {
+    item.id = next_item_.fetch_add(1);
+    const Decision decision = co_await call->entry->desk->Place(
+        workers_.loop(WorkerPool::Current()), item);
+    if (decision.step == Step::kRefuse) {
+      refusal = decision.refusal;
+      break;
+    }
+    SendResult result = co_await sender_.Send(*call, decision, hand_over);
+    if (result.verdict == Verdict::kRan) {
+      HttpResponse answer = ToCaller(std::move(result.response), Verdict::kRan);
+      record->Answer(ToKeptAnswer(answer));
+      co_return answer;
+    }
+    if (result.verdict == Verdict::kUnknown && record->handed_over())
+      co_return AnswerForEnd(record->Break());
+    if (!record->TakeBack())
+      break;
+    Avoid(decision, item);
+  }
+  record->Void();
+  HttpResponse answer = RefusalAnswer(refusal);
+  if (!call->pass)
+    OfferTicket(*call, answer);
+  co_return answer;
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::Await(
+    TicketDesk::WaiterPtr waiter,
+    CallPtr call) {
+  if (const auto end = co_await waiter->Wait(call->deadline))
+    co_return AnswerForEnd(*end);
+  co_return HostAnswer(504, Verdict::kUnknown, "running",
+                       "it is still running; repeat it with the same "
+                       "Idempotency-Key to learn how it ends");
+}
+
+boost::asio::awaitable<HttpResponse> OnceRunner::AskOwner(CallPtr call,
+                                                          Ticket ticket) {
+  OwnerInquiry inquiry(ticket, {}, call->deadline);
+  InquiryAction action = inquiry.Start(SteadyNow());
+  while (action.step != InquiryStep::kAnswer) {
+    if (action.step == InquiryStep::kAskOwner &&
+        action.target.host != tickets_.self().host) {
+      // The owner waits with its reply until a run that goes on has ended.
+      SendResult result =
+          co_await sender_.AskOwner(*call, action.target.host, call->deadline);
+      if (result.has_answer)
+        co_return ToCaller(std::move(result.response), result.verdict);
+    }
+    action = inquiry.OnSilence(SteadyNow());
+  }
+  co_return AnswerFor(action.reply, *call);
+}
+
+HttpResponse OnceRunner::AnswerFor(const TicketReply& reply, const Call& call) {
+  const std::string reason(reply.reason == TicketReason::kNone
+                               ? kTicketStepNames.Name(reply.step)
+                               : kTicketReasonNames.Name(reply.reason));
+  switch (reply.step) {
+    case TicketStep::kAnswer: {
+      HttpResponse answer = FromKeptAnswer(*reply.answer);
+      answer.fields.Set(kVerdictHeader,
+                        std::string(VerdictName(Verdict::kRan)));
+      return answer;
+    }
+    case TicketStep::kAnswerGone:
+      return HostAnswer(410, Verdict::kRan, reason,
+                        "it ran; its answer is no longer kept");
+    case TicketStep::kMismatch:
+      return HostAnswer(422, Verdict::kNotRun, reason,
+                        "this Idempotency-Key belongs to another request, "
+                        "which is not affected");
+    case TicketStep::kNotRun: {
+      HttpResponse answer =
+          HostAnswer(409, Verdict::kNotRun, reason,
+                     "it did not run and never will under this ticket");
+      OfferTicket(call, answer);
+      return answer;
+    }
+    case TicketStep::kMalformed:
+    case TicketStep::kForged: {
+      HttpResponse answer =
+          HostAnswer(400, Verdict::kNotRun, reason,
+                     std::string("the Idempotency-Key is no ticket of this "
+                                 "fleet") +
+                         kTicketAdvice);
+      OfferTicket(call, answer);
+      return answer;
+    }
+    default:
+      return HostAnswer(502, Verdict::kUnknown, reason,
+                        "it may have run; find out before you start another");
+  }
+}
+
+HttpResponse OnceRunner::AnswerForEnd(const RunEnd& end) {
+  if (end.verdict == Verdict::kRan) {
+    if (end.answer)
+      return FromKeptAnswer(*end.answer);
+    return HostAnswer(410, Verdict::kRan, "answer-gone",
+                      "it ran; its answer is no longer kept");
+  }
+  if (end.verdict == Verdict::kNotRun) {
+    return HostAnswer(503, Verdict::kNotRun, "voided",
+                      "it did not run and never will under this ticket");
+  }
+  return HostAnswer(502, Verdict::kUnknown, "broken",
+                    "it may have run; find out before you start another");
+}
+
+void OnceRunner::OfferTicket(const Call& call, HttpResponse& answer) {
+  answer.fields.Set(kTicketHeader,
+                    tickets_.Mint(call.entry->tunables.ticket_lifetime));
+}
+
+}  // namespace toucanknot
