--- a/include/limits/host_budget.h
+++ b/include/limits/host_budget.h
@@ -105,8 +105,6 @@
   static constexpr Duration kAskShort{25};
   static constexpr Duration kAskChanged{100};
   static constexpr Duration kAskSteady{500};
-  // A change of demand by this part of the static share is worth telling.
-  static constexpr int64_t kToldPart = 8;
   // Requests whose replies are still accepted.
   static constexpr size_t kMaxAsked = 16;
   // Loans of one cap kept apart; further ones are merged.
--- a/src/limits/host_budget.cc
+++ b/src/limits/host_budget.cc
@@ -14,6 +14,11 @@
   return demand + demand / 8 + 1;
 }
 
+// Whether a change by some units of a cap is worth an exchange of its own.
+bool IsNotable(int64_t change, int64_t share) {
+  return change > std::max<int64_t>(share / 8, 1);
+}
+
 }  // namespace
 
 HostBudget::HostBudget(HostId host,
@@ -93,7 +98,7 @@
       return last_ask_ + kAskShort;
     const int64_t change =
         std::max(it.demand, it.told) - std::min(it.demand, it.told);
-    if (change > 0 && change >= Owned(it, now) / kToldPart)
+    if (IsNotable(change, it.share))
       wait = kAskChanged;
   }
   return last_ask_ + wait;
@@ -160,7 +165,7 @@
   std::optional<Grant>& grant = entry->grant;
   if (grant && grant->holder == holder_ && grant->sequence >= granted.sequence)
     return;
-  confirm_ |= grant && granted.units < grant->units;
+  confirm_ |= grant && IsNotable(grant->units - granted.units, entry->share);
   grant = Grant{holder_, granted.sequence, granted.units, asked,
                 asked + times_.grant};
 }
