limits: PassLimits joins budget, links, shifts and ramps for one host

What a daemon needs to pass requests to other regions, with the caps worked out from the configuration. Demand of a link is measured from the bytes that were wanted, and follows a rise at once.

--- /dev/null
+++ b/src/limits/pass_limits.cc
@@ -0,0 +1,212 @@
+#include "include/limits/pass_limits.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "include/config/places.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr double kKbitPerMbit = 1'000;
+constexpr double kBitsPerByte = 8;
+// How often demand is measured, and the weight of the newest measure.
+constexpr Duration kMeterEvery{100};
+constexpr double kNewest = 0.3;
+
+double Mbit(int64_t kbit_per_s) {
+  return static_cast<double>(kbit_per_s) / kKbitPerMbit;
+}
+
+}  // namespace
+
+std::vector<Cap> LinkCapsOf(const FleetConfig& config,
+                            const HostId& host,
+                            int64_t unix_ms) {
+  const EntryHost* self = config.FindHost(host);
+  if (!self)
+    return {};
+  const RegionId region = config.RegionOf(self->zone);
+  std::vector<Cap> caps;
+  for (const Link& link : config.links) {
+    if (link.from != region && link.to != region)
+      continue;
+    const Tunables tunables = config.Resolve(PlaceOfLink(link), unix_ms);
+    Cap cap{LinkCap(link.from, link.to),
+            static_cast<int64_t>(link.mbit_per_s * kKbitPerMbit *
+                                 tunables.link_load_limit)};
+    for (const EntryHost& it : config.hosts) {
+      const RegionId end = config.RegionOf(it.zone);
+      if (end == link.from || end == link.to)
+        cap.members.push_back(it.id);
+    }
+    caps.push_back(std::move(cap));
+  }
+  return caps;
+}
+
+PassLimits::PassLimits(HostId host,
+                       Incarnation incarnation,
+                       BudgetTimes times,
+                       Ramp::Options ramp,
+                       Instant now)
+    : host_(host),
+      ramp_(ramp),
+      budget_(std::move(host), incarnation, times, now),
+      metered_(now) {}
+
+void PassLimits::OnConfig(const FleetConfigPtr& config,
+                          int64_t unix_ms,
+                          Instant now) {
+  const EntryHost* self = config->FindHost(host_);
+  if (!self)
+    return;
+  region_ = config->RegionOf(self->zone);
+  budget_.SetCaps(LinkCapsOf(*config, host_, unix_ms), kGrowAfter, now);
+  std::map<ShiftKey, ShiftLimiter> shifts;
+  for (const Region& region : config->regions) {
+    if (region.id == region_)
+      continue;
+    regions_.try_emplace(region.id, ramp_);
+    for (const Service& service : config->services) {
+      const Tunables tunables =
+          config->Resolve({.service = service.id, .region = region_}, unix_ms);
+      const ShiftKey key{service.id, region.id};
+      const auto old = shifts_.find(key);
+      const auto it =
+          old != shifts_.end()
+              ? shifts.emplace(key, std::move(old->second)).first
+              : shifts
+                    .emplace(key, ShiftLimiter(tunables.shift_share,
+                                               tunables.shift_interval))
+                    .first;
+      it->second.Configure(tunables.shift_share, tunables.shift_interval);
+    }
+  }
+  shifts_ = std::move(shifts);
+  SetRates(now);
+}
+
+void PassLimits::OnRegion(const RegionId& region, bool available, Instant now) {
+  if (RegionLimits* it = FindRegion(region))
+    it->ramp.Update(available, now);
+}
+
+void PassLimits::Advance(Instant now) {
+  if (now - metered_ >= kMeterEvery) {
+    const Duration since = now - metered_;
+    metered_ = now;
+    for (auto& [region, it] : regions_) {
+      const int64_t out = it.out.Roll(since);
+      const int64_t back = it.back.Roll(since);
+      budget_.SetUse(LinkCap(region_, region), out, out);
+      budget_.SetUse(LinkCap(region, region_), back, back);
+    }
+  }
+  SetRates(now);
+}
+
+void PassLimits::SetRates(Instant now) {
+  for (auto& [region, it] : regions_) {
+    it.link.SetRates(Mbit(budget_.Limit(LinkCap(region_, region), now)),
+                     Mbit(budget_.Limit(LinkCap(region, region_), now)), now);
+  }
+}
+
+void PassLimits::OnRequest(const ServiceId& service, Instant now) {
+  for (auto it = shifts_.lower_bound({service, RegionId()});
+       it != shifts_.end() && it->first.first == service; ++it)
+    it->second.OnRequest(now);
+}
+
+PassPermit PassLimits::MayPass(const ServiceId& service,
+                               const RegionId& region,
+                               int64_t request_bytes,
+                               Instant now) {
+  RegionLimits* limits = FindRegion(region);
+  const auto shift = shifts_.find({service, region});
+  if (!limits || shift == shifts_.end() || limits->ramp.Share(now) <= 0)
+    return {PassBlock::kRegion};
+  const int64_t answer_bytes = answers_[service].Expected();
+  if (!shift->second.TryMove(now))
+    return {PassBlock::kShift};
+  limits->out.Add(request_bytes);
+  limits->back.Add(answer_bytes);
+  if (!limits->link.TryReserve(request_bytes, answer_bytes, now)) {
+    shift->second.Undo(now);
+    return {PassBlock::kLink};
+  }
+  if (TakeRamp(limits, now))
+    return {PassBlock::kNone, answer_bytes};
+  limits->link.out().Take(-request_bytes, now);
+  limits->link.Settle(answer_bytes, 0, now);
+  shift->second.Undo(now);
+  return {PassBlock::kRegion};
+}
+
+void PassLimits::OnPassEnded(const ServiceId& service,
+                             const RegionId& region,
+                             const PassPermit& permit,
+                             int64_t answer_bytes,
+                             Instant now) {
+  if (answer_bytes > 0)
+    answers_[service].OnAnswer(answer_bytes);
+  if (RegionLimits* it = FindRegion(region))
+    it->link.Settle(permit.reserved_bytes, answer_bytes, now);
+}
+
+double PassLimits::Headroom(const RegionId& region, Instant now) {
+  RegionLimits* it = FindRegion(region);
+  if (!it)
+    return 0;
+  return std::min(it->link.out().Headroom(now), it->link.back().Headroom(now));
+}
+
+bool PassLimits::TakeRamp(RegionLimits* limits, Instant now) {
+  limits->credit += limits->ramp.Share(now);
+  if (limits->credit < 1)
+    return false;
+  limits->credit -= 1;
+  return true;
+}
+
+PassLimits::RegionLimits* PassLimits::FindRegion(const RegionId& region) {
+  const auto it = regions_.find(region);
+  return it == regions_.end() ? nullptr : &it->second;
+}
+
+int64_t PassLimits::Meter::Roll(Duration since) {
+  const double rate = static_cast<double>(bytes_) * kBitsPerByte /
+                      static_cast<double>(since.ms());
+  // A rise counts at once, a fall slowly: units that are given up too early
+  // have to be asked for again.
+  kbit_per_s_ =
+      rate > kbit_per_s_ ? rate : kbit_per_s_ + kNewest * (rate - kbit_per_s_);
+  bytes_ = 0;
+  return static_cast<int64_t>(kbit_per_s_);
+}
+
+std::string PassLimits::Explain(Instant now) {
+  boost::json::array regions;
+  for (auto& [region, it] : regions_) {
+    boost::json::array moved;
+    for (auto& [key, shift] : shifts_) {
+      if (key.second == region) {
+        moved.push_back({{"service", key.first.str()},
+                         {"moved", shift.Moved(now)},
+                         {"available", shift.Available(now)}});
+      }
+    }
+    regions.push_back({{"region", region.str()},
+                       {"ramp", it.ramp.Share(now)},
+                       {"settling", it.ramp.settling()},
+                       {"headroom", Headroom(region, now)},
+                       {"answers_under_way_bytes", it.link.reserved_bytes()},
+                       {"shifts", std::move(moved)}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"budget", boost::json::parse(budget_.Explain(now))},
+                          {"regions", std::move(regions)}});
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/limits/pass_limits_test.cc
@@ -0,0 +1,138 @@
+#include "include/limits/pass_limits.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "include/limits/budget_holder.h"
+
+namespace toucanknot {
+namespace {
+
+const RegionId kCentro("centro");
+const RegionId kOriente("oriente");
+const ServiceId kOrders("orders");
+
+// Two regions with two and one hosts, 300 Mbit/s between them.
+FleetConfigPtr Config(double load_limit = 0.9) {
+  auto config = std::make_shared<FleetConfig>();
+  config->version = 1;
+  config->regions = {{kCentro, {ZoneId("c1")}}, {kOriente, {ZoneId("o1")}}};
+  config->links = {{kCentro, kOriente, 300}, {kOriente, kCentro, 300}};
+  config->hosts = {{HostId("a"), ZoneId("c1")},
+                   {HostId("b"), ZoneId("c1")},
+                   {HostId("c"), ZoneId("o1")}};
+  Service service;
+  service.id = kOrders;
+  config->services = {service};
+  config->defaults.link_load_limit = load_limit;
+  return config;
+}
+
+PassLimits Limits(const char* host, const FleetConfigPtr& config) {
+  PassLimits limits(HostId(host), 1, BudgetTimes(), Ramp::Options(),
+                    Instant(0));
+  limits.OnConfig(config, 0, Instant(0));
+  limits.budget().EndHold(Instant(0));
+  return limits;
+}
+
+// A thousand requests a second that would all pass; how many did in `ms`.
+int Offer(PassLimits* limits, int64_t from, int64_t ms, int64_t bytes) {
+  int passed = 0;
+  for (int64_t t = from; t < from + ms; ++t) {
+    const Instant now(t);
+    limits->Advance(now);
+    limits->OnRequest(kOrders, now);
+    const PassPermit permit = limits->MayPass(kOrders, kOriente, bytes, now);
+    if (!permit.allowed())
+      continue;
+    ++passed;
+    limits->OnPassEnded(kOrders, kOriente, permit, bytes, now);
+  }
+  return passed;
+}
+
+}  // namespace
+
+TEST_CASE("hosts at both ends divide each direction of a link") {
+  const FleetConfigPtr config = Config();
+  const std::vector<Cap> caps = LinkCapsOf(*config, HostId("a"), 0);
+  REQUIRE(caps.size() == 2);
+  int64_t sum = 0;
+  for (const char* it : {"a", "b", "c"}) {
+    sum += caps[0].StaticShare(HostId(it));
+    CHECK(LinkCapsOf(*config, HostId(it), 0)[1].members == caps[1].members);
+  }
+  CHECK(sum == 270'000);
+  CHECK(LinkCapsOf(*config, HostId("unknown"), 0).empty());
+}
+
+TEST_CASE("passes start slowly and stay under the host's part of the link") {
+  PassLimits limits = Limits("a", Config());
+  const int first = Offer(&limits, 0, 2'000, 1'000);
+  CHECK(first < 300);
+  Offer(&limits, 2'000, 18'000, 1'000);
+  CHECK(Offer(&limits, 20'000, 1'000, 1'000) > 900);
+  // A third of 270 Mbit/s each way: 11 250 bytes a millisecond.
+  const int big = Offer(&limits, 21'000, 10'000, 50'000);
+  CHECK(big <= 11'250 * 10'050 / 50'000 + 1);
+  CHECK(big > 2'000);
+}
+
+TEST_CASE("a host whose demand grows gets what others lend") {
+  const FleetConfigPtr config = Config();
+  PassLimits a = Limits("a", config);
+  PassLimits b = Limits("b", config);
+  PassLimits c = Limits("c", config);
+  BudgetHolder holder({.epoch = 1, .host = HostId("c")}, BudgetTimes());
+  const CapId out = LinkCap(kCentro, kOriente);
+  int64_t most = 0;
+  for (int64_t t = 0; t < 30'000; ++t) {
+    const Instant now(t);
+    Offer(&a, t, 1, 20'000);
+    int64_t sum = 0;
+    for (PassLimits* it : {&a, &b, &c}) {
+      it->Advance(now);
+      if (now >= it->budget().NextAsk(now)) {
+        it->budget().OnReply(holder.Answer(it->budget().MakeRequest(now), now));
+      }
+      sum += it->budget().Limit(out, now);
+    }
+    most = std::max(most, sum);
+  }
+  CHECK(most == 270'000);
+  // 20 000 bytes a millisecond are 160 Mbit/s, above the share of 90.
+  CHECK(a.budget().Limit(out, Instant(30'000)) > 160'000);
+  CHECK(Offer(&a, 30'000, 1'000, 20'000) > 900);
+}
+
+TEST_CASE("what is blocked says by what") {
+  const FleetConfigPtr config = Config();
+  PassLimits limits = Limits("a", config);
+  CHECK(limits.MayPass(kOrders, kOriente, 1, Instant(1)).block ==
+        PassBlock::kShift);
+  CHECK(limits.MayPass(kOrders, RegionId("nowhere"), 1, Instant(1)).block ==
+        PassBlock::kRegion);
+  limits.OnRegion(kOriente, false, Instant(1));
+  CHECK(limits.MayPass(kOrders, kOriente, 1, Instant(1)).block ==
+        PassBlock::kRegion);
+  PassLimits narrow = Limits("a", Config(0));
+  CHECK(Offer(&narrow, 0, 5'000, 1'000) == 0);
+  CHECK(narrow.MayPass(kOrders, kOriente, 1'000, Instant(5'000)).block ==
+        PassBlock::kLink);
+  CHECK(narrow.Explain(Instant(5'000)).find("\"headroom\":0") !=
+        std::string::npos);
+}
+
+TEST_CASE("a region that returns gets a part first") {
+  PassLimits limits = Limits("a", Config());
+  Offer(&limits, 0, 20'000, 1'000);
+  limits.OnRegion(kOriente, false, Instant(20'000));
+  CHECK(Offer(&limits, 20'000, 1'000, 1'000) == 0);
+  limits.OnRegion(kOriente, true, Instant(21'000));
+  limits.OnRegion(kOriente, true, Instant(24'000));
+  CHECK(Offer(&limits, 24'000, 1'000, 1'000) <= 200);
+}
+
+}  // namespace toucanknot
