limits: a ledger per cap keeps its sums

Cause: the division was worked out anew for every host that asked: 76.8 us an exchange over eight caps with 320 hosts known, about 5 % of a core for a region of the size planned for. Change: with more than 16 hosts the sums are refreshed every 100 ms and kept up to date by each exchange in between, on the safe side.

--- a/include/limits/budget_holder.h
+++ b/include/limits/budget_holder.h
@@ -4,13 +4,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "include/base/clock.h"
 #include "include/base/ids.h"
 #include "include/limits/budget_messages.h"
 #include "include/limits/cap.h"
+#include "include/limits/cap_ledger.h"
 
 namespace toucanknot {
 
@@ -41,85 +40,23 @@
   std::string Explain(Instant now) const;
 
  private:
-  struct HostKey {
-    HostId host;
-    Incarnation incarnation = 0;
-    auto operator<=>(const HostKey&) const = default;
-  };
-  struct Loan {
-    int64_t units = 0;
-    Instant end;
-  };
-  struct Grant {
-    uint64_t sequence = 0;
-    int64_t units = 0;
-    // When the holder may hand its units to another.
-    Instant end;
-  };
-  // One host's dealings in one cap.
-  struct Account {
-    std::vector<Loan> loans;
-    std::vector<Grant> grants;
-    int64_t wanted = 0;
-    int64_t needed = 0;
-    Instant heard;
-  };
-  using Accounts = std::map<HostKey, Account>;
-  // One member's promise to give another no vote.
-  struct Renounced {
-    HostId voter;
-    int64_t units = 0;
-    Instant end;
-  };
-  struct CapState {
-    Accounts accounts;
-    // By the member that is renounced.
-    std::map<HostId, std::vector<Renounced>> renounced;
-    size_t renouncers_needed = 0;
-  };
   struct HostSeen {
     uint64_t number = 0;
     Instant heard;
   };
 
-  // A host that has been silent for longer has no say in the division.
-  static constexpr Duration kSilentAfter{3'000};
   // How often what has ended is dropped.
   static constexpr Duration kForgetEvery{1'000};
 
-  void TakeUse(const CapUse& use,
-               const BudgetRequest& request,
-               Account* account,
-               Instant now) const;
-  void TakeRenounced(const CapUse& use,
-                     const BudgetRequest& request,
-                     CapState* state) const;
-  // Units of lost hosts that nobody else can use until `end`.
-  static int64_t FreeUntil(const CapState& state, Instant end);
-  // Gives loans back that `host` does not renew, as far as no grant rests on
-  // them; returns what still binds it.
-  static int64_t Unbind(CapState* state,
-                        const HostKey& host,
-                        int64_t lent,
-                        Instant end,
-                        Instant now);
-  // Units for `host`: its fair part of what is lent until `end`.
-  int64_t Choose(const CapState& state,
-                 const HostKey& host,
-                 Instant end,
-                 Instant now) const;
-  // Whether hosts need more than is lent until `end`.
-  static bool IsScarce(const CapState& state, Instant end, Instant now);
-  static int64_t LentUntil(const Account& account, Instant end);
-  static int64_t Outstanding(const Account& account, Instant now);
   void Forget(Instant now);
+  const CapLedger* Find(const CapId& cap) const;
 
   HolderId id_;
   BudgetTimes times_;
   uint64_t sequence_ = 0;
   Instant forgotten_;
   std::map<HostKey, HostSeen> seen_;
-  std::map<CapId, CapState> caps_;
+  std::map<CapId, CapLedger> ledgers_;
 };
 
 }  // namespace toucanknot
--- a/src/limits/budget_holder.cc
+++ b/src/limits/budget_holder.cc
@@ -1,33 +1,10 @@
 #include "include/limits/budget_holder.h"
 
-#include <algorithm>
 #include <boost/json.hpp>
-#include <limits>
+#include <optional>
 #include <utility>
 
 namespace toucanknot {
-namespace {
-
-// Loans of one host and cap kept apart. Dropping one is safe here: it only
-// makes the holder count less.
-constexpr size_t kMaxLoans = 32;
-
-// The largest part that all `wanted` can have when each gets no more than it
-// wants and `pool` is not passed (max-min fairness), in whole units. Rounded
-// up: who asks first gets the odd unit.
-int64_t FairLevel(std::vector<int64_t> wanted, int64_t pool) {
-  std::sort(wanted.begin(), wanted.end());
-  auto left = static_cast<int64_t>(wanted.size());
-  for (const int64_t it : wanted) {
-    if (it * left > pool)
-      return (pool + left - 1) / left;
-    pool -= it;
-    --left;
-  }
-  return wanted.empty() ? pool : wanted.back();
-}
-
-}  // namespace
 
 BudgetHolder::BudgetHolder(HolderId id, BudgetTimes times)
     : id_(std::move(id)), times_(times) {}
@@ -43,228 +20,63 @@
   if (request.number <= seen.number)
     return reply;
   seen = {request.number, now};
-  const Instant end = now + times_.AtLeast(times_.grant + times_.settle);
+  std::optional<Instant> loans_end;
+  // The host spoke after it had received the stamp, so its promises end no
+  // sooner than this, whatever the way took.
+  if (request.holder == id_ && request.holder_stamp > 0) {
+    loans_end = Instant(request.holder_stamp - 1) + times_.AtMost(times_.loan);
+  }
   for (const CapUse& it : request.uses) {
-    CapState& state = caps_[it.cap];
-    Account& account = state.accounts[host];
-    TakeUse(it, request, &account, now);
-    TakeRenounced(it, request, &state);
-    const int64_t bound = Unbind(&state, host, it.lent, end, now);
-    const int64_t units = Choose(state, host, end, now);
-    account.grants.push_back({++sequence_, units, end});
-    reply.grants.push_back(
-        {it.cap, sequence_, units, bound, IsScarce(state, end, now)});
+    CapLedger& ledger =
+        ledgers_
+            .try_emplace(it.cap, times_.AtLeast(times_.grant + times_.settle))
+            .first->second;
+    ledger.Take(host, it, loans_end, now);
+    reply.grants.push_back(ledger.MakeGrant(host, it, ++sequence_, now));
   }
   return reply;
 }
 
-void BudgetHolder::TakeUse(const CapUse& use,
-                           const BudgetRequest& request,
-                           Account* account,
-                           Instant now) const {
-  account->wanted = use.wanted;
-  account->needed = use.needed;
-  account->heard = now;
-  if (request.holder != id_ || request.holder_stamp == 0)
-    return;
-  if (use.lent > 0) {
-    // The host spoke after it had received the stamp, so its promise ends no
-    // sooner than this, whatever the way took.
-    const Instant end =
-        Instant(request.holder_stamp - 1) + times_.AtMost(times_.loan);
-    std::erase_if(account->loans, [&](const Loan& it) {
-      return it.units <= use.lent && it.end <= end;
-    });
-    account->loans.push_back({use.lent, end});
-    if (account->loans.size() > kMaxLoans)
-      account->loans.erase(account->loans.begin());
-  }
-  const auto followed = std::find_if(
-      account->grants.begin(), account->grants.end(),
-      [&](const Grant& it) { return it.sequence == use.followed; });
-  if (followed == account->grants.end())
-    return;
-  followed->units = std::max(followed->units, use.held);
-  account->grants.erase(account->grants.begin(), followed);
-}
-
-void BudgetHolder::TakeRenounced(const CapUse& use,
-                                 const BudgetRequest& request,
-                                 CapState* state) const {
-  if (request.holder != id_ || request.holder_stamp == 0)
-    return;
-  state->renouncers_needed =
-      std::max(state->renouncers_needed, use.renouncers_needed);
-  const Instant end =
-      Instant(request.holder_stamp - 1) + times_.AtMost(times_.loan);
-  for (const RenouncedShare& it : use.renounced) {
-    std::vector<Renounced>& promises = state->renounced[it.member];
-    const auto old = std::find_if(
-        promises.begin(), promises.end(),
-        [&](const Renounced& r) { return r.voter == request.host; });
-    if (old == promises.end())
-      promises.push_back({request.host, it.units, end});
-    else
-      *old = {request.host, it.units, std::max(old->end, end)};
-  }
-}
-
-int64_t BudgetHolder::FreeUntil(const CapState& state, Instant end) {
-  int64_t sum = 0;
-  for (const auto& [member, promises] : state.renounced) {
-    size_t votes = 0;
-    int64_t units = std::numeric_limits<int64_t>::max();
-    for (const Renounced& it : promises) {
-      if (it.end < end)
-        continue;
-      ++votes;
-      units = std::min(units, it.units);
-    }
-    if (votes > 0 && votes >= state.renouncers_needed)
-      sum += units;
-  }
-  return sum;
-}
-
-int64_t BudgetHolder::Unbind(CapState* state,
-                             const HostKey& host,
-                             int64_t lent,
-                             Instant end,
-                             Instant now) {
-  // Every grant ends by `end`: loans that last until then and cover all of
-  // them make any others superfluous.
-  Account& account = state->accounts.at(host);
-  int64_t uncovered =
-      -std::min(LentUntil(account, end), lent) - FreeUntil(*state, end);
-  for (const auto& [key, it] : state->accounts) {
-    uncovered += Outstanding(it, now);
-    if (key != host)
-      uncovered -= LentUntil(it, end);
-  }
-  const int64_t bound = lent + std::max<int64_t>(uncovered, 0);
-  for (Loan& it : account.loans)
-    it.units = std::min(it.units, bound);
-  return LentUntil(account, now);
-}
-
-int64_t BudgetHolder::Choose(const CapState& state,
-                             const HostKey& host,
-                             Instant end,
-                             Instant now) const {
-  const Accounts& accounts = state.accounts;
-  int64_t pool = FreeUntil(state, end);
-  int64_t others = 0;
-  std::vector<int64_t> wanted;
-  for (const auto& [key, it] : accounts) {
-    pool += LentUntil(it, end);
-    if (key != host)
-      others += Outstanding(it, now);
-    if (now - it.heard > kSilentAfter)
-      continue;
-    wanted.push_back(it.wanted);
-  }
-  // What nobody wants stays in the pool: it is at hand for whoever asks next,
-  // while a grant would have to be taken back first.
-  const int64_t part =
-      std::min(accounts.at(host).wanted, FairLevel(std::move(wanted), pool));
-  return std::clamp<int64_t>(part, 0, std::max<int64_t>(pool - others, 0));
-}
-
-bool BudgetHolder::IsScarce(const CapState& state, Instant end, Instant now) {
-  int64_t left = FreeUntil(state, end);
-  for (const auto& [key, it] : state.accounts) {
-    left += LentUntil(it, end);
-    left -= now - it.heard > kSilentAfter ? 0 : it.needed;
-  }
-  return left < 0;
-}
-
-int64_t BudgetHolder::LentUntil(const Account& account, Instant end) {
-  int64_t units = 0;
-  for (const Loan& it : account.loans) {
-    if (it.end >= end)
-      units = std::max(units, it.units);
-  }
-  return units;
-}
-
-int64_t BudgetHolder::Outstanding(const Account& account, Instant now) {
-  int64_t units = 0;
-  for (const Grant& it : account.grants) {
-    if (now < it.end)
-      units = std::max(units, it.units);
-  }
-  return units;
-}
-
 void BudgetHolder::Forget(Instant now) {
   if (now - forgotten_ < kForgetEvery)
     return;
   forgotten_ = now;
-  for (auto& [cap, state] : caps_) {
-    Accounts& accounts = state.accounts;
-    for (auto& [member, promises] : state.renounced)
-      std::erase_if(promises, [&](const Renounced& r) { return now >= r.end; });
-    std::erase_if(state.renounced,
-                  [](const auto& r) { return r.second.empty(); });
-    for (auto& [host, it] : accounts) {
-      std::erase_if(it.loans, [&](const Loan& l) { return now >= l.end; });
-      std::erase_if(it.grants, [&](const Grant& g) { return now >= g.end; });
-    }
-    std::erase_if(accounts, [&](const auto& it) {
-      const Account& account = it.second;
-      return account.loans.empty() && account.grants.empty() &&
-             now - account.heard > kSilentAfter;
-    });
-  }
+  for (auto& [cap, ledger] : ledgers_)
+    ledger.Forget(now);
   // A request can't arrive this late and still bring a loan that counts.
   std::erase_if(seen_, [&](const auto& it) {
     return now - it.second.heard > times_.AtLeast(times_.loan) * 2;
   });
 }
 
+const CapLedger* BudgetHolder::Find(const CapId& cap) const {
+  const auto it = ledgers_.find(cap);
+  return it == ledgers_.end() ? nullptr : &it->second;
+}
+
 int64_t BudgetHolder::Lent(const CapId& cap, Instant now) const {
-  const auto state = caps_.find(cap);
-  if (state == caps_.end())
-    return 0;
-  int64_t units = 0;
-  for (const auto& [host, it] : state->second.accounts)
-    units += LentUntil(it, now);
-  return units;
+  const CapLedger* ledger = Find(cap);
+  return ledger ? ledger->LentUntil(now) : 0;
 }
 
 int64_t BudgetHolder::Granted(const CapId& cap, Instant now) const {
-  const auto state = caps_.find(cap);
-  if (state == caps_.end())
-    return 0;
-  int64_t units = 0;
-  for (const auto& [host, it] : state->second.accounts)
-    units += Outstanding(it, now);
-  return units;
+  const CapLedger* ledger = Find(cap);
+  return ledger ? ledger->Granted(now) : 0;
 }
 
 int64_t BudgetHolder::Free(const CapId& cap, Instant now) const {
-  const auto state = caps_.find(cap);
-  return state == caps_.end() ? 0 : FreeUntil(state->second, now);
+  const CapLedger* ledger = Find(cap);
+  return ledger ? ledger->FreeUntil(now) : 0;
 }
 
 std::string BudgetHolder::Explain(Instant now) const {
   boost::json::array caps;
-  for (const auto& [id, state] : caps_) {
-    boost::json::array hosts;
-    for (const auto& [host, it] : state.accounts) {
-      hosts.push_back({{"host", host.host.str()},
-                       {"incarnation", host.incarnation},
-                       {"lent", LentUntil(it, now)},
-                       {"granted", Outstanding(it, now)},
-                       {"wanted", it.wanted},
-                       {"age_ms", (now - it.heard).ms()}});
-    }
+  for (const auto& [id, ledger] : ledgers_) {
     caps.push_back({{"cap", id.ToString()},
-                    {"lent", Lent(id, now)},
-                    {"granted", Granted(id, now)},
-                    {"free_of_lost_hosts", Free(id, now)},
-                    {"hosts", std::move(hosts)}});
+                    {"lent", ledger.LentUntil(now)},
+                    {"granted", ledger.Granted(now)},
+                    {"free_of_lost_hosts", ledger.FreeUntil(now)},
+                    {"hosts", ledger.ExplainHosts(now)}});
   }
   return boost::json::serialize(
       boost::json::object{{"epoch", id_.epoch}, {"caps", std::move(caps)}});
--- a/tests/limits/budget_test.cc
+++ b/tests/limits/budget_test.cc
@@ -121,6 +121,22 @@
   });
 }
 
+TEST_CASE("many hosts, whose sums are kept between refreshes, fit the cap") {
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    BudgetWorld::Options options = Faults(seed);
+    options.hosts = 24;
+    options.cap = 300;
+    BudgetWorld world(options);
+    world.MakeHolder(0);
+    world.Run(kRunMs);
+    INFO("seed " << seed);
+    CHECK(world.max_limits() <= options.cap);
+    CHECK(world.max_running() <= options.cap);
+    // Most of the time it is used up, or the check would see nothing.
+    CHECK(world.max_limits() >= options.cap * 9 / 10);
+  }
+}
+
 TEST_CASE("the check sees each way of breaking the protocol") {
   const int64_t cap = Faults(1).cap;
   SECTION("lenders that take back early") {
