--- a/include/limits/host_budget.h
+++ b/include/limits/host_budget.h
@@ -12,6 +12,7 @@
 #include "include/base/ids.h"
 #include "include/limits/budget_messages.h"
 #include "include/limits/cap.h"
+#include "include/limits/share_votes.h"
 
 namespace toucanknot {
 
@@ -54,6 +55,10 @@
   void OnHolder(const HolderId& holder);
   const HolderId& holder() const { return holder_; }
 
+  // When to send the next request: soon while the host is short of units
+  // or the holder waits for its confirmation, in a tenth of a second after its
+  // demand has changed, else half a second.
+  Instant NextAsk(Instant now) const;
   // The next request to the holder. Its loans bind this host from now on,
   // whether the request arrives or not.
   BudgetRequest MakeRequest(Instant now);
@@ -61,6 +66,9 @@
   // the highest seen changes nothing. False then.
   bool OnReply(const BudgetReply& reply);
 
+  // With BudgetTimes::voting: its messages go to the other members.
+  ShareVotes& votes() { return votes_; }
+
   // When the static shares begin to count.
   Instant hold_until() const { return hold_until_; }
   // Per cap: share, lent, granted, in use, demand, and their ages, as JSON.
@@ -82,20 +90,31 @@
     Instant end;
   };
   struct Entry {
+    Cap cap;
     int64_t share = 0;
     // A greater share, from `grows_at` on.
     int64_t next_share = 0;
     Instant grows_at = Instant::Never();
     int64_t in_use = 0;
     int64_t demand = 0;
+    // The demand at the last request.
+    int64_t told = 0;
     std::vector<Loan> loans;
     std::optional<Grant> grant;
+    // The holder's last word.
+    bool scarce = false;
+
+    // The units that the host would have in hand.
+    int64_t Target() const;
   };
   struct Asked {
     uint64_t number = 0;
     Instant at;
   };
 
+  static constexpr Duration kAskShort{25};
+  static constexpr Duration kAskChanged{100};
+  static constexpr Duration kAskSteady{500};
   // Requests whose replies are still accepted.
   static constexpr size_t kMaxAsked = 16;
   // Loans of one cap kept apart; further ones are merged.
@@ -105,6 +124,8 @@
   static constexpr int64_t kKeptPercent = 25;
 
   int64_t Owned(const Entry& entry, Instant now) const;
+  std::vector<RenouncedShare> Renounced(const Entry& entry, Instant now);
+  void SetVoters();
   int64_t Lent(const Entry& entry, Instant now) const;
   int64_t Granted(const Entry& entry, Instant now) const;
   // Units to lend to the current holder in the next request.
@@ -115,7 +136,7 @@
   void TakeGrant(const CapGrant& granted,
                  uint64_t number,
                  Instant asked,
-                 Entry* entry) const;
+                 Entry* entry);
 
   HostId host_;
   Incarnation incarnation_;
@@ -125,9 +146,13 @@
   int64_t holder_stamp_ = 0;
   // When the newest request was sent that the holder has answered.
   Instant answered_;
+  // A grant was reduced: the holder waits to hear that it is followed.
+  bool confirm_ = false;
+  Instant last_ask_ = Instant(-Duration::Max().ms());
   uint64_t number_ = 0;
   std::deque<Asked> asked_;
   std::map<CapId, Entry> entries_;
+  ShareVotes votes_;
 };
 
 }  // namespace toucanknot
