--- /dev/null
+++ b/bench/once/micro.cc
@@ -0,0 +1,172 @@
+// Times and memory of single operations of include/once.
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "include/once/answer_guard.h"
+#include "include/once/ticket_mint.h"
+#include "include/once/ticket_table.h"
+#include "include/once/witness_table.h"
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr Duration kLifetime{120'000};
+constexpr Duration kKeep{300'000};
+constexpr int64_t kAnswerBytes = 32 << 20;
+constexpr size_t kMaxRecords = 100'000;
+constexpr Instant kNow{1'000};
+
+std::unique_ptr<TicketMint> NewMint() {
+  return std::make_unique<TicketMint>(
+      HostLife{HostId("khomas-1a-entry-01"), 0x18f2d3c4b5a}, TicketKey{},
+      Instant(0));
+}
+
+TicketTable NewTable(size_t max_records) {
+  return TicketTable(NewMint(), {kKeep, max_records},
+                     std::make_shared<AnswerStore>(kAnswerBytes, kKeep));
+}
+
+void TicketMintToText(benchmark::State& state) {
+  const auto mint = NewMint();
+  for (auto _ : state)
+    benchmark::DoNotOptimize(mint->Mint(kLifetime, kNow).ToString());
+}
+BENCHMARK(TicketMintToText);
+
+void TicketParseAndCheck(benchmark::State& state) {
+  const auto mint = NewMint();
+  const std::string text = mint->Mint(kLifetime, kNow).ToString();
+  for (auto _ : state) {
+    const auto ticket = Ticket::Parse(text);
+    benchmark::DoNotOptimize(mint->Check(*ticket, kNow));
+  }
+}
+BENCHMARK(TicketParseAndCheck);
+
+// What a host does that is not the owner.
+void TicketParse(benchmark::State& state) {
+  const std::string text = NewMint()->Mint(kLifetime, kNow).ToString();
+  for (auto _ : state)
+    benchmark::DoNotOptimize(Ticket::Parse(text));
+}
+BENCHMARK(TicketParse);
+
+// A whole life at the owner, without minting, with full records: check, admit,
+// hand over, answer, and the oldest record dropped.
+void TicketRun(benchmark::State& state) {
+  TicketTable table = NewTable(kMaxRecords);
+  const auto answer =
+      std::make_shared<KeptAnswer>(KeptAnswer{200, "", std::string(200, 'x')});
+  const auto run_one = [&](const std::string& text) {
+    const TicketReply reply = table.Begin(text, 7, 1, kNow);
+    const auto attempt = table.runs().HandOver(reply.run);
+    benchmark::DoNotOptimize(table.runs().Answer(*attempt, answer, kNow));
+  };
+  for (size_t i = 0; i < kMaxRecords; ++i)
+    run_one(table.Mint(kLifetime, kNow).ToString());
+  std::vector<std::string> texts;
+  for (auto _ : state) {
+    if (texts.empty()) {
+      state.PauseTiming();
+      for (int i = 0; i < 1'000; ++i)
+        texts.push_back(table.Mint(kLifetime, kNow).ToString());
+      state.ResumeTiming();
+    }
+    run_one(texts.back());
+    texts.pop_back();
+  }
+}
+BENCHMARK(TicketRun);
+
+// A repeat that gets the kept answer.
+void TicketRepeat(benchmark::State& state) {
+  TicketTable table = NewTable(kMaxRecords);
+  const std::string text = table.Mint(kLifetime, kNow).ToString();
+  const auto attempt = table.runs().HandOver(table.Begin(text, 7, 1, kNow).run);
+  table.runs().Answer(*attempt, std::make_shared<KeptAnswer>(), kNow);
+  for (auto _ : state)
+    benchmark::DoNotOptimize(table.Begin(text, 7, 2, kNow));
+}
+BENCHMARK(TicketRepeat);
+
+// Heap bytes of a record, by what the allocator hands out.
+void TicketMemory(benchmark::State& state) {
+  double unused = 0;
+  double running = 0;
+  double ended = 0;
+  for (auto _ : state) {
+    TicketTable table = NewTable(kMaxRecords);
+    std::vector<std::string> texts;
+    texts.reserve(kMaxRecords);
+    const auto used = [] { return static_cast<double>(mallinfo2().uordblks); };
+    double before = used();
+    for (size_t i = 0; i < kMaxRecords; ++i)
+      benchmark::DoNotOptimize(table.Mint(kLifetime, kNow));
+    unused = used() - before;
+    for (size_t i = 0; i < kMaxRecords; ++i)
+      texts.push_back(table.Mint(kLifetime, kNow).ToString());
+    before = used();
+    for (const std::string& it : texts)
+      table.Begin(it, 7, 1, kNow);
+    running = used() - before;
+    for (size_t i = 0; i < kMaxRecords; ++i) {
+      const auto attempt = table.runs().HandOver(kMaxRecords + 1 + i);
+      table.runs().Answer(*attempt, nullptr, kNow);
+    }
+    ended = used() - before;
+  }
+  const double n = kMaxRecords;
+  state.counters["unused_B"] = unused / n;
+  state.counters["running_B"] = running / n;
+  state.counters["ended_B"] = ended / n;
+}
+BENCHMARK(TicketMemory)->Iterations(1);
+
+void WitnessClaimAndSettle(benchmark::State& state) {
+  const HostLife self{HostId("w"), 1};
+  WitnessTable witness(self, {});
+  TicketTable table = NewTable(kMaxRecords);
+  Ticket ticket = table.Mint(kLifetime, kNow, self);
+  for (auto _ : state) {
+    ++ticket.sequence;
+    benchmark::DoNotOptimize(witness.Claim(ticket, kNow));
+    witness.Settle(ticket, Verdict::kRan, kNow);
+  }
+}
+BENCHMARK(WitnessClaimAndSettle);
+
+void WitnessMemory(benchmark::State& state) {
+  double bytes = 0;
+  for (auto _ : state) {
+    const HostLife self{HostId("w"), 1};
+    WitnessTable witness(self, {});
+    TicketTable table = NewTable(kMaxRecords);
+    Ticket ticket = table.Mint(kLifetime, kNow, self);
+    const auto before = static_cast<double>(mallinfo2().uordblks);
+    for (size_t i = 0; i < kMaxRecords; ++i) {
+      ++ticket.sequence;
+      witness.Claim(ticket, kNow);
+    }
+    bytes = static_cast<double>(mallinfo2().uordblks) - before;
+  }
+  state.counters["record_B"] = bytes / static_cast<double>(kMaxRecords);
+}
+BENCHMARK(WitnessMemory)->Iterations(1);
+
+void AnswerGuardAttempt(benchmark::State& state) {
+  AnswerGuard guard;
+  for (auto _ : state) {
+    const uint64_t id = guard.Open(kNow);
+    benchmark::DoNotOptimize(guard.Judge({id, 5, 5}, kNow));
+  }
+}
+BENCHMARK(AnswerGuardAttempt);
+
+}  // namespace
+}  // namespace toucanknot::bench
--- a/include/once/answer_guard.h
+++ b/include/once/answer_guard.h
@@ -19,7 +19,8 @@
   kLate,
   // Fewer bytes than announced: the connection broke within it.
   kShort,
-  // The attempt has its answer already, or there is no such attempt.
+  // The attempt has its answer already, there is no such attempt, or more
+  // bytes came than announced.
   kSurplus,
 };
 
@@ -42,12 +43,12 @@
 
   // Opens an attempt and returns its id.
   uint64_t Open(Instant deadline);
-  // Judges an answer that has ended. kDeliver and kShort close the attempt.
+  // Judges an answer that has ended. Closes its attempt; one that was cancelled
+  // or ran out of time is closed by Forget().
   AnswerFate Judge(const Arrival& arrival, Instant now);
-  // Closes an attempt; what arrives for it is late.
+  // What arrives for the attempt from now on is late.
   void Cancel(uint64_t attempt);
-  // Drops the memory of a closed attempt whose connection is gone; what
-  // arrives after is surplus. An open one is closed.
+  // Closes an attempt whose connection is gone; what arrives after is surplus.
   void Forget(uint64_t attempt);
 
   size_t open() const { return attempts_.size(); }
--- a/src/once/answer_guard.cc
+++ b/src/once/answer_guard.cc
@@ -11,7 +11,7 @@
 AnswerFate AnswerGuard::Judge(const Arrival& arrival, Instant now) {
   const AnswerFate fate = Decide(arrival, now);
   ++counts_[static_cast<size_t>(fate)];
-  if (fate == AnswerFate::kDeliver || fate == AnswerFate::kShort)
+  if (fate != AnswerFate::kLate)
     attempts_.erase(arrival.attempt);
   return fate;
 }
--- /dev/null
+++ b/tests/once/answer_guard_test.cc
@@ -0,0 +1,47 @@
+#include "include/once/answer_guard.h"
+
+#include <catch2/catch.hpp>
+
+namespace toucanknot {
+
+constexpr Instant kDeadline{100};
+constexpr Instant kInTime{50};
+
+TEST_CASE("an answer is delivered once, whole, in time, to its own attempt") {
+  AnswerGuard guard;
+  const uint64_t one = guard.Open(kDeadline);
+  const uint64_t two = guard.Open(kDeadline);
+  CHECK(one != two);
+  CHECK(guard.Judge({two, 5, 5}, kInTime) == AnswerFate::kDeliver);
+  CHECK(guard.Judge({two, 5, 5}, kInTime) == AnswerFate::kSurplus);
+  CHECK(guard.Judge({one, 5, 5}, kDeadline) == AnswerFate::kDeliver);
+  CHECK(guard.open() == 0);
+  CHECK(guard.count(AnswerFate::kDeliver) == 2);
+  CHECK(guard.count(AnswerFate::kSurplus) == 1);
+}
+
+TEST_CASE("late, short, surplus and endless answers are dropped and counted") {
+  AnswerGuard guard;
+  const auto open = [&] { return guard.Open(kDeadline); };
+  CHECK(guard.Judge({open(), 4, 5}, kInTime) == AnswerFate::kShort);
+  CHECK(guard.Judge({open(), 4, std::nullopt}, kInTime) == AnswerFate::kShort);
+  CHECK(guard.Judge({open(), 6, 5}, kInTime) == AnswerFate::kSurplus);
+  CHECK(guard.Judge({open(), 5, 5}, kDeadline + Duration(1)) ==
+        AnswerFate::kLate);
+  CHECK(guard.Judge({999, 5, 5}, kInTime) == AnswerFate::kSurplus);
+  CHECK(guard.open() == 1);
+  CHECK(guard.count(AnswerFate::kShort) == 2);
+  CHECK(guard.count(AnswerFate::kSurplus) == 2);
+  CHECK(guard.count(AnswerFate::kLate) == 1);
+}
+
+TEST_CASE("a cancelled attempt's answer is late, a forgotten one's surplus") {
+  AnswerGuard guard;
+  const uint64_t id = guard.Open(kDeadline);
+  guard.Cancel(id);
+  CHECK(guard.Judge({id, 5, 5}, kInTime) == AnswerFate::kLate);
+  guard.Forget(id);
+  CHECK(guard.Judge({id, 5, 5}, kInTime) == AnswerFate::kSurplus);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/once/witness_test.cc
@@ -0,0 +1,178 @@
+#include "include/once/witness_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "include/once/owner_inquiry.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr Duration kKeep{100};
+constexpr Duration kKeepOwner{1'000};
+const HostLife kSelf{HostId("w"), 5};
+const HostLife kOwner{HostId("a"), 2};
+const HostLife kHeir{HostId("h"), 4};
+
+Ticket TicketOf(uint64_t sequence) {
+  Ticket ticket;
+  ticket.owner = kOwner;
+  ticket.sequence = sequence;
+  ticket.witness = kSelf;
+  return ticket;
+}
+
+WitnessTable NewTable(size_t max_records = 10) {
+  return WitnessTable(kSelf, {kKeep, kKeepOwner, max_records});
+}
+
+OwnerInquiry InquiryOf(const Ticket& ticket,
+                       OwnerInquiry::Options options = {}) {
+  return {ticket, std::move(options), Instant(10'000)};
+}
+
+}  // namespace
+
+TEST_CASE("the first of claim and question decides for good") {
+  WitnessTable table = NewTable();
+  CHECK(table.Claim(TicketOf(1), Instant(0)) == WitnessWord::kGranted);
+  CHECK(table.Claim(TicketOf(1), Instant(0)) == WitnessWord::kGranted);
+  CHECK(table.Ask(TicketOf(1), Instant(0)) == WitnessWord::kClaimed);
+  CHECK(table.Ask(TicketOf(2), Instant(0)) == WitnessWord::kVoided);
+  CHECK(table.Claim(TicketOf(2), Instant(0)) == WitnessWord::kVoided);
+}
+
+TEST_CASE("a witness tells how a claimed ticket ended") {
+  WitnessTable table = NewTable();
+  table.Claim(TicketOf(1), Instant(0));
+  table.Claim(TicketOf(2), Instant(0));
+  table.Settle(TicketOf(1), Verdict::kRan, Instant(0));
+  table.Settle(TicketOf(2), Verdict::kNotRun, Instant(0));
+  CHECK(table.Ask(TicketOf(1), Instant(0)) == WitnessWord::kRan);
+  CHECK(table.Ask(TicketOf(2), Instant(0)) == WitnessWord::kVoided);
+  CHECK(table.Claim(TicketOf(1), Instant(0)) == WitnessWord::kVoided);
+}
+
+TEST_CASE("another life of the witness knows nothing and consents to nothing") {
+  WitnessTable table({kSelf.host, kSelf.incarnation + 1}, {});
+  CHECK(table.Claim(TicketOf(1), Instant(0)) == WitnessWord::kVoided);
+  CHECK(table.Ask(TicketOf(1), Instant(0)) == WitnessWord::kUnknown);
+}
+
+TEST_CASE("what a witness forgot is unknown and cannot be claimed") {
+  WitnessTable by_time = NewTable();
+  by_time.Claim(TicketOf(3), Instant(0));
+  by_time.Expire(Instant(0) + kKeep);
+  WitnessTable by_room = NewTable(1);
+  by_room.Claim(TicketOf(3), Instant(0));
+  by_room.Claim(TicketOf(4), Instant(0));
+  WitnessTable by_owner = NewTable();
+  by_owner.Claim(TicketOf(3), Instant(0));
+  by_owner.Expire(Instant(0) + kKeepOwner);
+  for (WitnessTable* it : {&by_time, &by_room, &by_owner}) {
+    for (const uint64_t sequence : {2, 3}) {
+      CHECK(it->Ask(TicketOf(sequence), Instant(0)) == WitnessWord::kUnknown);
+      CHECK(it->Claim(TicketOf(sequence), Instant(0)) == WitnessWord::kVoided);
+    }
+  }
+  CHECK(by_owner.size() == 0);
+}
+
+TEST_CASE("an owner's records pass over with a graceful stop") {
+  WitnessTable table = NewTable();
+  table.Claim(TicketOf(4), Instant(0));
+  table.Claim(TicketOf(5), Instant(0));
+  table.TakeOver(
+      {kOwner,
+       2,
+       {{3, Verdict::kRan}, {4, Verdict::kUnknown}, {7, Verdict::kRan}}},
+      Instant(0));
+  CHECK(table.HasTakenOver(kOwner));
+  CHECK(table.Ask(TicketOf(2), Instant(0)) == WitnessWord::kUnknown);
+  CHECK(table.Ask(TicketOf(3), Instant(0)) == WitnessWord::kRan);
+  CHECK(table.Ask(TicketOf(4), Instant(0)) == WitnessWord::kClaimed);
+  CHECK(table.Ask(TicketOf(5), Instant(0)) == WitnessWord::kVoided);
+  CHECK(table.Ask(TicketOf(6), Instant(0)) == WitnessWord::kVoided);
+  CHECK(table.Claim(TicketOf(6), Instant(0)) == WitnessWord::kVoided);
+  Ticket without = TicketOf(7);
+  without.witness.reset();
+  CHECK(table.Ask(without, Instant(0)) == WitnessWord::kRan);
+}
+
+TEST_CASE("an inquiry believes the owner and never runs the request") {
+  for (const auto& [step, verdict] :
+       {std::pair{TicketStep::kAnswer, Verdict::kRan},
+        std::pair{TicketStep::kNotRun, Verdict::kNotRun},
+        std::pair{TicketStep::kUnknown, Verdict::kUnknown},
+        std::pair{TicketStep::kMismatch, Verdict::kNotRun}}) {
+    OwnerInquiry inquiry = InquiryOf(TicketOf(1));
+    const InquiryAction ask = inquiry.Start(Instant(0));
+    CHECK(ask.step == InquiryStep::kAskOwner);
+    CHECK(ask.target == kOwner);
+    TicketReply reply;
+    reply.step = step;
+    reply.verdict = verdict;
+    const InquiryAction end = inquiry.OnOwnerReply(reply, Instant(1));
+    CHECK(end.step == InquiryStep::kAnswer);
+    CHECK(end.reply.step == step);
+    CHECK(end.reply.verdict == verdict);
+  }
+  TicketReply start;
+  start.step = TicketStep::kStart;
+  CHECK(InquiryOf(TicketOf(1)).OnOwnerReply(start, Instant(0)).reply.verdict ==
+        Verdict::kUnknown);
+}
+
+TEST_CASE("a running request is waited for up to the caller's deadline") {
+  OwnerInquiry inquiry = InquiryOf(TicketOf(1));
+  CHECK(inquiry.Start(Instant(0)).until == Instant(2'000));
+  TicketReply running;
+  running.step = TicketStep::kJoin;
+  const InquiryAction wait = inquiry.OnOwnerReply(running, Instant(1));
+  CHECK(wait.step == InquiryStep::kAskOwner);
+  CHECK(wait.until == Instant(10'000));
+}
+
+TEST_CASE("a silent owner makes it ask the witness, then the successors") {
+  OwnerInquiry::Options options;
+  options.successors = {kSelf, kHeir};
+  OwnerInquiry inquiry = InquiryOf(TicketOf(1), options);
+  inquiry.Start(Instant(0));
+  CHECK(inquiry.OnSilence(Instant(1)).target == kSelf);
+  CHECK(inquiry.OnWitnessWord(WitnessWord::kClaimed, Instant(2)).target ==
+        kHeir);
+  const InquiryAction end =
+      inquiry.OnWitnessWord(WitnessWord::kRan, Instant(3));
+  CHECK(end.reply.step == TicketStep::kAnswerGone);
+  CHECK(end.reply.verdict == Verdict::kRan);
+}
+
+TEST_CASE("without owner and witness the verdict is unknown") {
+  Ticket ticket = TicketOf(1);
+  OwnerInquiry with = InquiryOf(ticket);
+  with.Start(Instant(0));
+  with.OnSilence(Instant(1));
+  CHECK(with.OnSilence(Instant(2)).reply.verdict == Verdict::kUnknown);
+  ticket.witness.reset();
+  OwnerInquiry::Options restarted;
+  restarted.known_incarnation = kOwner.incarnation + 1;
+  const InquiryAction end = InquiryOf(ticket, restarted).Start(Instant(0));
+  CHECK(end.step == InquiryStep::kAnswer);
+  CHECK(end.reply.verdict == Verdict::kUnknown);
+}
+
+TEST_CASE("a restarted owner's ticket goes to the witness at once") {
+  OwnerInquiry::Options options;
+  options.known_incarnation = kOwner.incarnation + 1;
+  CHECK(InquiryOf(TicketOf(1), options).Start(Instant(0)).step ==
+        InquiryStep::kAskWitness);
+  OwnerInquiry late = InquiryOf(TicketOf(1));
+  late.Start(Instant(0));
+  TicketReply other_life;
+  other_life.step = TicketStep::kNotMine;
+  CHECK(late.OnOwnerReply(other_life, Instant(1)).step ==
+        InquiryStep::kAskWitness);
+  CHECK(late.OnWitnessWord(WitnessWord::kVoided, Instant(2)).reply.verdict ==
+        Verdict::kNotRun);
+}
+
+}  // namespace toucanknot
