bench: the witness is asked when bytes are about to leave; deaths by time

Cause: schedules took every step for equally long, and the model claimed a ticket at arrival, so that waiting in a queue counted as 'may have run'. Change: claim after the queue, hand over at once when granted; the one death falls evenly on the request's time. The caller repeats only when it must.

--- a/bench/once/schedule_model.cc
+++ b/bench/once/schedule_model.cc
@@ -12,8 +12,15 @@
 // The store may go down in one of this many schedules.
 constexpr int kOutageOneIn = 10;
 constexpr int kMaxSteps = 2'000;
-// Makes the one death fall on any stage of the request.
-constexpr double kOneDeathWeight = 4;
+// Haufiku's places, one way, in milliseconds. Stores and owners of keys are in
+// any of three regions.
+constexpr double kCallerMs = 1;
+constexpr double kZoneMs = 1;
+constexpr double kRegionMs = 20;
+constexpr double kAnyRegionMs = (kZoneMs + 2 * kRegionMs) / 3;
+// Spent in a host's queue and at a backend server.
+constexpr double kQueueMs = 5;
+constexpr double kServiceMs = 20;
 
 // How likely each kind of action is, against the others; by ActionKind.
 constexpr std::array<double, kActionNames.names.size()> kWeights{
@@ -46,10 +53,38 @@
          kind == ActionKind::kStoreDown || kind == ActionKind::kClose;
 }
 
+// How long a step of a request takes, in milliseconds.
+double StepTime(const World& world, const Action& action) {
+  if (action.kind == ActionKind::kSend)
+    return kQueueMs;
+  if (action.kind != ActionKind::kDeliver)
+    return 0;
+  switch (world.message(action.a).kind) {
+    case MessageKind::kRequest:
+    case MessageKind::kVerdict:
+      return kCallerMs;
+    case MessageKind::kRan:
+      return kServiceMs;
+    case MessageKind::kSettle:
+    case MessageKind::kStoreOutcome:
+      return 0;
+    case MessageKind::kStoreClaim:
+    case MessageKind::kStoreReply:
+    case MessageKind::kAsk:
+    case MessageKind::kAskReply:
+      return kAnyRegionMs;
+    default:
+      return kZoneMs;
+  }
+}
+
 double WeightOf(const Action& action, const WorldOptions& options) {
   const double weight = kWeights[static_cast<size_t>(action.kind)];
+  // The one death has its own instant.
   if (action.kind == ActionKind::kKill && options.mortal >= 0)
-    return kOneDeathWeight;
+    return 0;
+  if (action.kind == ActionKind::kRequest)
+    return weight / options.hosts;
   const bool pass = action.kind == ActionKind::kSend && action.c < kFirstServer;
   return pass ? weight / 10 : weight;
 }
@@ -82,6 +117,43 @@
     options.outages = 0;
 }
 
+// Kills the mortal host within the step at which its time comes.
+class Death {
+ public:
+  Death(const WorldOptions& options, Random& random)
+      : host_(options.mortal), due_(host_ >= 0) {
+    if (!due_)
+      return;
+    const double takes = TimeOf(CalmWorld(options.design));
+    at_ = std::uniform_real_distribution<double>(0, takes)(random);
+  }
+
+  // Whether it comes before `action` is done.
+  bool Strikes(const World& world, const Action& action) {
+    elapsed_ += StepTime(world, action);
+    const bool strikes = due_ && elapsed_ > at_;
+    due_ = due_ && !strikes;
+    return strikes;
+  }
+  Action action() const { return {ActionKind::kKill, host_}; }
+
+ private:
+  static double TimeOf(const WorldOptions& options) {
+    World world(options);
+    double sum = 0;
+    for (auto all = world.Enabled(); !all.empty(); all = world.Enabled()) {
+      sum += StepTime(world, all.front());
+      world.Apply(all.front());
+    }
+    return sum;
+  }
+
+  int host_;
+  bool due_;
+  double at_ = 0;
+  double elapsed_ = 0;
+};
+
 }  // namespace
 
 WorldOptions FaultyWorld(Design design) {
@@ -134,6 +206,7 @@
   Random random(seed);
   WorldOptions drawn = options;
   DrawFaults(drawn, random);
+  Death death(drawn, random);
   World world(drawn);
   ScheduleEnd end;
   for (int i = 0; i < kMaxSteps; ++i) {
@@ -143,7 +216,9 @@
       goes_on = goes_on || KeepsGoing(it.kind);
     if (!goes_on)
       break;
-    const Action action = Pick(actions, drawn, random);
+    Action action = Pick(actions, drawn, random);
+    if (death.Strikes(world, action))
+      action = death.action();
     world.Apply(action);
     end.trace.push_back(action);
     end.disturbed = end.disturbed || Disturbs(action.kind);
--- a/bench/once/schedule_model.h
+++ b/bench/once/schedule_model.h
@@ -22,8 +22,9 @@
 
 // A deployment of 7 hosts in 6 zones whose hosts die and whose zones are cut.
 WorldOptions FaultyWorld(Design design);
-// The same, but only the host that runs the request dies, once; it comes back
-// or not.
+// The same, but only host 0 dies, once, at an instant that is spread evenly
+// over the time that the request takes when nothing fails; it comes back or
+// not. Nothing is given up while a reply is on its way.
 WorldOptions OneDeathWorld(Design design);
 // The same, but the hosts stop gracefully. For tickets.
 WorldOptions GracefulWorld(Design design);
--- a/bench/once/ticket_host_events_model.cc
+++ b/bench/once/ticket_host_events_model.cc
@@ -36,7 +36,7 @@
   if (reply.step == TicketStep::kStart) {
     Run run;
     run.key = reply.run;
-    return StartRun(run, out);
+    return runs_.push_back(run);
   }
   if (reply.step == TicketStep::kJoin)
     return;
@@ -83,8 +83,8 @@
     if (static_cast<WitnessWord>(m.value) != WitnessWord::kGranted)
       return VoidRun(n, now, out);
     table_.runs().Claimed(runs_[n].key);
-    runs_[n].stage = Stage::kReady;
-    return;
+    runs_[n].claimed = true;
+    return HandOver(n, now, out);
   }
 }
 
@@ -119,7 +119,7 @@
     const TicketReply reply =
         passes_.Begin(run.pass, kFingerprint, waiter, now);
     if (reply.step == TicketStep::kStart)
-      return StartRun(run, out);
+      return runs_.push_back(run);
     if (reply.step != TicketStep::kJoin) {
       DropWaiter(waiter);
       Reply(m, reply, out);
@@ -223,17 +223,6 @@
   out.push_back(m);
 }
 
-void TicketHostModel::StartRun(Run run, std::vector<Message>& out) {
-  const bool claims = !run.passed_here && ticket_.witness.has_value() &&
-                      fault_ != Fault::kNoClaim;
-  if (claims) {
-    run.stage = Stage::kClaiming;
-    out.push_back(
-        To(IndexOf(*ticket_.witness), MessageKind::kClaim, run.key, 0));
-  }
-  runs_.push_back(run);
-}
-
 void TicketHostModel::VoidRun(size_t i,
                               Instant now,
                               std::vector<Message>& out) {
--- a/bench/once/ticket_host_model.cc
+++ b/bench/once/ticket_host_model.cc
@@ -86,6 +86,7 @@
     add(it.place);
     add(it.place_life);
     add(it.handed_at.ms());
+    add(it.claimed);
   }
   key += '|';
   for (const Waiter& it : waiters_) {
@@ -194,6 +195,20 @@
                            std::vector<Message>& out) {
   const size_t n = NthInStage(i, true);
   Run& run = runs_[n];
+  run.place = place;
+  run.place_life = life;
+  const bool claims = !run.passed_here && !run.claimed &&
+                      ticket_.witness.has_value() && fault_ != Fault::kNoClaim;
+  if (!claims)
+    return HandOver(n, now, out);
+  run.stage = Stage::kClaiming;
+  out.push_back(To(IndexOf(*ticket_.witness), MessageKind::kClaim, run.key, 0));
+}
+
+void TicketHostModel::HandOver(size_t n,
+                               Instant now,
+                               std::vector<Message>& out) {
+  Run& run = runs_[n];
   const auto attempt = RunsFor(run).HandOver(run.key);
   const bool careless =
       fault_ == Fault::kNoClaim || fault_ == Fault::kSendsAgain;
@@ -203,14 +218,13 @@
     run.attempt = *attempt;
   if (!run.passed_here)
     ++handed_over_;
-  run.place = place;
-  run.place_life = life;
   run.handed_at = now;
-  const bool to_server = place >= kFirstServer;
+  const bool to_server = run.place >= kFirstServer;
   run.stage = to_server ? Stage::kAtServer : Stage::kPassed;
   Message message =
-      To(place, to_server ? MessageKind::kRun : MessageKind::kPass, run.key, 0);
-  message.to_life = life;
+      To(run.place, to_server ? MessageKind::kRun : MessageKind::kPass, run.key,
+         0);
+  message.to_life = run.place_life;
   message.attempt = run.attempt.number;
   message.value = run.passed_here ? IndexOf(run.pass.owner) : index_;
   out.push_back(message);
--- a/bench/once/ticket_host_model.h
+++ b/bench/once/ticket_host_model.h
@@ -61,6 +61,8 @@
     int place = 0;
     Incarnation place_life = 0;
     Instant handed_at;
+    // The witness consented.
+    bool claimed = false;
   };
   // Who waits for the end of a run.
   struct Waiter {
@@ -97,7 +99,7 @@
            const InquiryAction& action,
            Instant now,
            std::vector<Message>& out);
-  void StartRun(Run run, std::vector<Message>& out);
+  void HandOver(size_t n, Instant now, std::vector<Message>& out);
   void VoidRun(size_t i, Instant now, std::vector<Message>& out);
   void BreakRun(size_t i, Instant now, std::vector<Message>& out);
   Message To(int place, MessageKind kind, uint64_t tag, int value) const;
--- a/bench/once/world_model.cc
+++ b/bench/once/world_model.cc
@@ -67,6 +67,8 @@
   if (options_.requests == 0 || (options_.sensible_caller && told()))
     return;
   const bool first = next_request_ == 1;
+  if (!first && !options_.early_timeouts && !messages_.empty())
+    return;
   for (int i = 0; i < options_.hosts; ++i) {
     const bool any = !options_.sensible_caller || !first ||
                      !hosts_[kOwner].model ||
@@ -116,8 +118,7 @@
 void World::EnableFaults(std::vector<Action>& out) const {
   for (int h = 0; h < options_.hosts; ++h) {
     const bool alive = hosts_[h].model != nullptr;
-    const bool sent = next_request_ > 1;
-    const bool mortal = options_.mortal < 0 || (options_.mortal == h && sent);
+    const bool mortal = options_.mortal < 0 || options_.mortal == h;
     if (alive && mortal && options_.kills > 0)
       out.push_back({ActionKind::kKill, h});
     if (alive && options_.closes > 0 && !hosts_[h].closing && Ticketed())
--- a/bench/once/world_model.h
+++ b/bench/once/world_model.h
@@ -44,10 +44,9 @@
   bool refuses = false;
   // Messages may get lost one by one.
   bool losses = true;
-  // The one host that may die, once the request was sent; or -1 for any, any
-  // time.
+  // The one host that may die, or -1 for any.
   int mortal = -1;
-  // Replies that are on their way may be given up as lost.
+  // Hosts and the caller may give up replies that are on their way.
   bool early_timeouts = true;
   // The caller stops when it has been told ran or not run, and its first
   // request goes to host 0 unless the design gives it no reason to. Else it
@@ -95,6 +94,9 @@
   World(const World& other);
   World& operator=(const World&) = delete;
 
+  // The message that Action::a of kDeliver names.
+  const Message& message(int i) const { return messages_[i]; }
+
   // What may happen next.
   std::vector<Action> Enabled() const;
   void Apply(const Action& action);
