bench: handoffs are asked for when the owner is silent; passes reach a host that stops

Change: the inquiry's successors are this host and two others, asked when the owner is silent; a host that stops serves what its peers have sent it.

--- a/bench/once/schedule_model.cc
+++ b/bench/once/schedule_model.cc
@@ -252,6 +252,10 @@
         sum.bad_seeds.size() < kShownSeeds) {
       sum.bad_seeds.push_back(seed);
     }
+    if (end.known == Verdict::kUnknown &&
+        sum.unknown_seeds.size() < kShownSeeds) {
+      sum.unknown_seeds.push_back(seed);
+    }
   }
   return sum;
 }
--- a/bench/once/schedule_model.h
+++ b/bench/once/schedule_model.h
@@ -51,6 +51,8 @@
   int64_t messages = 0;
   // Seeds of the schedules with a violation, the first few.
   std::vector<uint64_t> bad_seeds;
+  // The same of those that left the caller without the truth.
+  std::vector<uint64_t> unknown_seeds;
 };
 
 // Schedules with the seeds `first_seed`, `first_seed` + 1, ...
--- a/bench/once/schedules.cc
+++ b/bench/once/schedules.cc
@@ -59,20 +59,28 @@
       Percent(sum.unknown_unsent, sum.schedules), extra);
 }
 
+void PrintTraces(const WorldOptions& options,
+                 const std::vector<uint64_t>& seeds) {
+  for (const uint64_t it : seeds) {
+    std::printf("  seed %llu: %s\n", static_cast<unsigned long long>(it),
+                Describe(RunSchedule(options, it).trace).c_str());
+  }
+}
+
 // Returns whether nothing was violated.
 bool RunScenario(const Scenario& scenario,
                  Design design,
                  Fault fault,
                  uint64_t first_seed,
-                 int count) {
+                 int count,
+                 bool show_unknown) {
   WorldOptions options = scenario.world(design);
   options.fault = fault;
   const ScheduleSummary sum = RunSchedules(options, first_seed, count);
   Print(scenario.name, design, sum, ExtraMessages(design, first_seed));
-  for (const uint64_t it : sum.bad_seeds) {
-    std::printf("  seed %llu: %s\n", static_cast<unsigned long long>(it),
-                Describe(RunSchedule(options, it).trace).c_str());
-  }
+  PrintTraces(options, sum.bad_seeds);
+  if (show_unknown)
+    PrintTraces(options, sum.unknown_seeds);
   std::fflush(stdout);
   return sum.bad_seeds.empty();
 }
@@ -91,7 +99,8 @@
       "schedules for each design")("seed", po::value(&seed)->default_value(1),
                                    "which schedules")(
       "fault", po::value(&fault_name)->default_value("none"),
-      "break the rules of tickets on purpose");
+      "break the rules of tickets on purpose")(
+      "show-unknown", "print some schedules that ended unknown");
   po::variables_map vars;
   po::store(po::command_line_parser(args).options(options).run(), vars);
   po::notify(vars);
@@ -110,9 +119,9 @@
       const auto design = static_cast<Design>(i);
       if (scenario.tickets_only && !Ticketed(design))
         continue;
-      clean =
-          RunScenario(scenario, design, *fault, seed * kSeedSpan, schedules) &&
-          clean;
+      clean = RunScenario(scenario, design, *fault, seed * kSeedSpan, schedules,
+                          vars.count("show-unknown") > 0) &&
+              clean;
     }
   }
   return clean ? 0 : 1;
--- a/bench/once/ticket_host_events_model.cc
+++ b/bench/once/ticket_host_events_model.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr uint64_t kFingerprint = 7;
+// Hosts that are asked for the records of an owner that stopped.
+constexpr int kSuccessors = 3;
 
 const KeptAnswerPtr& TheAnswer() {
   static const KeptAnswerPtr answer =
@@ -46,8 +48,10 @@
   OwnerInquiry::Options options;
   if (ticket_.owner.host == self_.host)
     options.known_incarnation = self_.incarnation;
-  if (witness_.HasTakenOver(ticket_.owner))
-    options.successors.push_back(self_);
+  // Its own record of the handoff is asked when the owner turns out silent.
+  options.successors.push_back(self_);
+  for (int i = 1; i < std::min(hosts_, kSuccessors); ++i)
+    options.successors.push_back(LifeOf((index_ + i) % hosts_, 0));
   uint64_t id = 1;
   for (const Inquiry& it : inquiries_)
     id = std::max(id, it.id + 1);
--- a/bench/once/ticket_host_model.cc
+++ b/bench/once/ticket_host_model.cc
@@ -22,8 +22,12 @@
 
 }  // namespace
 
-TicketHostModel::TicketHostModel(int index, Incarnation life, Fault fault)
+TicketHostModel::TicketHostModel(int index,
+                                 int hosts,
+                                 Incarnation life,
+                                 Fault fault)
     : index_(index),
+      hosts_(hosts),
       self_(LifeOf(index, life)),
       fault_(fault),
       table_(MintFor(self_),
--- a/bench/once/ticket_host_model.h
+++ b/bench/once/ticket_host_model.h
@@ -20,7 +20,7 @@
 // Wires the real tables of include/once as an entry host does.
 class TicketHostModel : public HostModel {
  public:
-  TicketHostModel(int index, Incarnation life, Fault fault);
+  TicketHostModel(int index, int hosts, Incarnation life, Fault fault);
 
   static HostLife LifeOf(int index, Incarnation life);
   static int IndexOf(const HostLife& life);
@@ -105,6 +105,7 @@
   Message To(int place, MessageKind kind, uint64_t tag, int value) const;
 
   int index_;
+  int hosts_;
   HostLife self_;
   Fault fault_;
   TicketTable table_;
--- a/bench/once/world_model.cc
+++ b/bench/once/world_model.cc
@@ -110,7 +110,7 @@
       if (options_.refuses)
         out.push_back({ActionKind::kRefuse, h, i});
     }
-    if (hosts_[h].closing && model->Idle())
+    if (hosts_[h].closing && model->Idle() && !PassedTo(h))
       out.push_back({ActionKind::kLeave, h});
   }
 }
@@ -257,7 +257,8 @@
       return std::make_unique<PlainHostModel>(
           index, life, PlainHostModel::Design::kKeyOwner);
     default:
-      return std::make_unique<TicketHostModel>(index, life, options_.fault);
+      return std::make_unique<TicketHostModel>(index, options_.hosts, life,
+                                               options_.fault);
   }
 }
 
@@ -266,6 +267,12 @@
          options_.design == Design::kTicketsWithWitness;
 }
 
+bool World::PassedTo(int host) const {
+  return std::any_of(messages_.begin(), messages_.end(), [&](const Message& m) {
+    return m.kind == MessageKind::kPass && m.to == host;
+  });
+}
+
 int World::ZoneOf(int place) const {
   if (place == kStore)
     return 0;
--- a/bench/once/world_model.h
+++ b/bench/once/world_model.h
@@ -122,6 +122,9 @@
 
   std::unique_ptr<HostModel> NewHost(int index, Incarnation life) const;
   bool Ticketed() const;
+  // Whether a passed request is on its way to `host`: one that stops gracefully
+  // serves what its peers have sent it.
+  bool PassedTo(int host) const;
   bool Reachable(int from, int to) const;
   int ZoneOf(int place) const;
   void EnableRequests(std::vector<Action>& out) const;
--- a/include/once/owner_inquiry.h
+++ b/include/once/owner_inquiry.h
@@ -46,7 +46,8 @@
   struct Options {
     // How long one question may take while nothing is known to run.
     Duration patience{2'000};
-    // Hosts that say they took over the owner's records.
+    // Hosts that may have taken over the owner's records: this one, and others
+    // that were up when the owner stopped. One that has not says kUnknown.
     std::vector<HostLife> successors;
     // The owner's life as membership shows it, if it does.
     std::optional<Incarnation> known_incarnation;
