steering: a window for each other region; crossed work waits behind the own

Cause: free slots that another region told 100 ms ago were spent once a report, so a short region shifted a fraction of what it may; hosts that are no home told slots that are not theirs; and a region refused crossed work whenever it was momentarily at its limit. Change: what is under way to a region is a window that grows with answers and shrinks with refusals; only homes tell free slots; crossed work starts only below region_load_limit and when none of the region waits, may wait shortly while the mean load of the last second is below that limit, and is refused otherwise.

--- a/bench/steering/fake_calls.cc
+++ b/bench/steering/fake_calls.cc
@@ -121,6 +121,9 @@
   *id = next_item_++;
   leg.item.id = *id;
   leg.item.deadline = Instant(leg.deadline_us / kUsPerMs);
+  if (leg.item.hop == Hop::kCaller)
+    ++measures_.services[leg.service]
+          .requests_in_second[Second(events_.now_us())];
   const int64_t deadline_us = leg.deadline_us;
   const int life = host.life;
   Leg& kept = host.legs.emplace(*id, std::move(leg)).first->second;
--- a/bench/steering/measures.h
+++ b/bench/steering/measures.h
@@ -33,6 +33,8 @@
   // Answered in each second of the run.
   std::vector<int64_t> answered_in_second;
   std::vector<int64_t> arrived_in_second;
+  // Requests of callers at entry hosts in each second, repeats included.
+  std::vector<int64_t> requests_in_second;
   // Passed to another region in each second.
   std::vector<int64_t> shifted_in_second;
 
--- a/src/steering/home_picker.cc
+++ b/src/steering/home_picker.cc
@@ -21,6 +21,10 @@
                      [&](const auto& pool) { return pool.home == in().own; });
 }
 
+bool HomePicker::IsHome(size_t server) const {
+  return view().own_place().pools[view().PoolOf(server)].home == in().own;
+}
+
 bool HomePicker::Sends(size_t server) const {
   const auto& place = view().own_place();
   const HostId& home = place.pools[view().PoolOf(server)].home;
--- a/src/steering/home_picker.h
+++ b/src/steering/home_picker.h
@@ -24,6 +24,7 @@
 
   Pick Choose(const WorkItem& item, bool may_pass, Instant now) override;
   bool Sends(size_t server) const override;
+  bool IsHome(size_t server) const override;
 
  private:
   bool IsHomeOfAny() const;
--- a/src/steering/picker.cc
+++ b/src/steering/picker.cc
@@ -103,6 +103,10 @@
     return {.kind = Pick::Kind::kHost, .host = home};
   }
 
+  bool IsHome(size_t server) const override {
+    return view().own_place().pools[view().PoolOf(server)].home == in().own;
+  }
+
   bool Sends(size_t server) const override {
     const auto& place = view().own_place();
     const HostId& own = in().own;
--- a/src/steering/picker.h
+++ b/src/steering/picker.h
@@ -67,6 +67,8 @@
   virtual Pick Choose(const WorkItem& item, bool may_pass, Instant now) = 0;
   // Whether this host sends to `server`.
   virtual bool Sends(size_t server) const = 0;
+  // Whether this host is where peers should pass requests for `server` to.
+  virtual bool IsHome(size_t server) const { return Sends(server); }
   // How many requests this host may have in flight at `server`, and how many
   // more than now.
   virtual int Slots(size_t server, Instant now) const = 0;
--- a/src/steering/region_shifter.cc
+++ b/src/steering/region_shifter.cc
@@ -1,73 +1,85 @@
 #include "src/steering/region_shifter.h"
 
 #include <algorithm>
-#include <cmath>
-#include <utility>
 
 namespace toucanknot {
 namespace {
 
-constexpr Duration kRestAfterRefusal{100};
-// Figures of another region older than this do not count as free slots.
+// Figures of another region older than this say nothing of its queue.
 constexpr Duration kFreshFor{500};
 // A shift for speed has to save this many times the way there and back.
 constexpr double kWorthRatio = 1.2;
+// A wait of this many times the way there and back means that the own region
+// is short.
+constexpr double kShortRatio = 4;
+// The window in requests: at the start, at least, growth by an answer, and
+// what is left of it after a refusal. Refusals close to each other count once.
+constexpr double kFirstWindow = 4;
+constexpr double kLeastWindow = 1;
+constexpr double kWindowGrowth = 0.2;
+constexpr double kWindowShrink = 0.7;
+constexpr Duration kShrinkInterval{50};
 
-// Free slots of a region that stay free for its own callers.
-int Reserve(const FleetView::Place& place, double load_limit) {
+int SlotsOf(const FleetView::Place& place) {
   int slots = 0;
   for (const FleetView::Server& it : place.servers)
     slots += it.slots;
-  return std::max(1, static_cast<int>(std::lround(slots * (1 - load_limit))));
+  return slots;
 }
 
 }  // namespace
 
-void RegionShifter::Refused(const RegionId& region, Instant now) {
-  std::erase_if(rests_, [&](const Rest& it) {
-    return it.region == region || it.until <= now;
-  });
-  rests_.push_back({region, now + kRestAfterRefusal});
+RegionShifter::Window& RegionShifter::WindowOf(const RegionId& region) {
+  const auto it =
+      std::find_if(windows_.begin(), windows_.end(),
+                   [&](const Window& w) { return w.region == region; });
+  if (it != windows_.end())
+    return *it;
+  windows_.push_back({.region = region, .size = kFirstWindow});
+  return windows_.back();
 }
 
-bool RegionShifter::Rests(const RegionId& region, Instant now) const {
-  return std::any_of(rests_.begin(), rests_.end(), [&](const Rest& it) {
-    return it.region == region && it.until > now;
-  });
+void RegionShifter::Ended(const RegionId& region, AttemptEnd end, Instant now) {
+  Window& window = WindowOf(region);
+  window.under_way = std::max(window.under_way - 1, 0);
+  if (end == AttemptEnd::kAnswered) {
+    window.size += kWindowGrowth;
+  } else if (end == AttemptEnd::kShed || end == AttemptEnd::kNotSent) {
+    if (now - window.shrunk_at < kShrinkInterval)
+      return;
+    window.size = std::max(window.size * kWindowShrink, kLeastWindow);
+    window.shrunk_at = now;
+  }
 }
 
 HostId RegionShifter::HomeIn(const FleetView::Place& place,
                              const WorkItem& item) const {
   if (place.pools.empty() || place.servers.empty())
     return {};
-  const HostId& home = place.pools[item.id % place.pools.size()].home;
   const bool avoided = std::any_of(
       item.avoid_hosts.begin(), item.avoid_hosts.end(), [&](const HostId& it) {
         return std::find(place.hosts.begin(), place.hosts.end(), it) !=
                place.hosts.end();
       });
-  return avoided ? HostId() : home;
+  return avoided ? HostId() : place.pools[item.id % place.pools.size()].home;
 }
 
 bool RegionShifter::WorthPassing(const FleetView::Place& place,
                                  const HostTable& hosts,
                                  const Need& need,
                                  Instant now) const {
-  int free = 0;
-  bool fresh = false;
+  const auto way_ms = static_cast<double>(place.one_way.ms()) * 2;
+  if (need.must || need.wait_ms > kShortRatio * way_ms)
+    return true;
+  if (need.wait_ms <= kWorthRatio * way_ms)
+    return false;
+  double there_ms = way_ms * kWorthRatio;
   for (const HostId& it : place.live) {
     const HostTable::State* state = hosts.Find(it);
-    if (!state || now - state->at > kFreshFor)
-      continue;
-    fresh = true;
-    free += state->free_slots - state->passed;
+    if (state && state->slots > 0 && now - state->at <= kFreshFor)
+      there_ms += state->waiting * need.mean_ms / state->slots;
   }
-  if (!fresh)
-    return need.must;
-  if (free <= Reserve(place, place.load_limit))
-    return false;
-  const auto way_ms = static_cast<double>(place.one_way.ms()) * 2;
-  return need.must || need.wait_ms > kWorthRatio * way_ms;
+  return need.wait_ms > there_ms;
 }
 
 RegionShifter::Choice RegionShifter::Choose(const FleetView& view,
@@ -80,13 +92,18 @@
   // Each request starts at another region, so that they share the shift.
   for (size_t k = 0; k < places.size(); ++k) {
     const FleetView::Place& place = places[(item.id + k) % places.size()];
-    if (&place == &view.own_place() || Rests(place.id, now))
+    if (&place == &view.own_place())
       continue;
     const HostId host = HomeIn(place, item);
     if (host.empty() || !WorthPassing(place, hosts, need, now))
       continue;
+    Window& window = WindowOf(place.id);
+    window.size = std::min<double>(window.size, SlotsOf(place));
+    if (window.under_way >= window.size)
+      continue;
     choice.refusal = may_pass_(place.id, item, now);
     if (choice.refusal == Refusal::kNone) {
+      ++window.under_way;
       choice.host = host;
       return choice;
     }
--- a/src/steering/region_shifter.h
+++ b/src/steering/region_shifter.h
@@ -2,7 +2,7 @@
 #define SRC_STEERING_REGION_SHIFTER_H_
 
 #include <functional>
-#include <optional>
+#include <utility>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -14,7 +14,10 @@
 namespace toucanknot {
 
 // Chooses another region for requests that the own region cannot serve, or not
-// as soon. The limits of links and shifts are asked last and bind.
+// as soon. How much may be under way to a region at once is a window that
+// grows with its answers and shrinks with its refusals, so that it follows
+// what the region has free without figures that would be old on arrival. The
+// limits of links and shifts are asked last and bind.
 class RegionShifter {
  public:
   using MayPassFn =
@@ -27,6 +30,8 @@
     bool must = false;
     // How long it would wait in the own region, in milliseconds.
     double wait_ms = 0;
+    // Mean time of an answer, in milliseconds.
+    double mean_ms = 0;
   };
   struct Choice {
     // The entry host to pass to; empty when there is none.
@@ -34,22 +39,27 @@
     // Why not, when a limit was the reason.
     Refusal refusal = Refusal::kNone;
   };
+  // Requests under way to another region.
+  struct Window {
+    RegionId region;
+    double size = 0;
+    int under_way = 0;
+    Instant shrunk_at;
+  };
 
+  // Counts the request as under way when it names a host.
   Choice Choose(const FleetView& view,
                 const HostTable& hosts,
                 const WorkItem& item,
                 const Need& need,
                 Instant now);
-  // `region` refused a request: leave it alone for a moment.
-  void Refused(const RegionId& region, Instant now);
+  // A request that was under way to `region` has ended.
+  void Ended(const RegionId& region, AttemptEnd end, Instant now);
 
- private:
-  struct Rest {
-    RegionId region;
-    Instant until;
-  };
+  const std::vector<Window>& windows() const { return windows_; }
 
-  bool Rests(const RegionId& region, Instant now) const;
+ private:
+  Window& WindowOf(const RegionId& region);
   bool WorthPassing(const FleetView::Place& place,
                     const HostTable& hosts,
                     const Need& need,
@@ -57,7 +67,7 @@
   HostId HomeIn(const FleetView::Place& place, const WorkItem& item) const;
 
   MayPassFn may_pass_;
-  std::vector<Rest> rests_;
+  std::vector<Window> windows_;
 };
 
 }  // namespace toucanknot
--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -11,6 +11,10 @@
 // How often a queue is looked at while nothing of this host ends.
 constexpr Duration kQueuePoll{10};
 
+// Requests of other regions are taken while the wait for a slot is at most
+// this many mean times of an answer.
+constexpr double kMaxWaitOfCrossed = 0.5;
+
 bool CameFromOtherRegion(const WorkItem& item) {
   return item.hop == Hop::kCrossed || item.hop == Hop::kCrossedInRegion;
 }
@@ -30,6 +34,7 @@
     : parts_(std::move(parts)),
       servers_(parts_.hooks.usable),
       queue_(parts_.order),
+      crossed_(parts_.order),
       shifter_(parts_.hooks.may_pass),
       picker_(MakePicker(
           parts_.policy,
@@ -46,6 +51,7 @@
   last_now_ = now;
   if (!view_)
     return Refuse(item, Refusal::kNoServer);
+  UpdateLoad(now);
   if (return_at_ <= now)
     RefreshHomes(now);
   const Refusal refusal = parts_.hooks.admit(item, now);
@@ -53,7 +59,7 @@
     return Refuse(item, refusal);
   if (const std::optional<Decision> decision = Decide(item, now))
     return *decision;
-  queue_.Push(item, now);
+  (CameFromOtherRegion(item) ? crossed_ : queue_).Push(item, now);
   SetWake(now);
   return {.item = item.id, .step = Step::kWait};
 }
@@ -83,8 +89,8 @@
 std::optional<Decision> SteeringDispatcher::DecideHere(const WorkItem& item,
                                                        const Pick& pick,
                                                        Instant now) {
-  if (CameFromOtherRegion(item) && !RegionHasRoom(item, now))
-    return Refuse(item, Refusal::kRegionLimit);
+  if (CameFromOtherRegion(item))
+    return DecideCrossed(item, pick, now);
   if (pick.kind == Pick::Kind::kServer)
     return Send(item, pick.server);
 
@@ -97,9 +103,11 @@
       static_cast<int64_t>(queue_.size()) >= view_->tunables().max_queue;
   RegionShifter::Choice choice;
   if (MayCross(item)) {
-    choice = shifter_.Choose(
-        *view_, hosts_, item,
-        {.must = no_server || late || full, .wait_ms = wait_ms}, now);
+    choice = shifter_.Choose(*view_, hosts_, item,
+                             {.must = no_server || late || full,
+                              .wait_ms = wait_ms,
+                              .mean_ms = servers_.mean_ms()},
+                             now);
     if (!choice.host.empty())
       return Pass(item, choice.host, Hop::kCrossed);
   }
@@ -132,16 +140,44 @@
   return {.item = item.id, .step = Step::kRefuse, .refusal = refusal};
 }
 
-bool SteeringDispatcher::RegionHasRoom(const WorkItem& item,
-                                       Instant now) const {
+bool SteeringDispatcher::CrossedMayStart(Instant now) const {
+  const double limit = view_->own_place().load_limit * OwnSlots(now);
+  return queue_.empty() && OwnInFlight() + 1 <= limit;
+}
+
+bool SteeringDispatcher::CrossedMayWait(const WorkItem& item,
+                                        Instant now) const {
   const double limit = view_->own_place().load_limit * OwnSlots(now);
-  const auto taken = OwnInFlight() + static_cast<int>(queue_.size());
-  return taken + 1 <= limit && parts_.hooks.region_has_room(item, now);
+  const double wait_ms = ExpectedWaitMs(now);
+  const Duration needed(std::llround(wait_ms + servers_.mean_ms()));
+  return load_.mean() < limit &&
+         wait_ms <= servers_.mean_ms() * kMaxWaitOfCrossed &&
+         now + needed < item.deadline;
+}
+
+std::optional<Decision> SteeringDispatcher::DecideCrossed(const WorkItem& item,
+                                                          const Pick& pick,
+                                                          Instant now) {
+  if (pick.kind == Pick::Kind::kNoServer)
+    return Refuse(item, Refusal::kNoServer);
+  if (!parts_.hooks.region_has_room(item, now))
+    return Refuse(item, Refusal::kRegionLimit);
+  if (pick.kind == Pick::Kind::kServer && crossed_.empty() &&
+      CrossedMayStart(now))
+    return Send(item, pick.server);
+  if (CrossedMayWait(item, now))
+    return std::nullopt;
+  return Refuse(item, Refusal::kRegionLimit);
+}
+
+void SteeringDispatcher::UpdateLoad(Instant now) {
+  const size_t waiting = queue_.size() + crossed_.size();
+  load_.Update(OwnInFlight() + static_cast<double>(waiting), now);
 }
 
 double SteeringDispatcher::ExpectedWaitMs(Instant now) const {
   const int slots = OwnSlots(now);
-  const auto ahead = static_cast<double>(queue_.size() + 1);
+  const auto ahead = static_cast<double>(queue_.size() + crossed_.size() + 1);
   return slots == 0 ? 0 : ahead * servers_.mean_ms() / slots;
 }
 
@@ -154,15 +190,6 @@
   return slots;
 }
 
-int SteeringDispatcher::OwnFree(Instant now) const {
-  int free = 0;
-  for (size_t i = 0; i < servers_.size(); ++i) {
-    if (picker_->Sends(i))
-      free += std::max(picker_->Free(i, now), 0);
-  }
-  return free;
-}
-
 int SteeringDispatcher::OwnInFlight() const {
   int sum = 0;
   for (size_t i = 0; i < servers_.size(); ++i)
@@ -173,6 +200,7 @@
 void SteeringDispatcher::Withdraw(uint64_t item, Instant now) {
   last_now_ = now;
   queue_.Remove(item);
+  crossed_.Remove(item);
 }
 
 void SteeringDispatcher::Finish(const AttemptResult& result, Instant now) {
@@ -180,6 +208,7 @@
   const auto it = flights_.find(result.item);
   if (it == flights_.end())
     return;
+  UpdateLoad(now);
   const Flight flight = it->second;
   flights_.erase(it);
   if (flight.host.empty()) {
@@ -188,9 +217,8 @@
     return;
   }
   const FleetView::Place* place = view_->PlaceOf(flight.host);
-  const bool other_region = place && place != &view_->own_place();
-  if (result.end == AttemptEnd::kShed && other_region)
-    shifter_.Refused(place->id, now);
+  if (place && place != &view_->own_place())
+    shifter_.Ended(place->id, result.end, now);
   if (result.end == AttemptEnd::kNotSent || result.end == AttemptEnd::kBroken) {
     hosts_.Suspend(flight.host, now);
     RefreshHomes(now);
@@ -204,34 +232,62 @@
     return decisions;
   if (return_at_ <= now)
     RefreshHomes(now);
+  DropLate(&queue_, now, &decisions);
+  DropLate(&crossed_, now, &decisions);
+  StartWaiting(now, &decisions);
+  StartCrossed(now, &decisions);
+  SetWake(now);
+  return decisions;
+}
+
+void SteeringDispatcher::DropLate(WaitQueue* queue,
+                                  Instant now,
+                                  std::vector<Decision>* decisions) {
   // What cannot be answered in time any more makes room.
   const Duration needed(std::llround(servers_.mean_ms() / 2));
-  while (const auto late = queue_.TakeExpired(now + needed))
-    decisions.push_back(Refuse(*late, Refusal::kDeadline));
+  while (const auto late = queue->TakeExpired(now + needed))
+    decisions->push_back(Refuse(*late, Refusal::kDeadline));
+}
+
+void SteeringDispatcher::StartWaiting(Instant now,
+                                      std::vector<Decision>* decisions) {
   while (const WorkItem* next = queue_.Next(now)) {
     const Pick pick = picker_->Choose(*next, MayPassInRegion(*next), now);
     if (pick.kind == Pick::Kind::kWait)
-      break;
+      return;
     const WorkItem item = *next;
     queue_.Remove(item.id);
-    if (pick.kind == Pick::Kind::kServer) {
-      decisions.push_back(Send(item, pick.server));
-    } else if (pick.kind == Pick::Kind::kHost) {
-      const bool crossed = CameFromOtherRegion(item);
-      decisions.push_back(Pass(
-          item, pick.host, crossed ? Hop::kCrossedInRegion : Hop::kInRegion));
-    } else if (const auto decision = DecideHere(item, pick, now)) {
-      decisions.push_back(*decision);
-    }
+    if (pick.kind == Pick::Kind::kServer)
+      decisions->push_back(Send(item, pick.server));
+    else if (pick.kind == Pick::Kind::kHost)
+      decisions->push_back(Pass(item, pick.host, Hop::kInRegion));
+    else if (const auto decision = DecideHere(item, pick, now))
+      decisions->push_back(*decision);
+  }
+}
+
+void SteeringDispatcher::StartCrossed(Instant now,
+                                      std::vector<Decision>* decisions) {
+  while (!crossed_.empty() && CrossedMayStart(now)) {
+    const WorkItem item = *crossed_.Next(now);
+    const Pick pick = picker_->Choose(item, MayPassInRegion(item), now);
+    if (pick.kind == Pick::Kind::kWait)
+      return;
+    crossed_.Remove(item.id);
+    if (pick.kind == Pick::Kind::kServer)
+      decisions->push_back(Send(item, pick.server));
+    else if (pick.kind == Pick::Kind::kHost)
+      decisions->push_back(Pass(item, pick.host, Hop::kCrossedInRegion));
+    else
+      decisions->push_back(Refuse(item, Refusal::kNoServer));
   }
-  SetWake(now);
-  return decisions;
 }
 
 void SteeringDispatcher::SetWake(Instant now) {
-  wake_ = queue_.empty()
-              ? Instant::Never()
-              : std::min(queue_.EarliestDeadline(), now + kQueuePoll);
+  const Instant deadline =
+      std::min(queue_.EarliestDeadline(), crossed_.EarliestDeadline());
+  const bool waiting = !queue_.empty() || !crossed_.empty();
+  wake_ = waiting ? std::min(deadline, now + kQueuePoll) : Instant::Never();
 }
 
 void SteeringDispatcher::OnLoadReport(const LoadReport& report, Instant now) {
@@ -294,9 +350,13 @@
     if (servers_.at(i).own > 0)
       load.in_flight.push_back({servers_.at(i).info.id, servers_.at(i).own});
   }
-  load.waiting = static_cast<int>(queue_.size());
-  load.slots = OwnSlots(last_now_);
-  load.free_slots = OwnFree(last_now_);
+  load.waiting = static_cast<int>(queue_.size() + crossed_.size());
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    if (!picker_->IsHome(i))
+      continue;
+    load.slots += picker_->Slots(i, last_now_);
+    load.free_slots += std::max(picker_->Free(i, last_now_), 0);
+  }
   return load;
 }
 
@@ -305,6 +365,7 @@
                           {"host", parts_.own.str()},
                           {"policy", kPolicyNames.Name(parts_.policy)},
                           {"waiting", queue_.size()},
+                          {"waiting_of_other_regions", crossed_.size()},
                           {"oldest_wait_ms", queue_.OldestWait(now).ms()},
                           {"mean_ms", servers_.mean_ms()}};
   if (!view_)
@@ -344,6 +405,13 @@
     hosts.push_back(std::move(host));
   }
   out["hosts"] = std::move(hosts);
+  boost::json::array shifts;
+  for (const RegionShifter::Window& it : shifter_.windows()) {
+    shifts.push_back(boost::json::object{{"region", it.region.str()},
+                                         {"window", it.size},
+                                         {"under_way", it.under_way}});
+  }
+  out["shifts"] = std::move(shifts);
   return boost::json::serialize(out);
 }
 
--- a/src/steering/steering_dispatcher.h
+++ b/src/steering/steering_dispatcher.h
@@ -14,6 +14,7 @@
 #include "src/steering/picker.h"
 #include "src/steering/region_shifter.h"
 #include "src/steering/server_table.h"
+#include "src/steering/smoothed_load.h"
 #include "src/steering/wait_queue.h"
 
 namespace toucanknot {
@@ -61,14 +62,26 @@
   std::optional<Decision> DecideHere(const WorkItem& item,
                                      const Pick& pick,
                                      Instant now);
+  std::optional<Decision> DecideCrossed(const WorkItem& item,
+                                        const Pick& pick,
+                                        Instant now);
+  void DropLate(WaitQueue* queue,
+                Instant now,
+                std::vector<Decision>* decisions);
+  void StartWaiting(Instant now, std::vector<Decision>* decisions);
+  void StartCrossed(Instant now, std::vector<Decision>* decisions);
   Decision Send(const WorkItem& item, size_t server);
   Decision Pass(const WorkItem& item, const HostId& host, Hop hop);
   Decision Refuse(const WorkItem& item, Refusal refusal);
-  bool RegionHasRoom(const WorkItem& item, Instant now) const;
+  // Call before what this host has in flight or waiting changes.
+  void UpdateLoad(Instant now);
+  // Whether this region's limit lets work of other regions start now, and be
+  // accepted.
+  bool CrossedMayStart(Instant now) const;
+  bool CrossedMayWait(const WorkItem& item, Instant now) const;
   // When a request that is last in the queue would start, from now.
   double ExpectedWaitMs(Instant now) const;
   int OwnSlots(Instant now) const;
-  int OwnFree(Instant now) const;
   int OwnInFlight() const;
   void RefreshHomes(Instant now);
   void SetWake(Instant now);
@@ -77,8 +90,12 @@
   std::unique_ptr<FleetView> view_;
   ServerTable servers_;
   HostTable hosts_;
+  // Requests of this region, and those of other regions, which start only when
+  // none of this region waits and the region's limit leaves room.
   WaitQueue queue_;
+  WaitQueue crossed_;
   RegionShifter shifter_;
+  SmoothedLoad load_;
   std::unique_ptr<Picker> picker_;
   boost::unordered_flat_map<uint64_t, Flight> flights_;
   Instant last_now_;
