--- a/bench/steering/fake_calls.cc
+++ b/bench/steering/fake_calls.cc
@@ -121,7 +121,7 @@
   *id = next_item_++;
   leg.item.id = *id;
   leg.item.deadline = Instant(leg.deadline_us / kUsPerMs);
-  if (leg.item.hop == Hop::kCaller)
+  if (policy_ == Policy::kNaive)
     ++measures_.services[leg.service]
           .requests_in_second[Second(events_.now_us())];
   const int64_t deadline_us = leg.deadline_us;
@@ -257,9 +257,6 @@
     if (hosts_[h].alive && hosts_[h].life == life)
       PassEnded(h, id, attempt, outcome, refusal, decision);
   };
-  if (from.region != to.region)
-    ++measures_.services[leg.service]
-          .shifted_in_second[Second(events_.now_us())];
   if (!hosts_[p].alive || !Reachable(from, to)) {
     leg.cancel = nullptr;
     const int64_t us = scenario_.fault == Fault::kHost
--- a/bench/steering/fake_fleet.cc
+++ b/bench/steering/fake_fleet.cc
@@ -109,12 +109,31 @@
                                    .SetSeed(seed_ * 100 + index)
                                    .SetPolicy(policy_)
                                    .SetQueueOrder(order_)
-                                   .SetHooks(host.limits->HooksFor(i))
+                                   .SetHooks(CountedHooks(host, i))
                                    .Build());
     host.dispatchers.back()->OnConfig(config, 0, events_.now());
   }
 }
 
+SteeringHooks FakeFleet::CountedHooks(Host& host, size_t service) {
+  SteeringHooks hooks = host.limits->HooksFor(service);
+  ServiceMeasures& m = measures_.services[service];
+  hooks.on_request = [this, &m, limit = hooks.on_request](const WorkItem& item,
+                                                          Instant now) {
+    ++m.requests_in_second[Second(events_.now_us())];
+    limit(item, now);
+  };
+  hooks.may_pass = [this, &m, limit = hooks.may_pass](const RegionId& region,
+                                                      const WorkItem& item,
+                                                      Instant now) {
+    const Refusal refusal = limit(region, item, now);
+    if (refusal == Refusal::kNone)
+      ++m.shifted_in_second[Second(events_.now_us())];
+    return refusal;
+  };
+  return hooks;
+}
+
 FakeFleet::Place FakeFleet::PlaceOf(const ZoneId& zone) const {
   const auto& regions = deployment_.config->regions;
   const RegionId region = deployment_.config->RegionOf(zone);
--- a/bench/steering/fake_fleet.h
+++ b/bench/steering/fake_fleet.h
@@ -87,6 +87,8 @@
   // Set-up.
   void MakeServers();
   void StartHost(size_t host);
+  // The hooks of the host's limits, with what they permit counted.
+  SteeringHooks CountedHooks(Host& host, size_t service);
   void ScheduleFaults();
   void ScheduleTicks();
 
--- a/bench/steering/measures.h
+++ b/bench/steering/measures.h
@@ -33,7 +33,7 @@
   // Answered in each second of the run.
   std::vector<int64_t> answered_in_second;
   std::vector<int64_t> arrived_in_second;
-  // Requests of callers at entry hosts in each second, repeats included.
+  // Requests that were decided on in each second: what a shift is a share of.
   std::vector<int64_t> requests_in_second;
   // Passed to another region in each second.
   std::vector<int64_t> shifted_in_second;
