steering: a wait that stays long is refused instead of kept

Cause: at 120 % the queue fills to its bound and stays there: as many are refused, and every answer is late. Change: once the expected wait has been above five mean times for a second, new requests above that are passed to another region or refused until the queue has drained.

--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -99,8 +99,9 @@
       pick.kind == Pick::Kind::kNoServer || OwnSlots(now) == 0;
   const Duration needed(std::llround(wait_ms + servers_.mean_ms()));
   const bool late = now + needed >= item.deadline;
-  const bool full =
-      static_cast<int64_t>(queue_.size()) >= view_->tunables().max_queue;
+  const bool stands = standing_.Refuses(wait_ms, servers_.mean_ms(), now);
+  const bool full = stands || static_cast<int64_t>(queue_.size()) >=
+                                  view_->tunables().max_queue;
   RegionShifter::Choice choice;
   if (MayCross(item)) {
     choice = shifter_.Choose(*view_, hosts_, item,
--- a/src/steering/steering_dispatcher.h
+++ b/src/steering/steering_dispatcher.h
@@ -15,6 +15,7 @@
 #include "src/steering/region_shifter.h"
 #include "src/steering/server_table.h"
 #include "src/steering/smoothed_load.h"
+#include "src/steering/standing_queue.h"
 #include "src/steering/wait_queue.h"
 
 namespace toucanknot {
@@ -96,6 +97,7 @@
   WaitQueue crossed_;
   RegionShifter shifter_;
   SmoothedLoad load_;
+  StandingQueue standing_;
   std::unique_ptr<Picker> picker_;
   boost::unordered_flat_map<uint64_t, Flight> flights_;
   Instant last_now_;
