bench: callers come back to a returning region by limits' ramp

Cause: look-ups send callers home at once when a region is back; its servers are cold and shifts are bounded, so p99 after a region's return was the deadline's order. Change: the fake's look-ups follow limits/ramp for every way but the naive one.

--- a/bench/steering/arrivals.cc
+++ b/bench/steering/arrivals.cc
@@ -23,9 +23,12 @@
   return z ^ (z >> 31);
 }
 
+double Rng::Uniform() {
+  return static_cast<double>(Next() >> 11) * 0x1.0p-53;
+}
+
 double Rng::Exponential(double mean) {
-  const double u = static_cast<double>(Next() >> 11) * 0x1.0p-53;
-  return -mean * std::log1p(-u);
+  return -mean * std::log1p(-Uniform());
 }
 
 int SlotsOf(const Deployment& deployment, size_t service) {
--- a/bench/steering/arrivals.h
+++ b/bench/steering/arrivals.h
@@ -24,6 +24,8 @@
   explicit Rng(uint64_t seed) : state_(seed) {}
   uint64_t Next();
   size_t Below(size_t n) { return static_cast<size_t>(Next() % n); }
+  // From 0 to below 1.
+  double Uniform();
   // Exponentially distributed.
   double Exponential(double mean);
 
--- a/bench/steering/fake_calls.cc
+++ b/bench/steering/fake_calls.cc
@@ -47,7 +47,10 @@
 
 bool FakeFleet::PickHost(const Call& call, size_t* host) {
   std::vector<size_t> list;
-  for (const bool own_region : {true, false}) {
+  const double share = returns_[call.arrival.region].Share(events_.now());
+  const bool ramps = policy_ != Policy::kNaive && share < 1;
+  const bool away = ramps && rng_.Uniform() >= share;
+  for (const bool own_region : {!away, away}) {
     for (size_t i = 0; i < hosts_.size(); ++i) {
       const bool own = hosts_[i].region == call.arrival.region;
       const bool tried = std::count(call.dead.begin(), call.dead.end(), i) > 0;
--- a/bench/steering/fake_fleet.cc
+++ b/bench/steering/fake_fleet.cc
@@ -68,6 +68,7 @@
     hosts_.push_back(std::move(host));
   }
   believed_.assign(hosts_.size(), true);
+  returns_.assign(regions, Ramp(Ramp::Options()));
   for (size_t i = 0; i < hosts_.size(); ++i)
     StartHost(i);
   TellHosts();
@@ -223,6 +224,12 @@
   events_.After(kNoticeUs, [this] {
     for (size_t i = 0; i < hosts_.size(); ++i)
       believed_[i] = hosts_[i].alive;
+    for (size_t r = 0; r < returns_.size(); ++r) {
+      bool available = false;
+      for (size_t i = 0; i < hosts_.size(); ++i)
+        available |= believed_[i] && hosts_[i].region == r;
+      returns_[r].Update(available, events_.now());
+    }
     TellHosts();
   });
 }
@@ -330,6 +337,10 @@
   for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kAdvanceUs) {
     events_.At(us, [this] {
       Sample();
+      for (size_t r = 0; r < returns_.size(); ++r)
+        returns_[r].Update(
+            returns_[r].Share(events_.now()) > 0 || returns_[r].settling(),
+            events_.now());
       for (Host& it : hosts_) {
         if (it.alive)
           it.limits->Advance(events_.now());
--- a/bench/steering/fake_fleet.h
+++ b/bench/steering/fake_fleet.h
@@ -17,6 +17,7 @@
 #include "bench/steering/host_limits.h"
 #include "bench/steering/measures.h"
 #include "bench/steering/scenario.h"
+#include "include/limits/ramp.h"
 #include "include/steering/dispatcher_builder.h"
 
 namespace toucanknot::bench {
@@ -158,6 +159,8 @@
   std::vector<std::vector<LinkState>> links_;
   // Hosts that callers and peers believe to live.
   std::vector<bool> believed_;
+  // The share of a region's callers that look-ups send to their own region.
+  std::vector<Ramp> returns_;
   bool faulty_ = false;
   uint64_t next_item_ = 1;
   std::vector<int64_t> leaving_since_us_;
