steering: trials of ejected servers come first; classes share the links

A server due for a trial got one only when nothing better was free, so that at low load it stayed out; now the next request that may run twice goes there. The bench asks limits/ClassShedder before a link.

--- a/bench/steering/host_limits.cc
+++ b/bench/steering/host_limits.cc
@@ -31,7 +31,7 @@
 HostLimits::HostLimits(const Deployment& deployment,
                        const HostId& host,
                        Instant now)
-    : deployment_(deployment) {
+    : deployment_(deployment), classes_(deployment.config->refusal_order) {
   const FleetConfig& config = *deployment.config;
   const RegionId region = config.RegionOf(config.FindHost(host)->zone);
   for (const Service& service : config.services) {
@@ -81,9 +81,15 @@
                             const RegionId& region,
                             Instant now) {
   const Traffic& traffic = deployment_.traffic[service];
+  const std::string& work_class =
+      deployment_.config->services[service].work_class;
+  if (!classes_.Admit(work_class, now))
+    return Refusal::kClass;
   LinkLimiter& link = links_[region];
-  if (!link.TryReserve(traffic.request_bytes, traffic.answer_bytes, now))
+  if (!link.TryReserve(traffic.request_bytes, traffic.answer_bytes, now)) {
+    classes_.OnShort(work_class, now);
     return Refusal::kLinkLimit;
+  }
   if (shifts_[service]->TryMove(now))
     return Refusal::kNone;
   link.Settle(traffic.answer_bytes, 0, now);
--- a/bench/steering/host_limits.h
+++ b/bench/steering/host_limits.h
@@ -41,6 +41,8 @@
   std::vector<std::unique_ptr<HealthTable>> health_;
   std::vector<std::unique_ptr<ShiftLimiter>> shifts_;
   std::map<RegionId, LinkLimiter> links_;
+  // Shares what is left of the links among the services.
+  ClassShedder classes_;
 };
 
 }  // namespace toucanknot::bench
--- a/include/steering/dispatcher_builder.h
+++ b/include/steering/dispatcher_builder.h
@@ -56,7 +56,8 @@
 // permits.
 struct SteeringHooks {
   // The part of `server`'s slots that may be used: 0 for one that is ejected
-  // or leaves, 1 for a warm one.
+  // or leaves, 1 for a warm one, under 0.05 for one that is due for a single
+  // trial request, which will not be one that runs once.
   std::function<double(const ServerId& server, Instant now)> usable;
   // Whether the request may be served at all: quarantine, class of work.
   std::function<Refusal(const WorkItem& item, Instant now)> admit;
--- a/src/steering/local_picker.cc
+++ b/src/steering/local_picker.cc
@@ -7,6 +7,8 @@
 
 // A server whose mean time is this many times the mean of all is slow.
 constexpr double kSlowRatio = 3;
+// More than any server has free.
+constexpr int kTrialFirst = 1 << 20;
 constexpr Duration kSlowProbeInterval{1'000};
 
 bool IsAvoided(const WorkItem& item, const ServerId& server) {
@@ -52,9 +54,15 @@
       continue;
     if (best.kind == Pick::Kind::kNoServer)
       best.kind = Pick::Kind::kWait;
-    const int free = Free(i, now);
+    int free = Free(i, now);
     if (free <= 0 || (TooSlow(i, wait_ms) && !ProbeDue(i, now)))
       continue;
+    if (in_.servers->IsTrial(i, now)) {
+      // A request that runs once is not risked; any other goes there first.
+      if (item.run_once)
+        continue;
+      free = kTrialFirst;
+    }
     const bool avoided = IsAvoided(item, in_.servers->at(i).info.id);
     const bool better = avoided == best_avoided ? free > best_free : !avoided;
     if (!better)
--- a/src/steering/server_table.cc
+++ b/src/steering/server_table.cc
@@ -10,6 +10,8 @@
 // Weight of a new answer in the mean times.
 constexpr double kNewWeight = 0.05;
 constexpr double kNewWeightAll = 0.01;
+// Servers whose usable part is below this get trial requests only.
+constexpr double kTrialWeight = 0.05;
 // How long the requests of a lost host are assumed to run on, in mean times,
 // and at most.
 constexpr double kOrphanMeans = 3;
@@ -118,6 +120,11 @@
   return sum;
 }
 
+bool ServerTable::IsTrial(size_t server, Instant now) const {
+  const double weight = usable_(states_[server].info.id, now);
+  return weight > 0 && weight < kTrialWeight;
+}
+
 int ServerTable::Slots(size_t server, Instant now) const {
   const State& state = states_[server];
   if (state.leaving || state.info.tunables.drain)
--- a/src/steering/server_table.h
+++ b/src/steering/server_table.h
@@ -58,6 +58,8 @@
   // Hosts that live no longer keep their figures for a while.
   void SetLive(const std::vector<HostId>& live, Instant now);
 
+  // Whether the server is out but for a trial request.
+  bool IsTrial(size_t server, Instant now) const;
   // Slots that new work may use, with nothing in flight.
   int Slots(size_t server, Instant now) const;
   // Slots(), less the own requests and those of the peers.
