clients: blocks of clients as immutable parts, longest-prefix table

Cause: 3.1 million blocks to 2,000 sites must fit below 64 MB with all other control, change by parts under a megabyte, and be looked up under 1 us.

--- /dev/null
+++ b/bench/capacity/capacity.cc
@@ -0,0 +1,24 @@
+// The raw figures of docs/CAPACITY.md.
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "bench/capacity/clients_capacity.h"
+#include "bench/registry.h"
+
+namespace toucanknot::bench {
+namespace {
+
+int RunCapacity(const std::vector<std::string>& args) {
+  const std::string part = args.empty() ? "all" : args.front();
+  if (part == "all" || part == "clients")
+    PrintClientsCapacity();
+  return 0;
+}
+
+const Registration kCapacity{
+    {"capacity", "figures at the design size; takes clients", RunCapacity}};
+
+}  // namespace
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/bench/capacity/clients_capacity.cc
@@ -0,0 +1,142 @@
+#include "bench/capacity/clients_capacity.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bench/capacity/line_fit.h"
+#include "bench/capacity/synthetic_clients.h"
+#include "include/clients/client_table.h"
+
+namespace toucanknot::bench {
+namespace {
+
+constexpr size_t kDesignBlocks = 3'100'000;
+constexpr int kDesignSites = 2'000;
+constexpr double kMemoryTargetMb = 64;
+constexpr double kLookupTargetNs = 1'000;
+constexpr uint64_t kSeed = 20261204;
+constexpr int kLookups = 2'000'000;
+
+using SteadyClock = std::chrono::steady_clock;
+
+double SecondsSince(SteadyClock::time_point begin) {
+  return std::chrono::duration<double>(SteadyClock::now() - begin).count();
+}
+
+// Bytes that the program holds from the allocator.
+double HeapMb() {
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+}
+
+ClientTablePtr Load(const ClientMapParts& map, const ClientTable& previous) {
+  return ClientTable::Build(ClientManifest::Decode(map.manifest), previous,
+                            [&](const std::string& name) {
+                              return std::optional(map.parts.at(name));
+                            });
+}
+
+struct TableFigures {
+  double heap_mb = 0;
+  double build_s = 0;
+  double load_s = 0;
+  double lookup_ns = 0;
+};
+
+double MeasureLookup(const ClientTable& table,
+                     const std::vector<ClientBlock>& blocks) {
+  std::mt19937_64 random(kSeed);
+  std::vector<ClientAddress> addresses;
+  addresses.reserve(kLookups);
+  for (int i = 0; i < kLookups; ++i) {
+    const ClientPrefix& prefix = blocks[random() % blocks.size()].prefix;
+    const AddressBits span = prefix.Last() - prefix.first;
+    addresses.push_back({prefix.family, prefix.first + (random() & span)});
+  }
+  uint64_t sum = 0;
+  const auto begin = SteadyClock::now();
+  for (const ClientAddress& it : addresses)
+    sum += table.Find(it);
+  const double ns = SecondsSince(begin) * 1e9 / kLookups;
+  // Uses the sum, so that the loop is not left out.
+  if (sum == 0)
+    std::printf("no address was found\n");
+  return ns;
+}
+
+TableFigures MeasureTable(size_t n) {
+  TableFigures figures;
+  const auto blocks = MakeBlocks(n, kDesignSites, kSeed);
+  auto begin = SteadyClock::now();
+  const ClientMapParts map = BuildClientMap(blocks, MakeSites(kDesignSites));
+  figures.build_s = SecondsSince(begin);
+  const double heap_before = HeapMb();
+  begin = SteadyClock::now();
+  const ClientTablePtr table = Load(map, ClientTable());
+  figures.load_s = SecondsSince(begin);
+  figures.heap_mb = HeapMb() - heap_before;
+  figures.lookup_ns = MeasureLookup(*table, blocks);
+  size_t largest = 0;
+  for (const auto& [name, bytes] : map.parts)
+    largest = std::max(largest, bytes.size());
+  std::printf(
+      "blocks %zu: ranges %zu, parts %zu, largest part %zu B, manifest %zu B, "
+      "MemoryBytes %.1f MB, heap %.1f MB, build %.2f s, load %.2f s, "
+      "look-up %.0f ns\n",
+      n, table->range_count(), map.parts.size(), largest, map.manifest.size(),
+      static_cast<double>(table->MemoryBytes()) / 1e6, figures.heap_mb,
+      figures.build_s, figures.load_s, figures.lookup_ns);
+  std::fflush(stdout);
+  return figures;
+}
+
+void MeasureChange(size_t changed) {
+  auto blocks = MakeBlocks(kDesignBlocks, kDesignSites, kSeed);
+  const auto sites = MakeSites(kDesignSites);
+  const ClientTablePtr before = Load(BuildClientMap(blocks, sites), {});
+  ChangeBlocks(&blocks, changed, kDesignSites, kSeed + changed);
+  const ClientMapParts map = BuildClientMap(blocks, sites);
+  const auto missing =
+      ClientTable::MissingParts(ClientManifest::Decode(map.manifest), *before);
+  size_t bytes = map.manifest.size();
+  for (const std::string& it : missing)
+    bytes += map.parts.at(it).size();
+  const double heap_before = HeapMb();
+  const auto begin = SteadyClock::now();
+  const ClientTablePtr after = Load(map, *before);
+  std::printf(
+      "change of %zu blocks: %zu parts, %zu B with the manifest, load %.1f ms, "
+      "heap of both tables %+.1f MB\n",
+      changed, missing.size(), bytes, SecondsSince(begin) * 1e3,
+      HeapMb() - heap_before);
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+void PrintClientsCapacity() {
+  std::vector<Sample> heap;
+  std::vector<Sample> lookup;
+  for (const size_t n : {kDesignBlocks / 8, kDesignBlocks / 4,
+                         kDesignBlocks / 2, kDesignBlocks}) {
+    const TableFigures figures = MeasureTable(n);
+    heap.push_back({static_cast<double>(n), figures.heap_mb});
+    lookup.push_back({static_cast<double>(n), figures.lookup_ns});
+  }
+  PrintFit("memory of the table of clients", "MB", "blocks", heap,
+           kDesignBlocks, kMemoryTargetMb);
+  PrintFit("time of a look-up", "ns", "blocks", lookup, kDesignBlocks,
+           kLookupTargetNs);
+  for (const size_t changed : {1, 100, 10'000})
+    MeasureChange(changed);
+}
+
+}  // namespace toucanknot::bench
--- /dev/null
+++ b/src/clients/client_manifest.cc
@@ -0,0 +1,160 @@
+#include "include/clients/client_manifest.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <span>
+
+#include "src/clients/varint.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr uint8_t kMagic = 0xc2;
+// Raw bytes of a part's name.
+constexpr size_t kNameBytes = 16;
+// A part ends before a range whose start hashes to 0 under the mask, once it
+// has the least number of ranges, and in any case at kMaxPartRanges.
+constexpr size_t kMinPartRanges = 1024;
+constexpr uint64_t kCutMask = 4095;
+
+constexpr std::string_view kHexDigits = "0123456789abcdef";
+
+void PutName(std::string* out, const std::string& name) {
+  for (size_t i = 0; i < name.size(); i += 2) {
+    const size_t high = kHexDigits.find(name[i]);
+    const size_t low = kHexDigits.find(name[i + 1]);
+    out->push_back(static_cast<char>(high << 4 | low));
+  }
+}
+
+std::string TakeName(ByteReader& in) {
+  std::string name;
+  for (const char it : in.TakeBytes(kNameBytes)) {
+    const auto byte = static_cast<uint8_t>(it);
+    name.push_back(kHexDigits[byte >> 4]);
+    name.push_back(kHexDigits[byte & 15]);
+  }
+  return name;
+}
+
+void PutNames(std::string* out, const std::vector<std::string>& names) {
+  PutVarint(out, names.size());
+  for (const std::string& it : names)
+    PutName(out, it);
+}
+
+std::vector<std::string> TakeNames(ByteReader& in) {
+  std::vector<std::string> names;
+  for (AddressBits n = in.TakeVarint(); n > 0; --n)
+    names.push_back(TakeName(in));
+  return names;
+}
+
+bool IsCut(AddressBits start) {
+  return (XXH64(&start, sizeof(start), 0) & kCutMask) == 0;
+}
+
+std::vector<std::string> CutIntoParts(IpFamily family,
+                                      const std::vector<SiteRange>& ranges,
+                                      std::map<std::string, std::string>* out) {
+  std::vector<std::string> names;
+  const std::span<const SiteRange> all(ranges);
+  size_t begin = 0;
+  for (size_t i = 1; i <= ranges.size(); ++i) {
+    const size_t n = i - begin;
+    const bool ends = i == ranges.size() || n == kMaxPartRanges ||
+                      (n >= kMinPartRanges && IsCut(ranges[i].start));
+    if (!ends)
+      continue;
+    std::string bytes = ClientPart::Encode(family, all.subspan(begin, n));
+    names.push_back(PartName(bytes));
+    out->emplace(names.back(), std::move(bytes));
+    begin = i;
+  }
+  return names;
+}
+
+bool IsSiteName(std::string_view name) {
+  return !name.empty() && std::none_of(name.begin(), name.end(), [](char c) {
+    return static_cast<uint8_t>(c) < ' ' || c == '\x7f';
+  });
+}
+
+}  // namespace
+
+std::vector<std::string> ClientManifest::AllParts() const {
+  std::set<std::string> names{sites};
+  names.insert(v4.begin(), v4.end());
+  names.insert(v6.begin(), v6.end());
+  return {names.begin(), names.end()};
+}
+
+std::string ClientManifest::Encode() const {
+  std::string out(1, static_cast<char>(kMagic));
+  PutName(&out, sites);
+  PutNames(&out, v4);
+  PutNames(&out, v6);
+  return out;
+}
+
+ClientManifest ClientManifest::Decode(std::string_view bytes) {
+  ByteReader in(bytes);
+  if (in.TakeByte() != kMagic)
+    throw MalformedPartError("not a manifest of blocks of clients");
+  ClientManifest manifest;
+  manifest.sites = TakeName(in);
+  manifest.v4 = TakeNames(in);
+  manifest.v6 = TakeNames(in);
+  if (!in.AtEnd())
+    throw MalformedPartError("bytes behind the manifest");
+  return manifest;
+}
+
+std::string EncodeSites(const std::vector<std::string>& sites) {
+  if (sites.size() >= kNoSite)
+    throw Error("too many sites");
+  std::string out;
+  for (const std::string& it : sites) {
+    if (!IsSiteName(it))
+      throw Error("not a name of a site: " + it);
+    out += it + "\n";
+  }
+  return out;
+}
+
+std::vector<std::string> DecodeSites(std::string_view bytes) {
+  std::vector<std::string> sites;
+  while (!bytes.empty()) {
+    const size_t end = bytes.find('\n');
+    if (end == std::string_view::npos || !IsSiteName(bytes.substr(0, end)))
+      throw MalformedPartError("not a list of sites");
+    sites.emplace_back(bytes.substr(0, end));
+    bytes.remove_prefix(end + 1);
+  }
+  if (sites.size() >= kNoSite)
+    throw MalformedPartError("too many sites");
+  return sites;
+}
+
+ClientMapParts BuildClientMap(const std::vector<ClientBlock>& blocks,
+                              const std::vector<std::string>& sites) {
+  for (const ClientBlock& it : blocks) {
+    if (it.site >= sites.size())
+      throw Error("no such site for clients " + it.prefix.ToString());
+  }
+  ClientMapParts out;
+  std::string site_part = EncodeSites(sites);
+  ClientManifest manifest;
+  manifest.sites = PartName(site_part);
+  out.parts.emplace(manifest.sites, std::move(site_part));
+  manifest.v4 = CutIntoParts(IpFamily::kV4, ToSiteRanges(blocks, IpFamily::kV4),
+                             &out.parts);
+  manifest.v6 = CutIntoParts(IpFamily::kV6, ToSiteRanges(blocks, IpFamily::kV6),
+                             &out.parts);
+  out.manifest = manifest.Encode();
+  return out;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/clients/site_ranges.cc
@@ -0,0 +1,77 @@
+#include "include/clients/site_ranges.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "include/base/error.h"
+
+namespace toucanknot {
+namespace {
+
+// Collects ranges in the order of their starts.
+class RangeSink {
+ public:
+  RangeSink() { ranges_.push_back({0, kNoSite}); }
+
+  void Begin(AddressBits start, SiteIndex site) {
+    if (ranges_.back().start == start)
+      ranges_.pop_back();
+    if (ranges_.empty() || ranges_.back().site != site)
+      ranges_.push_back({start, site});
+  }
+
+  std::vector<SiteRange> Take() { return std::move(ranges_); }
+
+ private:
+  std::vector<SiteRange> ranges_;
+};
+
+std::vector<const ClientBlock*> SortedOf(const std::vector<ClientBlock>& blocks,
+                                         IpFamily family) {
+  std::vector<const ClientBlock*> sorted;
+  for (const ClientBlock& it : blocks) {
+    if (it.prefix.family == family)
+      sorted.push_back(&it);
+  }
+  std::sort(sorted.begin(), sorted.end(), [](const auto* a, const auto* b) {
+    return std::tie(a->prefix.first, a->prefix.length) <
+           std::tie(b->prefix.first, b->prefix.length);
+  });
+  return sorted;
+}
+
+void CheckBlock(const ClientBlock& block, const ClientBlock* previous) {
+  if (block.site == kNoSite)
+    throw Error("no site for clients " + block.prefix.ToString());
+  if (previous && previous->prefix == block.prefix)
+    throw Error("two sites for clients " + block.prefix.ToString());
+}
+
+}  // namespace
+
+std::vector<SiteRange> ToSiteRanges(const std::vector<ClientBlock>& blocks,
+                                    IpFamily family) {
+  RangeSink sink;
+  // The blocks that hold the present place, each within the one before.
+  std::vector<const ClientBlock*> open;
+  const auto close_before = [&](const AddressBits* limit) {
+    while (!open.empty() && (!limit || open.back()->prefix.Last() < *limit)) {
+      const AddressBits last = open.back()->prefix.Last();
+      open.pop_back();
+      if (last != MaxAddress(family))
+        sink.Begin(last + 1, open.empty() ? kNoSite : open.back()->site);
+    }
+  };
+  const ClientBlock* previous = nullptr;
+  for (const ClientBlock* it : SortedOf(blocks, family)) {
+    CheckBlock(*it, previous);
+    close_before(&it->prefix.first);
+    sink.Begin(it->prefix.first, it->site);
+    open.push_back(it);
+    previous = it;
+  }
+  close_before(nullptr);
+  return sink.Take();
+}
+
+}  // namespace toucanknot
