clients: read numbers of a part with 64 bits where they fit

Cause: a look-up read every distance as a number of 128 bits. Change: 64 bits until the number is longer.

--- a/src/clients/varint.h
+++ b/src/clients/varint.h
@@ -68,11 +68,18 @@
   uint8_t TakeByte() { return static_cast<uint8_t>(*at_++); }
 
   AddressBits TakeVarint() {
-    uint8_t byte = TakeByte();
-    AddressBits value = byte & 0x7f;
-    for (int shift = 7; byte >= 0x80; shift += 7) {
+    uint64_t byte = TakeByte();
+    uint64_t low = byte & 0x7f;
+    int shift = 7;
+    // Nearly all numbers end here, where 64 bits are enough.
+    for (; byte >= 0x80 && shift < 63; shift += 7) {
       byte = TakeByte();
-      value |= AddressBits{byte & 0x7fU} << shift;
+      low |= (byte & 0x7f) << shift;
+    }
+    AddressBits value = low;
+    for (; byte >= 0x80; shift += 7) {
+      byte = TakeByte();
+      value |= AddressBits{byte & 0x7f} << shift;
     }
     return value;
   }
