--- a/include/clients/client_part.h
+++ b/include/clients/client_part.h
@@ -52,7 +52,7 @@
   SiteIndex Find(AddressBits address) const;
 
  private:
-  static constexpr size_t kStride = 64;
+  static constexpr size_t kStride = 32;
 
   // Where a range begins, for every kStride-th range.
   struct Mark {
