membership: immutable parts travel down a tree per part

Cause: parts of blocks of clients must reach every host, and a thousand hosts must not each read them from the store. Change: PartSpread: one host a zone by rank under the part's name reads it, the others ask their parent in the part's tree, and others after a silence.

--- a/include/membership/fleet_agent.h
+++ b/include/membership/fleet_agent.h
@@ -9,6 +9,7 @@
 
 #include "include/membership/config_spread.h"
 #include "include/membership/membership.h"
+#include "include/membership/part_spread.h"
 #include "include/membership/store_pacer.h"
 
 namespace toucanknot {
@@ -20,9 +21,12 @@
   std::optional<WatchRequest> watch;
   // Ask the platform for its host list and report to OnHostList...().
   bool list_hosts = false;
+  // Read these immutable parts from the store and report to OnStorePart().
+  std::vector<std::string> part_reads;
 };
 
-// Membership and the spread of configuration of one host, joined. After any
+// Membership, the spread of configuration and that of its parts at one host,
+// joined. After any
 // call, and at NextWake() at the latest, call Tick() and carry out what it
 // returns. Does no I/O; not thread-safe.
 class FleetAgent {
@@ -39,6 +43,10 @@
   void OnWatchFailure(Instant now);
   void OnHostList(const std::vector<HostListEntry>& list, Instant now);
   void OnHostListFailure(Instant now);
+  // Nothing when the read failed or the store does not have the part.
+  void OnStorePart(const std::string& name,
+                   const std::optional<std::string>& bytes,
+                   Instant now);
 
   FleetActions Tick(Instant now);
   Instant NextWake() const;
@@ -46,7 +54,8 @@
   Membership& membership() { return membership_; }
   const Membership& membership() const { return membership_; }
   const ConfigSpread& spread() const { return spread_; }
-  // Calls to the store that Tick() has asked for, of both kinds.
+  PartSpread& parts() { return parts_; }
+  // Calls to the store that Tick() has asked for, of all kinds.
   uint64_t store_calls() const;
 
  private:
@@ -54,6 +63,7 @@
 
   Membership membership_;
   ConfigSpread spread_;
+  PartSpread parts_;
   StorePacer list_pacer_;
   bool is_reader_ = false;
 };
@@ -68,6 +78,8 @@
   Builder& SetHostListPace(StorePace pace);
   Builder& SetHooks(ConfigSpread::StampFn stamp_of,
                     ConfigSpread::AcceptFn accept);
+  // The immutable parts that this host holds; at first it holds none.
+  Builder& SetPartHook(PartSpread::FindFn find);
   // Makes random choices differ between hosts.
   Builder& SetSeed(uint64_t seed);
 
@@ -84,6 +96,9 @@
   StorePace list_pace_{Duration(10'000)};
   ConfigSpread::StampFn stamp_of_;
   ConfigSpread::AcceptFn accept_;
+  PartSpread::FindFn find_part_ = [](const std::string&) {
+    return std::nullopt;
+  };
   uint64_t seed_ = 1;
 };
 
--- a/src/membership/fleet_agent.cc
+++ b/src/membership/fleet_agent.cc
@@ -18,6 +18,7 @@
               builder.stamp_of_,
               builder.accept_,
               builder.seed_ + 1),
+      parts_(&membership_, {}, builder.find_part_, builder.seed_ + 3),
       list_pacer_(builder.list_pace_, builder.seed_ + 2) {}
 
 void FleetAgent::OnRoster(RosterPtr roster, Instant now) {
@@ -29,6 +30,7 @@
                            Instant now) {
   membership_.OnMessage(from, message, now);
   spread_.OnMessage(from, message, now);
+  parts_.OnMessage(from, message, now);
 }
 
 void FleetAgent::OnWatchValue(uint64_t revision,
@@ -55,11 +57,20 @@
   list_pacer_.OnFailure(now);
 }
 
+void FleetAgent::OnStorePart(const std::string& name,
+                             const std::optional<std::string>& bytes,
+                             Instant now) {
+  parts_.OnStorePart(name, bytes, now);
+}
+
 FleetActions FleetAgent::Tick(Instant now) {
   FleetActions actions;
-  actions.messages = membership_.Tick(now);
-  auto more = spread_.Tick(now, &actions.watch);
-  std::move(more.begin(), more.end(), std::back_inserter(actions.messages));
+  const auto add = [&](std::vector<Outgoing> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(actions.messages));
+  };
+  add(membership_.Tick(now));
+  add(spread_.Tick(now, &actions.watch));
+  add(parts_.Tick(now, &actions.part_reads));
   is_reader_ = spread_.is_reader();
   if (is_reader_ && list_pacer_.IsDue(now)) {
     list_pacer_.OnStart(now);
@@ -69,14 +80,16 @@
 }
 
 Instant FleetAgent::NextWake() const {
-  Instant wake = std::min(membership_.NextWake(), spread_.NextWake());
+  Instant wake =
+      std::min({membership_.NextWake(), spread_.NextWake(), parts_.NextWake()});
   if (is_reader_)
     wake = std::min(wake, list_pacer_.NextDue());
   return wake;
 }
 
 uint64_t FleetAgent::store_calls() const {
-  return spread_.stats().store_calls + list_pacer_.calls();
+  return spread_.stats().store_calls + list_pacer_.calls() +
+         parts_.store_reads();
 }
 
 FleetAgent::Builder& FleetAgent::Builder::SetSelf(PeerSender self,
@@ -111,6 +124,11 @@
   return *this;
 }
 
+FleetAgent::Builder& FleetAgent::Builder::SetPartHook(PartSpread::FindFn find) {
+  find_part_ = std::move(find);
+  return *this;
+}
+
 FleetAgent::Builder& FleetAgent::Builder::SetSeed(uint64_t seed) {
   seed_ = seed;
   return *this;
--- a/tests/membership/fleet_loop.h
+++ b/tests/membership/fleet_loop.h
@@ -94,6 +94,11 @@
       At(now_ + kStoreDelay, [this, i] { EndWatch(i); });
   }
 
+  void PutPart(const std::string& name, const std::string& bytes) {
+    store_parts_[name] = bytes;
+  }
+  uint64_t part_reads() const { return part_reads_; }
+
   void Kill(size_t i) {
     nodes_[i].running = false;
     nodes_[i].watching.reset();
@@ -220,6 +225,8 @@
       StartWatch(i, *actions.watch);
     if (actions.list_hosts)
       ListHosts(i);
+    for (const std::string& it : actions.part_reads)
+      ReadPart(i, it);
     const Instant wake = std::max(node.agent->NextWake(), now_ + Duration(1));
     node.next_wake = wake;
     At(wake, [this, i, wake] {
@@ -333,6 +340,22 @@
     });
   }
 
+  void ReadPart(size_t i, const std::string& name) {
+    ++store_calls_;
+    ++part_reads_;
+    At(now_ + kStoreDelay, [this, i, name] {
+      Node& node = nodes_[i];
+      if (!node.running)
+        return;
+      const auto part = store_parts_.find(name);
+      std::optional<std::string> bytes;
+      if (ReachesStore(node) && part != store_parts_.end())
+        bytes = part->second;
+      node.agent->OnStorePart(name, bytes, now_);
+      Wake(i);
+    });
+  }
+
   const Options options_;
   std::mt19937_64 random_;
   RosterPtr roster_;
@@ -346,6 +369,8 @@
   std::string store_text_;
   uint64_t store_revision_ = 0;
   uint64_t store_calls_ = 0;
+  std::map<std::string, std::string> store_parts_;
+  uint64_t part_reads_ = 0;
 };
 
 }  // namespace toucanknot
