membership: a host without a roster reads the store, it does not watch it

Cause: until it has a roster, a host took itself for its zone's first reader, and its first watch stayed at the store; after a start of the whole fleet the next change went from every host to the root of each zone's tree. Change: without a roster the root value is only read, with backoff, until a version is in force.

--- a/include/membership/config_spread.h
+++ b/include/membership/config_spread.h
@@ -33,8 +33,8 @@
   Duration ask_limit{1'000};
 };
 
-// A call that the store's root value shall get: wait up to `limit` for a
-// revision other than `seen_revision`.
+// A call that the store's root value shall get: wait up to `limit` (0: only
+// read) for a revision other than `seen_revision`.
 struct WatchRequest {
   uint64_t seen_revision = 0;
   Duration limit;
@@ -81,7 +81,7 @@
                  Instant now);
 
   // The end of the watch that Tick() asked for: a value, the end of its time
-  // (no value), or a failure.
+  // (no value, or the one that was seen), or a failure.
   void OnWatchValue(uint64_t revision, const std::string& text, Instant now);
   void OnWatchTimeout(Instant now);
   void OnWatchFailure(Instant now);
--- a/src/membership/config_spread.cc
+++ b/src/membership/config_spread.cc
@@ -121,7 +121,10 @@
 }
 
 void ConfigSpread::OnWatchTimeout(Instant now) {
-  pacer_.OnSuccess(now);
+  if (membership_->roster())
+    pacer_.OnSuccess(now);
+  else
+    pacer_.OnFailure(now);
 }
 
 void ConfigSpread::OnWatchFailure(Instant now) {
@@ -160,10 +163,13 @@
 
 std::vector<Outgoing> ConfigSpread::Tick(Instant now,
                                          std::optional<WatchRequest>* watch) {
-  is_reader_ = IsReader(now);
+  // A host without a roster knows no peers: it reads until it has a version.
+  const bool has_roster = membership_->roster() != nullptr;
+  is_reader_ = has_roster ? IsReader(now) : stamp_.version == 0;
   if (is_reader_ && pacer_.IsDue(now)) {
     pacer_.OnStart(now);
-    *watch = WatchRequest{seen_revision_, options_.watch_limit};
+    *watch = WatchRequest{seen_revision_,
+                          has_roster ? options_.watch_limit : Duration()};
   }
   if (lead_)
     AskLead(now);
