--- /dev/null
+++ b/src/daemon/once_runner.h
@@ -0,0 +1,55 @@
+#ifndef SRC_DAEMON_ONCE_RUNNER_H_
+#define SRC_DAEMON_ONCE_RUNNER_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "src/daemon/call.h"
+#include "src/daemon/sender.h"
+#include "src/daemon/ticket_desk.h"
+
+namespace toucanknot {
+
+// Serves requests that must run at most once. Three ways in: from a caller,
+// under a ticket; from another host, which owns the ticket and passes the
+// request on; from another host that asks what became of a ticket of ours.
+class OnceRunner {
+ public:
+  OnceRunner(WorkerPool& workers,
+             Sender& sender,
+             TicketDesk& tickets,
+             std::atomic<uint64_t>& next_item);
+
+  boost::asio::awaitable<HttpResponse> Serve(CallPtr call);
+  // The call's pass mark says kRunOnce.
+  boost::asio::awaitable<HttpResponse> ServePassed(CallPtr call);
+  // The call's pass mark says kAskOwner.
+  boost::asio::awaitable<HttpResponse> ServeQuestion(CallPtr call);
+
+ private:
+  // The record that a run is kept in: of our own ticket, or of a passing.
+  class Record;
+
+  // Runs an admitted request to its end.
+  boost::asio::awaitable<HttpResponse> Run(CallPtr call,
+                                           std::shared_ptr<Record> record);
+  boost::asio::awaitable<HttpResponse> Await(TicketDesk::WaiterPtr waiter,
+                                             CallPtr call);
+  boost::asio::awaitable<HttpResponse> AskOwner(CallPtr call, Ticket ticket);
+  // The answer for a reply that ends the request here.
+  HttpResponse AnswerFor(const TicketReply& reply, const Call& call);
+  HttpResponse AnswerForEnd(const RunEnd& end);
+  TicketDesk::WaiterPtr NewWaiter() const;
+  // Adds a fresh ticket, for a caller that may begin again.
+  void OfferTicket(const Call& call, HttpResponse& answer);
+
+  WorkerPool& workers_;
+  Sender& sender_;
+  TicketDesk& tickets_;
+  std::atomic<uint64_t>& next_item_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_DAEMON_ONCE_RUNNER_H_
