--- a/include/daemon/host_settings.h
+++ b/include/daemon/host_settings.h
@@ -34,6 +34,9 @@
   // The platform's store.
   Endpoint store;
   Duration store_timeout{2'000};
+  // How long a watch waits at the store, and how often its host list is read.
+  Duration store_watch{5'000};
+  Duration host_list_interval{1'000};
   // Entry hosts to learn the configuration from while the store is down.
   std::vector<Endpoint> seeds;
   // One key, or two while keys are changed; the first one is used to send.
--- a/include/health/quarantine.h
+++ b/include/health/quarantine.h
@@ -58,6 +58,8 @@
   bool proven = false;
   // How long it holds from now, not counting the way.
   Duration remaining;
+
+  bool operator==(const CrashNotice&) const = default;
 };
 
 // Finds requests that crash the backend servers that run them.
--- a/include/health/server_health.h
+++ b/include/health/server_health.h
@@ -52,6 +52,8 @@
   // Time since the sign behind it was first-hand; it does not start again when
   // a view is passed on.
   Duration age;
+
+  bool operator==(const ServerView&) const = default;
 };
 
 // Taken from Tunables.
--- a/include/once/run_records.h
+++ b/include/once/run_records.h
@@ -116,6 +116,8 @@
   struct Finished {
     uint64_t run = 0;
     Verdict verdict = Verdict::kUnknown;
+
+    bool operator==(const Finished&) const = default;
   };
   std::vector<Finished> FinishedRuns() const;
 
--- a/include/once/ticket_table.h
+++ b/include/once/ticket_table.h
@@ -82,6 +82,8 @@
   // Runs up to here may have been forgotten.
   uint64_t forgotten_mark = 0;
   std::vector<RunRecords::Finished> finished;
+
+  bool operator==(const TicketHandoff&) const = default;
 };
 
 // An owner's record of the requests that use its tickets. At most one request
--- a/include/peer/messages.h
+++ b/include/peer/messages.h
@@ -10,6 +10,9 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
+#include "include/health/quarantine.h"
+#include "include/health/server_health.h"
+#include "include/once/ticket_table.h"
 
 namespace toucanknot {
 
@@ -137,82 +140,37 @@
   bool operator==(const PartGive&) const = default;
 };
 
-// Requests with this fingerprint crash backend servers.
-struct QuarantineNotice {
-  ServiceId service;
-  uint64_t fingerprint = 0;
-  Duration remaining;
-
-  bool operator==(const QuarantineNotice&) const = default;
-};
-
-// Asks a ticket's owner what became of it.
-struct TicketAsk {
-  // Chosen by the sender; the answer repeats it.
-  uint64_t ask = 0;
-  std::string ticket;
-  uint64_t fingerprint = 0;
-  // Whether the owner shall void the ticket if it is unused.
-  bool void_unused = true;
-
-  bool operator==(const TicketAsk&) const = default;
-};
-
-// What the owner knows of a ticket.
-enum class TicketFate {
-  // The owner cannot tell.
-  kUnknown,
-  // Unused, and voided by this ask: it will never run.
-  kVoided,
-  // Its request is running.
-  kRunning,
-  // It ended; TicketAnswer::answer holds the outcome.
-  kEnded,
-};
-
-inline constexpr EnumNames<TicketFate, 4> kTicketFateNames{
-    {"unknown", "voided", "running", "ended"}};
+// What one host has in flight and free, for each service; see PeerLoad.
+struct LoadNotice {
+  struct ServiceLoad {
+    ServiceId service;
+    std::vector<ServerInFlight> in_flight;
+    int32_t waiting = 0;
+    int32_t free_slots = 0;
+    int32_t slots = 0;
 
-struct TicketAnswer {
-  uint64_t ask = 0;
-  TicketFate state = TicketFate::kUnknown;
-  // The kept answer, as the ticket's owner encodes it.
-  std::string answer;
+    bool operator==(const ServiceLoad&) const = default;
+  };
+  std::vector<ServiceLoad> services;
 
-  bool operator==(const TicketAnswer&) const = default;
+  bool operator==(const LoadNotice&) const = default;
 };
 
-// How much of a budget the sender could use.
-struct Demand {
-  std::string budget;
-  double amount = 0;
-
-  bool operator==(const Demand&) const = default;
-};
-
-struct BudgetDemand {
-  // The highest epoch of a budget holder that the sender has seen.
-  uint64_t epoch = 0;
-  std::vector<Demand> demands;
-
-  bool operator==(const BudgetDemand&) const = default;
-};
-
-// A share of a budget, which lapses after `lifetime`.
-struct Grant {
-  std::string budget;
-  double amount = 0;
-  Duration lifetime;
+// Requests of a service that crash backend servers; the sender is the
+// envelope's.
+struct CrashNotices {
+  ServiceId service;
+  std::vector<CrashNotice> notices;
 
-  bool operator==(const Grant&) const = default;
+  bool operator==(const CrashNotices&) const = default;
 };
 
-struct BudgetGrant {
-  // The holder's epoch.
-  uint64_t epoch = 0;
-  std::vector<Grant> grants;
+// Backend servers that the sender has ejected or knows to leave.
+struct ServerViews {
+  ServiceId service;
+  std::vector<ServerView> views;
 
-  bool operator==(const BudgetGrant&) const = default;
+  bool operator==(const ServerViews&) const = default;
 };
 
 using PeerMessage = std::variant<Heartbeat,
@@ -223,11 +181,10 @@
                                  ConfigPush,
                                  PartAsk,
                                  PartGive,
-                                 QuarantineNotice,
-                                 TicketAsk,
-                                 TicketAnswer,
-                                 BudgetDemand,
-                                 BudgetGrant>;
+                                 LoadNotice,
+                                 CrashNotices,
+                                 ServerViews,
+                                 TicketHandoff>;
 
 // Who sent a message. Bound to the fleet key, not to a key of the host: a
 // holder of the fleet key can speak for every host.
--- /dev/null
+++ b/src/daemon/crash_guard.cc
@@ -0,0 +1,119 @@
+#include "src/daemon/crash_guard.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// Whether the attempt got so far that a server may have run it.
+bool WasSent(const AttemptResult& result) {
+  return !result.server.empty() && result.end != AttemptEnd::kNotSent;
+}
+
+}  // namespace
+
+CrashGuard::CrashGuard(const HostId& host)
+    : host_(host),
+      quarantine_(host,
+                  Quarantine::Options(),
+                  [this](const ServerId& server, Instant since) {
+                    return PeersInFlight(server, since);
+                  }) {}
+
+void CrashGuard::SetTunables(const Tunables& tunables) {
+  const std::lock_guard lock(mutex_);
+  quarantine_.set_quarantine_for(tunables.quarantine_for);
+}
+
+RunMode CrashGuard::ModeOf(uint64_t fingerprint, Instant now) {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.ModeOf(fingerprint, now);
+}
+
+bool CrashGuard::TryRunAlone(uint64_t fingerprint,
+                             const ServerId& server,
+                             Instant now) {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.TryRunAlone(fingerprint, server, own_in_flight_[server],
+                                 now);
+}
+
+void CrashGuard::GiveUp(uint64_t fingerprint, Instant now) {
+  const std::lock_guard lock(mutex_);
+  quarantine_.GiveUp(fingerprint, now);
+}
+
+bool CrashGuard::IsReserved(const ServerId& server, Instant now) const {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.IsReserved(server, now);
+}
+
+void CrashGuard::OnSent(uint64_t fingerprint,
+                        const ServerId& server,
+                        Instant now) {
+  const std::lock_guard lock(mutex_);
+  ++own_in_flight_[server];
+  quarantine_.OnSent(fingerprint, server, now);
+}
+
+void CrashGuard::OnEnded(const AttemptResult& result, Instant now) {
+  if (result.server.empty())
+    return;
+  const std::lock_guard lock(mutex_);
+  --own_in_flight_[result.server];
+  if (WasSent(result) && result.end == AttemptEnd::kBroken) {
+    quarantine_.OnBroken(result.fingerprint, result.server, now);
+    return;
+  }
+  const bool answered =
+      result.end == AttemptEnd::kAnswered || result.end == AttemptEnd::kFailed;
+  quarantine_.OnEnded(result.fingerprint, result.server, answered, now);
+}
+
+void CrashGuard::OnNotice(const CrashNotice& notice, Instant now) {
+  const std::lock_guard lock(mutex_);
+  quarantine_.OnNotice(notice, now);
+}
+
+void CrashGuard::OnPeerLoad(const PeerLoad& load, Instant now) {
+  const std::lock_guard lock(mutex_);
+  PeerFigures& figures = peers_[load.host];
+  figures.at = now - load.age;
+  figures.in_flight.clear();
+  for (const PeerLoad::InFlight& it : load.in_flight)
+    figures.in_flight[it.server] = it.requests;
+}
+
+void CrashGuard::OnHosts(const std::vector<HostId>& live) {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(peers_, [&](const auto& it) {
+    return std::find(live.begin(), live.end(), it.first) == live.end();
+  });
+  for (const HostId& it : live) {
+    if (it != host_)
+      peers_.try_emplace(it);
+  }
+}
+
+std::vector<CrashNotice> CrashGuard::TakeNotices() {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.TakeNotices();
+}
+
+std::string CrashGuard::Explain(Instant now) const {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.Explain(now);
+}
+
+// Called by the quarantine, under the lock.
+int CrashGuard::PeersInFlight(const ServerId& server, Instant since) const {
+  int most = 0;
+  for (const auto& [host, figures] : peers_) {
+    const auto it = figures.in_flight.find(server);
+    const int said = it == figures.in_flight.end() ? 0 : it->second;
+    most = std::max(most, figures.at < since ? 1 : said);
+  }
+  return most;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/daemon/crash_guard.h
@@ -0,0 +1,56 @@
+#ifndef SRC_DAEMON_CRASH_GUARD_H_
+#define SRC_DAEMON_CRASH_GUARD_H_
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "include/health/quarantine.h"
+#include "include/steering/dispatcher.h"
+
+namespace toucanknot {
+
+// One service's quarantine, shared by the workers, with the peers' figures
+// that it needs. Its lock is a leaf.
+class CrashGuard {
+ public:
+  explicit CrashGuard(const HostId& host);
+
+  void SetTunables(const Tunables& tunables);
+
+  RunMode ModeOf(uint64_t fingerprint, Instant now);
+  // For RunMode::kAlone: see Quarantine::TryRunAlone().
+  bool TryRunAlone(uint64_t fingerprint, const ServerId& server, Instant now);
+  void GiveUp(uint64_t fingerprint, Instant now);
+  bool IsReserved(const ServerId& server, Instant now) const;
+
+  void OnSent(uint64_t fingerprint, const ServerId& server, Instant now);
+  void OnEnded(const AttemptResult& result, Instant now);
+  void OnNotice(const CrashNotice& notice, Instant now);
+  void OnPeerLoad(const PeerLoad& load, Instant now);
+  // Hosts that can be reached; figures of others no longer count.
+  void OnHosts(const std::vector<HostId>& live);
+
+  std::vector<CrashNotice> TakeNotices();
+  std::string Explain(Instant now) const;
+
+ private:
+  struct PeerFigures {
+    Instant at;
+    std::unordered_map<ServerId, int> in_flight;
+  };
+
+  int PeersInFlight(const ServerId& server, Instant since) const;
+
+  mutable std::mutex mutex_;
+  const HostId host_;
+  std::map<HostId, PeerFigures> peers_;
+  std::unordered_map<ServerId, int> own_in_flight_;
+  Quarantine quarantine_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_DAEMON_CRASH_GUARD_H_
--- /dev/null
+++ b/src/daemon/fleet_link.cc
@@ -0,0 +1,346 @@
+#include "src/daemon/fleet_link.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "include/store/config_reader.h"
+#include "include/store/root_value.h"
+#include "src/http/one_shot.h"
+
+namespace toucanknot {
+namespace {
+
+// A watch, the host list and a part may wait side by side.
+constexpr size_t kStoreThreads = 3;
+constexpr Duration kMinSleep{2};
+constexpr Duration kMaxSleep{50};
+constexpr Duration kSeedInterval{500};
+constexpr char kSeedPrefix[] = "seed-";
+// Enough of a digest to tell two configurations of one version apart.
+constexpr size_t kStampDigits = 16;
+constexpr uint64_t kTurnSalt = 0;
+
+PeerTransportOptions TransportOptions(const HostSettings& settings,
+                                      const PeerSender& self,
+                                      std::shared_ptr<const FleetKeys> keys) {
+  PeerTransportOptions options;
+  options.self = self;
+  options.listen = settings.peers;
+  options.keys = std::move(keys);
+  return options;
+}
+
+std::optional<ConfigStamp> StampOf(const std::string& root_text) {
+  try {
+    const RootValue root = ReadRoot(root_text);
+    return ConfigStamp{root.version, root.digest.substr(0, kStampDigits)};
+  } catch (const Error&) {
+    return std::nullopt;
+  }
+}
+
+std::map<HostId, Endpoint> SeedPeers(const std::vector<Endpoint>& seeds) {
+  std::map<HostId, Endpoint> peers;
+  for (size_t i = 0; i < seeds.size(); ++i)
+    peers[HostId(kSeedPrefix + std::to_string(i))] = seeds[i];
+  return peers;
+}
+
+}  // namespace
+
+FleetLink::FleetLink(WorkerPool& workers,
+                     const HostSettings& settings,
+                     PeerSender self,
+                     std::shared_ptr<const FleetKeys> keys,
+                     std::shared_ptr<Store> store,
+                     Hooks hooks)
+    : workers_(workers),
+      zone_(settings.zone),
+      seeds_(settings.seeds),
+      store_(std::move(store)),
+      hooks_(std::move(hooks)),
+      transport_(workers.loop(0),
+                 TransportOptions(settings, self, std::move(keys))),
+      store_threads_(kStoreThreads) {
+  ConfigSpreadOptions spread;
+  spread.watch_limit = settings.store_watch;
+  agent_ =
+      FleetAgent::Builder()
+          .SetSelf(self, settings.zone)
+          .SetSpreadOptions(spread)
+          .SetHostListPace({settings.host_list_interval})
+          .SetHooks(StampOf,
+                    [this](const ConfigStamp& stamp, const std::string& text) {
+                      return Accept(stamp, text);
+                    })
+          .SetSeed(self.incarnation)
+          .Build();
+}
+
+FleetLink::~FleetLink() {
+  transport_.Stop();
+  store_threads_.join();
+}
+
+template <typename Fn>
+auto FleetLink::WithAgent(Fn fn) const {
+  const std::lock_guard lock(mutex_);
+  return fn(*agent_);
+}
+
+void FleetLink::Start() {
+  transport_.Start([this](const PeerSender& from, const PeerMessage& message) {
+    OnMessage(from, message);
+  });
+  if (!seeds_.empty())
+    transport_.SetPeers(SeedPeers(seeds_));
+  boost::asio::co_spawn(workers_.loop(0), Loop(), boost::asio::detached);
+}
+
+void FleetLink::SetConfig(const FleetConfigPtr& config) {
+  auto roster = std::make_shared<const Roster>(*config);
+  std::map<HostId, Endpoint> peers;
+  for (const EntryHost& it : config->hosts)
+    peers[it.id] = it.peer_address;
+  transport_.SetPeers(std::move(peers));
+  const std::lock_guard lock(roster_mutex_);
+  next_roster_ = std::move(roster);
+}
+
+void FleetLink::Leave() {
+  Carry(WithAgent([](FleetAgent& it) {
+    it.membership().Leave(SteadyNow());
+    return it.Tick(SteadyNow());
+  }));
+}
+
+void FleetLink::Stopped() {
+  Carry(WithAgent([](FleetAgent& it) {
+    it.membership().Stop(SteadyNow());
+    return it.Tick(SteadyNow());
+  }));
+}
+
+FleetLink::Coroutine FleetLink::Loop() {
+  for (;;) {
+    const Instant now = SteadyNow();
+    RosterPtr roster;
+    {
+      const std::lock_guard lock(roster_mutex_);
+      roster = std::move(next_roster_);
+      next_roster_ = nullptr;
+    }
+    bool view_changed = false;
+    Duration wait;
+    FleetActions actions = WithAgent([&](FleetAgent& it) {
+      if (roster) {
+        it.OnRoster(roster, now);
+        it.membership().Ready(now);
+      }
+      FleetActions out = it.Tick(now);
+      const uint64_t view = it.membership().view_version();
+      view_changed = view != seen_view_;
+      seen_view_ = view;
+      wait = it.NextWake() - now;
+      return out;
+    });
+    Carry(std::move(actions));
+    if (view_changed)
+      hooks_.on_view();
+    AskSeeds(now);
+    co_await SleepFor(std::clamp(wait, kMinSleep, kMaxSleep));
+  }
+}
+
+void FleetLink::AskSeeds(Instant now) {
+  if (seeds_.empty() || now < next_seed_ask_)
+    return;
+  const bool known =
+      WithAgent([](FleetAgent& it) { return it.spread().stamp().version > 0; });
+  if (known)
+    return;
+  next_seed_ask_ = now + kSeedInterval;
+  Outgoing out;
+  for (const auto& [id, endpoint] : SeedPeers(seeds_))
+    out.to.push_back(id);
+  out.message = ConfigAsk();
+  transport_.Send(out);
+}
+
+void FleetLink::Carry(FleetActions actions) {
+  for (const Outgoing& it : actions.messages)
+    transport_.Send(it);
+  if (actions.watch) {
+    boost::asio::post(store_threads_,
+                      [this, request = *actions.watch] { Watch(request); });
+  }
+  if (actions.list_hosts)
+    boost::asio::post(store_threads_, [this] { ListHosts(); });
+  for (const std::string& it : actions.part_reads)
+    boost::asio::post(store_threads_, [this, it] { ReadStorePart(it); });
+}
+
+void FleetLink::OnMessage(const PeerSender& from, const PeerMessage& message) {
+  WithAgent([&](FleetAgent& it) {
+    it.OnMessage(from, message, SteadyNow());
+    return true;
+  });
+  hooks_.on_message(from, message);
+}
+
+bool FleetLink::Accept(const ConfigStamp& stamp, const std::string& root_text) {
+  RootValue root;
+  try {
+    root = ReadRoot(root_text);
+  } catch (const Error& e) {
+    spdlog::warn("config not taken version={} error=\"{}\"", stamp.version,
+                 e.what());
+    return false;
+  }
+  ConfigOffer offer;
+  offer.version = root.version;
+  offer.digest = root.digest;
+  offer.client_parts = root.client_parts;
+  offer.text = root.config_text;
+  if (root.config_parts.empty())
+    return hooks_.on_config(offer, "fleet");
+  // The text comes in parts, from the zone or from the store; it is checked
+  // when they are all here.
+  awaited_ = std::move(offer);
+  awaited_parts_ = root.config_parts;
+  agent_->parts().Want(awaited_parts_, SteadyNow());
+  return true;
+}
+
+void FleetLink::Watch(WatchRequest request) {
+  try {
+    std::optional<StoreValue> value;
+    if (request.limit == Duration(0))
+      value = store_->Get(kRootKey);
+    else
+      value = store_->Watch(kRootKey, request.seen_revision, request.limit);
+    WithAgent([&](FleetAgent& it) {
+      if (value)
+        it.OnWatchValue(value->revision, value->data, SteadyNow());
+      else
+        it.OnWatchTimeout(SteadyNow());
+      return true;
+    });
+  } catch (const Error&) {
+    WithAgent([](FleetAgent& it) {
+      it.OnWatchFailure(SteadyNow());
+      return true;
+    });
+  }
+}
+
+void FleetLink::ListHosts() {
+  try {
+    const std::vector<PlatformHost> hosts = store_->Hosts();
+    std::vector<HostListEntry> list;
+    for (const PlatformHost& it : hosts)
+      list.push_back({HostId(it.id), it.leaving});
+    WithAgent([&](FleetAgent& it) {
+      it.OnHostList(list, SteadyNow());
+      return true;
+    });
+    hooks_.on_hosts(hosts);
+  } catch (const Error&) {
+    WithAgent([](FleetAgent& it) {
+      it.OnHostListFailure(SteadyNow());
+      return true;
+    });
+  }
+}
+
+void FleetLink::ReadStorePart(const std::string& name) {
+  std::optional<std::string> bytes;
+  try {
+    bytes = ReadPart(*store_, name);
+  } catch (const Error&) {
+    // Other hosts may have it.
+  }
+  const std::lock_guard lock(mutex_);
+  agent_->OnStorePart(name, bytes, SteadyNow());
+  if (!awaited_ || !agent_->parts().IsComplete())
+    return;
+  ConfigOffer offer = std::move(*awaited_);
+  awaited_.reset();
+  for (const std::string& it : awaited_parts_)
+    offer.text += agent_->parts().fetched().at(it);
+  hooks_.on_config(offer, "fleet");
+}
+
+std::vector<EntryCandidate> FleetLink::Candidates() const {
+  return WithAgent([this](FleetAgent& it) {
+    return it.membership().CandidatesFor(zone_, kTurnSalt, SteadyNow());
+  });
+}
+
+std::vector<HostId> FleetLink::LiveInRegion() const {
+  return WithAgent([this](FleetAgent& it) {
+    std::vector<HostId> live;
+    const RosterPtr& roster = it.membership().roster();
+    const Roster::Zone* own = roster ? roster->FindZone(zone_) : nullptr;
+    if (!own)
+      return live;
+    for (const Roster::Zone& zone : roster->zones()) {
+      if (zone.region != own->region)
+        continue;
+      for (HostId& host : it.membership().LiveHosts(zone.id, SteadyNow()))
+        live.push_back(std::move(host));
+    }
+    return live;
+  });
+}
+
+std::vector<HostId> FleetLink::Others() const {
+  return WithAgent([](FleetAgent& it) {
+    std::vector<HostId> others;
+    const RosterPtr& roster = it.membership().roster();
+    if (!roster)
+      return others;
+    for (const Roster::Zone& zone : roster->zones()) {
+      for (const HostId& host : zone.hosts) {
+        if (host != it.membership().self().host)
+          others.push_back(host);
+      }
+    }
+    return others;
+  });
+}
+
+std::vector<RegionId> FleetLink::LiveRegions() const {
+  return WithAgent([](FleetAgent& it) {
+    std::set<RegionId> regions;
+    const RosterPtr& roster = it.membership().roster();
+    if (roster) {
+      for (const Roster::Zone& zone : roster->zones()) {
+        if (!it.membership().LiveHosts(zone.id, SteadyNow()).empty())
+          regions.insert(zone.region);
+      }
+    }
+    return std::vector<RegionId>(regions.begin(), regions.end());
+  });
+}
+
+FleetLink::Figures FleetLink::figures() const {
+  Figures figures = WithAgent([](FleetAgent& it) {
+    Figures out;
+    out.store_calls = it.store_calls();
+    out.reader = it.spread().is_reader();
+    out.store_up = !it.spread().store_failing();
+    return out;
+  });
+  figures.transport = transport_.stats();
+  return figures;
+}
+
+}  // namespace toucanknot
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -14,17 +14,17 @@
 
 #include "include/config/config_offer.h"
 #include "include/config/config_text.h"
-#include "include/limits/retry_budget.h"
-#include "include/steering/dispatcher_builder.h"
 #include "src/daemon/admin_handler.h"
 #include "src/daemon/caller_handler.h"
 #include "src/daemon/config_intake.h"
-#include "src/daemon/health_desk.h"
+#include "src/daemon/crash_gate.h"
+#include "src/daemon/fleet_link.h"
 #include "src/daemon/host_metrics.h"
+#include "src/daemon/pass_desk.h"
+#include "src/daemon/peer_news.h"
 #include "src/daemon/prober.h"
 #include "src/daemon/service_state.h"
 #include "src/daemon/status_page.h"
-#include "src/daemon/store_watcher.h"
 #include "src/http/http_server.h"
 
 namespace toucanknot {
@@ -35,6 +35,13 @@
 // How often health ramps move and records expire.
 constexpr Duration kHousekeeping{100};
 constexpr Duration kStopPoll{20};
+// Load is told to the region's hosts at the greater of the first and of the
+// second for each of them, so that its cost has a bound.
+constexpr Duration kLoadInterval{50};
+constexpr Duration kLoadSpacing{10};
+constexpr Duration kViewInterval{250};
+// Time for the last messages of a host that stops to leave.
+constexpr Duration kFarewell{200};
 // Look-ups have no body worth naming.
 constexpr uint64_t kMaxOtherBodyBytes = 4 << 10;
 
@@ -60,6 +67,13 @@
   return limits;
 }
 
+// Hosts with the same rank share callers. Unconfirmed ones are named last.
+int RankOfCandidate(const EntryCandidate& candidate) {
+  constexpr int kUnconfirmed = 10;
+  return static_cast<int>(candidate.proximity) +
+         (candidate.confirmed ? 0 : kUnconfirmed);
+}
+
 }  // namespace
 
 class HostDaemon::Impl {
@@ -77,11 +91,15 @@
   using Coroutine = boost::asio::awaitable<void>;
 
   std::shared_ptr<ServiceState> StateOf(const ServiceId& service);
+  std::shared_ptr<ServiceState> FindState(const ServiceId& service) const;
   std::vector<std::shared_ptr<ServiceState>> AllStates() const;
   uint64_t BodyLimit(std::string_view target) const;
   // A configuration has been accepted: brings it into force.
   void Apply(const FleetConfigPtr& config);
-  void RebuildLookups();
+  // Which hosts serve has changed.
+  void OnView();
+  void RebuildLookups(const RoutingTables& tables);
+  FleetLink::Hooks FleetHooks();
   void OnProbe(const ServiceEntry& entry,
                const ServerProbe& probe,
                const std::optional<LoadReport>& load);
@@ -91,7 +109,9 @@
 
   Coroutine TickLoop();
   Coroutine HousekeepingLoop();
+  Coroutine NewsLoop();
   Coroutine AnnounceThenClose();
+  void SendCrashes();
 
   AdminHandler::Sources AdminSources();
   std::string MetricsText() const;
@@ -102,7 +122,6 @@
   const std::shared_ptr<const FleetKeys> keys_;
   const std::shared_ptr<Store> store_;
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> store_up_{false};
   std::atomic<uint64_t> next_item_{1};
 
   // Guards states_. May be held while a ServiceDesk's lock is taken.
@@ -112,8 +131,11 @@
   HostTables tables_;
   std::atomic<LookupTablePtr> lookups_;
   HostMetrics metrics_;
+  const std::shared_ptr<PassDesk> passes_;
   TicketDesk tickets_;
   WorkerPool workers_;
+  PeerNews news_;
+  CrashGate gate_;
   std::unique_ptr<Sender> sender_;
   std::unique_ptr<OnceRunner> once_;
   std::unique_ptr<IdempotentRunner> idempotent_;
@@ -123,7 +145,7 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> admin_server_;
   ConfigIntake intake_;
-  std::unique_ptr<StoreWatcher> watcher_;
+  std::unique_ptr<FleetLink> fleet_;
 };
 
 HostDaemon::Impl::Impl(HostSettings settings, std::shared_ptr<Store> store)
@@ -131,17 +153,25 @@
       self_{settings_.host, DrawIncarnation()},
       keys_(MakeKeys(settings_)),
       store_(std::move(store)),
+      passes_(std::make_shared<PassDesk>(self_.host,
+                                         self_.incarnation,
+                                         SteadyNow())),
       tickets_(self_, {}),
       workers_(settings_.workers),
+      news_([this] { return AllStates(); },
+            [this](const ServiceId& id) { return FindState(id); }),
+      gate_(workers_,
+            settings_.zone,
+            [this](const ServiceId& id) { return StateOf(id); }),
       intake_([this](const FleetConfigPtr& config) { Apply(config); }) {
   sender_ = std::make_unique<Sender>(workers_, self_, keys_);
   sender_->set_observer([this](const Call& call, const AttemptResult& result) {
     OnAttempt(call, result);
   });
-  once_ =
-      std::make_unique<OnceRunner>(workers_, *sender_, tickets_, next_item_);
+  once_ = std::make_unique<OnceRunner>(workers_, *sender_, tickets_, gate_,
+                                       next_item_);
   idempotent_ = std::make_unique<IdempotentRunner>(
-      workers_, *sender_, next_item_, [this](const ServiceEntry& entry) {
+      *sender_, gate_, next_item_, [this](const ServiceEntry& entry) {
         return StateOf(entry.service.id)->TakeRetry(SteadyNow());
       });
   CallerHandler::Parts parts;
@@ -156,6 +186,9 @@
   callers_ = std::make_unique<CallerHandler>(std::move(parts));
   admin_ =
       std::make_unique<AdminHandler>(settings_.admin_token, AdminSources());
+  fleet_ = std::make_unique<FleetLink>(
+      workers_, settings_, PeerSender{self_.host, self_.incarnation}, keys_,
+      store_, FleetHooks());
   prober_ = std::make_unique<Prober>(
       workers_, *sender_, tables_,
       [this](const ServiceEntry& entry, const ServerProbe& probe,
@@ -165,8 +198,32 @@
 }
 
 HostDaemon::Impl::~Impl() {
-  watcher_.reset();
   workers_.Stop();
+  // Closes the sockets at once, as a crash would; calls to the store that have
+  // begun are waited for after that.
+  caller_server_.reset();
+  admin_server_.reset();
+  fleet_.reset();
+}
+
+FleetLink::Hooks HostDaemon::Impl::FleetHooks() {
+  FleetLink::Hooks hooks;
+  hooks.on_config = [this](const ConfigOffer& offer, const std::string& from) {
+    return intake_.Offer(offer, from);
+  };
+  hooks.on_hosts = [this](const std::vector<PlatformHost>& hosts) {
+    OnHostList(hosts);
+  };
+  hooks.on_view = [this] { OnView(); };
+  hooks.on_message = [this](const PeerSender& from,
+                            const PeerMessage& message) {
+    if (const auto* handoff = std::get_if<TicketHandoff>(&message)) {
+      tickets_.TakeOver(*handoff);
+      spdlog::info("tickets taken over from={}", from.host.str());
+    }
+    news_.OnMessage(from, message, SteadyNow());
+  };
+  return hooks;
 }
 
 void HostDaemon::Impl::Start() {
@@ -184,27 +241,12 @@
       });
   caller_server_->Listen(settings_.callers);
   admin_server_->Listen(settings_.admin);
-  StoreWatcher::Hooks hooks;
-  hooks.on_offer = [this](const ConfigOffer& offer) {
-    intake_.Offer(offer, "store");
-  };
-  hooks.on_state = [this](bool up, const std::string& error) {
-    store_up_ = up;
-    if (up)
-      spdlog::info("store up");
-    else
-      spdlog::warn("store down error=\"{}\"", error);
-  };
-  hooks.on_hosts = [this](const std::vector<PlatformHost>& hosts) {
-    OnHostList(hosts);
-  };
-  watcher_ = std::make_unique<StoreWatcher>(
-      store_, std::hash<HostId>()(settings_.host), std::move(hooks));
-  watcher_->SetReading(true);
+  fleet_->Start();
   prober_->Start(settings_.zone);
   boost::asio::co_spawn(workers_.loop(0), TickLoop(), boost::asio::detached);
   boost::asio::co_spawn(workers_.loop(0), HousekeepingLoop(),
                         boost::asio::detached);
+  boost::asio::co_spawn(workers_.loop(0), NewsLoop(), boost::asio::detached);
   spdlog::info("state=serving host={} zone={} callers={}", settings_.host.str(),
                settings_.zone.str(), settings_.callers.ToString());
 }
@@ -227,11 +269,18 @@
   auto& state = states_[service];
   if (!state) {
     state = std::make_shared<ServiceState>(service, settings_.host,
-                                           self_.incarnation);
+                                           self_.incarnation, passes_);
   }
   return state;
 }
 
+std::shared_ptr<ServiceState> HostDaemon::Impl::FindState(
+    const ServiceId& service) const {
+  const std::lock_guard lock(states_mutex_);
+  const auto it = states_.find(service);
+  return it == states_.end() ? nullptr : it->second;
+}
+
 std::vector<std::shared_ptr<ServiceState>> HostDaemon::Impl::AllStates() const {
   const std::lock_guard lock(states_mutex_);
   std::vector<std::shared_ptr<ServiceState>> all;
@@ -252,8 +301,9 @@
   const Tunables& host = tables->tunables;
   tickets_.SetLimits({host.keep_answer, host.kept_answers_bytes});
   SetConnectionShares(*config);
+  passes_->OnConfig(config, unix_ms, now);
   tables_.Set(tables);
-  RebuildLookups();
+  fleet_->SetConfig(config);
   spdlog::info("config in force version={} digest={}", config->version,
                config->digest);
 }
@@ -270,24 +320,27 @@
   sender_->SetConnectionLimits(std::move(limits));
 }
 
-void HostDaemon::Impl::RebuildLookups() {
+void HostDaemon::Impl::OnView() {
   const RoutingTablesPtr tables = tables_.Get();
   if (!tables)
     return;
-  const FleetConfig& config = *tables->config;
-  const RegionId own_region = config.RegionOf(settings_.zone);
+  const Instant now = SteadyNow();
+  const std::vector<HostId> live = fleet_->LiveInRegion();
+  for (const auto& it : AllStates())
+    it->OnHosts(live, now);
+  passes_->OnLiveRegions(fleet_->LiveRegions(), now);
+  RebuildLookups(*tables);
+}
+
+void HostDaemon::Impl::RebuildLookups(const RoutingTables& tables) {
   LookupTable::Source source;
-  source.config = tables->config;
-  source.lifetime = tables->tunables.lookup_lifetime;
-  for (const EntryHost& it : config.hosts) {
-    if (it.id == settings_.host && leaving_)
-      continue;
-    const bool near = config.RegionOf(it.zone) == own_region;
-    source.hosts.push_back({it, it.zone == settings_.zone ? 0 : near ? 1 : 2});
+  source.config = tables.config;
+  source.lifetime = tables.tunables.lookup_lifetime;
+  for (const EntryCandidate& it : fleet_->Candidates()) {
+    const auto host = tables.hosts.find(it.host);
+    if (host != tables.hosts.end())
+      source.hosts.push_back({host->second, RankOfCandidate(it)});
   }
-  std::stable_sort(
-      source.hosts.begin(), source.hosts.end(),
-      [](const auto& a, const auto& b) { return a.rank < b.rank; });
   lookups_ = std::make_shared<const LookupTable>(source);
 }
 
@@ -301,6 +354,32 @@
                                  const AttemptResult& result) {
   metrics_.CountAttempt(result.end);
   StateOf(call.entry->service.id)->OnAttempt(result, SteadyNow());
+  if (result.end == AttemptEnd::kBroken)
+    SendCrashes();
+}
+
+void HostDaemon::Impl::SendCrashes() {
+  for (CrashNotices& it : news_.Crashes())
+    fleet_->Send({fleet_->Others(), std::move(it)});
+}
+
+HostDaemon::Impl::Coroutine HostDaemon::Impl::NewsLoop() {
+  Instant next_views;
+  for (;;) {
+    const std::vector<HostId> near = fleet_->LiveInRegion();
+    const Instant now = SteadyNow();
+    if (near.size() > 1) {
+      fleet_->Send({near, news_.Load()});
+      if (now >= next_views) {
+        for (ServerViews& it : news_.Views(now))
+          fleet_->Send({near, std::move(it)});
+        next_views = now + kViewInterval;
+      }
+    }
+    SendCrashes();
+    const auto n = static_cast<int64_t>(near.size());
+    co_await SleepFor(std::max(kLoadInterval, kLoadSpacing * n));
+  }
 }
 
 void HostDaemon::Impl::OnHostList(const std::vector<PlatformHost>& hosts) {
@@ -324,6 +403,7 @@
     co_await SleepFor(kHousekeeping);
     tickets_.Expire();
     const Instant now = SteadyNow();
+    passes_->Advance(now);
     for (const auto& it : AllStates())
       it->Advance(now);
   }
@@ -334,7 +414,7 @@
     return;
   spdlog::info("state=leaving host={}", settings_.host.str());
   caller_server_->BeginStop();
-  RebuildLookups();
+  fleet_->Leave();
   boost::asio::co_spawn(workers_.loop(0), AnnounceThenClose(),
                         boost::asio::detached);
 }
@@ -358,6 +438,9 @@
       return false;
     std::this_thread::sleep_for(std::chrono::milliseconds(kStopPoll.ms()));
   }
+  fleet_->Send({fleet_->Others(), tickets_.Close()});
+  fleet_->Stopped();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kFarewell.ms()));
   spdlog::info("state=stopped host={}", settings_.host.str());
   return true;
 }
@@ -380,8 +463,11 @@
     facts.self = self_;
     facts.zone = settings_.zone;
     facts.leaving = leaving_;
-    facts.store_up = store_up_;
-    facts.store_calls = watcher_ ? watcher_->calls() : 0;
+    const FleetLink::Figures fleet = fleet_->figures();
+    facts.store_up = fleet.store_up;
+    facts.store_calls = fleet.store_calls;
+    facts.store_reader = fleet.reader;
+    facts.peers = fleet.transport;
     facts.config = intake_.Status(SteadyNow());
     facts.ticket_records = tickets_.records();
     facts.kept_answer_bytes = tickets_.kept_bytes();
@@ -402,12 +488,20 @@
   std::string text = metrics_.Text();
   text += MetricLine("toucanknot_config_version", "",
                      static_cast<double>(ConfigVersion()));
-  if (watcher_) {
-    text += MetricLine("toucanknot_store_calls_total", "",
-                       static_cast<double>(watcher_->calls()));
-    text += MetricLine("toucanknot_store_failures_total", "",
-                       static_cast<double>(watcher_->failures()));
-  }
+  const FleetLink::Figures fleet = fleet_->figures();
+  text += MetricLine("toucanknot_store_calls_total", "",
+                     static_cast<double>(fleet.store_calls));
+  text += MetricLine("toucanknot_store_up", "", fleet.store_up ? 1 : 0);
+  text += MetricLine("toucanknot_peer_messages_total", "direction=\"sent\"",
+                     static_cast<double>(fleet.transport.sent_messages));
+  text += MetricLine("toucanknot_peer_messages_total", "direction=\"received\"",
+                     static_cast<double>(fleet.transport.received_messages));
+  text += MetricLine("toucanknot_peer_bytes_total", "direction=\"sent\"",
+                     static_cast<double>(fleet.transport.sent_bytes));
+  text += MetricLine("toucanknot_peer_dropped_messages_total", "",
+                     static_cast<double>(fleet.transport.dropped_messages));
+  text += MetricLine("toucanknot_peer_bad_connections_total", "",
+                     static_cast<double>(fleet.transport.bad_connections));
   const HttpServerCounts callers = caller_server_->Counts();
   text += MetricLine("toucanknot_open_connections", "",
                      static_cast<double>(callers.open_connections));
--- a/src/daemon/host_settings.cc
+++ b/src/daemon/host_settings.cc
@@ -35,13 +35,17 @@
   }
 }
 
-void ReadKeys(ObjectReader& in, HostSettings& out) {
+// A secret is never shown, not even one that is refused.
+void ReadKeys(ObjectReader& in,
+              std::vector<Problem>& problems,
+              HostSettings& out) {
   in.Items("fleet_keys", true, [&](ObjectReader& item) {
     FleetKey key;
     key.id = static_cast<uint8_t>(item.Integer("key", 0, kMaxKeyId));
     key.secret = item.Text("secret");
     if (!key.secret.empty() && key.secret.size() < kMinSecretBytes)
-      item.Fault("secret", "at least 16 bytes");
+      problems.push_back(
+          {item.PathOf("secret"), "a shorter one", "at least 16 bytes"});
     for (const FleetKey& it : out.fleet_keys) {
       if (it.id == key.id)
         item.Fault("key", "a number that no other key has");
@@ -82,6 +86,11 @@
                  out.max_buffered_bytes);
   out.store_timeout = Duration(
       in.Integer("store_timeout_ms", 1, kMaxTimeoutMs, out.store_timeout.ms()));
+  out.store_watch = Duration(
+      in.Integer("store_watch_ms", 100, kMaxTimeoutMs, out.store_watch.ms()));
+  out.host_list_interval =
+      Duration(in.Integer("host_list_interval_ms", 100, kMaxTimeoutMs,
+                          out.host_list_interval.ms()));
   out.leave_notice = Duration(
       in.Integer("leave_notice_ms", 0, kMaxTimeoutMs, out.leave_notice.ms()));
 }
@@ -101,7 +110,7 @@
   out.store = in.Address("store");
   ReadAdmin(in, out);
   ReadSeeds(in, out);
-  ReadKeys(in, out);
+  ReadKeys(in, problems, out);
   ReadBounds(in, out);
   ReadLog(in, out);
   in.Finish();
--- a/src/daemon/idempotent_runner.cc
+++ b/src/daemon/idempotent_runner.cc
@@ -19,12 +19,12 @@
 
 }  // namespace
 
-IdempotentRunner::IdempotentRunner(WorkerPool& workers,
-                                   Sender& sender,
+IdempotentRunner::IdempotentRunner(Sender& sender,
+                                   CrashGate& gate,
                                    std::atomic<uint64_t>& next_item,
                                    TakeRetry take_retry)
-    : workers_(workers),
-      sender_(sender),
+    : sender_(sender),
+      gate_(gate),
       next_item_(next_item),
       take_retry_(std::move(take_retry)) {}
 
@@ -33,8 +33,7 @@
   SendResult last;
   for (int i = 0; i < kMaxAttempts; ++i) {
     item.id = next_item_.fetch_add(1);
-    const Decision decision = co_await call->entry->desk->Place(
-        workers_.loop(WorkerPool::Current()), item);
+    const Decision decision = co_await gate_.Decide(call, item);
     if (decision.step == Step::kRefuse) {
       if (i == 0)
         co_return RefusalAnswer(decision.refusal);
--- a/src/daemon/idempotent_runner.h
+++ b/src/daemon/idempotent_runner.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "src/daemon/call.h"
+#include "src/daemon/crash_gate.h"
 #include "src/daemon/sender.h"
 
 namespace toucanknot {
@@ -16,16 +17,16 @@
   // Takes one retry from a service's budget; false when it is spent.
   using TakeRetry = std::function<bool(const ServiceEntry& entry)>;
 
-  IdempotentRunner(WorkerPool& workers,
-                   Sender& sender,
+  IdempotentRunner(Sender& sender,
+                   CrashGate& gate,
                    std::atomic<uint64_t>& next_item,
                    TakeRetry take_retry);
 
   boost::asio::awaitable<HttpResponse> Serve(CallPtr call);
 
  private:
-  WorkerPool& workers_;
   Sender& sender_;
+  CrashGate& gate_;
   std::atomic<uint64_t>& next_item_;
   const TakeRetry take_retry_;
 };
--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -76,10 +76,12 @@
 OnceRunner::OnceRunner(WorkerPool& workers,
                        Sender& sender,
                        TicketDesk& tickets,
+                       CrashGate& gate,
                        std::atomic<uint64_t>& next_item)
     : workers_(workers),
       sender_(sender),
       tickets_(tickets),
+      gate_(gate),
       next_item_(next_item) {}
 
 TicketDesk::WaiterPtr OnceRunner::NewWaiter() const {
@@ -139,8 +141,7 @@
   Refusal refusal = Refusal::kNoServer;
   for (int i = 0; i < kMaxChoices; ++i) {
     item.id = next_item_.fetch_add(1);
-    const Decision decision = co_await call->entry->desk->Place(
-        workers_.loop(WorkerPool::Current()), item);
+    const Decision decision = co_await gate_.Decide(call, item);
     if (decision.step == Step::kRefuse) {
       refusal = decision.refusal;
       break;
@@ -176,9 +177,18 @@
 
 boost::asio::awaitable<HttpResponse> OnceRunner::AskOwner(CallPtr call,
                                                           Ticket ticket) {
-  OwnerInquiry inquiry(ticket, {}, call->deadline);
+  OwnerInquiry::Options options;
+  if (tickets_.HasTakenOver(ticket.owner))
+    options.successors = {tickets_.self()};
+  OwnerInquiry inquiry(ticket, std::move(options), call->deadline);
   InquiryAction action = inquiry.Start(SteadyNow());
   while (action.step != InquiryStep::kAnswer) {
+    if (action.step == InquiryStep::kAskWitness &&
+        action.target == tickets_.self()) {
+      action =
+          inquiry.OnWitnessWord(tickets_.AskTakenOver(ticket), SteadyNow());
+      continue;
+    }
     if (action.step == InquiryStep::kAskOwner &&
         action.target.host != tickets_.self().host) {
       // The owner waits with its reply until a run that goes on has ended.
--- a/src/daemon/once_runner.h
+++ b/src/daemon/once_runner.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "src/daemon/call.h"
+#include "src/daemon/crash_gate.h"
 #include "src/daemon/sender.h"
 #include "src/daemon/ticket_desk.h"
 
@@ -19,6 +20,7 @@
   OnceRunner(WorkerPool& workers,
              Sender& sender,
              TicketDesk& tickets,
+             CrashGate& gate,
              std::atomic<uint64_t>& next_item);
 
   boost::asio::awaitable<HttpResponse> Serve(CallPtr call);
@@ -47,6 +49,7 @@
   WorkerPool& workers_;
   Sender& sender_;
   TicketDesk& tickets_;
+  CrashGate& gate_;
   std::atomic<uint64_t>& next_item_;
 };
 
--- /dev/null
+++ b/src/daemon/peer_news.cc
@@ -0,0 +1,84 @@
+#include "src/daemon/peer_news.h"
+
+#include <utility>
+#include <variant>
+
+namespace toucanknot {
+
+PeerNews::PeerNews(States states, FindState find)
+    : states_(std::move(states)), find_(std::move(find)) {}
+
+LoadNotice PeerNews::Load() const {
+  LoadNotice notice;
+  for (const auto& state : states_()) {
+    const PeerLoad own = state->desk()->OwnLoad();
+    LoadNotice::ServiceLoad load;
+    load.service = state->service();
+    load.waiting = own.waiting;
+    load.free_slots = own.free_slots;
+    load.slots = own.slots;
+    for (const PeerLoad::InFlight& it : own.in_flight)
+      load.in_flight.push_back({it.server, it.requests});
+    notice.services.push_back(std::move(load));
+  }
+  return notice;
+}
+
+std::vector<ServerViews> PeerNews::Views(Instant now) const {
+  std::vector<ServerViews> all;
+  for (const auto& state : states_()) {
+    ServerViews views{state->service(), state->OwnView(now)};
+    if (!views.views.empty())
+      all.push_back(std::move(views));
+  }
+  return all;
+}
+
+std::vector<CrashNotices> PeerNews::Crashes() const {
+  std::vector<CrashNotices> all;
+  for (const auto& state : states_()) {
+    CrashNotices notices{state->service(), state->guard().TakeNotices()};
+    if (!notices.notices.empty())
+      all.push_back(std::move(notices));
+  }
+  return all;
+}
+
+void PeerNews::OnMessage(const PeerSender& from,
+                         const PeerMessage& message,
+                         Instant now) const {
+  if (const auto* load = std::get_if<LoadNotice>(&message))
+    OnLoad(from.host, *load, now);
+  if (const auto* views = std::get_if<ServerViews>(&message)) {
+    if (const auto state = find_(views->service)) {
+      for (const ServerView& it : views->views)
+        state->OnPeerView(it, now);
+    }
+  }
+  if (const auto* crashes = std::get_if<CrashNotices>(&message)) {
+    if (const auto state = find_(crashes->service)) {
+      for (const CrashNotice& it : crashes->notices)
+        state->guard().OnNotice(it, now);
+    }
+  }
+}
+
+void PeerNews::OnLoad(const HostId& from,
+                      const LoadNotice& notice,
+                      Instant now) const {
+  for (const LoadNotice::ServiceLoad& it : notice.services) {
+    const auto state = find_(it.service);
+    if (!state)
+      continue;
+    PeerLoad load;
+    load.host = from;
+    load.waiting = it.waiting;
+    load.free_slots = it.free_slots;
+    load.slots = it.slots;
+    for (const ServerInFlight& server : it.in_flight)
+      load.in_flight.push_back({server.server, server.requests});
+    state->OnPeerLoad(load, now);
+  }
+}
+
+}  // namespace toucanknot
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -3,7 +3,9 @@
 #include <mutex>
 #include <utility>
 
+#include "include/health/quarantine.h"
 #include "src/http/headers.h"
+#include "src/http/one_shot.h"
 
 namespace toucanknot {
 namespace {
@@ -94,6 +96,10 @@
   observer_ = std::move(observer);
 }
 
+void Sender::set_send_observer(SendObserver observer) {
+  send_observer_ = std::move(observer);
+}
+
 ConnectionPool& Sender::Pool() const {
   return *pools_[WorkerPool::Current()];
 }
@@ -113,11 +119,16 @@
                                                 Decision decision,
                                                 HandOver hand_over) {
   SendResult result;
+  if (decision.step == Step::kSend && send_observer_)
+    send_observer_(call, decision.server);
   if (decision.step == Step::kSend)
     result = co_await SendToServer(call, decision, std::move(hand_over));
   else
     result = co_await PassToHost(call, decision, std::move(hand_over));
   Report(call, decision, result);
+  // The caller's repeat must not overtake what the peers are told.
+  if (decision.step == Step::kSend && result.end == AttemptEnd::kBroken)
+    co_await SleepFor(Quarantine::kNoticeLead);
   co_return result;
 }
 
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -44,6 +44,9 @@
   ~Sender();
 
   void set_observer(Observer observer);
+  // Told before each attempt at a backend server.
+  using SendObserver = std::function<void(const Call&, const ServerId&)>;
+  void set_send_observer(SendObserver observer);
 
   // For run-once requests: called before the first byte leaves. Gives the
   // attempt under which it may, or nothing when no byte may leave.
@@ -89,6 +92,7 @@
   const HostLife self_;
   const std::shared_ptr<const FleetKeys> keys_;
   Observer observer_;
+  SendObserver send_observer_;
   std::shared_ptr<ConnectionLimits> limits_;
   std::vector<std::unique_ptr<ConnectionPool>> pools_;
 };
--- a/src/daemon/service_state.cc
+++ b/src/daemon/service_state.cc
@@ -22,40 +22,54 @@
   }
 }
 
-std::unique_ptr<Dispatcher> MakeDispatcher(
-    const ServiceId& service,
-    const HostId& host,
-    uint64_t seed,
-    const std::shared_ptr<HealthDesk>& health) {
+SteeringHooks MakeHooks(const ServiceId& service,
+                        std::shared_ptr<HealthDesk> health,
+                        std::shared_ptr<CrashGuard> guard,
+                        std::shared_ptr<PassDesk> passes) {
   SteeringHooks hooks;
-  hooks.usable = [health](const ServerId& server, Instant now) {
+  hooks.usable = [health, guard](const ServerId& server, Instant now) {
+    if (guard->IsReserved(server, now))
+      return 0.0;
     return health->With(
         [&](HealthTable& it) { return it.Weight(server, now); });
   };
-  return DispatcherBuilder()
-      .SetService(service)
-      .SetHost(host)
-      .SetSeed(seed)
-      .SetHooks(std::move(hooks))
-      .Build();
+  hooks.admit = [service, passes](const WorkItem& item, Instant now) {
+    if (item.hop == Hop::kCaller)
+      passes->OnRequest(service, now);
+    return Refusal::kNone;
+  };
+  hooks.may_pass = [passes](const RegionId& region, const WorkItem& item,
+                            Instant now) {
+    return passes->MayPass(region, item, now);
+  };
+  return hooks;
 }
 
 }  // namespace
 
-ServiceState::ServiceState(const ServiceId& service,
+ServiceState::ServiceState(ServiceId service,
                            const HostId& host,
-                           uint64_t seed)
-    : health_(std::make_shared<HealthDesk>(Tunables())),
+                           uint64_t seed,
+                           std::shared_ptr<PassDesk> passes)
+    : service_(std::move(service)),
+      health_(std::make_shared<HealthDesk>(Tunables())),
+      guard_(std::make_shared<CrashGuard>(host)),
+      passes_(std::move(passes)),
       retries_(Tunables().retry_ratio),
       desk_(std::make_shared<ServiceDesk>(
-          MakeDispatcher(service, host, seed, health_))) {
+          DispatcherBuilder()
+              .SetService(service_)
+              .SetHost(host)
+              .SetSeed(seed)
+              .SetHooks(MakeHooks(service_, health_, guard_, passes_))
+              .Build())) {
   health_->With([&](HealthTable& it) {
-    it.set_on_change(
-        [service](const ServerId& server, ServerState from, ServerState to) {
-          spdlog::info("server service={} id={} state={} was={}", service.str(),
-                       server.str(), kServerStateNames.Name(to),
-                       kServerStateNames.Name(from));
-        });
+    it.set_on_change([id = service_](const ServerId& server, ServerState from,
+                                     ServerState to) {
+      spdlog::info("server service={} id={} state={} was={}", id.str(),
+                   server.str(), kServerStateNames.Name(to),
+                   kServerStateNames.Name(from));
+    });
   });
 }
 
@@ -79,6 +93,7 @@
                    config->Resolve(place, unix_ms).drain, Duration(0), now);
     }
   });
+  guard_->SetTunables(entry.tunables);
   {
     const std::lock_guard lock(retries_mutex_);
     retries_.set_ratio(entry.tunables.retry_ratio);
@@ -98,6 +113,8 @@
 }
 
 void ServiceState::OnAttempt(const AttemptResult& result, Instant now) {
+  guard_->OnEnded(result, now);
+  passes_->OnEnded(service_, result, now);
   if (!result.server.empty()) {
     ServerAnswer answer;
     answer.server = result.server;
@@ -120,6 +137,35 @@
   });
 }
 
+void ServiceState::OnPeerLoad(const PeerLoad& load, Instant now) {
+  guard_->OnPeerLoad(load, now);
+  desk_->Update([&](Dispatcher& it, Instant at) { it.OnPeerLoad(load, at); });
+}
+
+void ServiceState::OnPeerView(const ServerView& view, Instant now) {
+  health_->With([&](HealthTable& it) { it.OnPeerView(view, now); });
+}
+
+void ServiceState::OnHosts(const std::vector<HostId>& live, Instant) {
+  guard_->OnHosts(live);
+  desk_->Update([&](Dispatcher& it, Instant at) { it.OnHosts(live, at); });
+}
+
+std::vector<ServerView> ServiceState::OwnView(Instant now) const {
+  return health_->With([&](HealthTable& it) { return it.OwnView(now); });
+}
+
+ServerId ServiceState::ServerAlone(const std::vector<ServerId>& servers,
+                                   Instant now) const {
+  for (const ServerId& it : servers) {
+    const double weight = health_->With(
+        [&](HealthTable& table) { return table.Weight(it, now); });
+    if (weight > 0 && !guard_->IsReserved(it, now))
+      return it;
+  }
+  return ServerId();
+}
+
 bool ServiceState::TakeRetry(Instant now) {
   const std::lock_guard lock(retries_mutex_);
   return retries_.TryTake(now);
--- a/src/daemon/service_state.h
+++ b/src/daemon/service_state.h
@@ -5,13 +5,16 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "include/base/clock.h"
 #include "include/base/ids.h"
 #include "include/health/server_health.h"
 #include "include/limits/retry_budget.h"
 #include "include/steering/dispatcher.h"
+#include "src/daemon/crash_guard.h"
 #include "src/daemon/health_desk.h"
+#include "src/daemon/pass_desk.h"
 #include "src/daemon/routing_tables.h"
 #include "src/daemon/service_desk.h"
 
@@ -21,12 +24,19 @@
 // go, which backend servers are well, what may be retried. Configurations
 // change it; they do not replace it.
 //
-// Lock order: the desk's, then the health desk's, then the retry budget's.
+// Lock order: the desk's, then any one of the health desk's, the crash guard's,
+// the pass desk's and the retry budget's.
 class ServiceState {
  public:
-  ServiceState(const ServiceId& service, const HostId& host, uint64_t seed);
+  // `passes` is the host's.
+  ServiceState(ServiceId service,
+               const HostId& host,
+               uint64_t seed,
+               std::shared_ptr<PassDesk> passes);
 
+  const ServiceId& service() const { return service_; }
   const std::shared_ptr<ServiceDesk>& desk() const { return desk_; }
+  CrashGuard& guard() { return *guard_; }
 
   void OnConfig(const FleetConfigPtr& config,
                 const ServiceEntry& entry,
@@ -39,6 +49,15 @@
   // The platform's host list names a machine; ignored when it is no backend
   // server of this service.
   void OnHostListed(const ServerId& server, bool leaving, Instant now);
+  // What other hosts of the region say, and which of them serve.
+  void OnPeerLoad(const PeerLoad& load, Instant now);
+  void OnPeerView(const ServerView& view, Instant now);
+  void OnHosts(const std::vector<HostId>& live, Instant now);
+  // The servers that this host holds to be out.
+  std::vector<ServerView> OwnView(Instant now) const;
+  // The first of `servers` that could take a request that must run by itself;
+  // empty when none can.
+  ServerId ServerAlone(const std::vector<ServerId>& servers, Instant now) const;
   // Takes one retry from the budget; false when it is spent.
   bool TakeRetry(Instant now);
   // Moves what only time moves.
@@ -48,7 +67,10 @@
   std::string Explain(Instant now) const;
 
  private:
+  const ServiceId service_;
   const std::shared_ptr<HealthDesk> health_;
+  const std::shared_ptr<CrashGuard> guard_;
+  const std::shared_ptr<PassDesk> passes_;
   std::mutex retries_mutex_;
   RetryBudget retries_;
   const std::shared_ptr<ServiceDesk> desk_;
--- a/src/daemon/status_page.h
+++ b/src/daemon/status_page.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "include/once/ticket.h"
+#include "include/peer/peer_transport.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
 
@@ -16,7 +17,9 @@
   ZoneId zone;
   bool leaving = false;
   bool store_up = false;
+  bool store_reader = false;
   uint64_t store_calls = 0;
+  PeerTransportStats peers;
   // As HolderStatus() gives it.
   boost::json::value config;
   size_t ticket_records = 0;
--- a/src/daemon/ticket_desk.cc
+++ b/src/daemon/ticket_desk.cc
@@ -29,7 +29,8 @@
       tickets_(std::make_unique<TicketMint>(self, DrawKey(), SteadyNow()),
                RecordLimits(limits),
                answers_),
-      passes_(RecordLimits(limits), answers_) {}
+      passes_(RecordLimits(limits), answers_),
+      taken_over_(self, WitnessTable::Limits()) {}
 
 std::string TicketDesk::Mint(Duration lifetime) {
   const std::lock_guard lock(mutex_);
@@ -100,6 +101,26 @@
   act(passes_.RunsOf(owner));
 }
 
+TicketHandoff TicketDesk::Close() {
+  const std::lock_guard lock(mutex_);
+  return tickets_.Close();
+}
+
+void TicketDesk::TakeOver(const TicketHandoff& handoff) {
+  const std::lock_guard lock(mutex_);
+  taken_over_.TakeOver(handoff, SteadyNow());
+}
+
+bool TicketDesk::HasTakenOver(const HostLife& owner) const {
+  const std::lock_guard lock(mutex_);
+  return taken_over_.HasTakenOver(owner);
+}
+
+WitnessWord TicketDesk::AskTakenOver(const Ticket& ticket) {
+  const std::lock_guard lock(mutex_);
+  return taken_over_.Ask(ticket, SteadyNow());
+}
+
 void TicketDesk::SetLimits(Limits limits) {
   const std::lock_guard lock(mutex_);
   const Instant now = SteadyNow();
@@ -113,6 +134,7 @@
   answers_->Expire(now);
   tickets_.runs().Expire(now);
   passes_.Expire(now);
+  taken_over_.Expire(now);
 }
 
 size_t TicketDesk::records() const {
--- a/src/daemon/ticket_desk.h
+++ b/src/daemon/ticket_desk.h
@@ -12,6 +12,7 @@
 #include "include/base/clock.h"
 #include "include/once/pass_table.h"
 #include "include/once/ticket_table.h"
+#include "include/once/witness_table.h"
 #include "src/http/http_message.h"
 #include "src/http/one_shot.h"
 
@@ -61,6 +62,15 @@
   void WithPassed(const HostLife& owner,
                   const std::function<void(RunRecords& runs)>& act);
 
+  // Lets no unused ticket be used any more, and gives what to leave to the
+  // hosts that stay. For a graceful shutdown, after the last run.
+  TicketHandoff Close();
+  // What a host that stopped gracefully left.
+  void TakeOver(const TicketHandoff& handoff);
+  bool HasTakenOver(const HostLife& owner) const;
+  // What became of a ticket of a host whose records were taken over.
+  WitnessWord AskTakenOver(const Ticket& ticket);
+
   void SetLimits(Limits limits);
   void Expire();
 
@@ -79,6 +89,7 @@
   const std::shared_ptr<AnswerStore> answers_;
   TicketTable tickets_;
   PassTable passes_;
+  WitnessTable taken_over_;
   uint64_t next_waiter_ = 1;
   std::unordered_map<uint64_t, WaiterPtr> waiters_;
 };
--- a/src/load/load_results.cc
+++ b/src/load/load_results.cc
@@ -1,6 +1,7 @@
 #include "src/load/load_results.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <cmath>
 #include <utility>
 
@@ -49,9 +50,9 @@
   ++cut_;
 }
 
-void LoadResults::AddRepeat() {
+void LoadResults::AddRepeat(const std::string& reason) {
   const std::lock_guard lock(mutex_);
-  ++repeats_;
+  ++repeats_[reason];
 }
 
 void LoadResults::AddSkipped() {
@@ -112,7 +113,7 @@
                              {"answered", answered_},
                              {"refused", refused_},
                              {"failed", failed_},
-                             {"repeats", repeats_},
+                             {"repeats", boost::json::value_from(repeats_)},
                              {"skipped", skipped_},
                              {"run_once_ran", ran},
                              {"run_once_not_run", not_run},
--- a/src/load/load_results.h
+++ b/src/load/load_results.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -28,7 +29,8 @@
   void AddFailed();
   void AddWrong();
   void AddCut();
-  void AddRepeat();
+  // A request is repeated because of `reason`: the host's, or how it ended.
+  void AddRepeat(const std::string& reason);
   void AddSkipped();
   void AddEnd(WorkEnd end);
   void AddRequest();
@@ -51,7 +53,7 @@
   uint64_t failed_ = 0;
   uint64_t wrong_ = 0;
   uint64_t cut_ = 0;
-  uint64_t repeats_ = 0;
+  std::map<std::string, uint64_t> repeats_;
   uint64_t skipped_ = 0;
   std::vector<double> took_ms_;
   std::vector<WorkEnd> ends_;
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -33,6 +33,14 @@
       .count();
 }
 
+std::string ReasonOf(const ExchangeResult& result) {
+  if (result.end != AttemptEnd::kAnswered)
+    return std::string(kAttemptEndNames.Name(result.end));
+  const std::string_view reason = result.response.fields.Get(kReasonHeader);
+  return reason.empty() ? "status-" + std::to_string(result.response.status)
+                        : std::string(reason);
+}
+
 void Check(const LoadOptions& options) {
   for (const auto& group : options.groups) {
     for (const Endpoint& it : group) {
@@ -219,7 +227,7 @@
         results_.AddAnswer(MillisSince(start));
       co_return;
     }
-    results_.AddRepeat();
+    results_.AddRepeat(ReasonOf(result));
     co_await SleepFor(kRepeatPause);
   }
   if (refused)
@@ -254,7 +262,7 @@
     }
     if (verdict == "ran")
       break;
-    results_.AddRepeat();
+    results_.AddRepeat(ReasonOf(result));
     if (verdict == "not-run") {
       // It is void: begin again with the ticket that the answer offers, at the
       // host that gave it.
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -1707,32 +1707,42 @@
 }
 
 
-QuarantineNotice::~QuarantineNotice() noexcept {
+ServiceLoad::~ServiceLoad() noexcept {
 }
 
 
-void QuarantineNotice::__set_service_id(const std::string& val) {
+void ServiceLoad::__set_service_id(const std::string& val) {
   this->service_id = val;
 __isset.service_id = true;
 }
 
-void QuarantineNotice::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-__isset.fingerprint = true;
+void ServiceLoad::__set_in_flight(const std::vector<ServerInFlight> & val) {
+  this->in_flight = val;
+__isset.in_flight = true;
 }
 
-void QuarantineNotice::__set_remaining_ms(const int32_t val) {
-  this->remaining_ms = val;
-__isset.remaining_ms = true;
+void ServiceLoad::__set_waiting(const int32_t val) {
+  this->waiting = val;
+__isset.waiting = true;
 }
-std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj)
+
+void ServiceLoad::__set_free_slots(const int32_t val) {
+  this->free_slots = val;
+__isset.free_slots = true;
+}
+
+void ServiceLoad::__set_slots(const int32_t val) {
+  this->slots = val;
+__isset.slots = true;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuarantineNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServiceLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1762,17 +1772,45 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->in_flight.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->in_flight.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += this->in_flight[_i72].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.in_flight = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->remaining_ms);
-          this->__isset.remaining_ms = true;
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->free_slots);
+          this->__isset.free_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1789,24 +1827,42 @@
   return xfer;
 }
 
-uint32_t QuarantineNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServiceLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuarantineNotice");
+  xfer += oprot->writeStructBegin("ServiceLoad");
 
   if (this->__isset.service_id) {
     xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
     xfer += oprot->writeString(this->service_id);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.fingerprint) {
-    xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
-    xfer += oprot->writeI64(this->fingerprint);
+  if (this->__isset.in_flight) {
+    xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->in_flight.size()));
+      std::vector<ServerInFlight> ::const_iterator _iter73;
+      for (_iter73 = this->in_flight.begin(); _iter73 != this->in_flight.end(); ++_iter73)
+      {
+        xfer += (*_iter73).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.remaining_ms) {
-    xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 3);
-    xfer += oprot->writeI32(this->remaining_ms);
+  if (this->__isset.waiting) {
+    xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->waiting);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.free_slots) {
+    xfer += oprot->writeFieldBegin("free_slots", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->free_slots);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slots) {
+    xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->slots);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1814,81 +1870,221 @@
   return xfer;
 }
 
-void swap(QuarantineNotice &a, QuarantineNotice &b) {
+void swap(ServiceLoad &a, ServiceLoad &b) {
   using ::std::swap;
   swap(a.service_id, b.service_id);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.in_flight, b.in_flight);
+  swap(a.waiting, b.waiting);
+  swap(a.free_slots, b.free_slots);
+  swap(a.slots, b.slots);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineNotice::QuarantineNotice(const QuarantineNotice& other68) {
-  service_id = other68.service_id;
-  fingerprint = other68.fingerprint;
-  remaining_ms = other68.remaining_ms;
-  __isset = other68.__isset;
+ServiceLoad::ServiceLoad(const ServiceLoad& other74) {
+  service_id = other74.service_id;
+  in_flight = other74.in_flight;
+  waiting = other74.waiting;
+  free_slots = other74.free_slots;
+  slots = other74.slots;
+  __isset = other74.__isset;
 }
-QuarantineNotice::QuarantineNotice(QuarantineNotice&& other69) noexcept {
-  service_id = std::move(other69.service_id);
-  fingerprint = other69.fingerprint;
-  remaining_ms = other69.remaining_ms;
-  __isset = other69.__isset;
+ServiceLoad::ServiceLoad(ServiceLoad&& other75) noexcept {
+  service_id = std::move(other75.service_id);
+  in_flight = std::move(other75.in_flight);
+  waiting = other75.waiting;
+  free_slots = other75.free_slots;
+  slots = other75.slots;
+  __isset = other75.__isset;
 }
-QuarantineNotice& QuarantineNotice::operator=(const QuarantineNotice& other70) {
-  service_id = other70.service_id;
-  fingerprint = other70.fingerprint;
-  remaining_ms = other70.remaining_ms;
-  __isset = other70.__isset;
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other76) {
+  service_id = other76.service_id;
+  in_flight = other76.in_flight;
+  waiting = other76.waiting;
+  free_slots = other76.free_slots;
+  slots = other76.slots;
+  __isset = other76.__isset;
   return *this;
 }
-QuarantineNotice& QuarantineNotice::operator=(QuarantineNotice&& other71) noexcept {
-  service_id = std::move(other71.service_id);
-  fingerprint = other71.fingerprint;
-  remaining_ms = other71.remaining_ms;
-  __isset = other71.__isset;
+ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other77) noexcept {
+  service_id = std::move(other77.service_id);
+  in_flight = std::move(other77.in_flight);
+  waiting = other77.waiting;
+  free_slots = other77.free_slots;
+  slots = other77.slots;
+  __isset = other77.__isset;
   return *this;
 }
-void QuarantineNotice::printTo(std::ostream& out) const {
+void ServiceLoad::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuarantineNotice(";
+  out << "ServiceLoad(";
   out << "service_id="; (__isset.service_id ? (out << to_string(service_id)) : (out << "<null>"));
-  out << ", " << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
-  out << ", " << "remaining_ms="; (__isset.remaining_ms ? (out << to_string(remaining_ms)) : (out << "<null>"));
+  out << ", " << "in_flight="; (__isset.in_flight ? (out << to_string(in_flight)) : (out << "<null>"));
+  out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
+  out << ", " << "free_slots="; (__isset.free_slots ? (out << to_string(free_slots)) : (out << "<null>"));
+  out << ", " << "slots="; (__isset.slots ? (out << to_string(slots)) : (out << "<null>"));
   out << ")";
 }
 
 
-TicketAsk::~TicketAsk() noexcept {
+LoadNotice::~LoadNotice() noexcept {
 }
 
 
-void TicketAsk::__set_ask(const int64_t val) {
-  this->ask = val;
-__isset.ask = true;
+void LoadNotice::__set_services(const std::vector<ServiceLoad> & val) {
+  this->services = val;
+__isset.services = true;
+}
+std::ostream& operator<<(std::ostream& out, const LoadNotice& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void TicketAsk::__set_ticket(const std::string& val) {
-  this->ticket = val;
-__isset.ticket = true;
+
+uint32_t LoadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->services.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->services[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void TicketAsk::__set_fingerprint(const int64_t val) {
+uint32_t LoadNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadNotice");
+
+  if (this->__isset.services) {
+    xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+      std::vector<ServiceLoad> ::const_iterator _iter83;
+      for (_iter83 = this->services.begin(); _iter83 != this->services.end(); ++_iter83)
+      {
+        xfer += (*_iter83).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadNotice &a, LoadNotice &b) {
+  using ::std::swap;
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+LoadNotice::LoadNotice(const LoadNotice& other84) {
+  services = other84.services;
+  __isset = other84.__isset;
+}
+LoadNotice::LoadNotice(LoadNotice&& other85) noexcept {
+  services = std::move(other85.services);
+  __isset = other85.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other86) {
+  services = other86.services;
+  __isset = other86.__isset;
+  return *this;
+}
+LoadNotice& LoadNotice::operator=(LoadNotice&& other87) noexcept {
+  services = std::move(other87.services);
+  __isset = other87.__isset;
+  return *this;
+}
+void LoadNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadNotice(";
+  out << "services="; (__isset.services ? (out << to_string(services)) : (out << "<null>"));
+  out << ")";
+}
+
+
+CrashNotice::~CrashNotice() noexcept {
+}
+
+
+void CrashNotice::__set_kind(const int32_t val) {
+  this->kind = val;
+__isset.kind = true;
+}
+
+void CrashNotice::__set_fingerprint(const int64_t val) {
   this->fingerprint = val;
 __isset.fingerprint = true;
 }
 
-void TicketAsk::__set_void_unused(const bool val) {
-  this->void_unused = val;
-__isset.void_unused = true;
+void CrashNotice::__set_servers(const std::vector<std::string> & val) {
+  this->servers = val;
+__isset.servers = true;
+}
+
+void CrashNotice::__set_proven(const bool val) {
+  this->proven = val;
+__isset.proven = true;
+}
+
+void CrashNotice::__set_remaining_ms(const int32_t val) {
+  this->remaining_ms = val;
+__isset.remaining_ms = true;
 }
-std::ostream& operator<<(std::ostream& out, const TicketAsk& obj)
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TicketAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1910,33 +2106,53 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ask);
-          this->__isset.ask = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->ticket);
-          this->__isset.ticket = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->servers.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += iprot->readString(this->servers[_i92]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->void_unused);
-          this->__isset.void_unused = true;
+          xfer += iprot->readBool(this->proven);
+          this->__isset.proven = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remaining_ms);
+          this->__isset.remaining_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1953,29 +2169,42 @@
   return xfer;
 }
 
-uint32_t TicketAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TicketAsk");
+  xfer += oprot->writeStructBegin("CrashNotice");
 
-  if (this->__isset.ask) {
-    xfer += oprot->writeFieldBegin("ask", ::apache::thrift::protocol::T_I64, 1);
-    xfer += oprot->writeI64(this->ask);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ticket) {
-    xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 2);
-    xfer += oprot->writeString(this->ticket);
+  if (this->__isset.kind) {
+    xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+    xfer += oprot->writeI32(this->kind);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.fingerprint) {
-    xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
     xfer += oprot->writeI64(this->fingerprint);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.void_unused) {
-    xfer += oprot->writeFieldBegin("void_unused", ::apache::thrift::protocol::T_BOOL, 4);
-    xfer += oprot->writeBool(this->void_unused);
+  if (this->__isset.servers) {
+    xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
+      std::vector<std::string> ::const_iterator _iter93;
+      for (_iter93 = this->servers.begin(); _iter93 != this->servers.end(); ++_iter93)
+      {
+        xfer += oprot->writeString((*_iter93));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.proven) {
+    xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->proven);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.remaining_ms) {
+    xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->remaining_ms);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1983,82 +2212,83 @@
   return xfer;
 }
 
-void swap(TicketAsk &a, TicketAsk &b) {
+void swap(CrashNotice &a, CrashNotice &b) {
   using ::std::swap;
-  swap(a.ask, b.ask);
-  swap(a.ticket, b.ticket);
+  swap(a.kind, b.kind);
   swap(a.fingerprint, b.fingerprint);
-  swap(a.void_unused, b.void_unused);
+  swap(a.servers, b.servers);
+  swap(a.proven, b.proven);
+  swap(a.remaining_ms, b.remaining_ms);
   swap(a.__isset, b.__isset);
 }
 
-TicketAsk::TicketAsk(const TicketAsk& other72) {
-  ask = other72.ask;
-  ticket = other72.ticket;
-  fingerprint = other72.fingerprint;
-  void_unused = other72.void_unused;
-  __isset = other72.__isset;
-}
-TicketAsk::TicketAsk(TicketAsk&& other73) noexcept {
-  ask = other73.ask;
-  ticket = std::move(other73.ticket);
-  fingerprint = other73.fingerprint;
-  void_unused = other73.void_unused;
-  __isset = other73.__isset;
-}
-TicketAsk& TicketAsk::operator=(const TicketAsk& other74) {
-  ask = other74.ask;
-  ticket = other74.ticket;
-  fingerprint = other74.fingerprint;
-  void_unused = other74.void_unused;
-  __isset = other74.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other94) {
+  kind = other94.kind;
+  fingerprint = other94.fingerprint;
+  servers = other94.servers;
+  proven = other94.proven;
+  remaining_ms = other94.remaining_ms;
+  __isset = other94.__isset;
+}
+CrashNotice::CrashNotice(CrashNotice&& other95) noexcept {
+  kind = other95.kind;
+  fingerprint = other95.fingerprint;
+  servers = std::move(other95.servers);
+  proven = other95.proven;
+  remaining_ms = other95.remaining_ms;
+  __isset = other95.__isset;
+}
+CrashNotice& CrashNotice::operator=(const CrashNotice& other96) {
+  kind = other96.kind;
+  fingerprint = other96.fingerprint;
+  servers = other96.servers;
+  proven = other96.proven;
+  remaining_ms = other96.remaining_ms;
+  __isset = other96.__isset;
   return *this;
 }
-TicketAsk& TicketAsk::operator=(TicketAsk&& other75) noexcept {
-  ask = other75.ask;
-  ticket = std::move(other75.ticket);
-  fingerprint = other75.fingerprint;
-  void_unused = other75.void_unused;
-  __isset = other75.__isset;
+CrashNotice& CrashNotice::operator=(CrashNotice&& other97) noexcept {
+  kind = other97.kind;
+  fingerprint = other97.fingerprint;
+  servers = std::move(other97.servers);
+  proven = other97.proven;
+  remaining_ms = other97.remaining_ms;
+  __isset = other97.__isset;
   return *this;
 }
-void TicketAsk::printTo(std::ostream& out) const {
+void CrashNotice::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TicketAsk(";
-  out << "ask="; (__isset.ask ? (out << to_string(ask)) : (out << "<null>"));
-  out << ", " << "ticket="; (__isset.ticket ? (out << to_string(ticket)) : (out << "<null>"));
+  out << "CrashNotice(";
+  out << "kind="; (__isset.kind ? (out << to_string(kind)) : (out << "<null>"));
   out << ", " << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
-  out << ", " << "void_unused="; (__isset.void_unused ? (out << to_string(void_unused)) : (out << "<null>"));
+  out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
+  out << ", " << "proven="; (__isset.proven ? (out << to_string(proven)) : (out << "<null>"));
+  out << ", " << "remaining_ms="; (__isset.remaining_ms ? (out << to_string(remaining_ms)) : (out << "<null>"));
   out << ")";
 }
 
 
-TicketAnswer::~TicketAnswer() noexcept {
+CrashNotices::~CrashNotices() noexcept {
 }
 
 
-void TicketAnswer::__set_ask(const int64_t val) {
-  this->ask = val;
-__isset.ask = true;
-}
-
-void TicketAnswer::__set_state(const int32_t val) {
-  this->state = val;
-__isset.state = true;
+void CrashNotices::__set_service_id(const std::string& val) {
+  this->service_id = val;
+__isset.service_id = true;
 }
 
-void TicketAnswer::__set_answer(const std::string& val) {
-  this->answer = val;
-__isset.answer = true;
+void CrashNotices::__set_notices(const std::vector<CrashNotice> & val) {
+  this->notices = val;
+__isset.notices = true;
 }
-std::ostream& operator<<(std::ostream& out, const TicketAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const CrashNotices& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TicketAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2080,25 +2310,29 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ask);
-          this->__isset.ask = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->state);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notices.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->notices.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->notices[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notices = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2115,24 +2349,27 @@
   return xfer;
 }
 
-uint32_t TicketAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TicketAnswer");
+  xfer += oprot->writeStructBegin("CrashNotices");
 
-  if (this->__isset.ask) {
-    xfer += oprot->writeFieldBegin("ask", ::apache::thrift::protocol::T_I64, 1);
-    xfer += oprot->writeI64(this->ask);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.state) {
-    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
-    xfer += oprot->writeI32(this->state);
+  if (this->__isset.service_id) {
+    xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->service_id);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.answer) {
-    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 3);
-    xfer += oprot->writeBinary(this->answer);
+  if (this->__isset.notices) {
+    xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
+      std::vector<CrashNotice> ::const_iterator _iter103;
+      for (_iter103 = this->notices.begin(); _iter103 != this->notices.end(); ++_iter103)
+      {
+        xfer += (*_iter103).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2140,71 +2377,70 @@
   return xfer;
 }
 
-void swap(TicketAnswer &a, TicketAnswer &b) {
+void swap(CrashNotices &a, CrashNotices &b) {
   using ::std::swap;
-  swap(a.ask, b.ask);
-  swap(a.state, b.state);
-  swap(a.answer, b.answer);
+  swap(a.service_id, b.service_id);
+  swap(a.notices, b.notices);
   swap(a.__isset, b.__isset);
 }
 
-TicketAnswer::TicketAnswer(const TicketAnswer& other76) {
-  ask = other76.ask;
-  state = other76.state;
-  answer = other76.answer;
-  __isset = other76.__isset;
+CrashNotices::CrashNotices(const CrashNotices& other104) {
+  service_id = other104.service_id;
+  notices = other104.notices;
+  __isset = other104.__isset;
 }
-TicketAnswer::TicketAnswer(TicketAnswer&& other77) noexcept {
-  ask = other77.ask;
-  state = other77.state;
-  answer = std::move(other77.answer);
-  __isset = other77.__isset;
+CrashNotices::CrashNotices(CrashNotices&& other105) noexcept {
+  service_id = std::move(other105.service_id);
+  notices = std::move(other105.notices);
+  __isset = other105.__isset;
 }
-TicketAnswer& TicketAnswer::operator=(const TicketAnswer& other78) {
-  ask = other78.ask;
-  state = other78.state;
-  answer = other78.answer;
-  __isset = other78.__isset;
+CrashNotices& CrashNotices::operator=(const CrashNotices& other106) {
+  service_id = other106.service_id;
+  notices = other106.notices;
+  __isset = other106.__isset;
   return *this;
 }
-TicketAnswer& TicketAnswer::operator=(TicketAnswer&& other79) noexcept {
-  ask = other79.ask;
-  state = other79.state;
-  answer = std::move(other79.answer);
-  __isset = other79.__isset;
+CrashNotices& CrashNotices::operator=(CrashNotices&& other107) noexcept {
+  service_id = std::move(other107.service_id);
+  notices = std::move(other107.notices);
+  __isset = other107.__isset;
   return *this;
 }
-void TicketAnswer::printTo(std::ostream& out) const {
+void CrashNotices::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TicketAnswer(";
-  out << "ask="; (__isset.ask ? (out << to_string(ask)) : (out << "<null>"));
-  out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
-  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << "CrashNotices(";
+  out << "service_id="; (__isset.service_id ? (out << to_string(service_id)) : (out << "<null>"));
+  out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
   out << ")";
 }
 
 
-Demand::~Demand() noexcept {
+ServerView::~ServerView() noexcept {
 }
 
 
-void Demand::__set_budget(const std::string& val) {
-  this->budget = val;
-__isset.budget = true;
+void ServerView::__set_server(const std::string& val) {
+  this->server = val;
+__isset.server = true;
+}
+
+void ServerView::__set_state(const int32_t val) {
+  this->state = val;
+__isset.state = true;
 }
 
-void Demand::__set_amount(const double val) {
-  this->amount = val;
-__isset.amount = true;
+void ServerView::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+__isset.age_ms = true;
 }
-std::ostream& operator<<(std::ostream& out, const Demand& obj)
+std::ostream& operator<<(std::ostream& out, const ServerView& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServerView::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2227,16 +2463,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->budget);
-          this->__isset.budget = true;
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->amount);
-          this->__isset.amount = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2253,19 +2497,24 @@
   return xfer;
 }
 
-uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServerView::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Demand");
+  xfer += oprot->writeStructBegin("ServerView");
 
-  if (this->__isset.budget) {
-    xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
-    xfer += oprot->writeString(this->budget);
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->server);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.amount) {
-    xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_DOUBLE, 2);
-    xfer += oprot->writeDouble(this->amount);
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->state);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.age_ms) {
+    xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->age_ms);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2273,65 +2522,71 @@
   return xfer;
 }
 
-void swap(Demand &a, Demand &b) {
+void swap(ServerView &a, ServerView &b) {
   using ::std::swap;
-  swap(a.budget, b.budget);
-  swap(a.amount, b.amount);
+  swap(a.server, b.server);
+  swap(a.state, b.state);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other80) {
-  budget = other80.budget;
-  amount = other80.amount;
-  __isset = other80.__isset;
+ServerView::ServerView(const ServerView& other108) {
+  server = other108.server;
+  state = other108.state;
+  age_ms = other108.age_ms;
+  __isset = other108.__isset;
 }
-Demand::Demand(Demand&& other81) noexcept {
-  budget = std::move(other81.budget);
-  amount = other81.amount;
-  __isset = other81.__isset;
+ServerView::ServerView(ServerView&& other109) noexcept {
+  server = std::move(other109.server);
+  state = other109.state;
+  age_ms = other109.age_ms;
+  __isset = other109.__isset;
 }
-Demand& Demand::operator=(const Demand& other82) {
-  budget = other82.budget;
-  amount = other82.amount;
-  __isset = other82.__isset;
+ServerView& ServerView::operator=(const ServerView& other110) {
+  server = other110.server;
+  state = other110.state;
+  age_ms = other110.age_ms;
+  __isset = other110.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other83) noexcept {
-  budget = std::move(other83.budget);
-  amount = other83.amount;
-  __isset = other83.__isset;
+ServerView& ServerView::operator=(ServerView&& other111) noexcept {
+  server = std::move(other111.server);
+  state = other111.state;
+  age_ms = other111.age_ms;
+  __isset = other111.__isset;
   return *this;
 }
-void Demand::printTo(std::ostream& out) const {
+void ServerView::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Demand(";
-  out << "budget="; (__isset.budget ? (out << to_string(budget)) : (out << "<null>"));
-  out << ", " << "amount="; (__isset.amount ? (out << to_string(amount)) : (out << "<null>"));
+  out << "ServerView(";
+  out << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
+  out << ", " << "age_ms="; (__isset.age_ms ? (out << to_string(age_ms)) : (out << "<null>"));
   out << ")";
 }
 
 
-BudgetDemand::~BudgetDemand() noexcept {
+ServerViews::~ServerViews() noexcept {
 }
 
 
-void BudgetDemand::__set_epoch(const int64_t val) {
-  this->epoch = val;
-__isset.epoch = true;
+void ServerViews::__set_service_id(const std::string& val) {
+  this->service_id = val;
+__isset.service_id = true;
 }
 
-void BudgetDemand::__set_demands(const std::vector<Demand> & val) {
-  this->demands = val;
-__isset.demands = true;
+void ServerViews::__set_views(const std::vector<ServerView> & val) {
+  this->views = val;
+__isset.views = true;
 }
-std::ostream& operator<<(std::ostream& out, const BudgetDemand& obj)
+std::ostream& operator<<(std::ostream& out, const ServerViews& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BudgetDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServerViews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2353,9 +2608,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2363,19 +2618,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->demands.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->demands.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            this->views.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->views.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->demands[_i88].read(iprot);
+              xfer += this->views[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.demands = true;
+          this->__isset.views = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2392,24 +2647,24 @@
   return xfer;
 }
 
-uint32_t BudgetDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServerViews::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BudgetDemand");
+  xfer += oprot->writeStructBegin("ServerViews");
 
-  if (this->__isset.epoch) {
-    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
-    xfer += oprot->writeI64(this->epoch);
+  if (this->__isset.service_id) {
+    xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->service_id);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.demands) {
-    xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 2);
+  if (this->__isset.views) {
+    xfer += oprot->writeFieldBegin("views", ::apache::thrift::protocol::T_LIST, 2);
     {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<Demand> ::const_iterator _iter89;
-      for (_iter89 = this->demands.begin(); _iter89 != this->demands.end(); ++_iter89)
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->views.size()));
+      std::vector<ServerView> ::const_iterator _iter117;
+      for (_iter117 = this->views.begin(); _iter117 != this->views.end(); ++_iter117)
       {
-        xfer += (*_iter89).write(oprot);
+        xfer += (*_iter117).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2420,70 +2675,65 @@
   return xfer;
 }
 
-void swap(BudgetDemand &a, BudgetDemand &b) {
+void swap(ServerViews &a, ServerViews &b) {
   using ::std::swap;
-  swap(a.epoch, b.epoch);
-  swap(a.demands, b.demands);
+  swap(a.service_id, b.service_id);
+  swap(a.views, b.views);
   swap(a.__isset, b.__isset);
 }
 
-BudgetDemand::BudgetDemand(const BudgetDemand& other90) {
-  epoch = other90.epoch;
-  demands = other90.demands;
-  __isset = other90.__isset;
+ServerViews::ServerViews(const ServerViews& other118) {
+  service_id = other118.service_id;
+  views = other118.views;
+  __isset = other118.__isset;
 }
-BudgetDemand::BudgetDemand(BudgetDemand&& other91) noexcept {
-  epoch = other91.epoch;
-  demands = std::move(other91.demands);
-  __isset = other91.__isset;
+ServerViews::ServerViews(ServerViews&& other119) noexcept {
+  service_id = std::move(other119.service_id);
+  views = std::move(other119.views);
+  __isset = other119.__isset;
 }
-BudgetDemand& BudgetDemand::operator=(const BudgetDemand& other92) {
-  epoch = other92.epoch;
-  demands = other92.demands;
-  __isset = other92.__isset;
+ServerViews& ServerViews::operator=(const ServerViews& other120) {
+  service_id = other120.service_id;
+  views = other120.views;
+  __isset = other120.__isset;
   return *this;
 }
-BudgetDemand& BudgetDemand::operator=(BudgetDemand&& other93) noexcept {
-  epoch = other93.epoch;
-  demands = std::move(other93.demands);
-  __isset = other93.__isset;
+ServerViews& ServerViews::operator=(ServerViews&& other121) noexcept {
+  service_id = std::move(other121.service_id);
+  views = std::move(other121.views);
+  __isset = other121.__isset;
   return *this;
 }
-void BudgetDemand::printTo(std::ostream& out) const {
+void ServerViews::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BudgetDemand(";
-  out << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
-  out << ", " << "demands="; (__isset.demands ? (out << to_string(demands)) : (out << "<null>"));
+  out << "ServerViews(";
+  out << "service_id="; (__isset.service_id ? (out << to_string(service_id)) : (out << "<null>"));
+  out << ", " << "views="; (__isset.views ? (out << to_string(views)) : (out << "<null>"));
   out << ")";
 }
 
 
-Grant::~Grant() noexcept {
+FinishedRun::~FinishedRun() noexcept {
 }
 
 
-void Grant::__set_budget(const std::string& val) {
-  this->budget = val;
-__isset.budget = true;
-}
-
-void Grant::__set_amount(const double val) {
-  this->amount = val;
-__isset.amount = true;
+void FinishedRun::__set_run(const int64_t val) {
+  this->run = val;
+__isset.run = true;
 }
 
-void Grant::__set_lifetime_ms(const int32_t val) {
-  this->lifetime_ms = val;
-__isset.lifetime_ms = true;
+void FinishedRun::__set_verdict(const int32_t val) {
+  this->verdict = val;
+__isset.verdict = true;
 }
-std::ostream& operator<<(std::ostream& out, const Grant& obj)
+std::ostream& operator<<(std::ostream& out, const FinishedRun& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FinishedRun::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2505,25 +2755,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->budget);
-          this->__isset.budget = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->amount);
-          this->__isset.amount = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->lifetime_ms);
-          this->__isset.lifetime_ms = true;
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2540,24 +2782,19 @@
   return xfer;
 }
 
-uint32_t Grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FinishedRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Grant");
+  xfer += oprot->writeStructBegin("FinishedRun");
 
-  if (this->__isset.budget) {
-    xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
-    xfer += oprot->writeString(this->budget);
+  if (this->__isset.run) {
+    xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->run);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.amount) {
-    xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_DOUBLE, 2);
-    xfer += oprot->writeDouble(this->amount);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.lifetime_ms) {
-    xfer += oprot->writeFieldBegin("lifetime_ms", ::apache::thrift::protocol::T_I32, 3);
-    xfer += oprot->writeI32(this->lifetime_ms);
+  if (this->__isset.verdict) {
+    xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->verdict);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2565,71 +2802,65 @@
   return xfer;
 }
 
-void swap(Grant &a, Grant &b) {
+void swap(FinishedRun &a, FinishedRun &b) {
   using ::std::swap;
-  swap(a.budget, b.budget);
-  swap(a.amount, b.amount);
-  swap(a.lifetime_ms, b.lifetime_ms);
+  swap(a.run, b.run);
+  swap(a.verdict, b.verdict);
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other94) {
-  budget = other94.budget;
-  amount = other94.amount;
-  lifetime_ms = other94.lifetime_ms;
-  __isset = other94.__isset;
+FinishedRun::FinishedRun(const FinishedRun& other122) noexcept {
+  run = other122.run;
+  verdict = other122.verdict;
+  __isset = other122.__isset;
 }
-Grant::Grant(Grant&& other95) noexcept {
-  budget = std::move(other95.budget);
-  amount = other95.amount;
-  lifetime_ms = other95.lifetime_ms;
-  __isset = other95.__isset;
+FinishedRun::FinishedRun(FinishedRun&& other123) noexcept {
+  run = other123.run;
+  verdict = other123.verdict;
+  __isset = other123.__isset;
 }
-Grant& Grant::operator=(const Grant& other96) {
-  budget = other96.budget;
-  amount = other96.amount;
-  lifetime_ms = other96.lifetime_ms;
-  __isset = other96.__isset;
+FinishedRun& FinishedRun::operator=(const FinishedRun& other124) noexcept {
+  run = other124.run;
+  verdict = other124.verdict;
+  __isset = other124.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other97) noexcept {
-  budget = std::move(other97.budget);
-  amount = other97.amount;
-  lifetime_ms = other97.lifetime_ms;
-  __isset = other97.__isset;
+FinishedRun& FinishedRun::operator=(FinishedRun&& other125) noexcept {
+  run = other125.run;
+  verdict = other125.verdict;
+  __isset = other125.__isset;
   return *this;
 }
-void Grant::printTo(std::ostream& out) const {
+void FinishedRun::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Grant(";
-  out << "budget="; (__isset.budget ? (out << to_string(budget)) : (out << "<null>"));
-  out << ", " << "amount="; (__isset.amount ? (out << to_string(amount)) : (out << "<null>"));
-  out << ", " << "lifetime_ms="; (__isset.lifetime_ms ? (out << to_string(lifetime_ms)) : (out << "<null>"));
+  out << "FinishedRun(";
+  out << "run="; (__isset.run ? (out << to_string(run)) : (out << "<null>"));
+  out << ", " << "verdict="; (__isset.verdict ? (out << to_string(verdict)) : (out << "<null>"));
   out << ")";
 }
 
 
-BudgetGrant::~BudgetGrant() noexcept {
+TicketHandoff::~TicketHandoff() noexcept {
 }
 
 
-void BudgetGrant::__set_epoch(const int64_t val) {
-  this->epoch = val;
-__isset.epoch = true;
+void TicketHandoff::__set_forgotten_mark(const int64_t val) {
+  this->forgotten_mark = val;
+__isset.forgotten_mark = true;
 }
 
-void BudgetGrant::__set_grants(const std::vector<Grant> & val) {
-  this->grants = val;
-__isset.grants = true;
+void TicketHandoff::__set_finished(const std::vector<FinishedRun> & val) {
+  this->finished = val;
+__isset.finished = true;
 }
-std::ostream& operator<<(std::ostream& out, const BudgetGrant& obj)
+std::ostream& operator<<(std::ostream& out, const TicketHandoff& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BudgetGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TicketHandoff::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2652,8 +2883,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+          xfer += iprot->readI64(this->forgotten_mark);
+          this->__isset.forgotten_mark = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2661,19 +2892,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->grants.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->grants.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            this->finished.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->finished.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->grants[_i102].read(iprot);
+              xfer += this->finished[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.grants = true;
+          this->__isset.finished = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2690,24 +2921,24 @@
   return xfer;
 }
 
-uint32_t BudgetGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TicketHandoff::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BudgetGrant");
+  xfer += oprot->writeStructBegin("TicketHandoff");
 
-  if (this->__isset.epoch) {
-    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
-    xfer += oprot->writeI64(this->epoch);
+  if (this->__isset.forgotten_mark) {
+    xfer += oprot->writeFieldBegin("forgotten_mark", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->forgotten_mark);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.grants) {
-    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
+  if (this->__isset.finished) {
+    xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 2);
     {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-      std::vector<Grant> ::const_iterator _iter103;
-      for (_iter103 = this->grants.begin(); _iter103 != this->grants.end(); ++_iter103)
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
+      std::vector<FinishedRun> ::const_iterator _iter131;
+      for (_iter131 = this->finished.begin(); _iter131 != this->finished.end(); ++_iter131)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2718,40 +2949,40 @@
   return xfer;
 }
 
-void swap(BudgetGrant &a, BudgetGrant &b) {
+void swap(TicketHandoff &a, TicketHandoff &b) {
   using ::std::swap;
-  swap(a.epoch, b.epoch);
-  swap(a.grants, b.grants);
+  swap(a.forgotten_mark, b.forgotten_mark);
+  swap(a.finished, b.finished);
   swap(a.__isset, b.__isset);
 }
 
-BudgetGrant::BudgetGrant(const BudgetGrant& other104) {
-  epoch = other104.epoch;
-  grants = other104.grants;
-  __isset = other104.__isset;
+TicketHandoff::TicketHandoff(const TicketHandoff& other132) {
+  forgotten_mark = other132.forgotten_mark;
+  finished = other132.finished;
+  __isset = other132.__isset;
 }
-BudgetGrant::BudgetGrant(BudgetGrant&& other105) noexcept {
-  epoch = other105.epoch;
-  grants = std::move(other105.grants);
-  __isset = other105.__isset;
+TicketHandoff::TicketHandoff(TicketHandoff&& other133) noexcept {
+  forgotten_mark = other133.forgotten_mark;
+  finished = std::move(other133.finished);
+  __isset = other133.__isset;
 }
-BudgetGrant& BudgetGrant::operator=(const BudgetGrant& other106) {
-  epoch = other106.epoch;
-  grants = other106.grants;
-  __isset = other106.__isset;
+TicketHandoff& TicketHandoff::operator=(const TicketHandoff& other134) {
+  forgotten_mark = other134.forgotten_mark;
+  finished = other134.finished;
+  __isset = other134.__isset;
   return *this;
 }
-BudgetGrant& BudgetGrant::operator=(BudgetGrant&& other107) noexcept {
-  epoch = other107.epoch;
-  grants = std::move(other107.grants);
-  __isset = other107.__isset;
+TicketHandoff& TicketHandoff::operator=(TicketHandoff&& other135) noexcept {
+  forgotten_mark = other135.forgotten_mark;
+  finished = std::move(other135.finished);
+  __isset = other135.__isset;
   return *this;
 }
-void BudgetGrant::printTo(std::ostream& out) const {
+void TicketHandoff::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BudgetGrant(";
-  out << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
-  out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
+  out << "TicketHandoff(";
+  out << "forgotten_mark="; (__isset.forgotten_mark ? (out << to_string(forgotten_mark)) : (out << "<null>"));
+  out << ", " << "finished="; (__isset.finished ? (out << to_string(finished)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2810,29 +3041,24 @@
 __isset.part_give = true;
 }
 
-void Envelope::__set_quarantine_notice(const QuarantineNotice& val) {
-  this->quarantine_notice = val;
-__isset.quarantine_notice = true;
+void Envelope::__set_load_notice(const LoadNotice& val) {
+  this->load_notice = val;
+__isset.load_notice = true;
 }
 
-void Envelope::__set_ticket_ask(const TicketAsk& val) {
-  this->ticket_ask = val;
-__isset.ticket_ask = true;
+void Envelope::__set_crash_notices(const CrashNotices& val) {
+  this->crash_notices = val;
+__isset.crash_notices = true;
 }
 
-void Envelope::__set_ticket_answer(const TicketAnswer& val) {
-  this->ticket_answer = val;
-__isset.ticket_answer = true;
+void Envelope::__set_server_views(const ServerViews& val) {
+  this->server_views = val;
+__isset.server_views = true;
 }
 
-void Envelope::__set_budget_demand(const BudgetDemand& val) {
-  this->budget_demand = val;
-__isset.budget_demand = true;
-}
-
-void Envelope::__set_budget_grant(const BudgetGrant& val) {
-  this->budget_grant = val;
-__isset.budget_grant = true;
+void Envelope::__set_ticket_handoff(const TicketHandoff& val) {
+  this->ticket_handoff = val;
+__isset.ticket_handoff = true;
 }
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
@@ -2944,40 +3170,32 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->quarantine_notice.read(iprot);
-          this->__isset.quarantine_notice = true;
+          xfer += this->load_notice.read(iprot);
+          this->__isset.load_notice = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ticket_ask.read(iprot);
-          this->__isset.ticket_ask = true;
+          xfer += this->crash_notices.read(iprot);
+          this->__isset.crash_notices = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ticket_answer.read(iprot);
-          this->__isset.ticket_answer = true;
+          xfer += this->server_views.read(iprot);
+          this->__isset.server_views = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->budget_demand.read(iprot);
-          this->__isset.budget_demand = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->budget_grant.read(iprot);
-          this->__isset.budget_grant = true;
+          xfer += this->ticket_handoff.read(iprot);
+          this->__isset.ticket_handoff = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3049,29 +3267,24 @@
     xfer += this->part_give.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.quarantine_notice) {
-    xfer += oprot->writeFieldBegin("quarantine_notice", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->quarantine_notice.write(oprot);
+  if (this->__isset.load_notice) {
+    xfer += oprot->writeFieldBegin("load_notice", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->load_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.ticket_ask) {
-    xfer += oprot->writeFieldBegin("ticket_ask", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->ticket_ask.write(oprot);
+  if (this->__isset.crash_notices) {
+    xfer += oprot->writeFieldBegin("crash_notices", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->crash_notices.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.ticket_answer) {
-    xfer += oprot->writeFieldBegin("ticket_answer", ::apache::thrift::protocol::T_STRUCT, 13);
-    xfer += this->ticket_answer.write(oprot);
+  if (this->__isset.server_views) {
+    xfer += oprot->writeFieldBegin("server_views", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->server_views.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.budget_demand) {
-    xfer += oprot->writeFieldBegin("budget_demand", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->budget_demand.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.budget_grant) {
-    xfer += oprot->writeFieldBegin("budget_grant", ::apache::thrift::protocol::T_STRUCT, 15);
-    xfer += this->budget_grant.write(oprot);
+  if (this->__isset.ticket_handoff) {
+    xfer += oprot->writeFieldBegin("ticket_handoff", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->ticket_handoff.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3091,86 +3304,81 @@
   swap(a.config_push, b.config_push);
   swap(a.part_ask, b.part_ask);
   swap(a.part_give, b.part_give);
-  swap(a.quarantine_notice, b.quarantine_notice);
-  swap(a.ticket_ask, b.ticket_ask);
-  swap(a.ticket_answer, b.ticket_answer);
-  swap(a.budget_demand, b.budget_demand);
-  swap(a.budget_grant, b.budget_grant);
+  swap(a.load_notice, b.load_notice);
+  swap(a.crash_notices, b.crash_notices);
+  swap(a.server_views, b.server_views);
+  swap(a.ticket_handoff, b.ticket_handoff);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other108) {
-  sender = other108.sender;
-  incarnation = other108.incarnation;
-  heartbeat = other108.heartbeat;
-  zone_digests = other108.zone_digests;
-  leaving_notice = other108.leaving_notice;
-  config_compare = other108.config_compare;
-  config_ask = other108.config_ask;
-  config_push = other108.config_push;
-  part_ask = other108.part_ask;
-  part_give = other108.part_give;
-  quarantine_notice = other108.quarantine_notice;
-  ticket_ask = other108.ticket_ask;
-  ticket_answer = other108.ticket_answer;
-  budget_demand = other108.budget_demand;
-  budget_grant = other108.budget_grant;
-  __isset = other108.__isset;
-}
-Envelope::Envelope(Envelope&& other109) noexcept {
-  sender = std::move(other109.sender);
-  incarnation = other109.incarnation;
-  heartbeat = std::move(other109.heartbeat);
-  zone_digests = std::move(other109.zone_digests);
-  leaving_notice = std::move(other109.leaving_notice);
-  config_compare = std::move(other109.config_compare);
-  config_ask = std::move(other109.config_ask);
-  config_push = std::move(other109.config_push);
-  part_ask = std::move(other109.part_ask);
-  part_give = std::move(other109.part_give);
-  quarantine_notice = std::move(other109.quarantine_notice);
-  ticket_ask = std::move(other109.ticket_ask);
-  ticket_answer = std::move(other109.ticket_answer);
-  budget_demand = std::move(other109.budget_demand);
-  budget_grant = std::move(other109.budget_grant);
-  __isset = other109.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other110) {
-  sender = other110.sender;
-  incarnation = other110.incarnation;
-  heartbeat = other110.heartbeat;
-  zone_digests = other110.zone_digests;
-  leaving_notice = other110.leaving_notice;
-  config_compare = other110.config_compare;
-  config_ask = other110.config_ask;
-  config_push = other110.config_push;
-  part_ask = other110.part_ask;
-  part_give = other110.part_give;
-  quarantine_notice = other110.quarantine_notice;
-  ticket_ask = other110.ticket_ask;
-  ticket_answer = other110.ticket_answer;
-  budget_demand = other110.budget_demand;
-  budget_grant = other110.budget_grant;
-  __isset = other110.__isset;
+Envelope::Envelope(const Envelope& other136) {
+  sender = other136.sender;
+  incarnation = other136.incarnation;
+  heartbeat = other136.heartbeat;
+  zone_digests = other136.zone_digests;
+  leaving_notice = other136.leaving_notice;
+  config_compare = other136.config_compare;
+  config_ask = other136.config_ask;
+  config_push = other136.config_push;
+  part_ask = other136.part_ask;
+  part_give = other136.part_give;
+  load_notice = other136.load_notice;
+  crash_notices = other136.crash_notices;
+  server_views = other136.server_views;
+  ticket_handoff = other136.ticket_handoff;
+  __isset = other136.__isset;
+}
+Envelope::Envelope(Envelope&& other137) noexcept {
+  sender = std::move(other137.sender);
+  incarnation = other137.incarnation;
+  heartbeat = std::move(other137.heartbeat);
+  zone_digests = std::move(other137.zone_digests);
+  leaving_notice = std::move(other137.leaving_notice);
+  config_compare = std::move(other137.config_compare);
+  config_ask = std::move(other137.config_ask);
+  config_push = std::move(other137.config_push);
+  part_ask = std::move(other137.part_ask);
+  part_give = std::move(other137.part_give);
+  load_notice = std::move(other137.load_notice);
+  crash_notices = std::move(other137.crash_notices);
+  server_views = std::move(other137.server_views);
+  ticket_handoff = std::move(other137.ticket_handoff);
+  __isset = other137.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other138) {
+  sender = other138.sender;
+  incarnation = other138.incarnation;
+  heartbeat = other138.heartbeat;
+  zone_digests = other138.zone_digests;
+  leaving_notice = other138.leaving_notice;
+  config_compare = other138.config_compare;
+  config_ask = other138.config_ask;
+  config_push = other138.config_push;
+  part_ask = other138.part_ask;
+  part_give = other138.part_give;
+  load_notice = other138.load_notice;
+  crash_notices = other138.crash_notices;
+  server_views = other138.server_views;
+  ticket_handoff = other138.ticket_handoff;
+  __isset = other138.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other111) noexcept {
-  sender = std::move(other111.sender);
-  incarnation = other111.incarnation;
-  heartbeat = std::move(other111.heartbeat);
-  zone_digests = std::move(other111.zone_digests);
-  leaving_notice = std::move(other111.leaving_notice);
-  config_compare = std::move(other111.config_compare);
-  config_ask = std::move(other111.config_ask);
-  config_push = std::move(other111.config_push);
-  part_ask = std::move(other111.part_ask);
-  part_give = std::move(other111.part_give);
-  quarantine_notice = std::move(other111.quarantine_notice);
-  ticket_ask = std::move(other111.ticket_ask);
-  ticket_answer = std::move(other111.ticket_answer);
-  budget_demand = std::move(other111.budget_demand);
-  budget_grant = std::move(other111.budget_grant);
-  __isset = other111.__isset;
+Envelope& Envelope::operator=(Envelope&& other139) noexcept {
+  sender = std::move(other139.sender);
+  incarnation = other139.incarnation;
+  heartbeat = std::move(other139.heartbeat);
+  zone_digests = std::move(other139.zone_digests);
+  leaving_notice = std::move(other139.leaving_notice);
+  config_compare = std::move(other139.config_compare);
+  config_ask = std::move(other139.config_ask);
+  config_push = std::move(other139.config_push);
+  part_ask = std::move(other139.part_ask);
+  part_give = std::move(other139.part_give);
+  load_notice = std::move(other139.load_notice);
+  crash_notices = std::move(other139.crash_notices);
+  server_views = std::move(other139.server_views);
+  ticket_handoff = std::move(other139.ticket_handoff);
+  __isset = other139.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3186,11 +3394,10 @@
   out << ", " << "config_push="; (__isset.config_push ? (out << to_string(config_push)) : (out << "<null>"));
   out << ", " << "part_ask="; (__isset.part_ask ? (out << to_string(part_ask)) : (out << "<null>"));
   out << ", " << "part_give="; (__isset.part_give ? (out << to_string(part_give)) : (out << "<null>"));
-  out << ", " << "quarantine_notice="; (__isset.quarantine_notice ? (out << to_string(quarantine_notice)) : (out << "<null>"));
-  out << ", " << "ticket_ask="; (__isset.ticket_ask ? (out << to_string(ticket_ask)) : (out << "<null>"));
-  out << ", " << "ticket_answer="; (__isset.ticket_answer ? (out << to_string(ticket_answer)) : (out << "<null>"));
-  out << ", " << "budget_demand="; (__isset.budget_demand ? (out << to_string(budget_demand)) : (out << "<null>"));
-  out << ", " << "budget_grant="; (__isset.budget_grant ? (out << to_string(budget_grant)) : (out << "<null>"));
+  out << ", " << "load_notice="; (__isset.load_notice ? (out << to_string(load_notice)) : (out << "<null>"));
+  out << ", " << "crash_notices="; (__isset.crash_notices ? (out << to_string(crash_notices)) : (out << "<null>"));
+  out << ", " << "server_views="; (__isset.server_views ? (out << to_string(server_views)) : (out << "<null>"));
+  out << ", " << "ticket_handoff="; (__isset.ticket_handoff ? (out << to_string(ticket_handoff)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -43,19 +43,21 @@
 
 class PartGive;
 
-class QuarantineNotice;
+class ServiceLoad;
 
-class TicketAsk;
+class LoadNotice;
 
-class TicketAnswer;
+class CrashNotice;
 
-class Demand;
+class CrashNotices;
 
-class BudgetDemand;
+class ServerView;
 
-class Grant;
+class ServerViews;
 
-class BudgetGrant;
+class FinishedRun;
+
+class TicketHandoff;
 
 class Envelope;
 
@@ -747,60 +749,123 @@
 
 std::ostream& operator<<(std::ostream& out, const PartGive& obj);
 
-typedef struct _QuarantineNotice__isset {
-  _QuarantineNotice__isset() : service_id(false), fingerprint(false), remaining_ms(false) {}
+typedef struct _ServiceLoad__isset {
+  _ServiceLoad__isset() : service_id(false), in_flight(false), waiting(false), free_slots(false), slots(false) {}
   bool service_id :1;
-  bool fingerprint :1;
-  bool remaining_ms :1;
-} _QuarantineNotice__isset;
+  bool in_flight :1;
+  bool waiting :1;
+  bool free_slots :1;
+  bool slots :1;
+} _ServiceLoad__isset;
 
-class QuarantineNotice : public virtual ::apache::thrift::TBase {
+class ServiceLoad : public virtual ::apache::thrift::TBase {
  public:
 
-  QuarantineNotice(const QuarantineNotice&);
-  QuarantineNotice(QuarantineNotice&&) noexcept;
-  QuarantineNotice& operator=(const QuarantineNotice&);
-  QuarantineNotice& operator=(QuarantineNotice&&) noexcept;
-  QuarantineNotice() noexcept
-                   : service_id(),
-                     fingerprint(0),
-                     remaining_ms(0) {
+  ServiceLoad(const ServiceLoad&);
+  ServiceLoad(ServiceLoad&&) noexcept;
+  ServiceLoad& operator=(const ServiceLoad&);
+  ServiceLoad& operator=(ServiceLoad&&) noexcept;
+  ServiceLoad() noexcept
+              : service_id(),
+                waiting(0),
+                free_slots(0),
+                slots(0) {
   }
 
-  virtual ~QuarantineNotice() noexcept;
+  virtual ~ServiceLoad() noexcept;
   std::string service_id;
-  int64_t fingerprint;
-  int32_t remaining_ms;
+  std::vector<ServerInFlight>  in_flight;
+  int32_t waiting;
+  int32_t free_slots;
+  int32_t slots;
 
-  _QuarantineNotice__isset __isset;
+  _ServiceLoad__isset __isset;
 
   void __set_service_id(const std::string& val);
 
-  void __set_fingerprint(const int64_t val);
+  void __set_in_flight(const std::vector<ServerInFlight> & val);
 
-  void __set_remaining_ms(const int32_t val);
+  void __set_waiting(const int32_t val);
 
-  bool operator == (const QuarantineNotice & rhs) const
+  void __set_free_slots(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  bool operator == (const ServiceLoad & rhs) const
   {
     if (__isset.service_id != rhs.__isset.service_id)
       return false;
     else if (__isset.service_id && !(service_id == rhs.service_id))
       return false;
-    if (__isset.fingerprint != rhs.__isset.fingerprint)
+    if (__isset.in_flight != rhs.__isset.in_flight)
       return false;
-    else if (__isset.fingerprint && !(fingerprint == rhs.fingerprint))
+    else if (__isset.in_flight && !(in_flight == rhs.in_flight))
       return false;
-    if (__isset.remaining_ms != rhs.__isset.remaining_ms)
+    if (__isset.waiting != rhs.__isset.waiting)
       return false;
-    else if (__isset.remaining_ms && !(remaining_ms == rhs.remaining_ms))
+    else if (__isset.waiting && !(waiting == rhs.waiting))
+      return false;
+    if (__isset.free_slots != rhs.__isset.free_slots)
+      return false;
+    else if (__isset.free_slots && !(free_slots == rhs.free_slots))
+      return false;
+    if (__isset.slots != rhs.__isset.slots)
+      return false;
+    else if (__isset.slots && !(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceLoad &a, ServiceLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj);
+
+typedef struct _LoadNotice__isset {
+  _LoadNotice__isset() : services(false) {}
+  bool services :1;
+} _LoadNotice__isset;
+
+class LoadNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadNotice(const LoadNotice&);
+  LoadNotice(LoadNotice&&) noexcept;
+  LoadNotice& operator=(const LoadNotice&);
+  LoadNotice& operator=(LoadNotice&&) noexcept;
+  LoadNotice() noexcept {
+  }
+
+  virtual ~LoadNotice() noexcept;
+  std::vector<ServiceLoad>  services;
+
+  _LoadNotice__isset __isset;
+
+  void __set_services(const std::vector<ServiceLoad> & val);
+
+  bool operator == (const LoadNotice & rhs) const
+  {
+    if (__isset.services != rhs.__isset.services)
+      return false;
+    else if (__isset.services && !(services == rhs.services))
       return false;
     return true;
   }
-  bool operator != (const QuarantineNotice &rhs) const {
+  bool operator != (const LoadNotice &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const QuarantineNotice & ) const;
+  bool operator < (const LoadNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -808,73 +873,81 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(QuarantineNotice &a, QuarantineNotice &b);
+void swap(LoadNotice &a, LoadNotice &b);
 
-std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
+std::ostream& operator<<(std::ostream& out, const LoadNotice& obj);
 
-typedef struct _TicketAsk__isset {
-  _TicketAsk__isset() : ask(false), ticket(false), fingerprint(false), void_unused(false) {}
-  bool ask :1;
-  bool ticket :1;
+typedef struct _CrashNotice__isset {
+  _CrashNotice__isset() : kind(false), fingerprint(false), servers(false), proven(false), remaining_ms(false) {}
+  bool kind :1;
   bool fingerprint :1;
-  bool void_unused :1;
-} _TicketAsk__isset;
+  bool servers :1;
+  bool proven :1;
+  bool remaining_ms :1;
+} _CrashNotice__isset;
 
-class TicketAsk : public virtual ::apache::thrift::TBase {
+class CrashNotice : public virtual ::apache::thrift::TBase {
  public:
 
-  TicketAsk(const TicketAsk&);
-  TicketAsk(TicketAsk&&) noexcept;
-  TicketAsk& operator=(const TicketAsk&);
-  TicketAsk& operator=(TicketAsk&&) noexcept;
-  TicketAsk() noexcept
-            : ask(0),
-              ticket(),
-              fingerprint(0),
-              void_unused(0) {
+  CrashNotice(const CrashNotice&);
+  CrashNotice(CrashNotice&&) noexcept;
+  CrashNotice& operator=(const CrashNotice&);
+  CrashNotice& operator=(CrashNotice&&) noexcept;
+  CrashNotice() noexcept
+              : kind(0),
+                fingerprint(0),
+                proven(0),
+                remaining_ms(0) {
   }
 
-  virtual ~TicketAsk() noexcept;
-  int64_t ask;
-  std::string ticket;
+  virtual ~CrashNotice() noexcept;
+  int32_t kind;
   int64_t fingerprint;
-  bool void_unused;
-
-  _TicketAsk__isset __isset;
+  std::vector<std::string>  servers;
+  bool proven;
+  int32_t remaining_ms;
 
-  void __set_ask(const int64_t val);
+  _CrashNotice__isset __isset;
 
-  void __set_ticket(const std::string& val);
+  void __set_kind(const int32_t val);
 
   void __set_fingerprint(const int64_t val);
 
-  void __set_void_unused(const bool val);
+  void __set_servers(const std::vector<std::string> & val);
+
+  void __set_proven(const bool val);
 
-  bool operator == (const TicketAsk & rhs) const
+  void __set_remaining_ms(const int32_t val);
+
+  bool operator == (const CrashNotice & rhs) const
   {
-    if (__isset.ask != rhs.__isset.ask)
-      return false;
-    else if (__isset.ask && !(ask == rhs.ask))
+    if (__isset.kind != rhs.__isset.kind)
       return false;
-    if (__isset.ticket != rhs.__isset.ticket)
-      return false;
-    else if (__isset.ticket && !(ticket == rhs.ticket))
+    else if (__isset.kind && !(kind == rhs.kind))
       return false;
     if (__isset.fingerprint != rhs.__isset.fingerprint)
       return false;
     else if (__isset.fingerprint && !(fingerprint == rhs.fingerprint))
       return false;
-    if (__isset.void_unused != rhs.__isset.void_unused)
+    if (__isset.servers != rhs.__isset.servers)
+      return false;
+    else if (__isset.servers && !(servers == rhs.servers))
       return false;
-    else if (__isset.void_unused && !(void_unused == rhs.void_unused))
+    if (__isset.proven != rhs.__isset.proven)
+      return false;
+    else if (__isset.proven && !(proven == rhs.proven))
+      return false;
+    if (__isset.remaining_ms != rhs.__isset.remaining_ms)
+      return false;
+    else if (__isset.remaining_ms && !(remaining_ms == rhs.remaining_ms))
       return false;
     return true;
   }
-  bool operator != (const TicketAsk &rhs) const {
+  bool operator != (const CrashNotice &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const TicketAsk & ) const;
+  bool operator < (const CrashNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -882,64 +955,54 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TicketAsk &a, TicketAsk &b);
+void swap(CrashNotice &a, CrashNotice &b);
 
-std::ostream& operator<<(std::ostream& out, const TicketAsk& obj);
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
 
-typedef struct _TicketAnswer__isset {
-  _TicketAnswer__isset() : ask(false), state(false), answer(false) {}
-  bool ask :1;
-  bool state :1;
-  bool answer :1;
-} _TicketAnswer__isset;
+typedef struct _CrashNotices__isset {
+  _CrashNotices__isset() : service_id(false), notices(false) {}
+  bool service_id :1;
+  bool notices :1;
+} _CrashNotices__isset;
 
-class TicketAnswer : public virtual ::apache::thrift::TBase {
+class CrashNotices : public virtual ::apache::thrift::TBase {
  public:
 
-  TicketAnswer(const TicketAnswer&);
-  TicketAnswer(TicketAnswer&&) noexcept;
-  TicketAnswer& operator=(const TicketAnswer&);
-  TicketAnswer& operator=(TicketAnswer&&) noexcept;
-  TicketAnswer() noexcept
-               : ask(0),
-                 state(0),
-                 answer() {
+  CrashNotices(const CrashNotices&);
+  CrashNotices(CrashNotices&&) noexcept;
+  CrashNotices& operator=(const CrashNotices&);
+  CrashNotices& operator=(CrashNotices&&) noexcept;
+  CrashNotices() noexcept
+               : service_id() {
   }
 
-  virtual ~TicketAnswer() noexcept;
-  int64_t ask;
-  int32_t state;
-  std::string answer;
-
-  _TicketAnswer__isset __isset;
+  virtual ~CrashNotices() noexcept;
+  std::string service_id;
+  std::vector<CrashNotice>  notices;
 
-  void __set_ask(const int64_t val);
+  _CrashNotices__isset __isset;
 
-  void __set_state(const int32_t val);
+  void __set_service_id(const std::string& val);
 
-  void __set_answer(const std::string& val);
+  void __set_notices(const std::vector<CrashNotice> & val);
 
-  bool operator == (const TicketAnswer & rhs) const
+  bool operator == (const CrashNotices & rhs) const
   {
-    if (__isset.ask != rhs.__isset.ask)
-      return false;
-    else if (__isset.ask && !(ask == rhs.ask))
-      return false;
-    if (__isset.state != rhs.__isset.state)
+    if (__isset.service_id != rhs.__isset.service_id)
       return false;
-    else if (__isset.state && !(state == rhs.state))
+    else if (__isset.service_id && !(service_id == rhs.service_id))
       return false;
-    if (__isset.answer != rhs.__isset.answer)
+    if (__isset.notices != rhs.__isset.notices)
       return false;
-    else if (__isset.answer && !(answer == rhs.answer))
+    else if (__isset.notices && !(notices == rhs.notices))
       return false;
     return true;
   }
-  bool operator != (const TicketAnswer &rhs) const {
+  bool operator != (const CrashNotices &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const TicketAnswer & ) const;
+  bool operator < (const CrashNotices & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -947,55 +1010,64 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TicketAnswer &a, TicketAnswer &b);
+void swap(CrashNotices &a, CrashNotices &b);
 
-std::ostream& operator<<(std::ostream& out, const TicketAnswer& obj);
+std::ostream& operator<<(std::ostream& out, const CrashNotices& obj);
 
-typedef struct _Demand__isset {
-  _Demand__isset() : budget(false), amount(false) {}
-  bool budget :1;
-  bool amount :1;
-} _Demand__isset;
+typedef struct _ServerView__isset {
+  _ServerView__isset() : server(false), state(false), age_ms(false) {}
+  bool server :1;
+  bool state :1;
+  bool age_ms :1;
+} _ServerView__isset;
 
-class Demand : public virtual ::apache::thrift::TBase {
+class ServerView : public virtual ::apache::thrift::TBase {
  public:
 
-  Demand(const Demand&);
-  Demand(Demand&&) noexcept;
-  Demand& operator=(const Demand&);
-  Demand& operator=(Demand&&) noexcept;
-  Demand() noexcept
-         : budget(),
-           amount(0) {
+  ServerView(const ServerView&);
+  ServerView(ServerView&&) noexcept;
+  ServerView& operator=(const ServerView&);
+  ServerView& operator=(ServerView&&) noexcept;
+  ServerView() noexcept
+             : server(),
+               state(0),
+               age_ms(0) {
   }
 
-  virtual ~Demand() noexcept;
-  std::string budget;
-  double amount;
+  virtual ~ServerView() noexcept;
+  std::string server;
+  int32_t state;
+  int32_t age_ms;
 
-  _Demand__isset __isset;
+  _ServerView__isset __isset;
 
-  void __set_budget(const std::string& val);
+  void __set_server(const std::string& val);
 
-  void __set_amount(const double val);
+  void __set_state(const int32_t val);
 
-  bool operator == (const Demand & rhs) const
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const ServerView & rhs) const
   {
-    if (__isset.budget != rhs.__isset.budget)
+    if (__isset.server != rhs.__isset.server)
       return false;
-    else if (__isset.budget && !(budget == rhs.budget))
+    else if (__isset.server && !(server == rhs.server))
+      return false;
+    if (__isset.state != rhs.__isset.state)
       return false;
-    if (__isset.amount != rhs.__isset.amount)
+    else if (__isset.state && !(state == rhs.state))
       return false;
-    else if (__isset.amount && !(amount == rhs.amount))
+    if (__isset.age_ms != rhs.__isset.age_ms)
+      return false;
+    else if (__isset.age_ms && !(age_ms == rhs.age_ms))
       return false;
     return true;
   }
-  bool operator != (const Demand &rhs) const {
+  bool operator != (const ServerView &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const Demand & ) const;
+  bool operator < (const ServerView & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1003,54 +1075,54 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Demand &a, Demand &b);
+void swap(ServerView &a, ServerView &b);
 
-std::ostream& operator<<(std::ostream& out, const Demand& obj);
+std::ostream& operator<<(std::ostream& out, const ServerView& obj);
 
-typedef struct _BudgetDemand__isset {
-  _BudgetDemand__isset() : epoch(false), demands(false) {}
-  bool epoch :1;
-  bool demands :1;
-} _BudgetDemand__isset;
+typedef struct _ServerViews__isset {
+  _ServerViews__isset() : service_id(false), views(false) {}
+  bool service_id :1;
+  bool views :1;
+} _ServerViews__isset;
 
-class BudgetDemand : public virtual ::apache::thrift::TBase {
+class ServerViews : public virtual ::apache::thrift::TBase {
  public:
 
-  BudgetDemand(const BudgetDemand&);
-  BudgetDemand(BudgetDemand&&) noexcept;
-  BudgetDemand& operator=(const BudgetDemand&);
-  BudgetDemand& operator=(BudgetDemand&&) noexcept;
-  BudgetDemand() noexcept
-               : epoch(0) {
+  ServerViews(const ServerViews&);
+  ServerViews(ServerViews&&) noexcept;
+  ServerViews& operator=(const ServerViews&);
+  ServerViews& operator=(ServerViews&&) noexcept;
+  ServerViews() noexcept
+              : service_id() {
   }
 
-  virtual ~BudgetDemand() noexcept;
-  int64_t epoch;
-  std::vector<Demand>  demands;
+  virtual ~ServerViews() noexcept;
+  std::string service_id;
+  std::vector<ServerView>  views;
 
-  _BudgetDemand__isset __isset;
+  _ServerViews__isset __isset;
 
-  void __set_epoch(const int64_t val);
+  void __set_service_id(const std::string& val);
 
-  void __set_demands(const std::vector<Demand> & val);
+  void __set_views(const std::vector<ServerView> & val);
 
-  bool operator == (const BudgetDemand & rhs) const
+  bool operator == (const ServerViews & rhs) const
   {
-    if (__isset.epoch != rhs.__isset.epoch)
+    if (__isset.service_id != rhs.__isset.service_id)
       return false;
-    else if (__isset.epoch && !(epoch == rhs.epoch))
+    else if (__isset.service_id && !(service_id == rhs.service_id))
       return false;
-    if (__isset.demands != rhs.__isset.demands)
+    if (__isset.views != rhs.__isset.views)
       return false;
-    else if (__isset.demands && !(demands == rhs.demands))
+    else if (__isset.views && !(views == rhs.views))
       return false;
     return true;
   }
-  bool operator != (const BudgetDemand &rhs) const {
+  bool operator != (const ServerViews &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const BudgetDemand & ) const;
+  bool operator < (const ServerViews & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1058,64 +1130,55 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(BudgetDemand &a, BudgetDemand &b);
+void swap(ServerViews &a, ServerViews &b);
 
-std::ostream& operator<<(std::ostream& out, const BudgetDemand& obj);
+std::ostream& operator<<(std::ostream& out, const ServerViews& obj);
 
-typedef struct _Grant__isset {
-  _Grant__isset() : budget(false), amount(false), lifetime_ms(false) {}
-  bool budget :1;
-  bool amount :1;
-  bool lifetime_ms :1;
-} _Grant__isset;
+typedef struct _FinishedRun__isset {
+  _FinishedRun__isset() : run(false), verdict(false) {}
+  bool run :1;
+  bool verdict :1;
+} _FinishedRun__isset;
 
-class Grant : public virtual ::apache::thrift::TBase {
+class FinishedRun : public virtual ::apache::thrift::TBase {
  public:
 
-  Grant(const Grant&);
-  Grant(Grant&&) noexcept;
-  Grant& operator=(const Grant&);
-  Grant& operator=(Grant&&) noexcept;
-  Grant() noexcept
-        : budget(),
-          amount(0),
-          lifetime_ms(0) {
+  FinishedRun(const FinishedRun&) noexcept;
+  FinishedRun(FinishedRun&&) noexcept;
+  FinishedRun& operator=(const FinishedRun&) noexcept;
+  FinishedRun& operator=(FinishedRun&&) noexcept;
+  FinishedRun() noexcept
+              : run(0),
+                verdict(0) {
   }
 
-  virtual ~Grant() noexcept;
-  std::string budget;
-  double amount;
-  int32_t lifetime_ms;
+  virtual ~FinishedRun() noexcept;
+  int64_t run;
+  int32_t verdict;
 
-  _Grant__isset __isset;
+  _FinishedRun__isset __isset;
 
-  void __set_budget(const std::string& val);
+  void __set_run(const int64_t val);
 
-  void __set_amount(const double val);
+  void __set_verdict(const int32_t val);
 
-  void __set_lifetime_ms(const int32_t val);
-
-  bool operator == (const Grant & rhs) const
+  bool operator == (const FinishedRun & rhs) const
   {
-    if (__isset.budget != rhs.__isset.budget)
-      return false;
-    else if (__isset.budget && !(budget == rhs.budget))
-      return false;
-    if (__isset.amount != rhs.__isset.amount)
+    if (__isset.run != rhs.__isset.run)
       return false;
-    else if (__isset.amount && !(amount == rhs.amount))
+    else if (__isset.run && !(run == rhs.run))
       return false;
-    if (__isset.lifetime_ms != rhs.__isset.lifetime_ms)
+    if (__isset.verdict != rhs.__isset.verdict)
       return false;
-    else if (__isset.lifetime_ms && !(lifetime_ms == rhs.lifetime_ms))
+    else if (__isset.verdict && !(verdict == rhs.verdict))
       return false;
     return true;
   }
-  bool operator != (const Grant &rhs) const {
+  bool operator != (const FinishedRun &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const Grant & ) const;
+  bool operator < (const FinishedRun & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1123,54 +1186,54 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Grant &a, Grant &b);
+void swap(FinishedRun &a, FinishedRun &b);
 
-std::ostream& operator<<(std::ostream& out, const Grant& obj);
+std::ostream& operator<<(std::ostream& out, const FinishedRun& obj);
 
-typedef struct _BudgetGrant__isset {
-  _BudgetGrant__isset() : epoch(false), grants(false) {}
-  bool epoch :1;
-  bool grants :1;
-} _BudgetGrant__isset;
+typedef struct _TicketHandoff__isset {
+  _TicketHandoff__isset() : forgotten_mark(false), finished(false) {}
+  bool forgotten_mark :1;
+  bool finished :1;
+} _TicketHandoff__isset;
 
-class BudgetGrant : public virtual ::apache::thrift::TBase {
+class TicketHandoff : public virtual ::apache::thrift::TBase {
  public:
 
-  BudgetGrant(const BudgetGrant&);
-  BudgetGrant(BudgetGrant&&) noexcept;
-  BudgetGrant& operator=(const BudgetGrant&);
-  BudgetGrant& operator=(BudgetGrant&&) noexcept;
-  BudgetGrant() noexcept
-              : epoch(0) {
+  TicketHandoff(const TicketHandoff&);
+  TicketHandoff(TicketHandoff&&) noexcept;
+  TicketHandoff& operator=(const TicketHandoff&);
+  TicketHandoff& operator=(TicketHandoff&&) noexcept;
+  TicketHandoff() noexcept
+                : forgotten_mark(0) {
   }
 
-  virtual ~BudgetGrant() noexcept;
-  int64_t epoch;
-  std::vector<Grant>  grants;
+  virtual ~TicketHandoff() noexcept;
+  int64_t forgotten_mark;
+  std::vector<FinishedRun>  finished;
 
-  _BudgetGrant__isset __isset;
+  _TicketHandoff__isset __isset;
 
-  void __set_epoch(const int64_t val);
+  void __set_forgotten_mark(const int64_t val);
 
-  void __set_grants(const std::vector<Grant> & val);
+  void __set_finished(const std::vector<FinishedRun> & val);
 
-  bool operator == (const BudgetGrant & rhs) const
+  bool operator == (const TicketHandoff & rhs) const
   {
-    if (__isset.epoch != rhs.__isset.epoch)
+    if (__isset.forgotten_mark != rhs.__isset.forgotten_mark)
       return false;
-    else if (__isset.epoch && !(epoch == rhs.epoch))
+    else if (__isset.forgotten_mark && !(forgotten_mark == rhs.forgotten_mark))
       return false;
-    if (__isset.grants != rhs.__isset.grants)
+    if (__isset.finished != rhs.__isset.finished)
       return false;
-    else if (__isset.grants && !(grants == rhs.grants))
+    else if (__isset.finished && !(finished == rhs.finished))
       return false;
     return true;
   }
-  bool operator != (const BudgetGrant &rhs) const {
+  bool operator != (const TicketHandoff &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const BudgetGrant & ) const;
+  bool operator < (const TicketHandoff & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1178,12 +1241,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(BudgetGrant &a, BudgetGrant &b);
+void swap(TicketHandoff &a, TicketHandoff &b);
 
-std::ostream& operator<<(std::ostream& out, const BudgetGrant& obj);
+std::ostream& operator<<(std::ostream& out, const TicketHandoff& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), zone_digests(false), leaving_notice(false), config_compare(false), config_ask(false), config_push(false), part_ask(false), part_give(false), quarantine_notice(false), ticket_ask(false), ticket_answer(false), budget_demand(false), budget_grant(false) {}
+  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), zone_digests(false), leaving_notice(false), config_compare(false), config_ask(false), config_push(false), part_ask(false), part_give(false), load_notice(false), crash_notices(false), server_views(false), ticket_handoff(false) {}
   bool sender :1;
   bool incarnation :1;
   bool heartbeat :1;
@@ -1194,11 +1257,10 @@
   bool config_push :1;
   bool part_ask :1;
   bool part_give :1;
-  bool quarantine_notice :1;
-  bool ticket_ask :1;
-  bool ticket_answer :1;
-  bool budget_demand :1;
-  bool budget_grant :1;
+  bool load_notice :1;
+  bool crash_notices :1;
+  bool server_views :1;
+  bool ticket_handoff :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1224,11 +1286,10 @@
   ConfigPush config_push;
   PartAsk part_ask;
   PartGive part_give;
-  QuarantineNotice quarantine_notice;
-  TicketAsk ticket_ask;
-  TicketAnswer ticket_answer;
-  BudgetDemand budget_demand;
-  BudgetGrant budget_grant;
+  LoadNotice load_notice;
+  CrashNotices crash_notices;
+  ServerViews server_views;
+  TicketHandoff ticket_handoff;
 
   _Envelope__isset __isset;
 
@@ -1252,15 +1313,13 @@
 
   void __set_part_give(const PartGive& val);
 
-  void __set_quarantine_notice(const QuarantineNotice& val);
+  void __set_load_notice(const LoadNotice& val);
 
-  void __set_ticket_ask(const TicketAsk& val);
+  void __set_crash_notices(const CrashNotices& val);
 
-  void __set_ticket_answer(const TicketAnswer& val);
+  void __set_server_views(const ServerViews& val);
 
-  void __set_budget_demand(const BudgetDemand& val);
-
-  void __set_budget_grant(const BudgetGrant& val);
+  void __set_ticket_handoff(const TicketHandoff& val);
 
   bool operator == (const Envelope & rhs) const
   {
@@ -1304,25 +1363,21 @@
       return false;
     else if (__isset.part_give && !(part_give == rhs.part_give))
       return false;
-    if (__isset.quarantine_notice != rhs.__isset.quarantine_notice)
-      return false;
-    else if (__isset.quarantine_notice && !(quarantine_notice == rhs.quarantine_notice))
-      return false;
-    if (__isset.ticket_ask != rhs.__isset.ticket_ask)
+    if (__isset.load_notice != rhs.__isset.load_notice)
       return false;
-    else if (__isset.ticket_ask && !(ticket_ask == rhs.ticket_ask))
+    else if (__isset.load_notice && !(load_notice == rhs.load_notice))
       return false;
-    if (__isset.ticket_answer != rhs.__isset.ticket_answer)
+    if (__isset.crash_notices != rhs.__isset.crash_notices)
       return false;
-    else if (__isset.ticket_answer && !(ticket_answer == rhs.ticket_answer))
+    else if (__isset.crash_notices && !(crash_notices == rhs.crash_notices))
       return false;
-    if (__isset.budget_demand != rhs.__isset.budget_demand)
+    if (__isset.server_views != rhs.__isset.server_views)
       return false;
-    else if (__isset.budget_demand && !(budget_demand == rhs.budget_demand))
+    else if (__isset.server_views && !(server_views == rhs.server_views))
       return false;
-    if (__isset.budget_grant != rhs.__isset.budget_grant)
+    if (__isset.ticket_handoff != rhs.__isset.ticket_handoff)
       return false;
-    else if (__isset.budget_grant && !(budget_grant == rhs.budget_grant))
+    else if (__isset.ticket_handoff && !(ticket_handoff == rhs.ticket_handoff))
       return false;
     return true;
   }
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -66,44 +66,50 @@
   3: optional binary data
 }
 
-struct QuarantineNotice {
+struct ServiceLoad {
   1: optional string service_id
-  2: optional i64 fingerprint
-  3: optional i32 remaining_ms
+  2: optional list<ServerInFlight> in_flight
+  3: optional i32 waiting
+  4: optional i32 free_slots
+  5: optional i32 slots
 }
 
-struct TicketAsk {
-  1: optional i64 ask
-  2: optional string ticket
-  3: optional i64 fingerprint
-  4: optional bool void_unused
+struct LoadNotice {
+  1: optional list<ServiceLoad> services
 }
 
-struct TicketAnswer {
-  1: optional i64 ask
-  2: optional i32 state
-  3: optional binary answer
+struct CrashNotice {
+  1: optional i32 kind
+  2: optional i64 fingerprint
+  3: optional list<string> servers
+  4: optional bool proven
+  5: optional i32 remaining_ms
 }
 
-struct Demand {
-  1: optional string budget
-  2: optional double amount
+struct CrashNotices {
+  1: optional string service_id
+  2: optional list<CrashNotice> notices
 }
 
-struct BudgetDemand {
-  1: optional i64 epoch
-  2: optional list<Demand> demands
+struct ServerView {
+  1: optional string server
+  2: optional i32 state
+  3: optional i32 age_ms
+}
+
+struct ServerViews {
+  1: optional string service_id
+  2: optional list<ServerView> views
 }
 
-struct Grant {
-  1: optional string budget
-  2: optional double amount
-  3: optional i32 lifetime_ms
+struct FinishedRun {
+  1: optional i64 run
+  2: optional i32 verdict
 }
 
-struct BudgetGrant {
-  1: optional i64 epoch
-  2: optional list<Grant> grants
+struct TicketHandoff {
+  1: optional i64 forgotten_mark
+  2: optional list<FinishedRun> finished
 }
 
 // One frame's body: who sent it and at most one message.
@@ -118,9 +124,8 @@
   8: optional ConfigPush config_push
   9: optional PartAsk part_ask
   10: optional PartGive part_give
-  11: optional QuarantineNotice quarantine_notice
-  12: optional TicketAsk ticket_ask
-  13: optional TicketAnswer ticket_answer
-  14: optional BudgetDemand budget_demand
-  15: optional BudgetGrant budget_grant
+  11: optional LoadNotice load_notice
+  12: optional CrashNotices crash_notices
+  13: optional ServerViews server_views
+  14: optional TicketHandoff ticket_handoff
 }
--- a/src/peer/wire_convert.cc
+++ b/src/peer/wire_convert.cc
@@ -162,54 +162,134 @@
   return {state};
 }
 
-wire::BudgetDemand ToWire(const BudgetDemand& in) {
-  wire::BudgetDemand out;
-  out.__set_epoch(Signed(in.epoch));
-  for (const Demand& it : in.demands) {
-    wire::Demand item;
-    item.__set_budget(it.budget);
-    item.__set_amount(it.amount);
-    out.demands.push_back(item);
+template <typename Tag>
+std::vector<std::string> NamesToWire(const std::vector<Id<Tag>>& ids) {
+  std::vector<std::string> out;
+  out.reserve(ids.size());
+  for (const auto& it : ids)
+    out.push_back(it.str());
+  return out;
+}
+
+wire::LoadNotice ToWire(const LoadNotice& in) {
+  wire::LoadNotice out;
+  for (const LoadNotice::ServiceLoad& it : in.services) {
+    wire::ServiceLoad load;
+    load.__set_service_id(it.service.str());
+    for (const ServerInFlight& server : it.in_flight) {
+      wire::ServerInFlight item;
+      item.__set_server(server.server.str());
+      item.__set_requests(server.requests);
+      load.in_flight.push_back(item);
+    }
+    load.__isset.in_flight = true;
+    load.__set_waiting(it.waiting);
+    load.__set_free_slots(it.free_slots);
+    load.__set_slots(it.slots);
+    out.services.push_back(load);
   }
-  out.__isset.demands = true;
+  out.__isset.services = true;
   return out;
 }
 
-// A budget's amount is a number from 0 up; not-a-number fails the comparison.
-double CheckAmount(double amount) {
-  if (!(amount >= 0 && amount <= std::numeric_limits<double>::max()))
-    throw MalformedMessageError("an amount that is no positive number");
-  return amount;
+LoadNotice FromWire(const wire::LoadNotice& in) {
+  LoadNotice out;
+  for (const wire::ServiceLoad& it : in.services) {
+    LoadNotice::ServiceLoad load;
+    load.service = ServiceId(it.service_id);
+    for (const wire::ServerInFlight& server : it.in_flight) {
+      CheckCount(server.requests);
+      load.in_flight.push_back({ServerId(server.server), server.requests});
+    }
+    load.waiting = static_cast<int32_t>(CheckCount(it.waiting));
+    load.free_slots = static_cast<int32_t>(CheckCount(it.free_slots));
+    load.slots = static_cast<int32_t>(CheckCount(it.slots));
+    out.services.push_back(std::move(load));
+  }
+  return out;
 }
 
-BudgetDemand FromWire(const wire::BudgetDemand& in) {
-  BudgetDemand out;
-  out.epoch = Unsigned(in.epoch);
-  for (const wire::Demand& it : in.demands)
-    out.demands.push_back({it.budget, CheckAmount(it.amount)});
+wire::CrashNotices ToWire(const CrashNotices& in) {
+  wire::CrashNotices out;
+  out.__set_service_id(in.service.str());
+  for (const CrashNotice& it : in.notices) {
+    wire::CrashNotice notice;
+    notice.__set_kind(static_cast<int32_t>(it.kind));
+    notice.__set_fingerprint(Signed(it.fingerprint));
+    notice.__set_servers(NamesToWire(it.servers));
+    notice.__set_proven(it.proven);
+    notice.__set_remaining_ms(ToWire(it.remaining));
+    out.notices.push_back(notice);
+  }
+  out.__isset.notices = true;
   return out;
 }
 
-wire::BudgetGrant ToWire(const BudgetGrant& in) {
-  wire::BudgetGrant out;
-  out.__set_epoch(Signed(in.epoch));
-  for (const Grant& it : in.grants) {
-    wire::Grant item;
-    item.__set_budget(it.budget);
-    item.__set_amount(it.amount);
-    item.__set_lifetime_ms(ToWire(it.lifetime));
-    out.grants.push_back(item);
+// The sender of every notice is the envelope's, which is authentic.
+CrashNotices FromWire(const wire::CrashNotices& in, const HostId& sender) {
+  CrashNotices out;
+  out.service = ServiceId(in.service_id);
+  for (const wire::CrashNotice& it : in.notices) {
+    CrashNotice notice;
+    notice.kind = ToEnum(it.kind, kCrashNoticeKindNames);
+    notice.fingerprint = Unsigned(it.fingerprint);
+    notice.sender = sender;
+    for (const std::string& server : it.servers)
+      notice.servers.emplace_back(server);
+    notice.proven = it.proven;
+    notice.remaining = FromWire(it.remaining_ms);
+    out.notices.push_back(std::move(notice));
   }
-  out.__isset.grants = true;
   return out;
 }
 
-BudgetGrant FromWire(const wire::BudgetGrant& in) {
-  BudgetGrant out;
-  out.epoch = Unsigned(in.epoch);
-  for (const wire::Grant& it : in.grants) {
-    out.grants.push_back(
-        {it.budget, CheckAmount(it.amount), FromWire(it.lifetime_ms)});
+wire::ServerViews ToWire(const ServerViews& in) {
+  wire::ServerViews out;
+  out.__set_service_id(in.service.str());
+  for (const ServerView& it : in.views) {
+    wire::ServerView view;
+    view.__set_server(it.server.str());
+    view.__set_state(static_cast<int32_t>(it.state));
+    view.__set_age_ms(ToWire(it.age));
+    out.views.push_back(view);
+  }
+  out.__isset.views = true;
+  return out;
+}
+
+ServerViews FromWire(const wire::ServerViews& in) {
+  ServerViews out;
+  out.service = ServiceId(in.service_id);
+  for (const wire::ServerView& it : in.views) {
+    out.views.push_back({ServerId(it.server),
+                         ToEnum(it.state, kServerStateNames),
+                         FromWire(it.age_ms)});
+  }
+  return out;
+}
+
+wire::TicketHandoff ToWire(const TicketHandoff& in) {
+  wire::TicketHandoff out;
+  out.__set_forgotten_mark(Signed(in.forgotten_mark));
+  for (const RunRecords::Finished& it : in.finished) {
+    wire::FinishedRun run;
+    run.__set_run(Signed(it.run));
+    run.__set_verdict(static_cast<int32_t>(it.verdict));
+    out.finished.push_back(run);
+  }
+  out.__isset.finished = true;
+  return out;
+}
+
+// The owner is the envelope's sender: nobody hands off for another host.
+TicketHandoff FromWire(const wire::TicketHandoff& in,
+                       const PeerSender& sender) {
+  TicketHandoff out;
+  out.owner = {sender.host, sender.incarnation};
+  out.forgotten_mark = Unsigned(in.forgotten_mark);
+  for (const wire::FinishedRun& it : in.finished) {
+    out.finished.push_back(
+        {Unsigned(it.run), ToEnum(it.verdict, kVerdictNames)});
   }
   return out;
 }
@@ -257,33 +337,17 @@
     out.__set_data(in.data);
     envelope->__set_part_give(out);
   }
-  void operator()(const QuarantineNotice& in) {
-    wire::QuarantineNotice out;
-    out.__set_service_id(in.service.str());
-    out.__set_fingerprint(Signed(in.fingerprint));
-    out.__set_remaining_ms(ToWire(in.remaining));
-    envelope->__set_quarantine_notice(out);
+  void operator()(const LoadNotice& in) {
+    envelope->__set_load_notice(ToWire(in));
   }
-  void operator()(const TicketAsk& in) {
-    wire::TicketAsk out;
-    out.__set_ask(Signed(in.ask));
-    out.__set_ticket(in.ticket);
-    out.__set_fingerprint(Signed(in.fingerprint));
-    out.__set_void_unused(in.void_unused);
-    envelope->__set_ticket_ask(out);
-  }
-  void operator()(const TicketAnswer& in) {
-    wire::TicketAnswer out;
-    out.__set_ask(Signed(in.ask));
-    out.__set_state(static_cast<int32_t>(in.state));
-    out.__set_answer(in.answer);
-    envelope->__set_ticket_answer(out);
+  void operator()(const CrashNotices& in) {
+    envelope->__set_crash_notices(ToWire(in));
   }
-  void operator()(const BudgetDemand& in) {
-    envelope->__set_budget_demand(ToWire(in));
+  void operator()(const ServerViews& in) {
+    envelope->__set_server_views(ToWire(in));
   }
-  void operator()(const BudgetGrant& in) {
-    envelope->__set_budget_grant(ToWire(in));
+  void operator()(const TicketHandoff& in) {
+    envelope->__set_ticket_handoff(ToWire(in));
   }
 };
 
@@ -334,23 +398,12 @@
     const wire::PartGive& it = in.part_give;
     return PartGive{it.digest, it.found, it.data};
   });
-  taker.Take(set.quarantine_notice, [&] {
-    const wire::QuarantineNotice& it = in.quarantine_notice;
-    return QuarantineNotice{ServiceId(it.service_id), Unsigned(it.fingerprint),
-                            FromWire(it.remaining_ms)};
-  });
-  taker.Take(set.ticket_ask, [&] {
-    const wire::TicketAsk& it = in.ticket_ask;
-    return TicketAsk{Unsigned(it.ask), it.ticket, Unsigned(it.fingerprint),
-                     it.void_unused};
-  });
-  taker.Take(set.ticket_answer, [&] {
-    const wire::TicketAnswer& it = in.ticket_answer;
-    return TicketAnswer{Unsigned(it.ask), ToEnum(it.state, kTicketFateNames),
-                        it.answer};
-  });
-  taker.Take(set.budget_demand, [&] { return FromWire(in.budget_demand); });
-  taker.Take(set.budget_grant, [&] { return FromWire(in.budget_grant); });
+  taker.Take(set.load_notice, [&] { return FromWire(in.load_notice); });
+  taker.Take(set.crash_notices,
+             [&] { return FromWire(in.crash_notices, HostId(in.sender)); });
+  taker.Take(set.server_views, [&] { return FromWire(in.server_views); });
+  taker.Take(set.ticket_handoff,
+             [&] { return FromWire(in.ticket_handoff, TakeSender(in)); });
   return taker.Result();
 }
 
--- a/tests/peer/envelope_test.cc
+++ b/tests/peer/envelope_test.cc
@@ -25,6 +25,16 @@
   heartbeat.unlisted = {HostId("khomas-2")};
   ZoneDigest digest{ZoneId("oshana-b"), Duration(250), 3, 12, 5, stamp};
   digest.excluded = {HostId("oshana-4")};
+  CrashNotice crash;
+  crash.kind = CrashNoticeKind::kQuarantined;
+  crash.fingerprint = ~0ULL;
+  crash.sender = kSender.host;
+  crash.servers = {ServerId("w1"), ServerId("w2")};
+  crash.proven = true;
+  crash.remaining = Duration(300'000);
+  const TicketHandoff handoff{{kSender.host, kSender.incarnation},
+                              12,
+                              {{13, Verdict::kRan}, {15, Verdict::kUnknown}}};
   return {heartbeat,
           ZoneDigests{{digest, digest}, 9},
           LeavingNotice{HostState::kStopped},
@@ -33,11 +43,11 @@
           ConfigPush{stamp, std::string("{\"a\": \0 1}", 10)},
           PartAsk{"aa"},
           PartGive{"aa", true, std::string(5000, '\xff')},
-          QuarantineNotice{ServiceId("orders"), ~0ULL, Duration(300'000)},
-          TicketAsk{5, "ticket", 6, false},
-          TicketAnswer{5, TicketFate::kEnded, "answer"},
-          BudgetDemand{3, {{"region/khomas", 12.5}}},
-          BudgetGrant{3, {{"region/khomas", 12.5, Duration(2000)}}}};
+          LoadNotice{{{ServiceId("orders"), {{ServerId("w1"), 3}}, 1, 2, 6}}},
+          CrashNotices{ServiceId("orders"), {crash}},
+          ServerViews{ServiceId("orders"),
+                      {{ServerId("w1"), ServerState::kLeaving, Duration(5)}}},
+          handoff};
 }
 
 std::string EncodeWire(const wire::Envelope& envelope) {
@@ -101,16 +111,25 @@
     envelope.__set_heartbeat(heartbeat);
   }
   SECTION("negative age") {
-    wire::QuarantineNotice notice;
-    notice.__set_remaining_ms(-1);
-    envelope.__set_quarantine_notice(notice);
+    wire::ServerView view;
+    view.__set_age_ms(-1);
+    wire::ServerViews views;
+    views.__set_views({view});
+    envelope.__set_server_views(views);
   }
-  SECTION("amount that is not a number") {
-    wire::Grant grant;
-    grant.__set_amount(std::numeric_limits<double>::quiet_NaN());
-    wire::BudgetGrant grants;
-    grants.__set_grants({grant});
-    envelope.__set_budget_grant(grants);
+  SECTION("negative count") {
+    wire::ServiceLoad load;
+    load.__set_waiting(-1);
+    wire::LoadNotice notice;
+    notice.__set_services({load});
+    envelope.__set_load_notice(notice);
+  }
+  SECTION("verdict") {
+    wire::FinishedRun run;
+    run.__set_verdict(3);
+    wire::TicketHandoff handoff;
+    handoff.__set_finished({run});
+    envelope.__set_ticket_handoff(handoff);
   }
   CHECK_THROWS_AS(DecodeEnvelope(EncodeWire(envelope)), MalformedMessageError);
 }
