health: copies at several hosts at once, counted once a server

The fake counted a server twice that two copies took down in the same millisecond; it counts servers now. Copies of a killer that run at n hosts before the first crash is known cost n servers (2 at least): nobody can know in 4 ms what takes 20 ms to say.

--- a/tests/health/crash_world.cc
+++ b/tests/health/crash_world.cc
@@ -176,6 +176,11 @@
     return it.end <= now_;
   });
   for (const Attempt& it : ended) {
+    if (it.crash && now_ < up_at_[it.server]) {
+      // Another copy has just taken the server down.
+      Break(it);
+      continue;
+    }
     if (it.crash) {
       ++killed_;
       attempts_.push_back(it);
--- a/tests/health/quarantine_test.cc
+++ b/tests/health/quarantine_test.cc
@@ -92,6 +92,20 @@
   }
 }
 
+TEST_CASE("copies at several hosts at once cost a server each, and no more") {
+  const int hosts = GENERATE(2, 4);
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed << ", hosts " << hosts);
+    CrashWorld world({.seed = seed});
+    world.Run(500);
+    for (int i = 0; i < hosts; ++i)
+      world.SendKiller(i, 5);
+    world.Run(6'000);
+    CHECK(world.killed() <= hosts);
+    CHECK(world.refusing() == 7);
+  }
+}
+
 TEST_CASE("a host that is cut off has its own count, the others theirs") {
   CrashWorld world({});
   world.Cut(6, true);
