--- a/bench/steering/fake_calls.cc
+++ b/bench/steering/fake_calls.cc
@@ -47,7 +47,10 @@
 
 bool FakeFleet::PickHost(const Call& call, size_t* host) {
   std::vector<size_t> list;
-  for (const bool own_region : {true, false}) {
+  const double share = returns_[call.arrival.region].Share(events_.now());
+  const bool ramps = policy_ != Policy::kNaive && share < 1;
+  const bool away = ramps && rng_.Uniform() >= share;
+  for (const bool own_region : {!away, away}) {
     for (size_t i = 0; i < hosts_.size(); ++i) {
       const bool own = hosts_[i].region == call.arrival.region;
       const bool tried = std::count(call.dead.begin(), call.dead.end(), i) > 0;
@@ -121,6 +124,9 @@
   *id = next_item_++;
   leg.item.id = *id;
   leg.item.deadline = Instant(leg.deadline_us / kUsPerMs);
+  if (policy_ == Policy::kNaive)
+    ++measures_.services[leg.service]
+          .requests_in_second[Second(events_.now_us())];
   const int64_t deadline_us = leg.deadline_us;
   const int life = host.life;
   Leg& kept = host.legs.emplace(*id, std::move(leg)).first->second;
@@ -254,9 +260,6 @@
     if (hosts_[h].alive && hosts_[h].life == life)
       PassEnded(h, id, attempt, outcome, refusal, decision);
   };
-  if (from.region != to.region)
-    ++measures_.services[leg.service]
-          .shifted_in_second[Second(events_.now_us())];
   if (!hosts_[p].alive || !Reachable(from, to)) {
     leg.cancel = nullptr;
     const int64_t us = scenario_.fault == Fault::kHost
