--- a/src/once/run_records.cc
+++ b/src/once/run_records.cc
@@ -142,11 +142,15 @@
 
 void RunRecords::Expire(Instant now) {
   // In order of numbers, so that the marks never pass an unused ticket that
-  // was issued after the last one dropped.
+  // was issued after the last one dropped. An unfinished run holds up nothing.
   auto it = records_.begin();
-  while (it != records_.end() && !Unfinished(it->second.state) &&
-         it->second.forget_at <= now) {
-    it = Drop(it);
+  while (it != records_.end()) {
+    if (Unfinished(it->second.state))
+      ++it;
+    else if (it->second.forget_at <= now)
+      it = Drop(it);
+    else
+      break;
   }
 }
 
--- a/tests/once/ticket_table_test.cc
+++ b/tests/once/ticket_table_test.cc
@@ -199,6 +199,17 @@
   }
 }
 
+TEST_CASE("a run without end keeps its record and holds up no other") {
+  Owner owner;
+  const std::string endless = owner.Mint();
+  owner.Begin(endless);
+  owner.RunOne("ok");
+  const Instant later = Instant(1) + kLifetime + kKeep;
+  owner.table.runs().Expire(later);
+  CHECK(owner.table.runs().size() == 1);
+  CHECK(owner.Begin(endless, later).step == TicketStep::kJoin);
+}
+
 TEST_CASE("a voided ticket stays void beyond its record") {
   Owner owner;
   const std::string text = owner.Mint();
