--- a/bench/steering/arrivals.cc
+++ b/bench/steering/arrivals.cc
@@ -9,8 +9,8 @@
 
 double LoadAt(const Scenario& scenario, int64_t us) {
   const bool burst = scenario.fault == Fault::kBurst &&
-                     us >= kFaultStartMs * 1000 &&
-                     us < (kFaultStartMs + kBurstMs) * 1000;
+                     us >= int64_t{1000} * kFaultStartMs &&
+                     us < int64_t{1000} * (kFaultStartMs + kBurstMs);
   return burst ? kBurstLoad : scenario.load;
 }
 
@@ -23,9 +23,12 @@
   return z ^ (z >> 31);
 }
 
+double Rng::Uniform() {
+  return static_cast<double>(Next() >> 11) * 0x1.0p-53;
+}
+
 double Rng::Exponential(double mean) {
-  const double u = static_cast<double>(Next() >> 11) * 0x1.0p-53;
-  return -mean * std::log1p(-u);
+  return -mean * std::log1p(-Uniform());
 }
 
 int SlotsOf(const Deployment& deployment, size_t service) {
