--- a/src/once/ticket_state.cc
+++ b/src/once/ticket_state.cc
@@ -109,8 +109,8 @@
   ExploreAll(next, matrix);
 }
 
-// A machine of Boost.MSM per ticket would cost a record several times its size;
-// the machine is walked through once, and records keep one byte.
+// A machine in every record would bring MSM's headers into every file that
+// holds one; it is walked through once here, and records keep one byte.
 Matrix BuildMatrix() {
   Matrix matrix{};
   Machine machine;
