steering: 300 ms of patience with a long wait; bench: drain only where one leaves

Cause: after a zone is lost the surviving half queues for the whole second of patience before it refuses or shifts. The drain column also showed a figure for scenarios in which no server leaves.

--- a/bench/steering/fake_fleet.cc
+++ b/bench/steering/fake_fleet.cc
@@ -377,6 +377,14 @@
   return std::move(measures_);
 }
 
+int64_t FakeFleet::DrainMs(size_t service) const {
+  const int64_t since = leaving_since_us_[service];
+  if (since < 0)
+    return -1;
+  const int64_t last = servers_[service].back()->last_arrival_us();
+  return std::max<int64_t>(last - since, 0) / kUsPerMs;
+}
+
 void FakeFleet::Collect() {
   const auto run_us = static_cast<double>(kRunMs * kUsPerMs);
   std::vector<double> busy(links_.size());
@@ -391,10 +399,7 @@
       m.queued_at_servers += it->queued();
       measures_.connection_caps_passed += it->over_connections();
     }
-    const FakeServer& left = *servers_[service].back();
-    m.drain_ms = std::max<int64_t>(
-                     left.last_arrival_us() - leaving_since_us_[service], 0) /
-                 kUsPerMs;
+    m.drain_ms = DrainMs(service);
     // The rule of a shift: what moves in a second exceeds what moved in the
     // one before by at most the share of that second's requests.
     const double share = deployment_.config->defaults.shift_share;
--- a/bench/steering/fake_fleet.h
+++ b/bench/steering/fake_fleet.h
@@ -141,6 +141,9 @@
 
   void Sample();
   void Collect();
+  // From the first sign that a server leaves to its last new request; -1 when
+  // none leaves.
+  int64_t DrainMs(size_t service) const;
   double AliveSlots(size_t service) const;
   Place PlaceOf(const ZoneId& zone) const;
   Place PlaceOf(const Host& host) const;
--- a/src/steering/standing_queue.h
+++ b/src/steering/standing_queue.h
@@ -11,7 +11,7 @@
 class StandingQueue {
  public:
   // How long a wait is above `mean_ms` times kTargetMeans before it stands.
-  static constexpr Duration kPatience{1'000};
+  static constexpr Duration kPatience{300};
   static constexpr double kTargetMeans = 5;
 
   // Whether one more request would wait too long in a queue that stands.
