steering: PassGate, a host's limits on passes to other regions

The bench held the wiring of link, shift and class limits that the daemon needs too. WorkItem::from_peer, which nothing set any more, is gone: Hop says it. The test of the bounded queue now has no other region to go to, and that of the gate bounds a shift and a link by the configured cap.

--- a/bench/steering/fake_calls.cc
+++ b/bench/steering/fake_calls.cc
@@ -316,7 +316,11 @@
   else if (outcome == Outcome::kFailed)
     end = AttemptEnd::kFailed;
   if (decision.hop == Hop::kCrossed)
-    SettlePass(host, service, decision.host);
+    host.limits->OnPassEnded(id,
+                             outcome == Outcome::kAnswered
+                                 ? deployment_.traffic[service].answer_bytes
+                                 : 0,
+                             events_.now());
   host.dispatchers[service]->Finish(
       {.item = id,
        .host = decision.host,
@@ -336,14 +340,6 @@
   Advance(h, service);
 }
 
-void FakeFleet::SettlePass(Host& host, size_t service, const HostId& peer) {
-  size_t p = 0;
-  while (hosts_[p].config.id != peer)
-    ++p;
-  host.limits->OnPassEnded(deployment_.config->regions[hosts_[p].region].id,
-                           service, events_.now());
-}
-
 void FakeFleet::EndLeg(size_t h,
                        uint64_t id,
                        Outcome outcome,
@@ -381,7 +377,7 @@
                            events_.now());
   }
   if (leg.last.hop == Hop::kCrossed)
-    SettlePass(host, service, leg.last.host);
+    host.limits->OnPassEnded(id, 0, events_.now());
   EndLeg(h, id, Outcome::kFailed, Refusal::kNone);
   Advance(h, service);
 }
--- a/bench/steering/fake_fleet.h
+++ b/bench/steering/fake_fleet.h
@@ -115,8 +115,6 @@
                  Outcome outcome,
                  Refusal refusal,
                  const Decision& decision);
-  // The link of a request that was passed to `peer` is free again.
-  void SettlePass(Host& host, size_t service, const HostId& peer);
   void Offer(Host& host, Leg& leg);
   void EndLeg(size_t host, uint64_t id, Outcome outcome, Refusal refusal);
   void ExpireLeg(size_t host, uint64_t id);
--- a/bench/steering/host_limits.cc
+++ b/bench/steering/host_limits.cc
@@ -1,19 +1,10 @@
 #include "bench/steering/host_limits.h"
 
-#include <algorithm>
-
 #include "include/config/places.h"
 
 namespace toucanknot::bench {
 namespace {
 
-// Parts of a link's direction for bodies that leave over it and for answers to
-// requests that came over the other direction.
-constexpr double kBodiesPart = 0.25;
-constexpr double kAnswersPart = 0.75;
-// Usable part of an ejected server that is due for a trial.
-constexpr double kTrialPart = 0.01;
-
 AnswerOutcome OutcomeOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kAnswered:
@@ -31,7 +22,7 @@
 HostLimits::HostLimits(const Deployment& deployment,
                        const HostId& host,
                        Instant now)
-    : deployment_(deployment), classes_(deployment.config->refusal_order) {
+    : gate_(host) {
   const FleetConfig& config = *deployment.config;
   const RegionId region = config.RegionOf(config.FindHost(host)->zone);
   for (const Service& service : config.services) {
@@ -44,20 +35,8 @@
         servers.push_back(it.id);
     }
     health_.back()->SetServers(servers, now);
-    shifts_.push_back(std::make_unique<ShiftLimiter>(tunables.shift_share,
-                                                     tunables.shift_interval));
-  }
-  const auto hosts = std::count_if(
-      config.hosts.begin(), config.hosts.end(),
-      [&](const EntryHost& it) { return config.RegionOf(it.zone) == region; });
-  for (const Link& it : config.links) {
-    if (it.from != region)
-      continue;
-    const Tunables tunables = config.Resolve(PlaceOfLink(it), 0);
-    const double rate =
-        it.mbit_per_s * tunables.link_load_limit / static_cast<double>(hosts);
-    links_[it.to].SetRates(rate * kBodiesPart, rate * kAnswersPart, now);
   }
+  gate_.OnConfig(deployment.config, 0, now);
 }
 
 SteeringHooks HostLimits::HooksFor(size_t service) {
@@ -65,37 +44,18 @@
   hooks.usable = [this, service](const ServerId& server, Instant now) {
     HealthTable& health = *health_[service];
     const double weight = health.Weight(server, now);
-    return weight > 0 || !health.TrialDue(server, now) ? weight : kTrialPart;
+    return weight > 0 || !health.TrialDue(server, now) ? weight : kTrialUsable;
   };
-  hooks.on_request = [this, service](const WorkItem&, Instant now) {
-    shifts_[service]->OnRequest(now);
+  hooks.on_request = [this](const WorkItem& item, Instant now) {
+    gate_.OnRequest(item, now);
   };
-  hooks.may_pass = [this, service](const RegionId& region, const WorkItem&,
-                                   Instant now) {
-    return MayPass(service, region, now);
+  hooks.may_pass = [this](const RegionId& region, const WorkItem& item,
+                          Instant now) {
+    return gate_.TryPass(region, item, now);
   };
   return hooks;
 }
 
-Refusal HostLimits::MayPass(size_t service,
-                            const RegionId& region,
-                            Instant now) {
-  const Traffic& traffic = deployment_.traffic[service];
-  const std::string& work_class =
-      deployment_.config->services[service].work_class;
-  if (!classes_.Admit(work_class, now))
-    return Refusal::kClass;
-  LinkLimiter& link = links_[region];
-  if (!link.TryReserve(traffic.request_bytes, traffic.answer_bytes, now)) {
-    classes_.OnShort(work_class, now);
-    return Refusal::kLinkLimit;
-  }
-  if (shifts_[service]->TryMove(now))
-    return Refusal::kNone;
-  link.Settle(traffic.answer_bytes, 0, now);
-  return Refusal::kShiftLimit;
-}
-
 void HostLimits::OnSent(size_t service, const ServerId& server, Instant now) {
   if (health_[service]->StateOf(server) == ServerState::kEjected)
     health_[service]->BeginTrial(server, now);
@@ -112,11 +72,8 @@
                              now);
 }
 
-void HostLimits::OnPassEnded(const RegionId& region,
-                             size_t service,
-                             Instant now) {
-  const int64_t bytes = deployment_.traffic[service].answer_bytes;
-  links_[region].Settle(bytes, bytes, now);
+void HostLimits::OnPassEnded(uint64_t item, int64_t answer_bytes, Instant now) {
+  gate_.Ended(item, answer_bytes, now);
 }
 
 void HostLimits::OnProbe(size_t service,
--- a/bench/steering/host_limits.h
+++ b/bench/steering/host_limits.h
@@ -1,16 +1,13 @@
 #ifndef BENCH_STEERING_HOST_LIMITS_H_
 #define BENCH_STEERING_HOST_LIMITS_H_
 
-#include <map>
 #include <memory>
 #include <vector>
 
 #include "bench/steering/deployment.h"
 #include "include/health/health_table.h"
-#include "include/limits/class_shedder.h"
-#include "include/limits/link_limiter.h"
-#include "include/limits/shift_limiter.h"
 #include "include/steering/dispatcher_builder.h"
+#include "include/steering/pass_gate.h"
 
 namespace toucanknot::bench {
 
@@ -28,21 +25,15 @@
                  const AttemptResult& result,
                  Instant sent_at,
                  Instant now);
-  // A request that was passed to `region` came back.
-  void OnPassEnded(const RegionId& region, size_t service, Instant now);
+  // A request that was passed to another region came back.
+  void OnPassEnded(uint64_t item, int64_t answer_bytes, Instant now);
   void OnProbe(size_t service, const ServerProbe& probe, Instant now);
   void OnLeaving(size_t service, const ServerId& server, Instant now);
   void Advance(Instant now);
 
  private:
-  Refusal MayPass(size_t service, const RegionId& region, Instant now);
-
-  const Deployment& deployment_;
   std::vector<std::unique_ptr<HealthTable>> health_;
-  std::vector<std::unique_ptr<ShiftLimiter>> shifts_;
-  std::map<RegionId, LinkLimiter> links_;
-  // Shares what is left of the links among the services.
-  ClassShedder classes_;
+  PassGate gate_;
 };
 
 }  // namespace toucanknot::bench
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -68,9 +68,6 @@
   uint64_t fingerprint = 0;
   // As stated by the host that passed it: Decision::hop there.
   Hop hop = Hop::kCaller;
-  // It came from another entry host and must not be passed on again, whatever
-  // `hop` says.
-  bool from_peer = false;
   // Retries and hedges: servers that this request has been sent to before.
   std::vector<ServerId> avoid;
   // Entry hosts that refused it or could not be reached.
--- a/include/steering/dispatcher_builder.h
+++ b/include/steering/dispatcher_builder.h
@@ -52,6 +52,9 @@
 inline constexpr EnumNames<QueueOrder, 3> kQueueOrderNames{
     {"fifo", "lifo-under-overload", "deadline"}};
 
+// What SteeringHooks::usable says of an ejected server that is due for a trial.
+inline constexpr double kTrialUsable = 0.01;
+
 // What the dispatcher asks of its surroundings. Every hook has a default that
 // permits.
 struct SteeringHooks {
--- a/src/steering/steering_dispatcher.cc
+++ b/src/steering/steering_dispatcher.cc
@@ -20,12 +20,11 @@
 }
 
 bool MayPassInRegion(const WorkItem& item) {
-  return !item.from_peer &&
-         (item.hop == Hop::kCaller || item.hop == Hop::kCrossed);
+  return (item.hop == Hop::kCaller || item.hop == Hop::kCrossed);
 }
 
 bool MayCross(const WorkItem& item) {
-  return !item.from_peer && !CameFromOtherRegion(item);
+  return !CameFromOtherRegion(item);
 }
 
 }  // namespace
--- a/tests/steering/dispatcher_test.cc
+++ b/tests/steering/dispatcher_test.cc
@@ -179,8 +179,10 @@
 TEST_CASE("the queue is bounded") {
   auto fleet = SmallFleet();
   fleet->defaults.max_queue = 3;
+  // No other region to go to.
+  fleet->regions.resize(1);
   Host home(HomeName(), {}, Policy::kPool, fleet);
-  WorkItem item{.deadline = kStart + Duration(1'000), .from_peer = true};
+  WorkItem item{.deadline = kStart + Duration(1'000), .hop = Hop::kInRegion};
   for (; item.id < 7; ++item.id)
     CHECK(home.dispatcher->Offer(item, kStart).step != Step::kRefuse);
   CHECK(home.dispatcher->Offer(item, kStart).refusal == Refusal::kQueueFull);
--- /dev/null
+++ b/tests/steering/pass_gate_test.cc
@@ -0,0 +1,100 @@
+#include "include/steering/pass_gate.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/steering/fleet.h"
+
+namespace toucanknot {
+namespace {
+
+const Instant kStart{10'000};
+const RegionId kOther{"r1"};
+
+WorkItem Item(uint64_t id, int64_t bytes = 1'000) {
+  return {.id = id, .service = ServiceId("s"), .request_bytes = bytes};
+}
+
+// Requests at the gate, all of which ask to pass; how many may.
+int PassIn(PassGate& gate, Instant from, int ms, uint64_t* id) {
+  int passed = 0;
+  for (int i = 0; i < ms; ++i) {
+    const Instant now = from + Duration(i);
+    const WorkItem item = Item(++*id, 100);
+    gate.OnRequest(item, now);
+    if (gate.TryPass(kOther, item, now) == Refusal::kNone) {
+      ++passed;
+      gate.Ended(item.id, 100, now);
+    }
+  }
+  return passed;
+}
+
+}  // namespace
+
+TEST_CASE("nothing passes without a configuration or to an unknown region") {
+  PassGate gate{HostId("r0-h0")};
+  CHECK(gate.TryPass(kOther, Item(1), kStart) == Refusal::kLinkLimit);
+  gate.OnConfig(SmallFleet(), 0, kStart);
+  CHECK(gate.TryPass(RegionId("r9"), Item(1), kStart) == Refusal::kLinkLimit);
+  CHECK(gate.under_way() == 0);
+}
+
+TEST_CASE("a shift grows by its share of the requests in each interval") {
+  PassGate gate{HostId("r0-h0")};
+  gate.OnConfig(SmallFleet(), 0, kStart);
+  uint64_t id = 0;
+  int before = 0;
+  for (int second = 0; second < 8; ++second) {
+    const Instant from = kStart + Duration::Seconds(second);
+    const int passed = PassIn(gate, from, 1'000, &id);
+    CHECK(passed <= before + 100);
+    before = passed;
+  }
+  // It does grow.
+  CHECK(before > 100);
+}
+
+TEST_CASE("bytes under way stay under this host's share of the link") {
+  auto fleet = SmallFleet();
+  fleet->defaults.shift_share = 1;
+  PassGate gate{HostId("r0-h0")};
+  gate.OnConfig(fleet, 0, kStart);
+  // Half of 300 Mbit/s for each of two hosts, a quarter of it for bodies.
+  const double limit = 300e6 / 8 / 2 * fleet->defaults.link_load_limit * 0.25;
+  int64_t bytes = 0;
+  uint64_t id = 0;
+  for (int ms = 0; ms < 3'000; ++ms) {
+    const Instant now = kStart + Duration(ms);
+    for (int i = 0; i < 4; ++i) {
+      const WorkItem item = Item(++id, 20'000);
+      gate.OnRequest(item, now);
+      if (gate.TryPass(kOther, item, now) != Refusal::kNone)
+        continue;
+      bytes += item.request_bytes;
+      gate.Ended(item.id, 100, now);
+    }
+  }
+  const double seconds = 3 + LinkBucket::kBurst.seconds();
+  CHECK(static_cast<double>(bytes) <= limit * seconds);
+  CHECK(bytes > 0);
+}
+
+TEST_CASE("what passed is held until it ends") {
+  auto fleet = SmallFleet();
+  fleet->defaults.shift_share = 1;
+  PassGate gate{HostId("r0-h0")};
+  gate.OnConfig(fleet, 0, kStart);
+  uint64_t id = 0;
+  for (int ms = 0; ms < 2'000; ++ms)
+    gate.OnRequest(Item(++id), kStart + Duration(ms));
+  const Instant now = kStart + Duration(2'000);
+  const WorkItem item = Item(++id, 100);
+  REQUIRE(gate.TryPass(kOther, item, now) == Refusal::kNone);
+  CHECK(gate.under_way() == 1);
+  gate.Ended(item.id, 100, now);
+  CHECK(gate.under_way() == 0);
+  gate.Ended(item.id, 100, now);
+  CHECK(gate.under_way() == 0);
+}
+
+}  // namespace toucanknot
