--- a/bench/once/ticket_host_events_model.cc
+++ b/bench/once/ticket_host_events_model.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr uint64_t kFingerprint = 7;
+// Hosts that are asked for the records of an owner that stopped.
+constexpr int kSuccessors = 3;
 
 const KeptAnswerPtr& TheAnswer() {
   static const KeptAnswerPtr answer =
@@ -36,7 +38,7 @@
   if (reply.step == TicketStep::kStart) {
     Run run;
     run.key = reply.run;
-    return StartRun(run, out);
+    return runs_.push_back(run);
   }
   if (reply.step == TicketStep::kJoin)
     return;
@@ -46,8 +48,10 @@
   OwnerInquiry::Options options;
   if (ticket_.owner.host == self_.host)
     options.known_incarnation = self_.incarnation;
-  if (witness_.HasTakenOver(ticket_.owner))
-    options.successors.push_back(self_);
+  // Its own record of the handoff is asked when the owner turns out silent.
+  options.successors.push_back(self_);
+  for (int i = 1; i < std::min(hosts_, kSuccessors); ++i)
+    options.successors.push_back(LifeOf((index_ + i) % hosts_, 0));
   uint64_t id = 1;
   for (const Inquiry& it : inquiries_)
     id = std::max(id, it.id + 1);
@@ -83,8 +87,8 @@
     if (static_cast<WitnessWord>(m.value) != WitnessWord::kGranted)
       return VoidRun(n, now, out);
     table_.runs().Claimed(runs_[n].key);
-    runs_[n].stage = Stage::kReady;
-    return;
+    runs_[n].claimed = true;
+    return HandOver(n, now, out);
   }
 }
 
@@ -119,7 +123,7 @@
     const TicketReply reply =
         passes_.Begin(run.pass, kFingerprint, waiter, now);
     if (reply.step == TicketStep::kStart)
-      return StartRun(run, out);
+      return runs_.push_back(run);
     if (reply.step != TicketStep::kJoin) {
       DropWaiter(waiter);
       Reply(m, reply, out);
@@ -223,17 +227,6 @@
   out.push_back(m);
 }
 
-void TicketHostModel::StartRun(Run run, std::vector<Message>& out) {
-  const bool claims = !run.passed_here && ticket_.witness.has_value() &&
-                      fault_ != Fault::kNoClaim;
-  if (claims) {
-    run.stage = Stage::kClaiming;
-    out.push_back(
-        To(IndexOf(*ticket_.witness), MessageKind::kClaim, run.key, 0));
-  }
-  runs_.push_back(run);
-}
-
 void TicketHostModel::VoidRun(size_t i,
                               Instant now,
                               std::vector<Message>& out) {
--- a/bench/once/ticket_host_model.h
+++ b/bench/once/ticket_host_model.h
@@ -20,7 +20,7 @@
 // Wires the real tables of include/once as an entry host does.
 class TicketHostModel : public HostModel {
  public:
-  TicketHostModel(int index, Incarnation life, Fault fault);
+  TicketHostModel(int index, int hosts, Incarnation life, Fault fault);
 
   static HostLife LifeOf(int index, Incarnation life);
   static int IndexOf(const HostLife& life);
@@ -61,6 +61,8 @@
     int place = 0;
     Incarnation place_life = 0;
     Instant handed_at;
+    // The witness consented.
+    bool claimed = false;
   };
   // Who waits for the end of a run.
   struct Waiter {
@@ -97,12 +99,13 @@
            const InquiryAction& action,
            Instant now,
            std::vector<Message>& out);
-  void StartRun(Run run, std::vector<Message>& out);
+  void HandOver(size_t n, Instant now, std::vector<Message>& out);
   void VoidRun(size_t i, Instant now, std::vector<Message>& out);
   void BreakRun(size_t i, Instant now, std::vector<Message>& out);
   Message To(int place, MessageKind kind, uint64_t tag, int value) const;
 
   int index_;
+  int hosts_;
   HostLife self_;
   Fault fault_;
   TicketTable table_;
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -12,6 +12,7 @@
 #include <thread>
 #include <utility>
 
+#include "include/config/config_offer.h"
 #include "include/config/config_text.h"
 #include "include/limits/retry_budget.h"
 #include "include/steering/dispatcher_builder.h"
@@ -112,14 +113,13 @@
   std::atomic<LookupTablePtr> lookups_;
   HostMetrics metrics_;
   TicketDesk tickets_;
-  // The workers go before what their coroutines use.
+  WorkerPool workers_;
   std::unique_ptr<Sender> sender_;
   std::unique_ptr<OnceRunner> once_;
   std::unique_ptr<IdempotentRunner> idempotent_;
   std::unique_ptr<CallerHandler> callers_;
   std::unique_ptr<AdminHandler> admin_;
   std::unique_ptr<Prober> prober_;
-  WorkerPool workers_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> admin_server_;
   ConfigIntake intake_;
@@ -166,8 +166,6 @@
 
 HostDaemon::Impl::~Impl() {
   watcher_.reset();
-  caller_server_.reset();
-  admin_server_.reset();
   workers_.Stop();
 }
 
@@ -373,6 +371,10 @@
   AdminHandler::Sources sources;
   sources.metrics = [this] { return MetricsText(); };
   sources.not_ready = [this] { return NotReady(); };
+  sources.config = [this] {
+    const ConfigOffer offer = intake_.Current();
+    return offer.version == 0 ? std::string() : WriteOffer(offer);
+  };
   sources.status = [this] {
     StatusFacts facts;
     facts.self = self_;
