membership: the origin of a bundle of digests sends it to the tree's root only

Cause: the carriers of a zone are its busiest hosts. Change: the origin writes to the root and to its children when its turn in the tree comes; digests go to two other zones a round instead of three.

--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -48,7 +48,7 @@
   // Hosts of a zone that exchange digests with other zones, and how many zones
   // each of them writes to in a round.
   size_t carriers = 2;
-  size_t digest_fan_out = 3;
+  size_t digest_fan_out = 2;
   // Children of a host where a zone's hosts pass something on.
   size_t relay_fan_out = 4;
 };
@@ -208,7 +208,8 @@
   void SendDigests(Instant now);
   void SendOwnDigestIfChanged(Instant now);
   void SendNotice(HostState state, Instant now);
-  void RelayInZone(const ZoneDigests& digests, bool is_origin, Instant now);
+  void StartInZone(const ZoneDigests& digests, Instant now);
+  void RelayInZone(const ZoneDigests& digests, Instant now);
 
   const PeerSender self_;
   const ZoneId zone_;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -118,16 +118,24 @@
   }
   const Roster::Zone* sender_zone = roster_->ZoneOf(from.host);
   if (sender_zone && sender_zone->id == zone_) {
-    RelayInZone(digests, false, now);
+    RelayInZone(digests, now);
   } else if (!changed.zones.empty()) {
     changed.round = random_();
-    RelayInZone(changed, true, now);
+    StartInZone(changed, now);
   }
 }
 
-void Membership::RelayInZone(const ZoneDigests& digests,
-                             bool is_origin,
-                             Instant now) {
+// The origin sends to the root of the round's tree alone, and to its own
+// children when the round comes back to it.
+void Membership::StartInZone(const ZoneDigests& digests, Instant now) {
+  const HostId root = Ranked(PresentHosts(now), digests.round).front();
+  if (root == self_.host)
+    RelayInZone(digests, now);
+  else
+    pending_.push_back({{root}, digests});
+}
+
+void Membership::RelayInZone(const ZoneDigests& digests, Instant now) {
   auto& rounds = relayed_rounds_;
   if (std::find(rounds.begin(), rounds.end(), digests.round) != rounds.end())
     return;
@@ -135,7 +143,7 @@
     rounds.erase(rounds.begin());
   rounds.push_back(digests.round);
   auto targets = RelayTargets(PresentHosts(now), self_.host, digests.round,
-                              options_.relay_fan_out, is_origin);
+                              options_.relay_fan_out, false);
   if (!targets.empty())
     pending_.push_back({std::move(targets), digests});
 }
@@ -284,7 +292,7 @@
   }
   if (!targets.empty())
     pending_.push_back({std::move(targets), bundle});
-  RelayInZone(bundle, true, now);
+  StartInZone(bundle, now);
 }
 
 // What callers in other zones must know at once does not wait for its turn.
