membership: the origin of a configuration sends it to the tree's root only

Cause: readers were thought the busiest hosts, since they push to the root and to their children. Change: as for digests; a host that is known to have the version is not left out any more, since its children may not have it. Kept for one rule in both places.

--- a/include/membership/config_spread.h
+++ b/include/membership/config_spread.h
@@ -143,6 +143,8 @@
   std::optional<Lead> lead_;
   Instant next_ask_;
   Instant next_compare_;
+  // The last version that this host has sent to its children in the tree.
+  uint64_t passed_on_ = 0;
   // When the version in force was last sent to each host.
   std::map<HostId, Instant> pushed_;
   std::vector<Outgoing> pending_;
--- a/include/membership/rank.h
+++ b/include/membership/rank.h
@@ -23,14 +23,13 @@
 std::vector<HostId> Ranked(std::vector<HostId> hosts, uint64_t tag);
 
 // To whom `self` passes on what all of `hosts` shall get: the hosts form a
-// tree by their rank under `tag`, each with up to `fan_out` children. An
-// origin, which has it from outside, also sends it to the root. Another `tag`
+// tree by their rank under `tag`, each with up to `fan_out` children; who has
+// it from outside sends it to the root, the first of Ranked(). Another `tag`
 // makes another tree, so that the load goes round.
 std::vector<HostId> RelayTargets(const std::vector<HostId>& hosts,
                                  const HostId& self,
                                  uint64_t tag,
-                                 size_t fan_out,
-                                 bool is_origin);
+                                 size_t fan_out);
 
 }  // namespace toucanknot
 
--- a/src/membership/config_spread.cc
+++ b/src/membership/config_spread.cc
@@ -75,6 +75,8 @@
                           const ConfigPush& push,
                           Instant now) {
   ++stats_.pushes_received;
+  if (push.stamp == stamp_ && passed_on_ != stamp_.version)
+    PushOn(false, now);
   if (push.stamp.version < stamp_.version || push.stamp == stamp_)
     return;
   if (stamp_of_(push.text) != push.stamp || !Consider(push.stamp, push.text))
@@ -131,22 +133,22 @@
   pacer_.OnFailure(now);
 }
 
-// Each version has a tree of its own.
+// Each version has a tree of its own. An origin sends to the root alone, and to
+// its own children when the version comes back to it.
 void ConfigSpread::PushOn(bool is_origin, Instant now) {
-  const auto targets =
-      RelayTargets(membership_->PresentHosts(now), membership_->self().host,
-                   stamp_.version, options_.fan_out, is_origin);
-  const auto configs = membership_->Configs();
+  const HostId& self = membership_->self().host;
+  const auto hosts = membership_->PresentHosts(now);
   Outgoing out;
-  for (const HostId& it : targets) {
-    const auto known = configs.find(it);
-    if (known != configs.end() && known->second.version >= stamp_.version)
-      continue;
-    pushed_[it] = now;
-    out.to.push_back(it);
+  if (is_origin)
+    out.to = {Ranked(hosts, stamp_.version).front()};
+  if (!is_origin || out.to.front() == self) {
+    passed_on_ = stamp_.version;
+    out.to = RelayTargets(hosts, self, stamp_.version, options_.fan_out);
   }
   if (out.to.empty())
     return;
+  for (const HostId& it : out.to)
+    pushed_[it] = now;
   stats_.pushes_sent += out.to.size();
   out.message = ConfigPush{stamp_, text_};
   pending_.push_back(std::move(out));
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -143,7 +143,7 @@
     rounds.erase(rounds.begin());
   rounds.push_back(digests.round);
   auto targets = RelayTargets(PresentHosts(now), self_.host, digests.round,
-                              options_.relay_fan_out, false);
+                              options_.relay_fan_out);
   if (!targets.empty())
     pending_.push_back({std::move(targets), digests});
 }
--- a/src/membership/rank.cc
+++ b/src/membership/rank.cc
@@ -27,13 +27,10 @@
 std::vector<HostId> RelayTargets(const std::vector<HostId>& hosts,
                                  const HostId& self,
                                  uint64_t tag,
-                                 size_t fan_out,
-                                 bool is_origin) {
+                                 size_t fan_out) {
   const std::vector<HostId> order = Ranked(hosts, tag);
   std::vector<HostId> targets;
   const auto at = std::find(order.begin(), order.end(), self);
-  if (is_origin && !order.empty() && order.front() != self)
-    targets.push_back(order.front());
   if (at == order.end())
     return targets;
   const size_t first = (at - order.begin()) * fan_out + 1;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -95,15 +95,14 @@
   for (uint64_t tag = 1; tag < 20; ++tag) {
     std::map<HostId, int> got;
     for (const HostId& it : hosts) {
-      for (const HostId& to : RelayTargets(hosts, it, tag, 4, false))
+      for (const HostId& to : RelayTargets(hosts, it, tag, 4))
         ++got[to];
     }
-    // All but the root, which an origin reaches.
+    // All but the root, once each.
     CHECK(got.size() == 89);
-    const HostId root = Ranked(hosts, tag).front();
-    CHECK_FALSE(got.contains(root));
-    const HostId origin = hosts[0] == root ? hosts[1] : hosts[0];
-    CHECK(RelayTargets(hosts, origin, tag, 4, true).front() == root);
+    CHECK_FALSE(got.contains(Ranked(hosts, tag).front()));
+    for (const auto& [host, times] : got)
+      CHECK(times == 1);
   }
 }
 
