bench: figures of the capacity page

Cause: the page needs slopes that are measured. Change: toucanknot-bench capacity: clients, transport, host, spread, store and design, each with samples, a fitted line and the figure at the design size. Conclusion: see docs/CAPACITY.md.

--- a/bench/capacity/capacity.cc
+++ b/bench/capacity/capacity.cc
@@ -1,35 +1,49 @@
 // The raw figures of docs/CAPACITY.md.
 
 #include <cstdio>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "bench/capacity/clients_capacity.h"
 #include "bench/capacity/fleet_capacity.h"
+#include "bench/capacity/transport_capacity.h"
 #include "bench/registry.h"
 
 namespace toucanknot::bench {
 namespace {
 
+constexpr int kUsageExit = 2;
+
+struct Section {
+  std::string name;
+  std::function<void()> print;
+};
+
+const std::vector<Section>& Sections() {
+  static const std::vector<Section> sections{
+      {"clients", PrintClientsCapacity}, {"transport", PrintTransportCapacity},
+      {"host", PrintHostCost},           {"spread", PrintTimeInForce},
+      {"store", PrintStoreCalls},        {"design", PrintDesignSize}};
+  return sections;
+}
+
+// Prints the sections that are named, or all of them.
 int RunCapacity(const std::vector<std::string>& args) {
-  const std::string part = args.empty() ? "all" : args.front();
-  if (part == "all" || part == "clients")
-    PrintClientsCapacity();
-  if (part == "all" || part == "host")
-    PrintHostCost();
-  if (part == "all" || part == "spread")
-    PrintTimeInForce();
-  if (part == "all" || part == "store")
-    PrintStoreCalls();
-  if (part == "all" || part == "design")
-    PrintDesignSize();
-  return 0;
+  bool found = args.empty();
+  for (const Section& it : Sections()) {
+    if (!args.empty() && args.front() != it.name)
+      continue;
+    it.print();
+    found = true;
+  }
+  return found ? 0 : kUsageExit;
 }
 
-const Registration kCapacity{
-    {"capacity",
-     "figures at the design size; takes clients, host, spread, store or design",
-     RunCapacity}};
+const Registration kCapacity{{"capacity",
+                              "figures at the design size; takes clients, "
+                              "transport, host, spread, store or design",
+                              RunCapacity}};
 
 }  // namespace
 }  // namespace toucanknot::bench
--- a/bench/capacity/clients_capacity.cc
+++ b/bench/capacity/clients_capacity.cc
@@ -1,7 +1,5 @@
 #include "bench/capacity/clients_capacity.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -12,6 +10,7 @@
 #include <vector>
 
 #include "bench/capacity/line_fit.h"
+#include "bench/capacity/process_cost.h"
 #include "bench/capacity/synthetic_clients.h"
 #include "include/clients/client_table.h"
 
@@ -31,10 +30,8 @@
   return std::chrono::duration<double>(SteadyClock::now() - begin).count();
 }
 
-// Bytes that the program holds from the allocator.
 double HeapMb() {
-  const struct mallinfo2 info = mallinfo2();
-  return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+  return HeapBytes() / 1e6;
 }
 
 ClientTablePtr Load(const ClientMapParts& map, const ClientTable& previous) {
--- a/bench/capacity/fleet_capacity.cc
+++ b/bench/capacity/fleet_capacity.cc
@@ -1,16 +1,16 @@
 #include "bench/capacity/fleet_capacity.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "bench/capacity/line_fit.h"
+#include "bench/capacity/process_cost.h"
 #include "tests/membership/fleet_loop.h"
 
 namespace toucanknot::bench {
@@ -33,18 +33,6 @@
 constexpr double kMemoryTargetMb = 64;
 constexpr double kInForceTarget = 11;
 
-double CpuSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
-double HeapBytes() {
-  const struct mallinfo2 info = mallinfo2();
-  return static_cast<double>(info.uordblks + info.hblkhd);
-}
-
 struct HostCost {
   // Each way, a host and second, the mean and the busiest host.
   double sent_messages = 0;
