--- a/bench/steering/fake_fleet.cc
+++ b/bench/steering/fake_fleet.cc
@@ -55,6 +55,7 @@
     ServiceMeasures measures{.service = it.service};
     measures.answered_in_second.resize(kRunMs / 1000 + 60);
     measures.arrived_in_second.resize(kRunMs / 1000 + 60);
+    measures.requests_in_second.resize(kRunMs / 1000 + 60);
     measures.shifted_in_second.resize(kRunMs / 1000 + 60);
     measures_.services.push_back(std::move(measures));
   }
@@ -67,6 +68,7 @@
     hosts_.push_back(std::move(host));
   }
   believed_.assign(hosts_.size(), true);
+  returns_.assign(regions, Ramp(Ramp::Options()));
   for (size_t i = 0; i < hosts_.size(); ++i)
     StartHost(i);
   TellHosts();
@@ -108,12 +110,31 @@
                                    .SetSeed(seed_ * 100 + index)
                                    .SetPolicy(policy_)
                                    .SetQueueOrder(order_)
-                                   .SetHooks(host.limits->HooksFor(i))
+                                   .SetHooks(CountedHooks(host, i))
                                    .Build());
     host.dispatchers.back()->OnConfig(config, 0, events_.now());
   }
 }
 
+SteeringHooks FakeFleet::CountedHooks(Host& host, size_t service) {
+  SteeringHooks hooks = host.limits->HooksFor(service);
+  ServiceMeasures& m = measures_.services[service];
+  hooks.on_request = [this, &m, limit = hooks.on_request](const WorkItem& item,
+                                                          Instant now) {
+    ++m.requests_in_second[Second(events_.now_us())];
+    limit(item, now);
+  };
+  hooks.may_pass = [this, &m, limit = hooks.may_pass](const RegionId& region,
+                                                      const WorkItem& item,
+                                                      Instant now) {
+    const Refusal refusal = limit(region, item, now);
+    if (refusal == Refusal::kNone)
+      ++m.shifted_in_second[Second(events_.now_us())];
+    return refusal;
+  };
+  return hooks;
+}
+
 FakeFleet::Place FakeFleet::PlaceOf(const ZoneId& zone) const {
   const auto& regions = deployment_.config->regions;
   const RegionId region = deployment_.config->RegionOf(zone);
@@ -203,6 +224,12 @@
   events_.After(kNoticeUs, [this] {
     for (size_t i = 0; i < hosts_.size(); ++i)
       believed_[i] = hosts_[i].alive;
+    for (size_t r = 0; r < returns_.size(); ++r) {
+      bool available = false;
+      for (size_t i = 0; i < hosts_.size(); ++i)
+        available |= believed_[i] && hosts_[i].region == r;
+      returns_[r].Update(available, events_.now());
+    }
     TellHosts();
   });
 }
@@ -310,6 +337,10 @@
   for (int64_t us = 0; us < kRunMs * kUsPerMs; us += kAdvanceUs) {
     events_.At(us, [this] {
       Sample();
+      for (size_t r = 0; r < returns_.size(); ++r)
+        returns_[r].Update(
+            returns_[r].Share(events_.now()) > 0 || returns_[r].settling(),
+            events_.now());
       for (Host& it : hosts_) {
         if (it.alive)
           it.limits->Advance(events_.now());
@@ -370,7 +401,7 @@
     for (size_t s = kWarmMs / 1000; s < kRunMs / 1000; ++s) {
       const double more = static_cast<double>(m.shifted_in_second[s]) -
                           static_cast<double>(m.shifted_in_second[s - 1]);
-      if (more > share * static_cast<double>(m.arrived_in_second[s - 1]))
+      if (more > share * static_cast<double>(m.requests_in_second[s - 1]))
         ++measures_.shift_caps_passed;
     }
     if (scenario_.fault == Fault::kBurst) {
--- a/src/limits/host_budget.cc
+++ b/src/limits/host_budget.cc
@@ -8,14 +8,18 @@
 namespace toucanknot {
 namespace {
 
-// What a host wants in hand for `demand` units: some more, so that a small
-// rise needs no exchange.
-int64_t WithSlack(int64_t demand) {
-  return demand + demand / 4 + 1;
+// Whether a change by some units of a cap is worth an exchange of its own.
+bool IsNotable(int64_t change, int64_t share) {
+  return change > std::max<int64_t>(share / 8, 1);
 }
 
 }  // namespace
 
+int64_t HostBudget::Entry::Target() const {
+  // Some more than the demand, so that a small rise needs no exchange.
+  return scarce ? demand : demand + demand / 8 + 1;
+}
+
 HostBudget::HostBudget(HostId host,
                        Incarnation incarnation,
                        BudgetTimes times,
@@ -23,7 +27,8 @@
     : host_(std::move(host)),
       incarnation_(incarnation),
       times_(times),
-      hold_until_(now + times.AtLeast(std::max(times.loan, times.settle))) {}
+      hold_until_(now + times.AtLeast(std::max(times.loan, times.settle))),
+      votes_(host_, incarnation, times, now) {}
 
 void HostBudget::SetCaps(const std::vector<Cap>& caps,
                          Duration grow_after,
@@ -33,10 +38,11 @@
     const int64_t share = it.StaticShare(host_);
     const auto old = entries_.find(it.id);
     if (old == entries_.end()) {
-      kept[it.id].share = share;
+      kept[it.id] = Entry{.cap = it, .share = share};
       continue;
     }
     Entry entry = std::move(old->second);
+    entry.cap = it;
     if (now >= entry.grows_at)
       entry.share = entry.next_share;
     const bool pending = entry.next_share == share && now < entry.grows_at;
@@ -50,10 +56,22 @@
     kept[it.id] = std::move(entry);
   }
   entries_ = std::move(kept);
+  SetVoters();
+}
+
+void HostBudget::SetVoters() {
+  std::vector<HostId> voters;
+  for (const auto& [id, it] : entries_) {
+    if (ShareVotes::TakesPart(it.cap.members.size())) {
+      voters.insert(voters.end(), it.cap.members.begin(), it.cap.members.end());
+    }
+  }
+  votes_.SetMembers(voters);
 }
 
 void HostBudget::EndHold(Instant now) {
   hold_until_ = std::min(hold_until_, now);
+  votes_.EndHold(now);
 }
 
 void HostBudget::SetUse(const CapId& cap, int64_t in_use, int64_t demand) {
@@ -81,6 +99,25 @@
   holder_stamp_ = 0;
 }
 
+Instant HostBudget::NextAsk(Instant now) const {
+  if (confirm_)
+    return last_ask_ + kAskShort;
+  Duration wait = kAskSteady;
+  // Until the holder has answered once, nothing can be lent.
+  if (holder_stamp_ == 0)
+    wait = kAskChanged;
+  for (const auto& [id, it] : entries_) {
+    // Where units are scarce, asking again at once brings none.
+    if (it.demand > Limit(id, now))
+      return last_ask_ + (it.scarce ? kAskChanged : kAskShort);
+    const int64_t change =
+        std::max(it.demand, it.told) - std::min(it.demand, it.told);
+    if (IsNotable(change, it.share))
+      wait = kAskChanged;
+  }
+  return last_ask_ + wait;
+}
+
 BudgetRequest HostBudget::MakeRequest(Instant now) {
   BudgetRequest request{.host = host_,
                         .incarnation = incarnation_,
@@ -89,6 +126,7 @@
                         .holder_stamp = holder_stamp_};
   for (auto& [id, entry] : entries_) {
     DropEnded(&entry, now);
+    entry.told = entry.demand;
     const int64_t loan = ChooseLoan(entry, now);
     AddLoan(&entry, loan, now);
     const int64_t own =
@@ -96,11 +134,16 @@
     const bool followed = entry.grant && entry.grant->holder == holder_;
     request.uses.push_back(
         {.cap = id,
-         .wanted = std::max<int64_t>(WithSlack(entry.demand) - own, 0),
+         .wanted = std::max<int64_t>(entry.Target() - own, 0),
+         .needed = std::max<int64_t>(entry.demand - own, 0),
          .lent = loan,
          .followed = followed ? entry.grant->sequence : 0,
-         .held = std::max<int64_t>(entry.in_use - own, 0)});
+         .held = std::max<int64_t>(entry.in_use - own, 0),
+         .renounced = Renounced(entry, now),
+         .renouncers_needed = ShareVotes::Needed(entry.cap.members.size())});
   }
+  last_ask_ = now;
+  confirm_ = false;
   asked_.push_back({number_, now});
   if (asked_.size() > kMaxAsked)
     asked_.pop_front();
@@ -131,14 +174,16 @@
 void HostBudget::TakeGrant(const CapGrant& granted,
                            uint64_t number,
                            Instant asked,
-                           Entry* entry) const {
+                           Entry* entry) {
   for (Loan& it : entry->loans) {
     if (it.holder == holder_ && it.number <= number)
       it.units = std::min(it.units, granted.bound);
   }
+  entry->scarce = granted.scarce;
   std::optional<Grant>& grant = entry->grant;
   if (grant && grant->holder == holder_ && grant->sequence >= granted.sequence)
     return;
+  confirm_ |= grant && IsNotable(grant->units - granted.units, entry->share);
   grant = Grant{holder_, granted.sequence, granted.units, asked,
                 asked + times_.grant};
 }
@@ -146,7 +191,26 @@
 int64_t HostBudget::Owned(const Entry& entry, Instant now) const {
   if (now < hold_until_)
     return 0;
-  return now >= entry.grows_at ? entry.next_share : entry.share;
+  const int64_t share = now >= entry.grows_at ? entry.next_share : entry.share;
+  const std::vector<HostId>& members = entry.cap.members;
+  const bool licensed = !times_.voting ||
+                        !ShareVotes::TakesPart(members.size()) ||
+                        votes_.Licensed(members, now);
+  return licensed ? share : share - ShareVotes::Traded(share);
+}
+
+std::vector<RenouncedShare> HostBudget::Renounced(const Entry& entry,
+                                                  Instant now) {
+  std::vector<RenouncedShare> out;
+  if (!times_.voting || holder_stamp_ == 0 ||
+      !ShareVotes::TakesPart(entry.cap.members.size()))
+    return out;
+  for (const HostId& it : entry.cap.members) {
+    const int64_t share = entry.cap.StaticShare(it);
+    if (it != host_ && votes_.Renounce(it, holder_, now))
+      out.push_back({it, ShareVotes::Traded(share)});
+  }
+  return out;
 }
 
 int64_t HostBudget::Lent(const Entry& entry, Instant now) const {
@@ -182,8 +246,7 @@
       lent_elsewhere += it.units;
   }
   const int64_t owned = Owned(entry, now);
-  const int64_t kept =
-      std::max(WithSlack(entry.demand), owned * kKeptPercent / 100);
+  const int64_t kept = std::max(entry.Target(), owned * kKeptPercent / 100);
   return std::max<int64_t>(owned - kept - lent_elsewhere, 0);
 }
 
