daemon: refusals are true at their end, trials, exceptions that end

A promised refusal of a backend server let a second one get the bytes; the end of a void was not looked at; a run could stay open after an exception; an ejected server got no trial; ended exceptions stayed in force; a drained host was still looked up. Change: each mended where it stands.

--- a/src/daemon/config_intake.cc
+++ b/src/daemon/config_intake.cc
@@ -26,6 +26,12 @@
   return false;
 }
 
+void ConfigIntake::Reapply() {
+  const std::lock_guard lock(mutex_);
+  if (holder_.current())
+    apply_(holder_.current());
+}
+
 bool ConfigIntake::Wants(uint64_t version, const std::string& digest) const {
   const std::lock_guard lock(mutex_);
   return holder_.Wants(version, digest);
--- a/src/daemon/config_intake.h
+++ b/src/daemon/config_intake.h
@@ -23,6 +23,9 @@
   // into force.
   bool Offer(const ConfigOffer& offer, const std::string& from);
 
+  // Brings what is in force into force again, for what has changed with time.
+  void Reapply();
+
   // Whether a configuration with this version and digest would be read.
   bool Wants(uint64_t version, const std::string& digest) const;
 
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <condition_variable>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -14,6 +14,7 @@
 
 #include "include/config/config_offer.h"
 #include "include/config/config_text.h"
+#include "include/config/places.h"
 #include "src/daemon/admin_handler.h"
 #include "src/daemon/caller_handler.h"
 #include "src/daemon/config_intake.h"
@@ -40,6 +41,7 @@
 constexpr Duration kLoadInterval{50};
 constexpr Duration kLoadSpacing{10};
 constexpr Duration kViewInterval{250};
+constexpr int64_t kNoEnd = std::numeric_limits<int64_t>::max();
 // Time for the last messages of a host that stops to leave.
 constexpr Duration kFarewell{200};
 // Look-ups have no body worth naming.
@@ -112,6 +114,7 @@
   Coroutine NewsLoop();
   Coroutine AnnounceThenClose();
   void SendCrashes();
+  void ApplyEndedExceptions();
 
   AdminHandler::Sources AdminSources();
   std::string MetricsText() const;
@@ -123,6 +126,8 @@
   const std::shared_ptr<Store> store_;
   std::atomic<bool> leaving_{false};
   std::atomic<uint64_t> next_item_{1};
+  // When the next exception in force ends.
+  std::atomic<int64_t> next_end_unix_ms_{kNoEnd};
 
   // Guards states_. May be held while a ServiceDesk's lock is taken.
   mutable std::mutex states_mutex_;
@@ -303,6 +308,7 @@
   SetConnectionShares(*config);
   passes_->OnConfig(config, unix_ms, now);
   tables_.Set(tables);
+  next_end_unix_ms_ = config->NextEnd(unix_ms).value_or(kNoEnd);
   fleet_->SetConfig(config);
   spdlog::info("config in force version={} digest={}", config->version,
                config->digest);
@@ -338,7 +344,10 @@
   source.lifetime = tables.tunables.lookup_lifetime;
   for (const EntryCandidate& it : fleet_->Candidates()) {
     const auto host = tables.hosts.find(it.host);
-    if (host != tables.hosts.end())
+    if (host == tables.hosts.end())
+      continue;
+    const Scope place = PlaceOfHost(*tables.config, host->second);
+    if (!tables.config->Resolve(place, UnixMillis()).drain)
       source.hosts.push_back({host->second, RankOfCandidate(it)});
   }
   lookups_ = std::make_shared<const LookupTable>(source);
@@ -406,9 +415,21 @@
     passes_->Advance(now);
     for (const auto& it : AllStates())
       it->Advance(now);
+    ApplyEndedExceptions();
   }
 }
 
+// An exception that ends goes out of force by itself.
+void HostDaemon::Impl::ApplyEndedExceptions() {
+  const RoutingTablesPtr tables = tables_.Get();
+  const int64_t unix_ms = UnixMillis();
+  if (!tables || unix_ms < next_end_unix_ms_)
+    return;
+  spdlog::info("exception ended version={}", tables->config->version);
+  intake_.Reapply();
+  OnView();
+}
+
 void HostDaemon::Impl::BeginStop() {
   if (leaving_.exchange(true))
     return;
--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -25,6 +25,17 @@
       : tickets_(tickets), run_(ticket.sequence), ticket_(std::move(ticket)) {}
   Record(TicketDesk& tickets, PassId pass)
       : tickets_(tickets), run_(PassTable::Key(pass.attempt)), pass_(pass) {}
+  // A run that nobody ended, as after an exception, must not stay open.
+  ~Record() {
+    if (ended_)
+      return;
+    if (handed_over())
+      Break();
+    else
+      Void();
+  }
+  Record(const Record&) = delete;
+  Record& operator=(const Record&) = delete;
 
   std::optional<RunAttempt> HandOver() {
     With([this](RunRecords& runs) { attempt_ = runs.HandOver(run_); });
@@ -45,12 +56,19 @@
       return runs.Answer(*attempt_, std::move(answer), now);
     });
   }
+  // The backend server promises that it did not run it.
+  RunEnd Refuse(KeptAnswerPtr answer) {
+    return End([&](RunRecords& runs, Instant now) {
+      return runs.Refuse(*attempt_, std::move(answer), now);
+    });
+  }
   RunEnd Break() {
     return End([&](RunRecords& runs, Instant now) {
       return runs.Break(*attempt_, now);
     });
   }
   RunEnd Void() {
+    ended_ = true;
     return pass_ ? tickets_.VoidPassed(*pass_) : tickets_.VoidTicket(*ticket_);
   }
   bool handed_over() const { return attempt_.has_value(); }
@@ -63,6 +81,7 @@
       tickets_.With(act);
   }
   RunEnd End(const TicketDesk::Act& act) {
+    ended_ = true;
     return pass_ ? tickets_.EndPassed(pass_->owner, act) : tickets_.End(act);
   }
 
@@ -71,6 +90,7 @@
   const std::optional<Ticket> ticket_;
   const std::optional<PassId> pass_;
   std::optional<RunAttempt> attempt_;
+  bool ended_ = false;
 };
 
 OnceRunner::OnceRunner(WorkerPool& workers,
@@ -154,14 +174,24 @@
     }
     if (result.verdict == Verdict::kUnknown && record->handed_over())
       co_return AnswerForEnd(record->Break());
+    if (decision.step == Step::kSend && record->handed_over()) {
+      // The one backend server that got it refused it; no other may get it.
+      HttpResponse answer =
+          ToCaller(std::move(result.response), Verdict::kNotRun);
+      record->Refuse(ToKeptAnswer(answer));
+      OfferTicket(*call, answer);
+      co_return answer;
+    }
     if (!record->TakeBack())
       break;
     Avoid(decision, item);
   }
-  record->Void();
+  // "Not run" is true only once no byte can leave any more.
+  const RunEnd end = record->Void();
+  if (!end.accepted)
+    co_return AnswerForEnd(end);
   HttpResponse answer = RefusalAnswer(refusal);
-  if (!call->pass)
-    OfferTicket(*call, answer);
+  OfferTicket(*call, answer);
   co_return answer;
 }
 
@@ -229,13 +259,12 @@
     }
     case TicketStep::kMalformed:
     case TicketStep::kForged: {
-      HttpResponse answer =
-          HostAnswer(400, Verdict::kNotRun, reason,
-                     std::string("the Idempotency-Key is no ticket of this "
-                                 "fleet") +
-                         kTicketAdvice);
-      OfferTicket(call, answer);
-      return answer;
+      // Nothing was run by this request; whether one like it was, under the
+      // ticket that this may once have been, is not known.
+      return HostAnswer(400, reply.verdict, reason,
+                        "the Idempotency-Key is no ticket of this fleet; if "
+                        "you repeat a request, use its own ticket, else send "
+                        "it without one to get one");
     }
     default:
       return HostAnswer(502, Verdict::kUnknown, reason,
@@ -259,6 +288,9 @@
 }
 
 void OnceRunner::OfferTicket(const Call& call, HttpResponse& answer) {
+  // Only the host that the caller speaks to hands tickets to it.
+  if (call.pass)
+    return;
   answer.fields.Set(kTicketHeader,
                     tickets_.Mint(call.entry->tunables.ticket_lifetime));
 }
--- a/src/daemon/service_state.cc
+++ b/src/daemon/service_state.cc
@@ -30,13 +30,13 @@
   hooks.usable = [health, guard](const ServerId& server, Instant now) {
     if (guard->IsReserved(server, now))
       return 0.0;
-    return health->With(
-        [&](HealthTable& it) { return it.Weight(server, now); });
+    return health->With([&](HealthTable& it) {
+      const double weight = it.Weight(server, now);
+      return weight == 0 && it.TrialDue(server, now) ? kTrialUsable : weight;
+    });
   };
-  hooks.admit = [service, passes](const WorkItem& item, Instant now) {
-    if (item.hop == Hop::kCaller)
-      passes->OnRequest(service, now);
-    return Refusal::kNone;
+  hooks.on_request = [service, passes](const WorkItem&, Instant now) {
+    passes->OnRequest(service, now);
   };
   hooks.may_pass = [passes](const RegionId& region, const WorkItem& item,
                             Instant now) {
@@ -112,6 +112,16 @@
       [&](Dispatcher& it, Instant at) { it.OnLoadReport(*load, at); });
 }
 
+void ServiceState::OnSent(uint64_t fingerprint,
+                          const ServerId& server,
+                          Instant now) {
+  guard_->OnSent(fingerprint, server, now);
+  health_->With([&](HealthTable& it) {
+    if (it.TrialDue(server, now))
+      it.BeginTrial(server, now);
+  });
+}
+
 void ServiceState::OnAttempt(const AttemptResult& result, Instant now) {
   guard_->OnEnded(result, now);
   passes_->OnEnded(service_, result, now);
--- a/src/daemon/service_state.h
+++ b/src/daemon/service_state.h
@@ -45,6 +45,8 @@
   void OnProbe(const ServerProbe& probe,
                const std::optional<LoadReport>& load,
                Instant now);
+  // An attempt at a backend server begins, and has ended.
+  void OnSent(uint64_t fingerprint, const ServerId& server, Instant now);
   void OnAttempt(const AttemptResult& result, Instant now);
   // The platform's host list names a machine; ignored when it is no backend
   // server of this service.
