--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -140,10 +140,18 @@
   });
   once_ =
       std::make_unique<OnceRunner>(workers_, *sender_, tickets_, next_item_);
+  IdempotentRunner::Hooks attempts;
+  attempts.take_retry = [this](const ServiceEntry& entry) {
+    return StateOf(entry.service.id)->TakeRetry(SteadyNow());
+  };
+  attempts.take_hedge = [this](const ServiceEntry& entry) {
+    return StateOf(entry.service.id)->TakeHedge(SteadyNow());
+  };
+  attempts.hedge_after = [this](const ServiceEntry& entry) {
+    return StateOf(entry.service.id)->HedgeAfter();
+  };
   idempotent_ = std::make_unique<IdempotentRunner>(
-      workers_, *sender_, next_item_, [this](const ServiceEntry& entry) {
-        return StateOf(entry.service.id)->TakeRetry(SteadyNow());
-      });
+      workers_, *sender_, next_item_, std::move(attempts));
   CallerHandler::Parts parts;
   parts.self = settings_.host;
   parts.keys = keys_;
--- a/src/daemon/idempotent_runner.h
+++ b/src/daemon/idempotent_runner.h
@@ -3,31 +3,52 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
 
 #include "src/daemon/call.h"
 #include "src/daemon/sender.h"
 
 namespace toucanknot {
 
-// Serves requests that may run more than once: retries what failed, within
-// the service's retry budget and the request's deadline.
+// Serves requests that may run more than once: retries what failed and hedges
+// what is slow, within the service's budgets and the request's deadline. The
+// first whole answer wins; attempts that still run are cancelled.
 class IdempotentRunner {
  public:
-  // Takes one retry from a service's budget; false when it is spent.
-  using TakeRetry = std::function<bool(const ServiceEntry& entry)>;
+  struct Hooks {
+    // Take one retry, or one hedge, from a service's budget; false when it is
+    // spent.
+    std::function<bool(const ServiceEntry& entry)> take_retry;
+    std::function<bool(const ServiceEntry& entry)> take_hedge;
+    // After how long a service's request is slow; nothing: no hedge.
+    std::function<std::optional<Duration>(const ServiceEntry& entry)>
+        hedge_after;
+  };
 
   IdempotentRunner(WorkerPool& workers,
                    Sender& sender,
                    std::atomic<uint64_t>& next_item,
-                   TakeRetry take_retry);
+                   Hooks hooks);
 
+  // To be called on a worker.
   boost::asio::awaitable<HttpResponse> Serve(CallPtr call);
 
  private:
+  struct Attempt;
+  struct Race;
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  using RacePtr = std::shared_ptr<Race>;
+
+  RacePtr MakeRace(CallPtr call);
+  void StartAttempt(const RacePtr& race, int number);
+  boost::asio::awaitable<void> RunAttempt(RacePtr race, AttemptPtr attempt);
+
   WorkerPool& workers_;
   Sender& sender_;
   std::atomic<uint64_t>& next_item_;
-  const TakeRetry take_retry_;
+  const Hooks hooks_;
 };
 
 }  // namespace toucanknot
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -121,6 +121,28 @@
   co_return result;
 }
 
+boost::asio::awaitable<ExchangeResult> Sender::ExchangeFor(
+    const Call& call,
+    Endpoint endpoint,
+    HttpRequest request,
+    ExchangeOptions options) {
+  if (!call.idempotent)
+    co_return co_await Pool().Exchange(endpoint, std::move(request),
+                                       std::move(options));
+  ExchangeResult result = co_await Pool().Exchange(endpoint, request, options);
+  const bool closed_unseen = result.end == AttemptEnd::kBroken &&
+                             result.reused && !result.answer_started;
+  if (!closed_unseen)
+    co_return result;
+  options.new_connection = true;
+  result = co_await Pool().Exchange(endpoint, std::move(request),
+                                    std::move(options));
+  // The first sending may have run.
+  if (result.end == AttemptEnd::kNotSent)
+    result.end = AttemptEnd::kBroken;
+  co_return result;
+}
+
 boost::asio::awaitable<SendResult> Sender::SendToServer(
     const Call& call,
     const Decision& decision,
@@ -137,8 +159,9 @@
       return hand_over().has_value();
     };
   }
-  SendResult result = FromExchange(co_await Pool().Exchange(
-      server->second, call.ForServer(server->second), std::move(options)));
+  SendResult result = FromExchange(
+      co_await ExchangeFor(call, server->second, call.ForServer(server->second),
+                           std::move(options)));
   if (!result.has_answer)
     co_return result;
   const int status = result.response.status;
@@ -175,8 +198,8 @@
   }
   HttpRequest request = call.ForHost(host->second.address);
   SignPass(mark, decision.host, *keys_, request);
-  SendResult result = FromExchange(co_await Pool().Exchange(
-      host->second.address, std::move(request), std::move(options)));
+  SendResult result = FromExchange(co_await ExchangeFor(
+      call, host->second.address, std::move(request), std::move(options)));
   JudgePassed(result);
   co_return result;
 }
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -76,6 +76,13 @@
 
   ConnectionPool& Pool() const;
   ExchangeOptions OptionsFor(const Call& call) const;
+  // An exchange for `call`. When a connection that had been idle breaks before
+  // any byte of an answer, most likely the other side closed it unseen: a
+  // request that may run twice is then sent once more over a new one.
+  boost::asio::awaitable<ExchangeResult> ExchangeFor(const Call& call,
+                                                     Endpoint endpoint,
+                                                     HttpRequest request,
+                                                     ExchangeOptions options);
   boost::asio::awaitable<SendResult> SendToServer(const Call& call,
                                                   const Decision& decision,
                                                   HandOver hand_over);
--- a/src/daemon/service_desk.h
+++ b/src/daemon/service_desk.h
@@ -24,7 +24,10 @@
   explicit ServiceDesk(std::unique_ptr<Dispatcher> dispatcher);
 
   // Decides where `item` goes. Waits while the dispatcher lets it wait; kWait
-  // is never returned. To be called on `loop`.
+  // is never returned. To be called on `loop`. Cancelling the wait withdraws
+  // the item; the answer is then a refusal, unless a decision on it was
+  // already on its way, whose attempt the caller must finish. The coroutine
+  // that waits must have set throw_if_cancelled(false) if it can be cancelled.
   boost::asio::awaitable<Decision> Place(boost::asio::io_context& loop,
                                          WorkItem item);
   // An attempt has ended.
--- a/src/daemon/service_state.cc
+++ b/src/daemon/service_state.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -10,6 +11,9 @@
 namespace toucanknot {
 namespace {
 
+// Answers that come sooner are not worth a second attempt.
+constexpr Duration kLeastHedgeDelay{5};
+
 AnswerOutcome OutcomeOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kAnswered:
@@ -47,6 +51,7 @@
                            uint64_t seed)
     : health_(std::make_shared<HealthDesk>(Tunables())),
       retries_(Tunables().retry_ratio),
+      hedges_(Tunables().hedge_ratio),
       desk_(std::make_shared<ServiceDesk>(
           MakeDispatcher(service, host, seed, health_))) {
   health_->With([&](HealthTable& it) {
@@ -82,6 +87,7 @@
   {
     const std::lock_guard lock(retries_mutex_);
     retries_.set_ratio(entry.tunables.retry_ratio);
+    hedges_.set_ratio(entry.tunables.hedge_ratio);
   }
   desk_->Update(
       [&](Dispatcher& it, Instant at) { it.OnConfig(config, unix_ms, at); });
@@ -109,6 +115,8 @@
   if (result.end == AttemptEnd::kAnswered) {
     const std::lock_guard lock(retries_mutex_);
     retries_.OnSuccess(now);
+    hedges_.OnSuccess(now);
+    latency_.Add(result.took);
   }
 }
 
@@ -125,6 +133,19 @@
   return retries_.TryTake(now);
 }
 
+bool ServiceState::TakeHedge(Instant now) {
+  const std::lock_guard lock(retries_mutex_);
+  return hedges_.TryTake(now);
+}
+
+std::optional<Duration> ServiceState::HedgeAfter() const {
+  const std::lock_guard lock(retries_mutex_);
+  const auto p95 = latency_.P95();
+  if (!p95)
+    return std::nullopt;
+  return std::max(*p95 + Duration(1), kLeastHedgeDelay);
+}
+
 void ServiceState::Advance(Instant now) {
   health_->With([&](HealthTable& it) { it.Advance(now); });
 }
--- a/src/daemon/service_state.h
+++ b/src/daemon/service_state.h
@@ -12,6 +12,7 @@
 #include "include/limits/retry_budget.h"
 #include "include/steering/dispatcher.h"
 #include "src/daemon/health_desk.h"
+#include "src/daemon/recent_latency.h"
 #include "src/daemon/routing_tables.h"
 #include "src/daemon/service_desk.h"
 
@@ -41,6 +42,11 @@
   void OnHostListed(const ServerId& server, bool leaving, Instant now);
   // Takes one retry from the budget; false when it is spent.
   bool TakeRetry(Instant now);
+  // The same for hedges.
+  bool TakeHedge(Instant now);
+  // After how long a request is slower than most; nothing before enough
+  // answers came.
+  std::optional<Duration> HedgeAfter() const;
   // Moves what only time moves.
   void Advance(Instant now);
 
@@ -49,8 +55,11 @@
 
  private:
   const std::shared_ptr<HealthDesk> health_;
-  std::mutex retries_mutex_;
+  // Guards the budgets and the latencies.
+  mutable std::mutex retries_mutex_;
   RetryBudget retries_;
+  RetryBudget hedges_;
+  RecentLatency latency_;
   const std::shared_ptr<ServiceDesk> desk_;
 };
 
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -80,9 +80,21 @@
   void CloseIdle(Duration idle);
 
   ConnectionLimit limit;
-  ConnectionPoolCounts counts;
+  ConnectionPoolCounts Counts() const {
+    return {counts_.opened, counts_.reused, counts_.discarded,
+            counts_.connect_failed, counts_.surplus_bytes};
+  }
 
  private:
+  // Written by the worker, read by any thread.
+  struct AtomicCounts {
+    std::atomic<uint64_t> opened{0};
+    std::atomic<uint64_t> reused{0};
+    std::atomic<uint64_t> discarded{0};
+    std::atomic<uint64_t> connect_failed{0};
+    std::atomic<uint64_t> surplus_bytes{0};
+  };
+
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
                                            HttpRequest request,
                                            ExchangeOptions options);
@@ -121,6 +133,7 @@
   static void Arm(Connection& connection, const ExchangeOptions& options);
 
   asio::io_context& loop_;
+  AtomicCounts counts_;
   std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
 };
 
@@ -134,7 +147,7 @@
     ConnectionPtr it = std::move(list.back());
     list.pop_back();
     if (IsSpoilt(*it)) {
-      ++counts.discarded;
+      ++counts_.discarded;
       continue;
     }
     if (now - it->last_used > fresh_for) {
@@ -152,7 +165,7 @@
   const ssize_t n = ::recv(connection.stream.socket().native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
   if (n > 0)
-    ++counts.surplus_bytes;
+    ++counts_.surplus_bytes;
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -172,13 +185,13 @@
                               endpoint.port);
   auto [ec] = co_await connection->stream.async_connect(address, kAwait);
   if (ec) {
-    ++counts.connect_failed;
+    ++counts_.connect_failed;
     result.error = "cannot connect: " + ec.message();
     if (ec == asio::error::operation_aborted)
       result.end = AttemptEnd::kCancelled;
     co_return nullptr;
   }
-  ++counts.opened;
+  ++counts_.opened;
   beast::error_code ignored;
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   const int silent_ms = static_cast<int>(options.silent_after.ms());
@@ -220,7 +233,9 @@
   for (;;) {
     auto [ec, n] = co_await http::async_read_header(
         connection.stream, connection.buffer, parser, kAwait);
-    result.answer_started = result.answer_started || n > 0;
+    // A header that broke off is left in the buffer, and not counted in `n`.
+    result.answer_started =
+        result.answer_started || n > 0 || connection.buffer.size() > 0;
     if (ec) {
       result.end = EndOf(ec);
       result.error = "no answer: " + ec.message();
@@ -247,7 +262,7 @@
     result.error = "the answer states no length";
     co_return;
   }
-  counts.surplus_bytes += connection.buffer.size();
+  counts_.surplus_bytes += connection.buffer.size();
   reusable = parser.get().keep_alive() && connection.buffer.size() == 0;
   result.end = AttemptEnd::kAnswered;
   result.response = FromBeast(parser.release());
@@ -258,9 +273,11 @@
     HttpRequest request,
     ExchangeOptions options) {
   ExchangeResult result;
-  ConnectionPtr connection = TakeIdle(endpoint, options.fresh_for);
+  ConnectionPtr connection;
+  if (!options.new_connection)
+    connection = TakeIdle(endpoint, options.fresh_for);
   if (connection)
-    ++counts.reused;
+    ++counts_.reused;
   else
     connection = co_await Open(endpoint, options, result);
   if (!connection)
@@ -291,7 +308,7 @@
   for (auto& [endpoint, list] : idle_) {
     while (!list.empty() && now - list.front()->last_used > idle) {
       list.pop_front();
-      ++counts.discarded;
+      ++counts_.discarded;
     }
   }
 }
@@ -319,7 +336,7 @@
 }
 
 ConnectionPoolCounts ConnectionPool::counts() const {
-  return impl_->counts;
+  return impl_->Counts();
 }
 
 }  // namespace toucanknot
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -21,6 +21,8 @@
   Instant deadline = Instant::Never();
   // Only a new connection, or one that moved bytes within this time, is used.
   Duration fresh_for = Duration::Max();
+  // No idle connection is used.
+  bool new_connection = false;
   // Bytes that the peer does not acknowledge for this long break the
   // connection.
   Duration silent_after{3'000};
@@ -40,7 +42,7 @@
   // It went over a connection that had served before. Such a connection may
   // have been closed by the other side while it was idle.
   bool reused = false;
-  // No byte of an answer arrived.
+  // Some byte of an answer arrived.
   bool answer_started = false;
   // What went wrong, for people.
   std::string error;
--- /dev/null
+++ b/tests/forward/connection_pool_test.cc
@@ -0,0 +1,159 @@
+#include "src/forward/connection_pool.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+
+#include "src/daemon/recent_latency.h"
+#include "tests/forward/fake_server.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+
+using Answers = FakeServer::Answers;
+
+constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr Duration kGenerous{20'000};
+
+ExchangeOptions Generous() {
+  ExchangeOptions options;
+  options.deadline = SteadyNow() + kGenerous;
+  return options;
+}
+
+HttpRequest Get() {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  request.fields.Add("Host", "x");
+  return request;
+}
+
+struct Client {
+  ExchangeResult Run(const Endpoint& to, ExchangeOptions options = Generous()) {
+    auto result = asio::co_spawn(
+        loop, pool.Exchange(to, Get(), std::move(options)), asio::use_future);
+    loop.restart();
+    loop.run();
+    return result.get();
+  }
+
+  asio::io_context loop;
+  ConnectionPool pool{loop};
+};
+
+asio::awaitable<void> Cancellable(ConnectionPool& pool,
+                                  Endpoint to,
+                                  ExchangeResult& result) {
+  co_await asio::this_coro::throw_if_cancelled(false);
+  result = co_await pool.Exchange(to, Get(), Generous());
+}
+
+}  // namespace
+
+TEST_CASE("a connection is kept and used again") {
+  FakeServer server{Answers{kAnswer, kAnswer}};
+  Client client;
+  const ExchangeResult first = client.Run(server.endpoint());
+  CHECK(first.end == AttemptEnd::kAnswered);
+  CHECK(first.response.body == "ok");
+  CHECK_FALSE(first.reused);
+  CHECK(client.Run(server.endpoint()).reused);
+  CHECK(client.pool.counts().opened == 1);
+  CHECK(client.pool.counts().reused == 1);
+}
+
+TEST_CASE("a new connection is opened where one is asked for") {
+  FakeServer server{Answers{kAnswer}, Answers{kAnswer}};
+  Client client;
+  client.Run(server.endpoint());
+  ExchangeOptions options = Generous();
+  options.new_connection = true;
+  const ExchangeResult second = client.Run(server.endpoint(), options);
+  CHECK(second.end == AttemptEnd::kAnswered);
+  CHECK_FALSE(second.reused);
+  CHECK(client.pool.counts().opened == 2);
+}
+
+TEST_CASE("surplus bytes are counted and the connection is not used again") {
+  FakeServer server{Answers{std::string(kAnswer) + "more"}, Answers{kAnswer}};
+  Client client;
+  CHECK(client.Run(server.endpoint()).response.body == "ok");
+  const ExchangeResult second = client.Run(server.endpoint());
+  CHECK(second.response.body == "ok");
+  CHECK_FALSE(second.reused);
+  CHECK(client.pool.counts().surplus_bytes > 0);
+}
+
+TEST_CASE("an answer that is cut or has no length is broken") {
+  const std::string answer =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\n\r\nok", "HTTP/1.1 200 O",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok");
+  FakeServer server{Answers{answer}};
+  Client client;
+  const ExchangeResult result = client.Run(server.endpoint());
+  CHECK(result.end == AttemptEnd::kBroken);
+  CHECK(result.answer_started);
+}
+
+TEST_CASE("silence until the deadline is a time-out") {
+  FakeServer server{Answers{""}};
+  Client client;
+  ExchangeOptions options;
+  options.deadline = SteadyNow() + Duration(50);
+  const ExchangeResult result = client.Run(server.endpoint(), options);
+  CHECK(result.end == AttemptEnd::kTimedOut);
+  CHECK_FALSE(result.answer_started);
+}
+
+TEST_CASE("cancellation ends an exchange and closes its connection") {
+  FakeServer server{Answers{""}};
+  Client client;
+  asio::cancellation_signal cancel;
+  ExchangeResult result;
+  bool done = false;
+  asio::co_spawn(
+      client.loop, Cancellable(client.pool, server.endpoint(), result),
+      asio::bind_cancellation_slot(
+          cancel.slot(), [&](const std::exception_ptr&) { done = true; }));
+  while (client.pool.counts().opened == 0)
+    client.loop.run_one();
+  cancel.emit(asio::cancellation_type::terminal);
+  client.loop.run();
+  CHECK(done);
+  CHECK(result.end == AttemptEnd::kCancelled);
+  // The fake's thread ends only when the client has closed.
+}
+
+TEST_CASE("a refused connection and a reached limit leave nothing sent") {
+  Client client;
+  Endpoint closed;
+  {
+    asio::ip::tcp::acceptor port(client.loop, {asio::ip::tcp::v4(), 0});
+    closed = {"127.0.0.1", port.local_endpoint().port()};
+  }
+  CHECK(client.Run(closed).end == AttemptEnd::kNotSent);
+  CHECK(client.pool.counts().connect_failed == 1);
+  client.pool.set_connection_limit([](const Endpoint&, int) { return false; });
+  CHECK(client.Run(closed).end == AttemptEnd::kNotSent);
+  CHECK(client.pool.counts().connect_failed == 1);
+}
+
+TEST_CASE("the percentile of latencies needs enough of them") {
+  RecentLatency latency;
+  for (int i = 1; i < 64; ++i)
+    latency.Add(Duration(i));
+  CHECK_FALSE(latency.P95());
+  latency.Add(Duration(64));
+  REQUIRE(latency.P95());
+  CHECK(*latency.P95() == Duration(61));
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/http/http_server_test.cc
@@ -0,0 +1,126 @@
+#include "src/http/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint64_t kBodyLimit = 64;
+constexpr char kGood[] =
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi";
+constexpr char kLast[] =
+    "GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+asio::awaitable<HttpResponse> Echo(HttpRequest request) {
+  co_return TextResponse(200, request.target + "=" + request.body);
+}
+
+struct Fixture {
+  explicit Fixture(HttpServerLimits limits = {})
+      : server(
+            workers,
+            limits,
+            [](std::string_view) { return kBodyLimit; },
+            [](HttpRequest it) { return Echo(std::move(it)); }),
+        endpoint(server.Listen({"127.0.0.1", 0})) {}
+  ~Fixture() { workers.Stop(); }
+
+  // Everything that the server answers to `bytes`.
+  std::string Send(const std::string& bytes, bool half_close = false) {
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(endpoint.ip), endpoint.port});
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(bytes), ec);
+    if (half_close)
+      socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    std::string out;
+    asio::read(socket, asio::dynamic_buffer(out), ec);
+    return out;
+  }
+
+  WorkerPool workers{1};
+  HttpServer server;
+  const Endpoint endpoint;
+};
+
+std::string Status(const std::string& answer) {
+  return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+}  // namespace
+
+TEST_CASE("pipelined requests are answered in order") {
+  Fixture it;
+  const std::string out = it.Send(std::string(kGood) + kLast);
+  CHECK(Status(out) == "200");
+  const size_t first = out.find("/a=hi");
+  REQUIRE(first != std::string::npos);
+  CHECK(out.find("/b=", first) != std::string::npos);
+  CHECK(it.server.Counts().accepted == 1);
+  CHECK(it.server.Counts().requests == 2);
+}
+
+TEST_CASE("what is malformed or too large is refused as not run") {
+  struct Case {
+    std::string head;
+    std::string status;
+  };
+  const Case it = GENERATE(
+      Case{"Host: x\r\nContent-Length: 65\r\n", "413"},
+      Case{"Host: x\r\nX: " + std::string(20 << 10, 'a') + "\r\n", "431"},
+      Case{"Host: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+           "400"},
+      Case{"Host: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n", "400"},
+      Case{"Host: x\r\nTransfer-Encoding: gzip\r\n", "501"},
+      Case{"X: y\r\n", "400"}, Case{"Host: x\r\nHost: y\r\n", "400"},
+      Case{"Host: x\r\nContent-Length: -2\r\n", "400"});
+  Fixture fixture;
+  const std::string out =
+      fixture.Send("POST /a HTTP/1.1\r\n" + it.head + "\r\n");
+  INFO(it.head.substr(0, 80));
+  CHECK(Status(out) == it.status);
+  CHECK(out.find("Toucanknot-Verdict: not-run") != std::string::npos);
+  CHECK(fixture.server.Counts().requests == 0);
+}
+
+TEST_CASE("a caller that waits for leave gets it") {
+  Fixture it;
+  const std::string out = it.Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\nExpect: "
+      "100-continue\r\nContent-Length: 2\r\n\r\nhi");
+  CHECK(Status(out) == "100");
+  CHECK(out.find("/a=hi") != std::string::npos);
+}
+
+TEST_CASE("a header that comes too slowly ends the connection") {
+  HttpServerLimits limits;
+  limits.header = Duration(30);
+  Fixture it(limits);
+  CHECK(it.Send("GET / HTTP/1.1\r\nHo").empty());
+  CHECK(it.server.Counts().timed_out == 1);
+}
+
+TEST_CASE("mutated requests never bring the server down") {
+  Fixture it;
+  std::mt19937_64 random(7);
+  const std::string good = kGood;
+  for (int i = 0; i < 300; ++i) {
+    std::string bytes = good;
+    for (uint64_t n = 1 + random() % 4; n > 0; --n)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(bytes.size() - random() % 3);
+    const std::string out = it.Send(bytes, true);
+    CHECK((out.empty() || out.starts_with("HTTP/1.")));
+  }
+  CHECK(Status(it.Send(kLast)) == "200");
+}
+
+}  // namespace toucanknot
