--- a/tests/forward/fake_server.h
+++ b/tests/forward/fake_server.h
@@ -18,10 +18,11 @@
 // A server on loopback that answers by script, byte for byte. Connection
 // number i gets the answers of script[i], one for each header it sends, and
 // is then closed; an empty answer holds it open, silent, until the client
-// closes.
+// closes; kClose closes it instead of an answer.
 class FakeServer {
  public:
   using Answers = std::vector<std::string>;
+  static constexpr char kClose[] = "close";
 
   FakeServer(std::initializer_list<Answers> script)
       : script_(script), thread_([this] { Serve(); }) {}
@@ -42,6 +43,8 @@
         boost::asio::streambuf in;
         boost::system::error_code ec;
         boost::asio::read_until(socket, in, "\r\n\r\n", ec);
+        if (it == kClose)
+          break;
         if (!ec && !it.empty())
           boost::asio::write(socket, boost::asio::buffer(it), ec);
         else if (!ec)
