--- a/src/daemon/service_state.h
+++ b/src/daemon/service_state.h
@@ -15,6 +15,7 @@
 #include "src/daemon/crash_guard.h"
 #include "src/daemon/health_desk.h"
 #include "src/daemon/pass_desk.h"
+#include "src/daemon/recent_latency.h"
 #include "src/daemon/routing_tables.h"
 #include "src/daemon/service_desk.h"
 
@@ -62,6 +63,11 @@
   ServerId ServerAlone(const std::vector<ServerId>& servers, Instant now) const;
   // Takes one retry from the budget; false when it is spent.
   bool TakeRetry(Instant now);
+  // The same for hedges.
+  bool TakeHedge(Instant now);
+  // After how long a request is slower than most; nothing before enough
+  // answers came.
+  std::optional<Duration> HedgeAfter() const;
   // Moves what only time moves.
   void Advance(Instant now);
 
@@ -73,8 +79,11 @@
   const std::shared_ptr<HealthDesk> health_;
   const std::shared_ptr<CrashGuard> guard_;
   const std::shared_ptr<PassDesk> passes_;
-  std::mutex retries_mutex_;
+  // Guards the budgets and the latencies.
+  mutable std::mutex retries_mutex_;
   RetryBudget retries_;
+  RetryBudget hedges_;
+  RecentLatency latency_;
   const std::shared_ptr<ServiceDesk> desk_;
 };
 
--- a/src/demo/demo_run.cc
+++ b/src/demo/demo_run.cc
@@ -23,6 +23,8 @@
 const Endpoint kStore{"127.0.0.1", 17100};
 constexpr uint16_t kAdminPort = 16100;
 constexpr Duration kServiceTime{40};
+// Callers ask for this long what became of work that may have run.
+constexpr Duration kPatience{6'000};
 constexpr Duration kConfigLimit{11'000};
 constexpr Duration kPoll{5};
 constexpr Duration kWarmUp{1'000};
@@ -158,6 +160,7 @@
   }
   load.duration = options_.duration;
   load.seed = options_.seed;
+  load.patience = kPatience;
   load_ = std::make_unique<LoadRun>(load);
   load_->Start();
   out_ << fmt::format("load of {:.0f} % of all slots for {:.0f} s\n",
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -104,6 +104,8 @@
   std::atomic<int> in_flight_{0};
   std::atomic<int> generators_{0};
   std::atomic<uint64_t> next_work_{1};
+  // Keeps the work of two runs against the same stand-ins apart.
+  const std::string run_tag_ = std::to_string(UnixMillis());
   WorkerPool workers_;
   std::vector<std::unique_ptr<Callers>> callers_;
 };
@@ -156,8 +158,8 @@
     return;
   }
   ++in_flight_;
-  std::string work_id =
-      callers.stream.service + "-" + std::to_string(next_work_++);
+  std::string work_id = callers.stream.service + "-" + run_tag_ + "-" +
+                        std::to_string(next_work_++);
   const auto on_end = [this](const std::exception_ptr&) { --in_flight_; };
   if (run_once)
     boost::asio::co_spawn(callers.loop, RunOnce(callers, std::move(work_id)),
