daemon: lint clean

Cause: the linter found copies of parameters and one name. Change: references; a constant at namespace scope. Conclusion: none beyond that.

--- a/src/daemon/fleet_link.cc
+++ b/src/daemon/fleet_link.cc
@@ -57,7 +57,7 @@
 
 FleetLink::FleetLink(WorkerPool& workers,
                      const HostSettings& settings,
-                     PeerSender self,
+                     const PeerSender& self,
                      std::shared_ptr<const FleetKeys> keys,
                      std::shared_ptr<Store> store,
                      Hooks hooks)
@@ -245,6 +245,7 @@
   try {
     const std::vector<PlatformHost> hosts = store_->Hosts();
     std::vector<HostListEntry> list;
+    list.reserve(hosts.size());
     for (const PlatformHost& it : hosts)
       list.push_back({HostId(it.id), it.leaving});
     WithAgent([&](FleetAgent& it) {
--- a/src/daemon/fleet_link.h
+++ b/src/daemon/fleet_link.h
@@ -41,7 +41,7 @@
 
   FleetLink(WorkerPool& workers,
             const HostSettings& settings,
-            PeerSender self,
+            const PeerSender& self,
             std::shared_ptr<const FleetKeys> keys,
             std::shared_ptr<Store> store,
             Hooks hooks);
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -69,11 +69,12 @@
   return limits;
 }
 
+constexpr int kUnconfirmedRank = 10;
+
 // Hosts with the same rank share callers. Unconfirmed ones are named last.
 int RankOfCandidate(const EntryCandidate& candidate) {
-  constexpr int kUnconfirmed = 10;
   return static_cast<int>(candidate.proximity) +
-         (candidate.confirmed ? 0 : kUnconfirmed);
+         (candidate.confirmed ? 0 : kUnconfirmedRank);
 }
 
 }  // namespace
--- a/src/daemon/service_state.cc
+++ b/src/daemon/service_state.cc
@@ -27,9 +27,9 @@
 }
 
 SteeringHooks MakeHooks(const ServiceId& service,
-                        std::shared_ptr<HealthDesk> health,
-                        std::shared_ptr<CrashGuard> guard,
-                        std::shared_ptr<PassDesk> passes) {
+                        const std::shared_ptr<HealthDesk>& health,
+                        const std::shared_ptr<CrashGuard>& guard,
+                        const std::shared_ptr<PassDesk>& passes) {
   SteeringHooks hooks;
   hooks.usable = [health, guard](const ServerId& server, Instant now) {
     if (guard->IsReserved(server, now))
