daemon: a frozen home host is left out before membership calls it dead

Cause: with the home of a service's pool frozen (SIGSTOP), requests of other hosts went on being passed to it until membership took it for suspect. Ruled out: the connection (the kernel acknowledges) and the callers' own choice (the trial asked one live host only). Change: SilenceWatch leaves out of the homes whoever misses four load notices (300 ms at least); a pause of this process is not blamed on others. Conclusion: what was under way at the frozen host still waits for it or for a hedge; passing those on again is left.

--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -25,6 +25,7 @@
 #include "src/daemon/peer_news.h"
 #include "src/daemon/prober.h"
 #include "src/daemon/service_state.h"
+#include "src/daemon/silence_watch.h"
 #include "src/daemon/status_page.h"
 #include "src/http/http_server.h"
 
@@ -41,12 +42,18 @@
 constexpr Duration kLoadInterval{50};
 constexpr Duration kLoadSpacing{10};
 constexpr Duration kViewInterval{250};
+// This process was not running when it wakes up so much later than it should.
+constexpr Duration kOwnPause{200};
 constexpr int64_t kNoEnd = std::numeric_limits<int64_t>::max();
 // Time for the last messages of a host that stops to leave.
 constexpr Duration kFarewell{200};
 // Look-ups have no body worth naming.
 constexpr uint64_t kMaxOtherBodyBytes = 4 << 10;
 
+Duration LoadInterval(size_t hosts) {
+  return std::max(kLoadInterval, kLoadSpacing * static_cast<int64_t>(hosts));
+}
+
 // Greater than before on the same host unless the clock was set back; the low
 // bits differ in any case.
 Incarnation DrawIncarnation() {
@@ -101,6 +108,7 @@
   void Apply(const FleetConfigPtr& config);
   // Which hosts serve has changed.
   void OnView();
+  void SetHomes(const std::vector<HostId>& live, Instant now);
   void RebuildLookups(const RoutingTables& tables);
   FleetLink::Hooks FleetHooks();
   void OnProbe(const ServiceEntry& entry,
@@ -134,6 +142,11 @@
   mutable std::mutex states_mutex_;
   std::map<ServiceId, std::shared_ptr<ServiceState>> states_;
 
+  // Guards the two below. May be held while a ServiceDesk's lock is taken.
+  std::mutex silence_mutex_;
+  SilenceWatch silence_;
+  std::vector<HostId> homes_;
+
   HostTables tables_;
   std::atomic<LookupTablePtr> lookups_;
   HostMetrics metrics_;
@@ -159,6 +172,7 @@
       self_{settings_.host, DrawIncarnation()},
       keys_(MakeKeys(settings_)),
       store_(std::move(store)),
+      silence_(self_.host),
       passes_(std::make_shared<PassDesk>(self_.host,
                                          self_.incarnation,
                                          SteadyNow())),
@@ -231,6 +245,10 @@
   hooks.on_view = [this] { OnView(); };
   hooks.on_message = [this](const PeerSender& from,
                             const PeerMessage& message) {
+    if (std::holds_alternative<LoadNotice>(message)) {
+      const std::lock_guard lock(silence_mutex_);
+      silence_.OnHeard(from.host, SteadyNow());
+    }
     if (const auto* handoff = std::get_if<TicketHandoff>(&message)) {
       tickets_.TakeOver(*handoff);
       spdlog::info("tickets taken over from={}", from.host.str());
@@ -340,13 +358,24 @@
   if (!tables)
     return;
   const Instant now = SteadyNow();
-  const std::vector<HostId> live = fleet_->LiveInRegion();
-  for (const auto& it : AllStates())
-    it->OnHosts(live, now);
+  SetHomes(fleet_->LiveInRegion(), now);
   passes_->OnLiveRegions(fleet_->LiveRegions(), now);
   RebuildLookups(*tables);
 }
 
+// The hosts of the region that may be the home of requests: serving, and heard
+// lately.
+void HostDaemon::Impl::SetHomes(const std::vector<HostId>& live, Instant now) {
+  const std::lock_guard lock(silence_mutex_);
+  std::vector<HostId> heard =
+      silence_.Heard(live, LoadInterval(live.size()), now);
+  if (heard == homes_)
+    return;
+  homes_ = std::move(heard);
+  for (const auto& it : AllStates())
+    it->OnHosts(homes_, now);
+}
+
 void HostDaemon::Impl::RebuildLookups(const RoutingTables& tables) {
   LookupTable::Source source;
   source.config = tables.config;
@@ -383,9 +412,15 @@
 
 HostDaemon::Impl::Coroutine HostDaemon::Impl::NewsLoop() {
   Instant next_views;
+  Instant due = SteadyNow();
   for (;;) {
-    const std::vector<HostId> near = fleet_->LiveInRegion();
     const Instant now = SteadyNow();
+    if (now - due > kOwnPause) {
+      const std::lock_guard lock(silence_mutex_);
+      silence_.Forgive(now - due);
+    }
+    const std::vector<HostId> near = fleet_->LiveInRegion();
+    SetHomes(near, now);
     if (near.size() > 1) {
       fleet_->Send({near, news_.Load()});
       if (now >= next_views) {
@@ -395,8 +430,9 @@
       }
     }
     SendCrashes();
-    const auto n = static_cast<int64_t>(near.size());
-    co_await SleepFor(std::max(kLoadInterval, kLoadSpacing * n));
+    const Duration interval = LoadInterval(near.size());
+    due = now + interval;
+    co_await SleepFor(interval);
   }
 }
 
