--- a/src/daemon/fleet_link.cc
+++ b/src/daemon/fleet_link.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <future>
 #include <map>
 #include <set>
 #include <utility>
@@ -85,10 +86,16 @@
 }
 
 FleetLink::~FleetLink() {
-  transport_.Stop();
   store_threads_.join();
 }
 
+void FleetLink::Disconnect() {
+  transport_.Stop();
+  std::promise<void> done;
+  boost::asio::post(workers_.loop(0), [&done] { done.set_value(); });
+  done.get_future().wait();
+}
+
 template <typename Fn>
 auto FleetLink::WithAgent(Fn fn) const {
   const std::lock_guard lock(mutex_);
--- a/src/daemon/fleet_link.h
+++ b/src/daemon/fleet_link.h
@@ -55,6 +55,9 @@
 
   // The hosts of a configuration that is in force now.
   void SetConfig(const FleetConfigPtr& config);
+  // Closes the connections to other hosts and waits until that is done. Not to
+  // be called from a worker.
+  void Disconnect();
   // This host leaves; it has stopped.
   void Leave();
   void Stopped();
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -226,6 +226,7 @@
 }
 
 HostDaemon::Impl::~Impl() {
+  fleet_->Disconnect();
   workers_.Stop();
   // Closes the sockets at once, as a crash would; calls to the store that have
   // begun are waited for after that.
--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -224,8 +224,13 @@
       // The owner waits with its reply until a run that goes on has ended.
       SendResult result =
           co_await sender_.AskOwner(*call, action.target.host, call->deadline);
-      if (result.has_answer)
-        co_return ToCaller(std::move(result.response), result.verdict);
+      if (result.has_answer) {
+        HttpResponse answer =
+            ToCaller(std::move(result.response), result.verdict);
+        if (result.verdict == Verdict::kNotRun)
+          OfferTicket(*call, answer);
+        co_return answer;
+      }
     }
     action = inquiry.OnSilence(SteadyNow());
   }
--- a/src/standin/backend_server.h
+++ b/src/standin/backend_server.h
@@ -59,6 +59,8 @@
   const BackendServer& spec() const { return spec_; }
   // The most connections and running requests seen at once.
   int64_t peak_connections() const { return peak_connections_; }
+  // How often it has crashed.
+  int crashes() const { return life_; }
   int peak_running() const;
   int running() const;
   // When the last request arrived.
