daemon: the host's wiring in three pieces, figures told once

Change: ServiceStates and NewsCarrier stand by themselves; StatusFacts serves both pages; the store's calls are waited for while everything stands. Conclusion: each piece has one job again.

--- a/src/daemon/fleet_link.cc
+++ b/src/daemon/fleet_link.cc
@@ -85,7 +85,9 @@
           .Build();
 }
 
-FleetLink::~FleetLink() {
+FleetLink::~FleetLink() = default;
+
+void FleetLink::FinishStoreCalls() {
   store_threads_.join();
 }
 
--- a/src/daemon/fleet_link.h
+++ b/src/daemon/fleet_link.h
@@ -45,8 +45,6 @@
             std::shared_ptr<const FleetKeys> keys,
             std::shared_ptr<Store> store,
             Hooks hooks);
-  // Waits for calls to the store that have begun. The workers must have been
-  // stopped.
   ~FleetLink();
 
   // Listens and begins. Throws boost::system::system_error when the address
@@ -58,6 +56,8 @@
   // Closes the connections to other hosts and waits until that is done. Not to
   // be called from a worker.
   void Disconnect();
+  // Waits for calls to the store that have begun; their hooks are still called.
+  void FinishStoreCalls();
   // This host leaves; it has stopped.
   void Leave();
   void Stopped();
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <limits>
-#include <map>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -21,11 +20,10 @@
 #include "src/daemon/crash_gate.h"
 #include "src/daemon/fleet_link.h"
 #include "src/daemon/host_metrics.h"
+#include "src/daemon/news_carrier.h"
 #include "src/daemon/pass_desk.h"
-#include "src/daemon/peer_news.h"
 #include "src/daemon/prober.h"
-#include "src/daemon/service_state.h"
-#include "src/daemon/silence_watch.h"
+#include "src/daemon/service_states.h"
 #include "src/daemon/status_page.h"
 #include "src/http/http_server.h"
 
@@ -37,23 +35,12 @@
 // How often health ramps move and records expire.
 constexpr Duration kHousekeeping{100};
 constexpr Duration kStopPoll{20};
-// Load is told to the region's hosts at the greater of the first and of the
-// second for each of them, so that its cost has a bound.
-constexpr Duration kLoadInterval{50};
-constexpr Duration kLoadSpacing{10};
-constexpr Duration kViewInterval{250};
-// This process was not running when it wakes up so much later than it should.
-constexpr Duration kOwnPause{200};
 constexpr int64_t kNoEnd = std::numeric_limits<int64_t>::max();
 // Time for the last messages of a host that stops to leave.
 constexpr Duration kFarewell{200};
 // Look-ups have no body worth naming.
 constexpr uint64_t kMaxOtherBodyBytes = 4 << 10;
 
-Duration LoadInterval(size_t hosts) {
-  return std::max(kLoadInterval, kLoadSpacing * static_cast<int64_t>(hosts));
-}
-
 // Greater than before on the same host unless the clock was set back; the low
 // bits differ in any case.
 Incarnation DrawIncarnation() {
@@ -100,15 +87,11 @@
  private:
   using Coroutine = boost::asio::awaitable<void>;
 
-  std::shared_ptr<ServiceState> StateOf(const ServiceId& service);
-  std::shared_ptr<ServiceState> FindState(const ServiceId& service) const;
-  std::vector<std::shared_ptr<ServiceState>> AllStates() const;
   uint64_t BodyLimit(std::string_view target) const;
   // A configuration has been accepted: brings it into force.
   void Apply(const FleetConfigPtr& config);
   // Which hosts serve has changed.
   void OnView();
-  void SetHomes(const std::vector<HostId>& live, Instant now);
   void RebuildLookups(const RoutingTables& tables);
   FleetLink::Hooks FleetHooks();
   void OnProbe(const ServiceEntry& entry,
@@ -120,13 +103,11 @@
 
   Coroutine TickLoop();
   Coroutine HousekeepingLoop();
-  Coroutine NewsLoop();
   Coroutine AnnounceThenClose();
-  void SendCrashes();
   void ApplyEndedExceptions();
 
   AdminHandler::Sources AdminSources();
-  std::string MetricsText() const;
+  StatusFacts Facts() const;
   std::string NotReady() const;
 
   const HostSettings settings_;
@@ -138,22 +119,13 @@
   // When the next exception in force ends.
   std::atomic<int64_t> next_end_unix_ms_{kNoEnd};
 
-  // Guards states_. May be held while a ServiceDesk's lock is taken.
-  mutable std::mutex states_mutex_;
-  std::map<ServiceId, std::shared_ptr<ServiceState>> states_;
-
-  // Guards the two below. May be held while a ServiceDesk's lock is taken.
-  std::mutex silence_mutex_;
-  SilenceWatch silence_;
-  std::vector<HostId> homes_;
-
   HostTables tables_;
   std::atomic<LookupTablePtr> lookups_;
   HostMetrics metrics_;
   const std::shared_ptr<PassDesk> passes_;
+  ServiceStates states_;
   TicketDesk tickets_;
   WorkerPool workers_;
-  PeerNews news_;
   CrashGate gate_;
   std::unique_ptr<Sender> sender_;
   std::unique_ptr<OnceRunner> once_;
@@ -165,6 +137,7 @@
   std::unique_ptr<HttpServer> admin_server_;
   ConfigIntake intake_;
   std::unique_ptr<FleetLink> fleet_;
+  std::unique_ptr<NewsCarrier> news_;
 };
 
 HostDaemon::Impl::Impl(HostSettings settings, std::shared_ptr<Store> store)
@@ -172,17 +145,15 @@
       self_{settings_.host, DrawIncarnation()},
       keys_(MakeKeys(settings_)),
       store_(std::move(store)),
-      silence_(self_.host),
       passes_(std::make_shared<PassDesk>(self_.host,
                                          self_.incarnation,
                                          SteadyNow())),
+      states_(self_, passes_),
       tickets_(self_, {}),
       workers_(settings_.workers),
-      news_([this] { return AllStates(); },
-            [this](const ServiceId& id) { return FindState(id); }),
       gate_(workers_,
             settings_.zone,
-            [this](const ServiceId& id) { return StateOf(id); }),
+            [this](const ServiceId& id) { return states_.Get(id); }),
       intake_([this](const FleetConfigPtr& config) { Apply(config); }) {
   sender_ = std::make_unique<Sender>(workers_, self_, keys_);
   sender_->set_observer([this](const Call& call, const AttemptResult& result) {
@@ -192,13 +163,13 @@
                                        next_item_);
   IdempotentRunner::Hooks attempts;
   attempts.take_retry = [this](const ServiceEntry& entry) {
-    return StateOf(entry.service.id)->TakeRetry(SteadyNow());
+    return states_.Get(entry.service.id)->TakeRetry(SteadyNow());
   };
   attempts.take_hedge = [this](const ServiceEntry& entry) {
-    return StateOf(entry.service.id)->TakeHedge(SteadyNow());
+    return states_.Get(entry.service.id)->TakeHedge(SteadyNow());
   };
   attempts.hedge_after = [this](const ServiceEntry& entry) {
-    return StateOf(entry.service.id)->HedgeAfter();
+    return states_.Get(entry.service.id)->HedgeAfter();
   };
   idempotent_ = std::make_unique<IdempotentRunner>(
       workers_, *sender_, gate_, next_item_, std::move(attempts));
@@ -217,6 +188,7 @@
   fleet_ = std::make_unique<FleetLink>(
       workers_, settings_, PeerSender{self_.host, self_.incarnation}, keys_,
       store_, FleetHooks());
+  news_ = std::make_unique<NewsCarrier>(workers_, self_.host, *fleet_, states_);
   prober_ = std::make_unique<Prober>(
       workers_, *sender_, tables_,
       [this](const ServiceEntry& entry, const ServerProbe& probe,
@@ -232,7 +204,7 @@
   // begun are waited for after that.
   caller_server_.reset();
   admin_server_.reset();
-  fleet_.reset();
+  fleet_->FinishStoreCalls();
 }
 
 FleetLink::Hooks HostDaemon::Impl::FleetHooks() {
@@ -246,15 +218,11 @@
   hooks.on_view = [this] { OnView(); };
   hooks.on_message = [this](const PeerSender& from,
                             const PeerMessage& message) {
-    if (std::holds_alternative<LoadNotice>(message)) {
-      const std::lock_guard lock(silence_mutex_);
-      silence_.OnHeard(from.host, SteadyNow());
-    }
     if (const auto* handoff = std::get_if<TicketHandoff>(&message)) {
       tickets_.TakeOver(*handoff);
       spdlog::info("tickets taken over from={}", from.host.str());
     }
-    news_.OnMessage(from, message, SteadyNow());
+    news_->OnMessage(from, message);
   };
   return hooks;
 }
@@ -279,7 +247,7 @@
   boost::asio::co_spawn(workers_.loop(0), TickLoop(), boost::asio::detached);
   boost::asio::co_spawn(workers_.loop(0), HousekeepingLoop(),
                         boost::asio::detached);
-  boost::asio::co_spawn(workers_.loop(0), NewsLoop(), boost::asio::detached);
+  news_->Start();
   spdlog::info("state=serving host={} zone={} callers={}", settings_.host.str(),
                settings_.zone.str(), settings_.callers.ToString());
 }
@@ -296,41 +264,14 @@
                : kMaxOtherBodyBytes;
 }
 
-std::shared_ptr<ServiceState> HostDaemon::Impl::StateOf(
-    const ServiceId& service) {
-  const std::lock_guard lock(states_mutex_);
-  auto& state = states_[service];
-  if (!state) {
-    state = std::make_shared<ServiceState>(service, settings_.host,
-                                           self_.incarnation, passes_);
-  }
-  return state;
-}
-
-std::shared_ptr<ServiceState> HostDaemon::Impl::FindState(
-    const ServiceId& service) const {
-  const std::lock_guard lock(states_mutex_);
-  const auto it = states_.find(service);
-  return it == states_.end() ? nullptr : it->second;
-}
-
-std::vector<std::shared_ptr<ServiceState>> HostDaemon::Impl::AllStates() const {
-  const std::lock_guard lock(states_mutex_);
-  std::vector<std::shared_ptr<ServiceState>> all;
-  all.reserve(states_.size());
-  for (const auto& [id, state] : states_)
-    all.push_back(state);
-  return all;
-}
-
 void HostDaemon::Impl::Apply(const FleetConfigPtr& config) {
   const int64_t unix_ms = UnixMillis();
   const auto tables = BuildRoutingTables(
       config, settings_.host, settings_.zone, unix_ms,
-      [this](const ServiceId& id) { return StateOf(id)->desk(); });
+      [this](const ServiceId& id) { return states_.Get(id)->desk(); });
   const Instant now = SteadyNow();
   for (const auto& [name, entry] : tables->services)
-    StateOf(entry->service.id)->OnConfig(config, *entry, unix_ms, now);
+    states_.Get(entry->service.id)->OnConfig(config, *entry, unix_ms, now);
   const Tunables& host = tables->tunables;
   tickets_.SetLimits({host.keep_answer, host.kept_answers_bytes});
   SetConnectionShares(*config);
@@ -359,24 +300,11 @@
   if (!tables)
     return;
   const Instant now = SteadyNow();
-  SetHomes(fleet_->LiveInRegion(), now);
+  news_->RefreshHomes();
   passes_->OnLiveRegions(fleet_->LiveRegions(), now);
   RebuildLookups(*tables);
 }
 
-// The hosts of the region that may be the home of requests: serving, and heard
-// lately.
-void HostDaemon::Impl::SetHomes(const std::vector<HostId>& live, Instant now) {
-  const std::lock_guard lock(silence_mutex_);
-  std::vector<HostId> heard =
-      silence_.Heard(live, LoadInterval(live.size()), now);
-  if (heard == homes_)
-    return;
-  homes_ = std::move(heard);
-  for (const auto& it : AllStates())
-    it->OnHosts(homes_, now);
-}
-
 void HostDaemon::Impl::RebuildLookups(const RoutingTables& tables) {
   LookupTable::Source source;
   source.config = tables.config;
@@ -395,51 +323,20 @@
 void HostDaemon::Impl::OnProbe(const ServiceEntry& entry,
                                const ServerProbe& probe,
                                const std::optional<LoadReport>& load) {
-  StateOf(entry.service.id)->OnProbe(probe, load, SteadyNow());
+  states_.Get(entry.service.id)->OnProbe(probe, load, SteadyNow());
 }
 
 void HostDaemon::Impl::OnAttempt(const Call& call,
                                  const AttemptResult& result) {
   metrics_.CountAttempt(result.end);
-  StateOf(call.entry->service.id)->OnAttempt(result, SteadyNow());
+  states_.Get(call.entry->service.id)->OnAttempt(result, SteadyNow());
   if (result.end == AttemptEnd::kBroken)
-    SendCrashes();
-}
-
-void HostDaemon::Impl::SendCrashes() {
-  for (CrashNotices& it : news_.Crashes())
-    fleet_->Send({fleet_->Others(), std::move(it)});
-}
-
-HostDaemon::Impl::Coroutine HostDaemon::Impl::NewsLoop() {
-  Instant next_views;
-  Instant due = SteadyNow();
-  for (;;) {
-    const Instant now = SteadyNow();
-    if (now - due > kOwnPause) {
-      const std::lock_guard lock(silence_mutex_);
-      silence_.Forgive(now - due);
-    }
-    const std::vector<HostId> near = fleet_->LiveInRegion();
-    SetHomes(near, now);
-    if (near.size() > 1) {
-      fleet_->Send({near, news_.Load()});
-      if (now >= next_views) {
-        for (ServerViews& it : news_.Views(now))
-          fleet_->Send({near, std::move(it)});
-        next_views = now + kViewInterval;
-      }
-    }
-    SendCrashes();
-    const Duration interval = LoadInterval(near.size());
-    due = now + interval;
-    co_await SleepFor(interval);
-  }
+    news_->SendCrashes();
 }
 
 void HostDaemon::Impl::OnHostList(const std::vector<PlatformHost>& hosts) {
   const Instant now = SteadyNow();
-  for (const auto& state : AllStates()) {
+  for (const auto& state : states_.All()) {
     for (const PlatformHost& it : hosts)
       state->OnHostListed(ServerId(it.id), it.leaving, now);
   }
@@ -448,7 +345,7 @@
 HostDaemon::Impl::Coroutine HostDaemon::Impl::TickLoop() {
   for (;;) {
     co_await SleepFor(kTick);
-    for (const auto& it : AllStates())
+    for (const auto& it : states_.All())
       it->desk()->Tick();
   }
 }
@@ -459,7 +356,7 @@
     tickets_.Expire();
     const Instant now = SteadyNow();
     passes_->Advance(now);
-    for (const auto& it : AllStates())
+    for (const auto& it : states_.All())
       it->Advance(now);
     ApplyEndedExceptions();
   }
@@ -519,64 +416,39 @@
 
 AdminHandler::Sources HostDaemon::Impl::AdminSources() {
   AdminHandler::Sources sources;
-  sources.metrics = [this] { return MetricsText(); };
+  sources.metrics = [this] { return metrics_.Text() + StatusMetrics(Facts()); };
   sources.not_ready = [this] { return NotReady(); };
   sources.config = [this] {
     const ConfigOffer offer = intake_.Current();
     return offer.version == 0 ? std::string() : WriteOffer(offer);
   };
-  sources.status = [this] {
-    StatusFacts facts;
-    facts.self = self_;
-    facts.zone = settings_.zone;
-    facts.leaving = leaving_;
-    const FleetLink::Figures fleet = fleet_->figures();
-    facts.store_up = fleet.store_up;
-    facts.store_calls = fleet.store_calls;
-    facts.store_reader = fleet.reader;
-    facts.peers = fleet.transport;
-    facts.config = intake_.Status(SteadyNow());
-    facts.ticket_records = tickets_.records();
-    facts.kept_answer_bytes = tickets_.kept_bytes();
-    facts.callers = caller_server_->Counts();
-    facts.connections = sender_->Counts();
-    return StatusJson(facts);
-  };
+  sources.status = [this] { return StatusJson(Facts()); };
   sources.explain = [this](const std::string& service) {
     const RoutingTablesPtr tables = tables_.Get();
     if (!tables || !tables->Find(service))
       return std::string();
-    return StateOf(ServiceId(service))->Explain(SteadyNow());
+    return states_.Get(ServiceId(service))->Explain(SteadyNow());
   };
   return sources;
 }
 
-std::string HostDaemon::Impl::MetricsText() const {
-  std::string text = metrics_.Text();
-  text += MetricLine("toucanknot_config_version", "",
-                     static_cast<double>(ConfigVersion()));
+StatusFacts HostDaemon::Impl::Facts() const {
+  StatusFacts facts;
+  facts.self = self_;
+  facts.zone = settings_.zone;
+  facts.leaving = leaving_;
+  facts.version = ConfigVersion();
   const FleetLink::Figures fleet = fleet_->figures();
-  text += MetricLine("toucanknot_store_calls_total", "",
-                     static_cast<double>(fleet.store_calls));
-  text += MetricLine("toucanknot_store_up", "", fleet.store_up ? 1 : 0);
-  text += MetricLine("toucanknot_peer_messages_total", "direction=\"sent\"",
-                     static_cast<double>(fleet.transport.sent_messages));
-  text += MetricLine("toucanknot_peer_messages_total", "direction=\"received\"",
-                     static_cast<double>(fleet.transport.received_messages));
-  text += MetricLine("toucanknot_peer_bytes_total", "direction=\"sent\"",
-                     static_cast<double>(fleet.transport.sent_bytes));
-  text += MetricLine("toucanknot_peer_dropped_messages_total", "",
-                     static_cast<double>(fleet.transport.dropped_messages));
-  text += MetricLine("toucanknot_peer_bad_connections_total", "",
-                     static_cast<double>(fleet.transport.bad_connections));
-  const HttpServerCounts callers = caller_server_->Counts();
-  text += MetricLine("toucanknot_open_connections", "",
-                     static_cast<double>(callers.open_connections));
-  text += MetricLine("toucanknot_malformed_requests_total", "",
-                     static_cast<double>(callers.malformed));
-  text += MetricLine("toucanknot_ticket_records", "",
-                     static_cast<double>(tickets_.records()));
-  return text;
+  facts.store_up = fleet.store_up;
+  facts.store_calls = fleet.store_calls;
+  facts.store_reader = fleet.reader;
+  facts.peers = fleet.transport;
+  facts.config = intake_.Status(SteadyNow());
+  facts.ticket_records = tickets_.records();
+  facts.kept_answer_bytes = tickets_.kept_bytes();
+  facts.callers = caller_server_->Counts();
+  facts.connections = sender_->Counts();
+  return facts;
 }
 
 std::string HostDaemon::Impl::NotReady() const {
--- /dev/null
+++ b/src/daemon/news_carrier.h
@@ -0,0 +1,51 @@
+#ifndef SRC_DAEMON_NEWS_CARRIER_H_
+#define SRC_DAEMON_NEWS_CARRIER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <mutex>
+#include <vector>
+
+#include "src/daemon/fleet_link.h"
+#include "src/daemon/peer_news.h"
+#include "src/daemon/service_states.h"
+#include "src/daemon/silence_watch.h"
+#include "src/http/worker_pool.h"
+
+namespace toucanknot {
+
+// Exchanges PeerNews with the region's hosts, and tells the services which of
+// these may be the home of requests. Its lock may be held while a
+// ServiceDesk's is taken.
+class NewsCarrier {
+ public:
+  NewsCarrier(WorkerPool& workers,
+              const HostId& self,
+              FleetLink& fleet,
+              ServiceStates& states);
+
+  // Begins; goes on until the workers stop.
+  void Start();
+  // A message of another host; kinds that are no news are ignored.
+  void OnMessage(const PeerSender& from, const PeerMessage& message);
+  // Which hosts serve may have changed.
+  void RefreshHomes();
+  // Sends what is known of crashing requests at once.
+  void SendCrashes();
+
+ private:
+  boost::asio::awaitable<void> Loop();
+  void SetHomes(const std::vector<HostId>& live, Instant now);
+  void ForgiveOwnPause(Instant due, Instant now);
+
+  WorkerPool& workers_;
+  FleetLink& fleet_;
+  ServiceStates& states_;
+  const PeerNews news_;
+  std::mutex mutex_;
+  SilenceWatch silence_;
+  std::vector<HostId> homes_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_DAEMON_NEWS_CARRIER_H_
--- /dev/null
+++ b/src/daemon/service_states.cc
@@ -0,0 +1,36 @@
+#include "src/daemon/service_states.h"
+
+#include <utility>
+
+namespace toucanknot {
+
+ServiceStates::ServiceStates(HostLife self, std::shared_ptr<PassDesk> passes)
+    : self_(std::move(self)), passes_(std::move(passes)) {}
+
+std::shared_ptr<ServiceState> ServiceStates::Get(const ServiceId& service) {
+  const std::lock_guard lock(mutex_);
+  auto& state = states_[service];
+  if (!state) {
+    state = std::make_shared<ServiceState>(service, self_.host,
+                                           self_.incarnation, passes_);
+  }
+  return state;
+}
+
+std::shared_ptr<ServiceState> ServiceStates::Find(
+    const ServiceId& service) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = states_.find(service);
+  return it == states_.end() ? nullptr : it->second;
+}
+
+std::vector<std::shared_ptr<ServiceState>> ServiceStates::All() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::shared_ptr<ServiceState>> all;
+  all.reserve(states_.size());
+  for (const auto& [id, state] : states_)
+    all.push_back(state);
+  return all;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/daemon/service_states.h
@@ -0,0 +1,35 @@
+#ifndef SRC_DAEMON_SERVICE_STATES_H_
+#define SRC_DAEMON_SERVICE_STATES_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "include/once/ticket.h"
+#include "src/daemon/service_state.h"
+
+namespace toucanknot {
+
+// The states of all services that this host has known. Thread-safe; its lock
+// is not held while a state is used.
+class ServiceStates {
+ public:
+  ServiceStates(HostLife self, std::shared_ptr<PassDesk> passes);
+
+  // The state of `service`; a new one if there is none yet.
+  std::shared_ptr<ServiceState> Get(const ServiceId& service);
+  // The same, or null.
+  std::shared_ptr<ServiceState> Find(const ServiceId& service) const;
+  std::vector<std::shared_ptr<ServiceState>> All() const;
+
+ private:
+  const HostLife self_;
+  const std::shared_ptr<PassDesk> passes_;
+  mutable std::mutex mutex_;
+  std::map<ServiceId, std::shared_ptr<ServiceState>> states_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_DAEMON_SERVICE_STATES_H_
--- a/src/daemon/status_page.cc
+++ b/src/daemon/status_page.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "src/daemon/host_metrics.h"
+
 namespace toucanknot {
 
 std::string StatusJson(const StatusFacts& facts) {
@@ -42,4 +44,25 @@
   return boost::json::serialize(value);
 }
 
+std::string StatusMetrics(const StatusFacts& facts) {
+  std::string text;
+  const auto add = [&](const char* name, const char* labels, auto value) {
+    text += MetricLine(std::string("toucanknot_") + name, labels,
+                       static_cast<double>(value));
+  };
+  add("config_version", "", facts.version);
+  add("store_calls_total", "", facts.store_calls);
+  add("store_up", "", facts.store_up ? 1 : 0);
+  add("peer_messages_total", "direction=\"sent\"", facts.peers.sent_messages);
+  add("peer_messages_total", "direction=\"received\"",
+      facts.peers.received_messages);
+  add("peer_bytes_total", "direction=\"sent\"", facts.peers.sent_bytes);
+  add("peer_dropped_messages_total", "", facts.peers.dropped_messages);
+  add("peer_bad_connections_total", "", facts.peers.bad_connections);
+  add("open_connections", "", facts.callers.open_connections);
+  add("malformed_requests_total", "", facts.callers.malformed);
+  add("ticket_records", "", facts.ticket_records);
+  return text;
+}
+
 }  // namespace toucanknot
--- a/src/daemon/status_page.h
+++ b/src/daemon/status_page.h
@@ -16,6 +16,8 @@
   HostLife self;
   ZoneId zone;
   bool leaving = false;
+  // Of the configuration in force.
+  uint64_t version = 0;
   bool store_up = false;
   bool store_reader = false;
   uint64_t store_calls = 0;
@@ -30,6 +32,8 @@
 
 // The facts as JSON.
 std::string StatusJson(const StatusFacts& facts);
+// Those that change, in the Prometheus text format.
+std::string StatusMetrics(const StatusFacts& facts);
 
 }  // namespace toucanknot
 
