http: Beast's messages are converted in one place

Cause: listener and connection pool each turned Beast's messages into ours. Change: src/http/beast_messages. Conclusion: a change of either side is made once.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -14,6 +14,8 @@
 #include <map>
 #include <utility>
 
+#include "src/http/beast_messages.h"
+
 namespace toucanknot {
 namespace {
 
@@ -30,32 +32,6 @@
 // Idle connections kept to one endpoint by one worker.
 constexpr size_t kMaxIdlePerEndpoint = 8;
 
-http::request<http::string_body> ToBeast(HttpRequest&& request) {
-  http::request<http::string_body> out;
-  out.version(11);
-  out.method_string(request.method);
-  out.target(request.target);
-  for (const HttpField& it : request.fields.all())
-    out.insert(it.name, it.value);
-  out.body() = std::move(request.body);
-  const bool has_length = out.count(http::field::content_length) > 0;
-  if (!out.body().empty() || has_length || request.method == "POST" ||
-      request.method == "PUT") {
-    out.content_length(out.body().size());
-  }
-  return out;
-}
-
-HttpResponse FromBeast(http::response<http::string_body>&& in) {
-  HttpResponse response;
-  response.status = static_cast<int>(in.result_int());
-  for (const auto& it : in) {
-    response.fields.Add(std::string(it.name_string()), std::string(it.value()));
-  }
-  response.body = std::move(in.body());
-  return response;
-}
-
 AttemptEnd EndOf(const beast::error_code& ec) {
   if (ec == beast::error::timeout)
     return AttemptEnd::kTimedOut;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "include/base/verdict.h"
+#include "src/http/beast_messages.h"
 #include "src/http/headers.h"
 
 namespace toucanknot {
@@ -33,27 +34,6 @@
   return std::chrono::milliseconds(d.ms());
 }
 
-http::response<http::string_body> ToBeast(HttpResponse&& response,
-                                          unsigned version) {
-  http::response<http::string_body> out;
-  out.version(version);
-  out.result(static_cast<unsigned>(response.status));
-  for (const HttpField& it : response.fields.all())
-    out.insert(it.name, it.value);
-  out.body() = std::move(response.body);
-  return out;
-}
-
-HttpRequest FromBeast(http::request<http::string_body>&& in) {
-  HttpRequest request;
-  request.method = std::string(in.method_string());
-  request.target = std::string(in.target());
-  for (const auto& it : in)
-    request.fields.Add(std::string(it.name_string()), std::string(it.value()));
-  request.body = std::move(in.body());
-  return request;
-}
-
 HttpResponse Refusal(int status, const std::string& why) {
   HttpResponse response = TextResponse(status, why);
   response.fields.Add(kVerdictHeader,
