steering: how an attempt's end speaks of its server, in one place

Cause: the daemon and the steering bench each had the same mapping, so that the bench could drift from what ships. Change: OutcomeOf() in steering, used by both. Conclusion: the bench measures the mapping that the daemon uses.

--- a/bench/steering/host_limits.cc
+++ b/bench/steering/host_limits.cc
@@ -1,24 +1,9 @@
 #include "bench/steering/host_limits.h"
 
 #include "include/config/places.h"
+#include "include/steering/answer_outcome.h"
 
 namespace toucanknot::bench {
-namespace {
-
-AnswerOutcome OutcomeOf(AttemptEnd end) {
-  switch (end) {
-    case AttemptEnd::kAnswered:
-      return AnswerOutcome::kSuccess;
-    case AttemptEnd::kShed:
-    case AttemptEnd::kCancelled:
-      return AnswerOutcome::kNeutral;
-    default:
-      return AnswerOutcome::kFailure;
-  }
-}
-
-}  // namespace
-
 HostLimits::HostLimits(const Deployment& deployment,
                        const HostId& host,
                        Instant now)
--- a/src/daemon/service_state.cc
+++ b/src/daemon/service_state.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "include/steering/answer_outcome.h"
 #include "include/steering/dispatcher_builder.h"
 
 namespace toucanknot {
@@ -14,18 +15,6 @@
 // Answers that come sooner are not worth a second attempt.
 constexpr Duration kLeastHedgeDelay{5};
 
-AnswerOutcome OutcomeOf(AttemptEnd end) {
-  switch (end) {
-    case AttemptEnd::kAnswered:
-      return AnswerOutcome::kSuccess;
-    case AttemptEnd::kShed:
-    case AttemptEnd::kCancelled:
-      return AnswerOutcome::kNeutral;
-    default:
-      return AnswerOutcome::kFailure;
-  }
-}
-
 SteeringHooks MakeHooks(const ServiceId& service,
                         const std::shared_ptr<HealthDesk>& health,
                         const std::shared_ptr<CrashGuard>& guard,
