--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -177,7 +177,7 @@
   const LoadStream& stream = callers.stream;
   HttpRequest request;
   request.method = ticket.empty() ? "GET" : "POST";
-  request.target = "/v1/services/" + stream.service + "/work/" + work_id;
+  request.target = "/v1/services/" + stream.service + "/item/" + work_id;
   request.fields.Add("Host", host.ToString());
   request.fields.Add("Work-Id", work_id);
   request.fields.Add("Answer-Bytes", std::to_string(stream.answer_bytes));
