--- /dev/null
+++ b/include/entry/host_record.h
@@ -0,0 +1,32 @@
+#ifndef INCLUDE_ENTRY_HOST_RECORD_H_
+#define INCLUDE_ENTRY_HOST_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "include/base/endpoint.h"
+#include "include/base/ids.h"
+
+namespace toucanknot {
+
+// What an entry host tells the others about itself, through the store, for as
+// long as it takes requests.
+struct HostRecord {
+  HostId host;
+  ZoneId zone;
+  // Where callers connect.
+  Endpoint callers;
+  Incarnation incarnation = 0;
+
+  bool operator==(const HostRecord&) const = default;
+};
+
+// The record as one line of JSON.
+std::string WriteHostRecord(const HostRecord& record);
+
+// Reads what WriteHostRecord() writes. Throws InvalidConfigError.
+HostRecord ReadHostRecord(std::string_view text);
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ENTRY_HOST_RECORD_H_
--- /dev/null
+++ b/include/entry/host_roster.h
@@ -0,0 +1,68 @@
+#ifndef INCLUDE_ENTRY_HOST_ROSTER_H_
+#define INCLUDE_ENTRY_HOST_ROSTER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/entry/host_record.h"
+
+namespace toucanknot {
+
+// The entry hosts that take requests, by their records in the store. A record
+// that is missing after an outage of the store is believed for a while: its
+// host writes it again. Does no I/O. Not thread-safe.
+class HostRoster {
+ public:
+  // A host writes its record again within this time of the store's return.
+  static constexpr Duration kLapseGrace{2'000};
+  // How long the greatest number of hosts counts for HostCount().
+  static constexpr Duration kCountMemory{15'000};
+
+  HostRoster(HostRecord self, std::map<ZoneId, RegionId> regions)
+      : self_(std::move(self)), regions_(std::move(regions)) {}
+
+  void OnHost(const HostRecord& record, Instant now);
+  void OnRemoved(const HostId& host, Instant now);
+  void OnListed(const std::set<HostId>& hosts, Instant now);
+  void SetStoreAway(bool away, Instant now);
+  // Drops hosts whose grace is over.
+  void Advance(Instant now);
+  // Whether this host itself takes new callers.
+  void SetSelfReady(bool ready) { self_ready_ = ready; }
+
+  // Addresses for a caller in `zone` of `region`, at most `most`: hosts of its
+  // zone; with those of its region where that is fewer than two; with all
+  // hosts where the region has none.
+  std::vector<Endpoint> AddressesFor(const ZoneId& zone,
+                                     const RegionId& region,
+                                     size_t most) const;
+
+  // The most hosts that were there at once lately, this one included.
+  int HostCount(Instant now);
+  size_t size() const { return hosts_.size(); }
+
+ private:
+  struct Host {
+    HostRecord record;
+    std::optional<Instant> lapses_at;
+  };
+
+  void Miss(Host& host, Instant now);
+  RegionId RegionOf(const ZoneId& zone) const;
+
+  const HostRecord self_;
+  const std::map<ZoneId, RegionId> regions_;
+  std::map<HostId, Host> hosts_;
+  bool self_ready_ = false;
+  bool store_away_ = false;
+  std::optional<Instant> store_back_at_;
+  int most_hosts_ = 1;
+  Instant most_hosts_at_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ENTRY_HOST_ROSTER_H_
--- a/include/limits/retry_budget.h
+++ b/include/limits/retry_budget.h
@@ -13,12 +13,15 @@
 // stop, so do extra attempts. Use one object for retries and one for hedges.
 class RetryBudget {
  public:
-  // The span of recent successes that counts.
+  // The usual window.
   static constexpr Duration kWindow{10'000};
 
   // `ratio` is the share, from 0 to 1. `floor` attempts per window are allowed
   // without any success, so that a quiet service can retry at all.
-  explicit RetryBudget(double ratio, int64_t floor = 3);
+  // `window` is the span of recent successes that counts.
+  explicit RetryBudget(double ratio,
+                       int64_t floor = 3,
+                       Duration window = kWindow);
 
   // A first attempt succeeded.
   void OnSuccess(Instant now);
@@ -28,6 +31,7 @@
   // Extra attempts that could be taken now.
   int64_t Available(Instant now);
   void set_ratio(double ratio) { ratio_ = ratio; }
+  void set_floor(int64_t floor) { floor_ = floor; }
 
  private:
   static constexpr int kBuckets = 10;
@@ -42,6 +46,7 @@
 
   double ratio_;
   int64_t floor_;
+  int64_t bucket_ms_;
   std::array<Bucket, kBuckets> buckets_{};
   int64_t tick_ = 0;
   int64_t successes_ = 0;
--- /dev/null
+++ b/include/placing/placer.h
@@ -0,0 +1,213 @@
+#ifndef INCLUDE_PLACING_PLACER_H_
+#define INCLUDE_PLACING_PLACER_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+#include "include/placing/server_load.h"
+#include "include/placing/server_registry.h"
+#include "include/placing/work_times.h"
+#include "include/routing/route_config.h"
+
+namespace toucanknot {
+
+// Why the placer refuses a request. It has not run.
+enum class PlaceRefusal {
+  kNone,
+  // No backend server of the service takes requests.
+  kNoServer,
+  // It would not be answered before its deadline.
+  kTooLate,
+};
+
+inline constexpr EnumNames<PlaceRefusal, 3> kPlaceRefusalNames{
+    {"none", "no-server", "too-late"}};
+
+// A request as the placer sees it.
+struct PlaceItem {
+  // Unique at this host.
+  uint64_t id = 0;
+  // Lives as long as the configuration that the owner holds; read in Offer()
+  // only.
+  const Route* route = nullptr;
+  ServiceId service;
+  // Hash of what the request is about; 0 when it does not say.
+  uint64_t object = 0;
+  // An answer until `target` is worth the most, one after `deadline` nothing.
+  Instant target = Instant::Never();
+  Instant deadline = Instant::Never();
+  // Backend servers that it has been sent to before.
+  std::vector<ServerId> avoid;
+};
+
+enum class PlaceStep { kSend, kWait, kRefuse };
+
+inline constexpr EnumNames<PlaceStep, 3> kPlaceStepNames{
+    {"send", "wait", "refuse"}};
+
+// What to do with a request now.
+struct Placement {
+  uint64_t item = 0;
+  PlaceStep step = PlaceStep::kWait;
+  ServerId server;
+  PlaceRefusal refusal = PlaceRefusal::kNone;
+  // For a refusal: when the caller should come back.
+  Duration retry_after;
+  // The figures behind the decision, for the log: requests at the server, the
+  // expected time to the answer in ms, whether the object is warm there, and
+  // how many requests wait at this host.
+  double busy = 0;
+  double expected_ms = 0;
+  bool warm = false;
+  int queued = 0;
+};
+
+// How an attempt at a backend server ended.
+enum class SendEnd {
+  // A whole answer of its own.
+  kAnswered,
+  // A whole answer that reports a failure of the server.
+  kFailed,
+  // It stated that it did not run the request.
+  kRefused,
+  // The address belongs to another server by now.
+  kMisdirected,
+  // No connection; nothing was sent.
+  kNotConnected,
+  // The connection broke, or the answer was none.
+  kBroken,
+  kTimedOut,
+  // Given up by this host, for a caller that left.
+  kCancelled,
+};
+
+inline constexpr EnumNames<SendEnd, 8> kSendEndNames{
+    {"answered", "failed", "refused", "misdirected", "not-connected", "broken",
+     "timed-out", "cancelled"}};
+
+struct SendResult {
+  uint64_t item = 0;
+  ServerId server;
+  SendEnd end = SendEnd::kAnswered;
+  Duration took;
+  // The server's own figures; `reported` says whether it gave any.
+  bool reported = false;
+  int running = 0;
+  int waiting = 0;
+};
+
+// Chooses a backend server for each request of one host, or lets it wait, or
+// refuses it. Prefers the server that answers soonest: near, not full, with
+// the request's object at hand. Requests that wait are sent in the order of
+// what is still worth most: first those that can still meet their target, the
+// more urgent ones before the others. Does no I/O: the same calls give the
+// same decisions. Not thread-safe.
+class Placer {
+ public:
+  struct Options {
+    ZoneId zone;
+    RegionId region;
+    std::map<ZoneId, RegionId> regions;
+    // Time to a server and back, in ms.
+    double zone_rtt = 2;
+    double region_rtt = 40;
+  };
+
+  Placer(Options options, const ServerRegistry& registry);
+
+  // Decides on a new request, or on the next attempt of one.
+  Placement Offer(const PlaceItem& item, Instant now);
+  // Takes a waiting request back.
+  void Withdraw(uint64_t item);
+  // An attempt ended.
+  void Finish(const SendResult& result, Instant now);
+  // Decisions on requests that waited. Call after Finish(), after changes of
+  // the registry, and every kAdvanceEvery while anything waits.
+  std::vector<Placement> Advance(Instant now);
+  size_t waiting() const { return queue_.size(); }
+
+  // Another life of a server began, or it is gone.
+  void Forget(const ServerId& server);
+  // A new version is in force.
+  void OnConfig(const RouteConfigPtr& config) { config_ = config; }
+  // How many hosts share each server's bound while it is cold.
+  void SetHostCount(int n) { host_count_ = n; }
+
+  static constexpr Duration kAdvanceEvery{20};
+
+  // The figures of all servers of `service`, as JSON.
+  std::string Explain(const ServiceId& service, Instant now) const;
+
+ private:
+  struct Waiting {
+    PlaceItem item;
+    int priority = 0;
+    uint64_t order = 0;
+    std::string route_name;
+    std::vector<RegionId> allowed_regions;
+  };
+  struct Flight {
+    ServerId server;
+    ServiceId service;
+    std::string route_name;
+    uint64_t object = 0;
+    bool was_warm = false;
+    bool was_full = false;
+    double expected_ms = 0;
+    double slowness = 1;
+  };
+  // A server that a request may go to, and what is to be expected there.
+  struct Candidate {
+    const ServerRegistry::Server* server = nullptr;
+    ServerLoad* load = nullptr;
+    double cost = 0;
+    double expected_ms = 0;
+    double busy = 0;
+    bool warm = false;
+    bool cold = false;
+    bool full = false;
+  };
+
+  // The best server for `waiting`; a null one when there is none. `any` tells
+  // whether some server takes requests at all.
+  Candidate Choose(const Waiting& waiting, bool& any, Instant now);
+  // What is to be expected at one server.
+  Candidate Assess(const Waiting& waiting,
+                   const ServerRegistry::Server& server,
+                   const WorkTimes& times,
+                   Instant now);
+  Placement Decide(const Waiting& waiting, bool queued, Instant now);
+  Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
+  Placement Refuse(const Waiting& waiting,
+                   PlaceRefusal refusal,
+                   Duration wait,
+                   Instant now);
+  // How long a request would wait here behind the more urgent ones, in ms.
+  double QueueWait(const Waiting& waiting, double service_ms) const;
+  ServerLoad& LoadOf(const ServerId& id, Instant now);
+  WorkTimes& TimesOf(const Route& route);
+  double Rtt(const ServerEntry& entry) const;
+  double ColdRate(const ServiceId& service) const;
+
+  const Options options_;
+  const ServerRegistry& registry_;
+  RouteConfigPtr config_;
+  int host_count_ = 1;
+  uint64_t next_order_ = 0;
+  std::map<ServerId, ServerLoad> loads_;
+  std::map<std::string, WorkTimes> times_;
+  std::map<uint64_t, Flight> flights_;
+  std::list<Waiting> queue_;
+  // Attempts in flight by service.
+  std::map<ServiceId, int> in_flight_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_PLACING_PLACER_H_
--- /dev/null
+++ b/include/routing/route_config.h
@@ -0,0 +1,96 @@
+#ifndef INCLUDE_ROUTING_ROUTE_CONFIG_H_
+#define INCLUDE_ROUTING_ROUTE_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+#include "include/base/ids.h"
+
+namespace toucanknot {
+
+// Whether a request may be sent to a backend server again after it may have
+// run there.
+enum class RequestKind { kIdempotent, kNonIdempotent };
+
+inline constexpr EnumNames<RequestKind, 2> kRequestKindNames{
+    {"idempotent", "non-idempotent"}};
+
+// One service of a route and its share of the route's requests.
+struct RouteTarget {
+  ServiceId service;
+  // Relative to the weights of the route's other targets; above 0.
+  double weight = 1;
+
+  bool operator==(const RouteTarget&) const = default;
+};
+
+// Where requests for one host name and path prefix go, and what they need.
+struct Route {
+  std::string name;
+  // Lower case, without a port.
+  std::string host_name;
+  // Begins and ends with a slash.
+  std::string prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  // The longest time that a caller is kept waiting.
+  Duration timeout;
+  // An answer within this time is worth the most to the caller.
+  Duration target_latency;
+  // 0 is the most urgent.
+  int priority = 0;
+  // Backend servers that one request may be sent to, at most.
+  int attempts = 1;
+  // Requests for the same object are faster where it was handled lately.
+  bool sticky = false;
+  // At least one.
+  std::vector<RouteTarget> targets;
+  // Regions that may see the request; empty: all.
+  std::vector<RegionId> allowed_regions;
+
+  bool operator==(const Route&) const = default;
+};
+
+// What an operator states about a service.
+struct ServiceOptions {
+  std::string health_path;
+  // Connections that one backend server accepts from all callers together.
+  int max_connections = 0;
+  // How long a backend server stays cold after its start.
+  Duration cold_start;
+  // Requests a second that a cold backend server bears; 0: no bound.
+  double cold_rate = 0;
+
+  bool operator==(const ServiceOptions&) const = default;
+};
+
+// Bounds on what callers send.
+struct CallerLimits {
+  uint32_t max_header_bytes = 16 << 10;
+  uint64_t max_body_bytes = 64 << 20;
+  // From a request's first byte to the end of its header.
+  Duration header_timeout{10'000};
+  // A connection may be idle for this long between requests.
+  Duration idle_timeout{75'000};
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
+// One version of the routes and services, whole.
+struct RouteConfig {
+  // Greater for newer ones; 0: none yet.
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::map<ServiceId, ServiceOptions> services;
+  CallerLimits limits;
+};
+
+using RouteConfigPtr = std::shared_ptr<const RouteConfig>;
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_ROUTING_ROUTE_CONFIG_H_
--- /dev/null
+++ b/src/entry/entry_daemon.cc
@@ -0,0 +1,419 @@
+#include "include/entry/entry_daemon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <future>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "include/entry/host_roster.h"
+#include "include/health/crash_ledger.h"
+#include "include/placing/placer.h"
+#include "include/routing/route_table.h"
+#include "src/entry/decision_log.h"
+#include "src/entry/entry_metrics.h"
+#include "src/entry/placement_desk.h"
+#include "src/entry/request_runner.h"
+#include "src/forward/connection_pool.h"
+#include "src/http/http_server.h"
+#include "src/http/one_shot.h"
+#include "src/http/worker_pool.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+
+// How often grace periods, the host count and the log are looked after.
+constexpr Duration kTickEvery{500};
+// Callers that looked hosts up know of a leaving one within this time, two
+// lifetimes of an answer; until then its listener stays open.
+constexpr Duration kLeaveNotice{2'500};
+constexpr Duration kLookupLifetime{1'000};
+constexpr size_t kMostAddresses = 64;
+// A caller that is idle for longer than the limit is cut only after this part
+// more, so that its next request and the close do not cross.
+constexpr int64_t kIdlePercent = 150;
+// Part of the memory that request bodies may take.
+constexpr int64_t kBodyMemoryPart = 4;
+constexpr Duration kStopPoll{20};
+
+HttpServerLimits LimitsOf(const EntrySettings& settings) {
+  HttpServerLimits limits;
+  limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryPart;
+  return limits;
+}
+
+}  // namespace
+
+// All members are used on the loop after Start(), but for the pool of workers.
+class EntryDaemon::Impl {
+ public:
+  Impl(EntrySettings settings,
+       HeaderNames names,
+       const StoreFactory& make_store);
+  ~Impl();
+
+  void Start();
+  void Reload(const EntrySettings& settings);
+  void BeginStop();
+  bool WaitStopped();
+
+ private:
+  FleetNews News();
+  void OnConfig(const RouteConfigPtr& config);
+  void OnEvacuations(const std::set<ZoneId>& zones);
+  void OnServerChange(ServerChange change, const ServerRegistry::Server& server);
+  void OnStoreAway(bool away);
+  asio::awaitable<void> Tick();
+  asio::awaitable<void> Leave();
+  // Whether new callers should come.
+  bool Ready() const { return configured_ && servers_known_ && !leaving_; }
+  void UpdateReady();
+  HttpResponse AnswerReadiness(const HttpRequest& request) const;
+  HttpResponse AnswerLookup(const HttpRequest& request) const;
+  HttpResponse AnswerMetrics(const HttpRequest& request);
+  HttpServer::Handler Plain(HttpResponse (Impl::*answer)(const HttpRequest&)
+                                const);
+
+  EntrySettings settings_;
+  const HeaderNames names_;
+  const Incarnation incarnation_;
+  WorkerPool workers_;
+  asio::io_context& loop_;
+  std::unique_ptr<FleetStore> store_;
+  RouteTable routes_;
+  ServerRegistry registry_;
+  Placer placer_;
+  PlacementDesk desk_;
+  ConnectionPool connections_;
+  CrashLedger crashes_;
+  EntryMetrics metrics_;
+  HostRoster roster_;
+  RequestRunner runner_;
+  HttpServer callers_;
+  HttpServer readiness_;
+  HttpServer directory_;
+  HttpServer metrics_server_;
+  uint64_t max_body_bytes_ = CallerLimits().max_body_bytes;
+  bool configured_ = false;
+  bool servers_known_ = false;
+  bool leaving_ = false;
+  bool ready_ = false;
+  std::promise<bool> stopped_;
+};
+
+EntryDaemon::Impl::Impl(EntrySettings settings,
+                      HeaderNames names,
+                      const StoreFactory& make_store)
+    : settings_(std::move(settings)),
+      names_(std::move(names)),
+      incarnation_(static_cast<Incarnation>(UnixMillis())),
+      workers_(1),
+      loop_(workers_.loop(0)),
+      store_(make_store(loop_, settings_)),
+      registry_([this](ServerChange change,
+                       const ServerRegistry::Server& server) {
+        OnServerChange(change, server);
+      }),
+      placer_({settings_.zone, settings_.region, settings_.regions}, registry_),
+      desk_(loop_, placer_),
+      connections_(loop_),
+      roster_({settings_.host, settings_.zone, settings_.callers, incarnation_},
+              settings_.regions),
+      runner_({loop_, settings_, names_, routes_, registry_, desk_,
+               connections_, crashes_, metrics_,
+               [this](uint64_t fingerprint, const ServerId& server) {
+                 store_->TellCrash(fingerprint, server);
+               }}),
+      callers_(
+          workers_,
+          LimitsOf(settings_),
+          [this](std::string_view) { return max_body_bytes_; },
+          [this](HttpRequest request) {
+            return runner_.Handle(std::move(request));
+          }),
+      readiness_(
+          workers_,
+          {},
+          [](std::string_view) { return uint64_t{0}; },
+          Plain(&Impl::AnswerReadiness)),
+      directory_(
+          workers_,
+          {},
+          [](std::string_view) { return uint64_t{0}; },
+          Plain(&Impl::AnswerLookup)),
+      metrics_server_(
+          workers_,
+          {},
+          [](std::string_view) { return uint64_t{0}; },
+          [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
+            co_return AnswerMetrics(request);
+          }) {}
+
+EntryDaemon::Impl::~Impl() {
+  workers_.Stop();
+}
+
+HttpServer::Handler EntryDaemon::Impl::Plain(
+    HttpResponse (Impl::*answer)(const HttpRequest&) const) {
+  return [this, answer](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    co_return (this->*answer)(request);
+  };
+}
+
+void EntryDaemon::Impl::Start() {
+  callers_.Listen(settings_.callers);
+  readiness_.Listen(settings_.readiness);
+  directory_.Listen(settings_.directory);
+  if (settings_.metrics.port != 0)
+    metrics_server_.Listen(settings_.metrics);
+  asio::post(loop_, [this] {
+    LogChange("start", {{"zone", settings_.zone.str()},
+                        {"region", settings_.region.str()},
+                        {"callers", settings_.callers.ToString()},
+                        {"store", settings_.store.ToString()}});
+    store_->Start(News());
+    asio::co_spawn(loop_, Tick(), asio::detached);
+  });
+}
+
+void EntryDaemon::Impl::Reload(const EntrySettings& settings) {
+  asio::post(loop_, [this, settings] {
+    settings_.lookup_lifetime = settings.lookup_lifetime;
+    settings_.retry_ratio = settings.retry_ratio;
+    settings_.retry_slack = settings.retry_slack;
+    settings_.stop_within = settings.stop_within;
+    settings_.heartbeat = settings.heartbeat;
+    LogChange("reload", {{"retry_slack", settings.retry_slack}});
+  });
+}
+
+FleetNews EntryDaemon::Impl::News() {
+  FleetNews news;
+  news.config = [this](RouteConfigPtr config) { OnConfig(config); };
+  news.zone_evacuated = [this](const ZoneId& zone) {
+    LogChange("zone_evacuated", {{"zone", zone.str()}});
+    registry_.Evacuate(zone);
+  };
+  news.zone_restored = [this](const ZoneId& zone) {
+    LogChange("zone_restored", {{"zone", zone.str()}});
+    registry_.Restore(zone, settings_.heartbeat * 2, SteadyNow());
+    desk_.Wake();
+  };
+  news.evacuations_listed = [this](const std::set<ZoneId>& zones) {
+    OnEvacuations(zones);
+  };
+  news.server = [this](const ServerEntry& entry) {
+    registry_.OnEntry(entry, SteadyNow());
+  };
+  news.server_removed = [this](const ServerId& id) {
+    registry_.OnRemoved(id, SteadyNow());
+  };
+  news.servers_listed = [this](const std::set<ServerId>& ids) {
+    registry_.OnListed(ids, SteadyNow());
+    LogChange("servers_listed", {{"servers", ids.size()}});
+    servers_known_ = true;
+    UpdateReady();
+  };
+  news.host = [this](const HostRecord& record) {
+    roster_.OnHost(record, SteadyNow());
+  };
+  news.host_removed = [this](const HostId& host) {
+    LogChange("host_removed", {{"of", host.str()}});
+    roster_.OnRemoved(host, SteadyNow());
+  };
+  news.hosts_listed = [this](const std::set<HostId>& hosts) {
+    roster_.OnListed(hosts, SteadyNow());
+  };
+  news.crash = [this](uint64_t fingerprint, const ServerId& server) {
+    crashes_.OnCharge(fingerprint, server, SteadyNow());
+  };
+  news.store_away = [this](bool away) { OnStoreAway(away); };
+  return news;
+}
+
+void EntryDaemon::Impl::OnConfig(const RouteConfigPtr& config) {
+  const uint64_t before = routes_.version();
+  if (!routes_.Apply(config))
+    return;
+  LogChange("config", {{"version", config->version},
+                       {"before", before},
+                       {"routes", config->routes.size()}});
+  placer_.OnConfig(config);
+  max_body_bytes_ = config->limits.max_body_bytes;
+  callers_.SetTimeouts(config->limits.idle_timeout * kIdlePercent / 100,
+                       config->limits.header_timeout);
+  configured_ = true;
+  UpdateReady();
+}
+
+void EntryDaemon::Impl::OnEvacuations(const std::set<ZoneId>& zones) {
+  const std::set<ZoneId> before = registry_.evacuated();
+  for (const ZoneId& it : zones)
+    registry_.Evacuate(it);
+  for (const ZoneId& it : before) {
+    if (!zones.contains(it))
+      registry_.Restore(it, settings_.heartbeat * 2, SteadyNow());
+  }
+}
+
+void EntryDaemon::Impl::OnServerChange(ServerChange change,
+                                     const ServerRegistry::Server& server) {
+  const Instant now = SteadyNow();
+  LogChange("server", {{"change", kServerChangeNames.Name(change)},
+                       {"server", server.entry.id.str()},
+                       {"service", server.entry.service.str()},
+                       {"zone", server.entry.zone.str()},
+                       {"cold_ms", std::max<int64_t>(
+                                       (server.cold_until - now).ms(), 0)},
+                       {"seen_ms_ago", (now - server.seen_at).ms()}});
+  if (change == ServerChange::kRestarted || change == ServerChange::kGone)
+    placer_.Forget(server.entry.id);
+}
+
+void EntryDaemon::Impl::OnStoreAway(bool away) {
+  const Instant now = SteadyNow();
+  registry_.SetStoreAway(away, now);
+  roster_.SetStoreAway(away, now);
+}
+
+void EntryDaemon::Impl::UpdateReady() {
+  const bool ready = Ready();
+  if (ready == ready_)
+    return;
+  ready_ = ready;
+  roster_.SetSelfReady(ready);
+  LogChange("ready", {{"ready", ready}});
+  if (ready) {
+    store_->Publish(
+        {settings_.host, settings_.zone, settings_.callers, incarnation_});
+  } else {
+    store_->Withdraw();
+  }
+}
+
+asio::awaitable<void> EntryDaemon::Impl::Tick() {
+  for (;;) {
+    co_await SleepFor(kTickEvery);
+    const Instant now = SteadyNow();
+    registry_.Advance(now);
+    roster_.Advance(now);
+    const int hosts = roster_.HostCount(now);
+    placer_.SetHostCount(hosts);
+    runner_.SetHostCount(hosts);
+    desk_.Wake();
+    FlushDecisionLog();
+  }
+}
+
+HttpResponse EntryDaemon::Impl::AnswerReadiness(const HttpRequest&) const {
+  return Ready() ? TextResponse(200, "ready") : TextResponse(503, "not ready");
+}
+
+HttpResponse EntryDaemon::Impl::AnswerLookup(const HttpRequest& request) const {
+  if (TargetPath(request.target) != names_.lookup_path)
+    return TextResponse(404, "unknown path");
+  const ZoneId zone(QueryValue(request.target, "zone"));
+  const RegionId region(QueryValue(request.target, "region"));
+  const std::vector<Endpoint> addresses =
+      roster_.AddressesFor(zone, region, kMostAddresses);
+  if (addresses.empty())
+    return TextResponse(503, "no entry host is ready");
+  boost::json::array list;
+  for (const Endpoint& it : addresses)
+    list.emplace_back(it.ToString());
+  const Duration lifetime =
+      std::min(kLookupLifetime, settings_.lookup_lifetime);
+  return JsonResponse(200, boost::json::serialize(boost::json::value{
+                               {"addresses", std::move(list)},
+                               {"ttl", std::to_string(lifetime.ms()) + "ms"}}));
+}
+
+HttpResponse EntryDaemon::Impl::AnswerMetrics(const HttpRequest& request) {
+  const Instant now = SteadyNow();
+  if (TargetPath(request.target) == "/explain") {
+    const ServiceId service(QueryValue(request.target, "service"));
+    return JsonResponse(200, placer_.Explain(service, now));
+  }
+  const FleetStoreCounts store = store_->counts();
+  const ConnectionPoolCounts connections = connections_.counts();
+  const HttpServerCounts http = callers_.Counts();
+  metrics_.Set("toucanknot_store_calls", static_cast<double>(store.calls));
+  metrics_.Set("toucanknot_store_failed", static_cast<double>(store.failed));
+  metrics_.Set("toucanknot_store_malformed",
+               static_cast<double>(store.malformed_items));
+  metrics_.Set("toucanknot_config_version",
+               static_cast<double>(routes_.version()));
+  metrics_.Set("toucanknot_servers", static_cast<double>(registry_.size()));
+  metrics_.Set("toucanknot_hosts", roster_.HostCount(now));
+  metrics_.Set("toucanknot_requests_waiting",
+               static_cast<double>(placer_.waiting()));
+  metrics_.Set("toucanknot_connections_opened",
+               static_cast<double>(connections.opened));
+  metrics_.Set("toucanknot_connections_reused",
+               static_cast<double>(connections.reused));
+  metrics_.Set("toucanknot_callers_connected",
+               static_cast<double>(http.open_connections));
+  metrics_.Set("toucanknot_ready", Ready() ? 1 : 0);
+  return TextResponse(200, metrics_.Text());
+}
+
+void EntryDaemon::Impl::BeginStop() {
+  asio::post(loop_, [this] {
+    LogChange("stop", {{"in_flight", runner_.in_flight()}});
+    leaving_ = true;
+    UpdateReady();
+    callers_.BeginStop();
+    asio::co_spawn(loop_, Leave(), asio::detached);
+  });
+}
+
+asio::awaitable<void> EntryDaemon::Impl::Leave() {
+  const Instant begun = SteadyNow();
+  const Instant end = begun + settings_.stop_within;
+  co_await SleepFor(std::min(kLeaveNotice, settings_.stop_within / 2));
+  callers_.StopAccepting();
+  directory_.StopAccepting();
+  while ((runner_.in_flight() > 0 || callers_.OpenConnections() > 0) &&
+         SteadyNow() < end) {
+    co_await SleepFor(kStopPoll);
+  }
+  LogChange("stopped", {{"in_flight", runner_.in_flight()},
+                        {"took_ms", (SteadyNow() - begun).ms()}});
+  stopped_.set_value(runner_.in_flight() == 0);
+}
+
+bool EntryDaemon::Impl::WaitStopped() {
+  return stopped_.get_future().get();
+}
+
+EntryDaemon::EntryDaemon(EntrySettings settings,
+                     HeaderNames names,
+                     const StoreFactory& make_store)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(names),
+                                   make_store)) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+void EntryDaemon::Start() {
+  impl_->Start();
+}
+
+void EntryDaemon::Reload(const EntrySettings& settings) {
+  impl_->Reload(settings);
+}
+
+void EntryDaemon::BeginStop() {
+  impl_->BeginStop();
+}
+
+bool EntryDaemon::WaitStopped() {
+  return impl_->WaitStopped();
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/entry_metrics.h
@@ -0,0 +1,55 @@
+#ifndef SRC_ENTRY_ENTRY_METRICS_H_
+#define SRC_ENTRY_ENTRY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "include/base/clock.h"
+#include "include/base/ids.h"
+#include "include/placing/placer.h"
+
+namespace toucanknot {
+
+// Counters and latency histograms of one entry host, for one thread.
+class EntryMetrics {
+ public:
+  // A request for `service` ended with `status` after `took`.
+  void CountRequest(const ServiceId& service, int status, Duration took);
+  // An attempt at a backend server of `service` ended after `took`.
+  void CountAttempt(const ServiceId& service, SendEnd end, Duration took);
+  // A further figure, such as "toucanknot_store_calls".
+  void Set(const std::string& name, double value) { gauges_[name] = value; }
+
+  // In the Prometheus text format.
+  std::string Text() const;
+
+ private:
+  // Upper bounds in ms: about twice the one before, over the range from a warm
+  // answer to the longest timeouts.
+  static constexpr std::array<int64_t, 10> kBounds{
+      {10, 25, 50, 100, 200, 400, 800, 1'600, 3'200, 6'400}};
+
+  struct Histogram {
+    std::array<uint64_t, kBounds.size()> counts{};
+    uint64_t total = 0;
+    int64_t sum_ms = 0;
+
+    void Add(Duration took);
+  };
+
+  static void Write(const std::string& name,
+                    const std::string& labels,
+                    const Histogram& histogram,
+                    std::string& out);
+
+  // By labels.
+  std::map<std::string, Histogram> requests_;
+  std::map<std::string, Histogram> attempts_;
+  std::map<std::string, double> gauges_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_ENTRY_ENTRY_METRICS_H_
--- /dev/null
+++ b/src/entry/entry_settings.cc
@@ -0,0 +1,102 @@
+#include "include/entry/entry_settings.h"
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+#include "include/base/error.h"
+#include "include/config/json_text.h"
+#include "include/config/object_reader.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr double kMaxRetries = 1e9;
+constexpr int64_t kMaxMemoryMb = 1 << 20;
+constexpr int64_t kMaxPort = 65'535;
+
+Duration Time(ObjectReader& in, std::string_view key, Duration fallback) {
+  const std::string text = in.Text(key, std::to_string(fallback.ms()) + "ms");
+  try {
+    return ParseDuration(text);
+  } catch (const Error&) {
+    in.Fault(key, "a length of time such as \"1500ms\" or \"2.5s\"");
+    return fallback;
+  }
+}
+
+// An object of zone names and their regions.
+void ReadRegions(ObjectReader& in, EntrySettings& out) {
+  const boost::json::value* member = in.Member("regions");
+  if (member == nullptr || !member->is_object()) {
+    in.Fault("regions", "an object with the region of each zone");
+    return;
+  }
+  for (const auto& it : member->get_object()) {
+    if (!it.value().is_string()) {
+      in.Fault("regions", "names of regions");
+      return;
+    }
+    out.regions[ZoneId(it.key())] =
+        RegionId(std::string(it.value().get_string()));
+  }
+}
+
+}  // namespace
+
+Duration ParseDuration(std::string_view text) {
+  double n = 0;
+  const auto [end, ec] = std::from_chars(text.begin(), text.end(), n);
+  const std::string_view unit(end, text.end() - end);
+  if (ec == std::errc() && std::isfinite(n) && n >= 0) {
+    if (unit == "ms")
+      return Duration(std::llround(n));
+    if (unit == "s")
+      return Duration(std::llround(n * 1000));
+  }
+  throw Error("\"" + std::string(text) + "\" is no length of time");
+}
+
+EntrySettings ParseEntrySettings(std::string_view text,
+                                 const std::string& source) {
+  const boost::json::value json = ParseJson(text, source);
+  std::vector<Problem> problems;
+  EntrySettings out;
+  ObjectReader in("", json, problems);
+  out.host = HostId(in.Name("host"));
+  out.zone = ZoneId(in.Name("zone"));
+  out.region = RegionId(in.Name("region"));
+  ReadRegions(in, out);
+  out.callers = in.Address("callers");
+  out.readiness = in.Address("readiness");
+  out.directory = in.Address("directory");
+  out.store = in.Address("store");
+  out.metrics.ip = out.callers.ip;
+  out.metrics.port =
+      static_cast<uint16_t>(in.Integer("metrics_port", 0, kMaxPort, 0));
+  out.heartbeat = Time(in, "server_heartbeat", out.heartbeat);
+  out.memory_bytes = in.Integer("memory_mb", 16, kMaxMemoryMb, 256) << 20;
+  out.stop_within = Time(in, "stop_within", out.stop_within);
+  out.lookup_lifetime = Time(in, "lookup_lifetime", out.lookup_lifetime);
+  out.retry_ratio = in.Number("retry_ratio", 0, 1, out.retry_ratio);
+  out.retry_slack = in.Number("retry_slack", 0, kMaxRetries, out.retry_slack);
+  out.retry_window = Time(in, "retry_window", out.retry_window);
+  in.Finish();
+  if (!problems.empty())
+    throw InvalidConfigError(source, std::move(problems));
+  return out;
+}
+
+EntrySettings LoadEntrySettings(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in)
+    throw Error("cannot read " + path);
+  const std::string text((std::istreambuf_iterator<char>(in)),
+                         std::istreambuf_iterator<char>());
+  return ParseEntrySettings(text, path);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/host_roster.cc
@@ -0,0 +1,98 @@
+#include "include/entry/host_roster.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// Callers with one address only would have to ask again when it fails.
+constexpr size_t kEnoughAddresses = 2;
+
+}  // namespace
+
+void HostRoster::OnHost(const HostRecord& record, Instant) {
+  hosts_[record.host] = {record, std::nullopt};
+}
+
+void HostRoster::OnRemoved(const HostId& host, Instant now) {
+  const auto it = hosts_.find(host);
+  if (it == hosts_.end())
+    return;
+  Miss(it->second, now);
+  Advance(now);
+}
+
+void HostRoster::OnListed(const std::set<HostId>& hosts, Instant now) {
+  for (auto& [id, host] : hosts_) {
+    if (!hosts.contains(id))
+      Miss(host, now);
+  }
+  Advance(now);
+}
+
+void HostRoster::Miss(Host& host, Instant now) {
+  if (host.lapses_at)
+    return;
+  Instant until = now;
+  if (store_back_at_)
+    until = std::max(now, *store_back_at_ + kLapseGrace);
+  host.lapses_at = until;
+}
+
+void HostRoster::SetStoreAway(bool away, Instant now) {
+  if (store_away_ && !away)
+    store_back_at_ = now;
+  store_away_ = away;
+}
+
+void HostRoster::Advance(Instant now) {
+  if (store_away_)
+    return;
+  std::erase_if(hosts_, [&](const auto& it) {
+    return it.second.lapses_at && *it.second.lapses_at <= now;
+  });
+}
+
+RegionId HostRoster::RegionOf(const ZoneId& zone) const {
+  const auto it = regions_.find(zone);
+  return it == regions_.end() ? RegionId() : it->second;
+}
+
+std::vector<Endpoint> HostRoster::AddressesFor(const ZoneId& zone,
+                                               const RegionId& region,
+                                               size_t most) const {
+  std::vector<Endpoint> in_zone;
+  std::vector<Endpoint> in_region;
+  std::vector<Endpoint> all;
+  const auto add = [&](const HostRecord& record) {
+    all.push_back(record.callers);
+    if (RegionOf(record.zone) == region)
+      in_region.push_back(record.callers);
+    if (record.zone == zone)
+      in_zone.push_back(record.callers);
+  };
+  if (self_ready_)
+    add(self_);
+  for (const auto& [id, host] : hosts_) {
+    if (id != self_.host)
+      add(host.record);
+  }
+  std::vector<Endpoint>& chosen = in_zone.size() >= kEnoughAddresses ? in_zone
+                                  : in_region.empty()                ? all
+                                                      : in_region;
+  if (chosen.size() > most)
+    chosen.resize(most);
+  return chosen;
+}
+
+int HostRoster::HostCount(Instant now) {
+  const int n =
+      static_cast<int>(hosts_.size()) + (hosts_.contains(self_.host) ? 0 : 1);
+  if (n >= most_hosts_ || now - most_hosts_at_ > kCountMemory) {
+    most_hosts_ = n;
+    most_hosts_at_ = now;
+  }
+  return most_hosts_;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/request_runner.cc
@@ -0,0 +1,377 @@
+#include "src/entry/request_runner.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+#include <charconv>
+#include <memory>
+#include <utility>
+
+#include "src/entry/decision_log.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+
+// What a caller is told to wait while this host knows no configuration.
+constexpr Duration kUnconfiguredReturn{300};
+// The way of an answer to the caller, kept free of a server's work.
+constexpr Duration kAnswerMargin{15};
+// Bytes that a server does not acknowledge for this long are lost: several
+// round trips between regions.
+constexpr Duration kSilentAfter{800};
+// Larger answers are broken off.
+constexpr uint64_t kMaxAnswerBytes = 64 << 20;
+// Share of the allowed retries that this host takes, since the bound holds for
+// sliding windows and the hosts count in steps.
+constexpr double kRetryShare = 0.85;
+
+std::optional<int64_t> Number(std::string_view text) {
+  int64_t n = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return n;
+}
+
+uint64_t Hash(std::string_view text, uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+// The same for every repeat of a request by its caller.
+uint64_t FingerprintOf(const HttpRequest& request) {
+  uint64_t hash = Hash(request.method, 0);
+  hash = Hash(request.target, hash);
+  hash = Hash(request.remote_ip, hash);
+  return Hash(request.body, hash);
+}
+
+// "running,waiting,slots".
+bool ReadLoad(std::string_view text, SendResult& out) {
+  const size_t first = text.find(',');
+  const size_t second = text.find(',', first + 1);
+  if (first == std::string_view::npos || second == std::string_view::npos)
+    return false;
+  const auto running = Number(text.substr(0, first));
+  const auto waiting = Number(text.substr(first + 1, second - first - 1));
+  if (!running || !waiting)
+    return false;
+  out.reported = true;
+  out.running = static_cast<int>(*running);
+  out.waiting = static_cast<int>(*waiting);
+  return true;
+}
+
+}  // namespace
+
+RequestRunner::RequestRunner(Parts parts) : parts_(std::move(parts)) {}
+
+RetryBudget& RequestRunner::BudgetOf(const ServiceId& service) {
+  const EntrySettings& settings = parts_.settings;
+  const auto floor = static_cast<int64_t>(settings.retry_slack * kRetryShare /
+                                          host_count_);
+  return budgets_
+      .try_emplace(service, settings.retry_ratio * kRetryShare, floor,
+                   settings.retry_window)
+      .first->second;
+}
+
+void RequestRunner::SetHostCount(int n) {
+  if (n == host_count_)
+    return;
+  host_count_ = n;
+  for (auto& [service, budget] : budgets_) {
+    budget.set_floor(static_cast<int64_t>(parts_.settings.retry_slack *
+                                          kRetryShare / host_count_));
+  }
+}
+
+asio::awaitable<HttpResponse> RequestRunner::Handle(HttpRequest request) {
+  ++in_flight_;
+  // The count falls also when the handler ends by an exception.
+  const auto end = [this](void*) { --in_flight_; };
+  const std::unique_ptr<void, decltype(end)> counted(this, end);
+  co_return co_await HandleCounted(std::move(request));
+}
+
+asio::awaitable<HttpResponse> RequestRunner::HandleCounted(
+    HttpRequest request) {
+  Run run;
+  run.request = std::move(request);
+  const HttpFields& fields = run.request.fields;
+  run.id = std::string(fields.Get(parts_.names.request_id));
+  if (parts_.routes.version() == 0) {
+    HttpResponse response = Refuse(run, 503, "this host has no configuration",
+                                   kUnconfiguredReturn);
+    LogOutcome(run, response);
+    co_return response;
+  }
+  const Route* route =
+      parts_.routes.Find(fields.Get("Host"), run.request.target);
+  if (route == nullptr) {
+    run.story = "no route";
+    HttpResponse response = TextResponse(404, "no route matches");
+    LogOutcome(run, response);
+    co_return response;
+  }
+  run.route = *route;
+  run.service = parts_.routes.NextTarget(*route);
+  HttpResponse response = co_await Serve(run);
+  LogOutcome(run, response);
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> RequestRunner::Serve(Run& run) {
+  const Instant began = run.request.began_at;
+  const HttpFields& fields = run.request.fields;
+  run.deadline = began + run.route.timeout;
+  if (const auto ms = Number(fields.Get(parts_.names.deadline_ms)))
+    run.deadline = std::min(run.deadline, began + Duration(*ms));
+  run.fingerprint = FingerprintOf(run.request);
+  if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow())) {
+    run.story = "crashes servers";
+    co_return Refuse(run, 503, "requests like this crash backend servers",
+                     run.route.timeout);
+  }
+  run.item.route = &run.route;
+  run.item.service = run.service;
+  if (const std::string_view object = fields.Get(parts_.names.object);
+      !object.empty()) {
+    run.item.object = Hash(object, Hash(run.route.name, 0)) | 1;
+  }
+  run.item.target = began + run.route.target_latency;
+  run.item.deadline = run.deadline - kAnswerMargin;
+  parts_.metrics.Set("toucanknot_requests_in_flight", in_flight_);
+  BudgetOf(run.service).OnSuccess(SteadyNow());
+  for (;;) {
+    run.item.id = parts_.desk.NextItem();
+    const std::optional<Placement> placement =
+        co_await parts_.desk.Place(run.item, run.request.caller);
+    if (!placement) {
+      run.caller_left = true;
+      co_return Refuse(run, 503, "the caller left", Duration(0));
+    }
+    if (placement->step == PlaceStep::kRefuse) {
+      run.story += fmt::format(
+          " refused:{} queued:{}", kPlaceRefusalNames.Name(placement->refusal),
+          placement->queued);
+      if (run.may_have_run)
+        co_return Fail(run, SendEnd::kTimedOut, "no time for another attempt");
+      co_return Refuse(run, 503, "no backend server can answer in time",
+                       placement->retry_after);
+    }
+    Attempt attempt = co_await Send(run, *placement);
+    RemoveHopByHop(attempt.response.fields);
+    if (attempt.end == SendEnd::kAnswered)
+      co_return std::move(attempt.response);
+    if (attempt.end == SendEnd::kCancelled) {
+      run.caller_left = true;
+      co_return Fail(run, attempt.end, "the caller left");
+    }
+    run.item.avoid.push_back(placement->server);
+    if (MayRepeat(run, attempt.end))
+      continue;
+    // A server's own failure is the answer.
+    if (attempt.end == SendEnd::kFailed)
+      co_return std::move(attempt.response);
+    if (!run.may_have_run)
+      co_return Refuse(run, 503, "the backend servers did not run it",
+                       Duration(300));
+    co_return Fail(run, attempt.end, attempt.error);
+  }
+}
+
+HttpRequest RequestRunner::ForServer(const Run& run,
+                                     const ServerId& server) const {
+  HttpRequest out;
+  out.method = run.request.method;
+  out.target = run.request.target;
+  out.body = run.request.body;
+  out.fields = run.request.fields;
+  RemoveHopByHop(out.fields);
+  out.fields.Remove("Expect");
+  const Duration left = run.deadline - SteadyNow() - kAnswerMargin;
+  out.fields.Set(parts_.names.deadline_ms,
+                 std::to_string(std::max<int64_t>(left.ms(), 1)));
+  out.fields.Set(parts_.names.target_server, server.str());
+  return out;
+}
+
+asio::awaitable<RequestRunner::Attempt> RequestRunner::Send(
+    Run& run,
+    const Placement& placement) {
+  const ServerRegistry::Server* server =
+      parts_.registry.Find(placement.server);
+  Attempt attempt;
+  if (server == nullptr) {
+    attempt.end = SendEnd::kNotConnected;
+    attempt.error = "the server is gone";
+    Report(run, placement, attempt, Duration(0));
+    co_return attempt;
+  }
+  ExchangeOptions options;
+  options.deadline = run.deadline;
+  options.silent_after = kSilentAfter;
+  options.max_answer_bytes = kMaxAnswerBytes;
+  options.is_own_answer = [&run, this](const HttpResponse& response) {
+    return response.fields.Get(parts_.names.request_id) == run.id;
+  };
+  const auto cancel = std::make_shared<asio::cancellation_signal>();
+  const std::shared_ptr<CallerWatch> caller = run.request.caller;
+  if (caller) {
+    caller->OnLeft(
+        [cancel] { cancel->emit(asio::cancellation_type::terminal); });
+  }
+  ++run.sent;
+  const Instant start = SteadyNow();
+  ExchangeResult exchange;
+  if (!caller || !caller->left()) {
+    try {
+      exchange = co_await asio::co_spawn(
+          parts_.loop,
+          parts_.connections.Exchange(server->entry.endpoint,
+                                      ForServer(run, placement.server),
+                                      std::move(options)),
+          asio::bind_cancellation_slot(cancel->slot(), asio::use_awaitable));
+    } catch (const boost::system::system_error& e) {
+      // A cancelled coroutine ends this way.
+      exchange.end = AttemptEnd::kCancelled;
+      exchange.error = e.what();
+    }
+  }
+  if (caller)
+    caller->Clear();
+  attempt.end = caller && caller->left() ? SendEnd::kCancelled
+                                         : Judge(exchange);
+  attempt.response = std::move(exchange.response);
+  attempt.error = std::move(exchange.error);
+  const bool did_not_run = attempt.end == SendEnd::kRefused ||
+                           attempt.end == SendEnd::kMisdirected ||
+                           attempt.end == SendEnd::kNotConnected;
+  run.may_have_run = run.may_have_run || !did_not_run;
+  if (attempt.end == SendEnd::kBroken && !exchange.answer_started &&
+      exchange.end == AttemptEnd::kBroken &&
+      parts_.crashes.OnBroken(run.fingerprint, placement.server, SteadyNow())) {
+    parts_.tell_crash(run.fingerprint, placement.server);
+  }
+  Report(run, placement, attempt, SteadyNow() - start);
+  co_return attempt;
+}
+
+SendEnd RequestRunner::Judge(const ExchangeResult& exchange) const {
+  switch (exchange.end) {
+    case AttemptEnd::kNotSent:
+      return SendEnd::kNotConnected;
+    case AttemptEnd::kTimedOut:
+      return SendEnd::kTimedOut;
+    case AttemptEnd::kCancelled:
+      return SendEnd::kBroken;
+    case AttemptEnd::kBroken:
+      return SendEnd::kBroken;
+    default:
+      break;
+  }
+  const HttpResponse& response = exchange.response;
+  if (response.status == 421)
+    return SendEnd::kMisdirected;
+  if (response.fields.Has(parts_.names.not_run))
+    return SendEnd::kRefused;
+  // Only a server of the platform stamps its answers.
+  if (!response.fields.Has(parts_.names.stamp))
+    return SendEnd::kBroken;
+  return response.status >= 500 ? SendEnd::kFailed : SendEnd::kAnswered;
+}
+
+void RequestRunner::Report(Run& run,
+                           const Placement& placement,
+                           const Attempt& attempt,
+                           Duration took) {
+  SendResult result;
+  result.item = placement.item;
+  result.server = placement.server;
+  result.end = attempt.end;
+  result.took = took;
+  ReadLoad(attempt.response.fields.Get(parts_.names.load), result);
+  parts_.desk.Finish(result);
+  parts_.metrics.CountAttempt(run.service, attempt.end, took);
+  if (attempt.end == SendEnd::kAnswered || attempt.end == SendEnd::kFailed)
+    parts_.crashes.OnAnswered(run.fingerprint);
+  run.story += fmt::format(
+      " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{}",
+      placement.server.str(), kSendEndNames.Name(attempt.end), took.ms(),
+      placement.busy, placement.expected_ms, placement.warm, placement.queued);
+}
+
+bool RequestRunner::MayRepeat(Run& run, SendEnd end) {
+  const bool not_run = end == SendEnd::kRefused ||
+                       end == SendEnd::kMisdirected ||
+                       end == SendEnd::kNotConnected;
+  if (!not_run && run.route.kind == RequestKind::kNonIdempotent)
+    return false;
+  if (end == SendEnd::kTimedOut)
+    return false;
+  if (run.sent >= std::max(run.route.attempts, not_run ? 3 : 1))
+    return false;
+  if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow()))
+    return false;
+  // A connection that was refused brought nothing to the service.
+  if (end == SendEnd::kNotConnected)
+    return true;
+  return BudgetOf(run.service).TryTake(SteadyNow());
+}
+
+HttpResponse RequestRunner::Refuse(const Run& run,
+                                   int status,
+                                   const std::string& why,
+                                   Duration retry_after) {
+  HttpResponse response = TextResponse(status, why);
+  if (!run.id.empty())
+    response.fields.Add(parts_.names.request_id, run.id);
+  if (retry_after > Duration(0)) {
+    // Half of it at random, so that callers do not come back together.
+    std::uniform_int_distribution<int64_t> spread(0, retry_after.ms() / 2);
+    response.fields.Add(
+        "Retry-After",
+        fmt::format("{:.3f}", (retry_after + Duration(spread(random_)))
+                                  .seconds()));
+  }
+  return response;
+}
+
+HttpResponse RequestRunner::Fail(const Run& run,
+                                 SendEnd end,
+                                 const std::string& why) {
+  HttpResponse response =
+      TextResponse(end == SendEnd::kTimedOut ? 504 : 502,
+                   "the request may have run: " + why);
+  if (!run.id.empty())
+    response.fields.Add(parts_.names.request_id, run.id);
+  return response;
+}
+
+void RequestRunner::LogOutcome(const Run& run, const HttpResponse& response) {
+  const Duration took = SteadyNow() - run.request.began_at;
+  parts_.metrics.CountRequest(run.service, response.status, took);
+  LogRequest(response.status < 300,
+             {{"id", run.id},
+              {"target", run.request.target},
+              {"route", run.route.name},
+              {"service", run.service.str()},
+              {"config", parts_.routes.version()},
+              {"status", response.status},
+              {"took_ms", took.ms()},
+              {"sent", run.sent},
+              {"may_have_run", run.may_have_run},
+              {"caller_left", run.caller_left},
+              {"story", run.story}});
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/request_runner.h
@@ -0,0 +1,110 @@
+#ifndef SRC_ENTRY_REQUEST_RUNNER_H_
+#define SRC_ENTRY_REQUEST_RUNNER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "include/entry/entry_settings.h"
+#include "include/entry/header_names.h"
+#include "include/health/crash_ledger.h"
+#include "include/limits/retry_budget.h"
+#include "include/placing/placer.h"
+#include "include/routing/route_table.h"
+#include "src/entry/entry_metrics.h"
+#include "src/entry/placement_desk.h"
+#include "src/forward/connection_pool.h"
+#include "src/http/http_message.h"
+
+namespace toucanknot {
+
+// Serves callers' requests: finds the route, has a backend server chosen,
+// sends the request there, and again where that is allowed, and answers. Used
+// on one loop.
+class RequestRunner {
+ public:
+  // What a runner works with; all outlive it.
+  struct Parts {
+    boost::asio::io_context& loop;
+    const EntrySettings& settings;
+    const HeaderNames& names;
+    RouteTable& routes;
+    const ServerRegistry& registry;
+    PlacementDesk& desk;
+    ConnectionPool& connections;
+    CrashLedger& crashes;
+    EntryMetrics& metrics;
+    // Tells the other hosts of a request whose connection broke at a server.
+    std::function<void(uint64_t fingerprint, const ServerId&)> tell_crash;
+  };
+
+  explicit RequestRunner(Parts parts);
+
+  boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+  // How many hosts share the bound on retries.
+  void SetHostCount(int n);
+  // Requests that are being worked on.
+  int in_flight() const { return in_flight_; }
+
+ private:
+  // A request on its way.
+  struct Run {
+    HttpRequest request;
+    // A copy: a newer configuration may come while the request is under way.
+    Route route;
+    ServiceId service;
+    std::string id;
+    uint64_t fingerprint = 0;
+    PlaceItem item;
+    int sent = 0;
+    // When a server took it first, and the time that was given to it.
+    Instant deadline;
+    // It may have run somewhere.
+    bool may_have_run = false;
+    bool caller_left = false;
+    // What the last attempts came to, for the log.
+    std::string story;
+  };
+  // What one attempt at a server came to.
+  struct Attempt {
+    SendEnd end = SendEnd::kBroken;
+    HttpResponse response;
+    std::string error;
+  };
+
+  boost::asio::awaitable<HttpResponse> HandleCounted(HttpRequest request);
+  boost::asio::awaitable<HttpResponse> Serve(Run& run);
+  boost::asio::awaitable<Attempt> Send(Run& run, const Placement& placement);
+  HttpRequest ForServer(const Run& run, const ServerId& server) const;
+  // Judges what came back.
+  SendEnd Judge(const ExchangeResult& exchange) const;
+  void Report(Run& run,
+              const Placement& placement,
+              const Attempt& attempt,
+              Duration took);
+  // Whether the request may be sent to another server after `end`.
+  bool MayRepeat(Run& run, SendEnd end);
+  // The answer when no server's answer can be given.
+  HttpResponse Refuse(const Run& run,
+                      int status,
+                      const std::string& why,
+                      Duration retry_after);
+  HttpResponse Fail(const Run& run, SendEnd end, const std::string& why);
+  RetryBudget& BudgetOf(const ServiceId& service);
+  void LogOutcome(const Run& run, const HttpResponse& response);
+
+  const Parts parts_;
+  int in_flight_ = 0;
+  int host_count_ = 1;
+  std::map<ServiceId, RetryBudget> budgets_;
+  std::minstd_rand random_;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_ENTRY_REQUEST_RUNNER_H_
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <utility>
@@ -29,6 +30,9 @@
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 << 10;
 // A connection attempt that takes longer has failed.
 constexpr Duration kConnectLimit{1'000};
+// How long an idle connection is kept whose other side states no limit: well
+// under the shortest default of common servers, 5 s.
+constexpr Duration kDefaultIdle{4'000};
 // Idle connections kept to one endpoint by one worker.
 constexpr size_t kMaxIdlePerEndpoint = 8;
 
@@ -40,6 +44,18 @@
   return AttemptEnd::kBroken;
 }
 
+// For how long a connection may be idle before it is used again, by the
+// `timeout` of the answer's Keep-Alive field: four fifths of it, so that the
+// request and the other side's close do not cross.
+Duration IdleTime(const HttpResponse& answer) {
+  const std::string_view field = answer.fields.Get("Keep-Alive");
+  const size_t at = field.find("timeout=");
+  if (at == std::string_view::npos)
+    return kDefaultIdle;
+  const int64_t seconds = std::atoll(std::string(field.substr(at + 8)).c_str());
+  return seconds > 0 ? Duration(seconds * 800) : kDefaultIdle;
+}
+
 }  // namespace
 
 class ConnectionPool::Impl {
@@ -69,6 +85,7 @@
     std::atomic<uint64_t> discarded{0};
     std::atomic<uint64_t> connect_failed{0};
     std::atomic<uint64_t> surplus_bytes{0};
+    std::atomic<uint64_t> surplus_answers{0};
   };
 
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
@@ -90,6 +107,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer{kMaxBufferBytes};
     Instant last_used;
+    // The other side may close it while it is idle from then on.
+    Instant idle_until = Instant::Never();
     bool used = false;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
@@ -101,6 +120,25 @@
   asio::awaitable<ConnectionPtr> Open(const Endpoint& endpoint,
                                       const ExchangeOptions& options,
                                       ExchangeResult& result);
+  // A request on its way out; outlives the exchange if the answer is earlier.
+  struct Sending {
+    explicit Sending(http::request<http::string_body> r)
+        : request(std::move(r)) {}
+
+    http::request<http::string_body> request;
+    bool done = false;
+    beast::error_code ec;
+    size_t bytes = 0;
+  };
+  static std::shared_ptr<Sending> BeginSending(
+      Connection& connection,
+      http::request<http::string_body> request);
+  // Reads answers until the request's own, into `result.response`.
+  asio::awaitable<beast::error_code> ReadAnswer(Connection& connection,
+                                                bool head,
+                                                const ExchangeOptions& options,
+                                                ExchangeResult& result,
+                                                bool& reusable);
   asio::awaitable<void> SendAndReceive(Connection& connection,
                                        http::request<http::string_body> request,
                                        const ExchangeOptions& options,
@@ -122,7 +160,7 @@
     // The one used last is the likeliest to be alive.
     ConnectionPtr it = std::move(list.back());
     list.pop_back();
-    if (IsSpoilt(*it)) {
+    if (now >= it->idle_until || IsSpoilt(*it)) {
       ++counts_.discarded;
       continue;
     }
@@ -186,62 +224,85 @@
   connection.stream.expires_after(std::chrono::milliseconds(left.ms()));
 }
 
-asio::awaitable<void> ConnectionPool::Impl::SendAndReceive(
+std::shared_ptr<ConnectionPool::Impl::Sending>
+ConnectionPool::Impl::BeginSending(Connection& connection,
+                                   http::request<http::string_body> request) {
+  auto sending = std::make_shared<Sending>(std::move(request));
+  http::async_write(connection.stream, sending->request,
+                    [sending](beast::error_code ec, size_t n) {
+                      sending->done = true;
+                      sending->ec = ec;
+                      sending->bytes = n;
+                    });
+  return sending;
+}
+
+asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadAnswer(
     Connection& connection,
-    http::request<http::string_body> request,
+    bool head,
     const ExchangeOptions& options,
     ExchangeResult& result,
     bool& reusable) {
-  const bool head = request.method() == http::verb::head;
-  Arm(connection, options);
-  auto [write_ec, written] =
-      co_await http::async_write(connection.stream, request, kAwait);
-  if (write_ec) {
-    result.end = EndOf(write_ec);
-    result.error = "cannot send: " + write_ec.message();
-    co_return;
-  }
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(kMaxAnswerHeaderBytes);
-  parser.body_limit(options.max_answer_bytes);
-  parser.skip(head);
-  // Interim answers (1xx) come before the one that counts.
   for (;;) {
-    auto [ec, n] = co_await http::async_read_header(
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(kMaxAnswerHeaderBytes);
+    parser.body_limit(options.max_answer_bytes);
+    parser.skip(head);
+    auto [header_ec, n] = co_await http::async_read_header(
         connection.stream, connection.buffer, parser, kAwait);
     // A header that broke off is left in the buffer, and not counted in `n`.
     result.answer_started =
         result.answer_started || n > 0 || connection.buffer.size() > 0;
-    if (ec) {
-      result.end = EndOf(ec);
-      result.error = "no answer: " + ec.message();
-      co_return;
-    }
-    if (parser.get().result_int() / 100 != 1)
-      break;
-    std::destroy_at(&parser);
-    std::construct_at(&parser);
-    parser.header_limit(kMaxAnswerHeaderBytes);
-    parser.body_limit(options.max_answer_bytes);
-    parser.skip(head);
+    if (header_ec)
+      co_return header_ec;
+    // Interim answers (1xx) come before the one that counts.
+    if (parser.get().result_int() / 100 == 1)
+      continue;
+    auto [ec, m] = co_await http::async_read(connection.stream,
+                                             connection.buffer, parser, kAwait);
+    if (ec)
+      co_return ec;
+    // An answer without a length ends with its connection; one that is reset
+    // has failed above.
+    reusable = reusable && parser.get().keep_alive() && !parser.need_eof();
+    const bool last = parser.need_eof();
+    result.response = FromBeast(parser.release());
+    if (!options.is_own_answer || options.is_own_answer(result.response))
+      co_return beast::error_code{};
+    ++counts_.surplus_answers;
+    reusable = false;
+    if (last)
+      co_return http::error::end_of_stream;
   }
-  auto [ec, n] = co_await http::async_read(connection.stream, connection.buffer,
-                                           parser, kAwait);
+}
+
+asio::awaitable<void> ConnectionPool::Impl::SendAndReceive(
+    Connection& connection,
+    http::request<http::string_body> request,
+    const ExchangeOptions& options,
+    ExchangeResult& result,
+    bool& reusable) {
+  const bool head = request.method() == http::verb::head;
+  Arm(connection, options);
+  // The answer is read while the body goes out: it may come before its end.
+  const auto sending = BeginSending(connection, std::move(request));
+  reusable = true;
+  const beast::error_code ec =
+      co_await ReadAnswer(connection, head, options, result, reusable);
   if (ec) {
-    result.end = EndOf(ec);
-    result.error = "the answer broke off: " + ec.message();
-    co_return;
-  }
-  if (parser.need_eof()) {
-    // Its end cannot be told from a break.
-    result.end = AttemptEnd::kBroken;
-    result.error = "the answer states no length";
+    reusable = false;
+    const bool unsent =
+        sending->done && sending->ec && sending->bytes == 0;
+    result.end = unsent ? AttemptEnd::kNotSent : EndOf(ec);
+    result.error = (result.answer_started ? "the answer broke off: "
+                                          : "no answer: ") +
+                   ec.message();
     co_return;
   }
   counts_.surplus_bytes += connection.buffer.size();
-  reusable = parser.get().keep_alive() && connection.buffer.size() == 0;
+  reusable = reusable && connection.buffer.size() == 0 && sending->done &&
+             !sending->ec;
   result.end = AttemptEnd::kAnswered;
-  result.response = FromBeast(parser.release());
 }
 
 asio::awaitable<ExchangeResult> ConnectionPool::Impl::Exchange(
@@ -273,6 +334,7 @@
   if (reusable && list.size() < kMaxIdlePerEndpoint) {
     connection->used = true;
     connection->last_used = now;
+    connection->idle_until = now + IdleTime(result.response);
     connection->stream.expires_never();
     list.push_back(std::move(connection));
   }
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -31,6 +31,10 @@
   // Called once, before the first byte is handed to the kernel. Returns
   // whether it may be; when not, the exchange ends as kCancelled.
   std::function<bool()> before_first_byte;
+  // Whether a whole answer belongs to this request; the others on the
+  // connection are dropped and it is closed after its use. Null: the first one
+  // does.
+  std::function<bool(const HttpResponse&)> is_own_answer;
 };
 
 // How an exchange ended.
--- /dev/null
+++ b/src/health/crash_ledger.cc
@@ -0,0 +1,48 @@
+#include "include/health/crash_ledger.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+
+bool CrashLedger::IsMassBreak(const ServerId& server, Instant now) {
+  breaks_.push_back({server, now});
+  while (now - breaks_.front().at > kMassWindow)
+    breaks_.pop_front();
+  std::set<ServerId> servers;
+  for (const Break& it : breaks_)
+    servers.insert(it.server);
+  return servers.size() >= kMassBreak;
+}
+
+bool CrashLedger::OnBroken(uint64_t fingerprint,
+                           const ServerId& server,
+                           Instant now) {
+  if (IsMassBreak(server, now))
+    return false;
+  OnCharge(fingerprint, server, now);
+  return true;
+}
+
+void CrashLedger::OnCharge(uint64_t fingerprint,
+                           const ServerId& server,
+                           Instant now) {
+  if (records_.size() >= kMostRecords && !records_.contains(fingerprint)) {
+    records_.erase(std::min_element(
+        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+          return a.second.last < b.second.last;
+        }));
+  }
+  Record& record = records_[fingerprint];
+  if (now - record.last > kMemory)
+    record.servers.clear();
+  record.servers.insert(server);
+  record.last = now;
+}
+
+bool CrashLedger::IsCrasher(uint64_t fingerprint, Instant now) {
+  const auto it = records_.find(fingerprint);
+  return it != records_.end() && now - it->second.last <= kMemory &&
+         it->second.servers.size() >= kCrashes;
+}
+
+}  // namespace toucanknot
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -1,8 +1,11 @@
 #ifndef SRC_HTTP_HTTP_MESSAGE_H_
 #define SRC_HTTP_HTTP_MESSAGE_H_
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -28,6 +31,35 @@
   std::vector<HttpField> fields_;
 };
 
+// Tells whoever works on a request that its caller has closed the connection.
+// Used on the connection's worker only.
+class CallerWatch {
+ public:
+  bool left() const { return left_; }
+  // `hook` is called once, when the caller leaves; at once if it has left.
+  void OnLeft(std::function<void()> hook) {
+    hook_ = std::move(hook);
+    if (left_)
+      Fire();
+  }
+  // Forgets the hook.
+  void Clear() { hook_ = nullptr; }
+  // The connection has been closed by the other side.
+  void Leave() {
+    left_ = true;
+    Fire();
+  }
+
+ private:
+  void Fire() {
+    if (const auto hook = std::exchange(hook_, nullptr))
+      hook();
+  }
+
+  bool left_ = false;
+  std::function<void()> hook_;
+};
+
 // A whole request.
 struct HttpRequest {
   std::string method;
@@ -39,6 +71,10 @@
   std::string remote_ip;
   // When its connection was accepted.
   Instant connected_at;
+  // When its first byte was read.
+  Instant began_at;
+  // Null for a request that no connection carries.
+  std::shared_ptr<CallerWatch> caller;
 };
 
 // A whole response.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,7 @@
 #include "src/http/http_server.h"
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -70,12 +72,18 @@
         limits_(limits),
         body_limit_(std::move(body_limit)),
         handler_(std::move(handler)),
+        idle_ms_(limits.idle.ms()),
+        header_ms_(limits.header.ms()),
         acceptor_(std::in_place, workers.loop(0)) {}
 
   Endpoint Listen(const Endpoint& endpoint);
   void BeginStop() { stopping_ = true; }
   void StopAccepting();
   void Abort();
+  void SetTimeouts(Duration idle, Duration header) {
+    idle_ms_ = idle.ms();
+    header_ms_ = header.ms();
+  }
   // Closes all sockets in this thread; the workers must have been stopped.
   void Release();
   WorkerPool& workers() { return workers_; }
@@ -95,6 +103,9 @@
   const HttpServerLimits limits_;
   const BodyLimit body_limit_;
   const Handler handler_;
+  // Set by any thread, read by the workers.
+  std::atomic<int64_t> idle_ms_;
+  std::atomic<int64_t> header_ms_;
   // Nothing once the listener is released.
   std::optional<tcp::acceptor> acceptor_;
   std::atomic<bool> stopping_{false};
@@ -156,7 +167,8 @@
     Parser parser;
     parser.header_limit(owner_->limits_.max_header_bytes);
     parser.body_limit(boost::none);
-    stream_.expires_after(Chrono(owner_->limits_.header));
+    stream_.expires_after(
+        std::chrono::milliseconds(owner_->header_ms_.load()));
     auto [ec, n] =
         co_await http::async_read_header(stream_, buffer_, parser, kAwait);
     if (ec)
@@ -177,21 +189,25 @@
       co_return co_await Refuse(503, "no memory for the request's body",
                                 version);
     }
+    reserved_ = room;
     const bool open = co_await ReadAndAnswer(parser, version);
-    owner_->buffered_bytes_ -= room;
+    owner_->buffered_bytes_ -= std::exchange(reserved_, 0);
     co_return open;
   }
 
   asio::awaitable<bool> AwaitFirstByte() {
+    began_at_ = SteadyNow();
     if (buffer_.size() > 0)
       co_return true;
     // An idle connection keeps no more than a small buffer.
     buffer_.shrink_to_fit();
     idle_ = true;
-    stream_.expires_after(Chrono(owner_->limits_.idle));
+    stream_.expires_after(
+        std::chrono::milliseconds(owner_->idle_ms_.load()));
     auto [ec, n] = co_await stream_.async_read_some(
         buffer_.prepare(kFirstReadBytes), kAwait);
     idle_ = false;
+    began_at_ = SteadyNow();
     buffer_.commit(n);
     co_return !ec;
   }
@@ -203,7 +219,28 @@
     if (const auto length = parser.content_length()) {
       return *length > limit ? -1 : static_cast<int64_t>(*length);
     }
-    return parser.chunked() ? static_cast<int64_t>(limit) : 0;
+    return 0;
+  }
+
+  // Reads the rest of the message. A body without a stated length reserves
+  // memory as it grows; kNoRoom when there is none left.
+  enum class BodyRead { kDone, kNoRoom, kFailed };
+  asio::awaitable<BodyRead> ReadBody(Parser& parser, beast::error_code& ec) {
+    while (!parser.is_done()) {
+      auto [err, n] =
+          co_await http::async_read_some(stream_, buffer_, parser, kAwait);
+      ec = err;
+      if (ec)
+        co_return BodyRead::kFailed;
+      const int64_t missing =
+          static_cast<int64_t>(parser.get().body().size()) - reserved_;
+      if (missing <= 0)
+        continue;
+      if (!owner_->Reserve(missing))
+        co_return BodyRead::kNoRoom;
+      reserved_ += missing;
+    }
+    co_return BodyRead::kDone;
   }
 
   asio::awaitable<bool> ReadAndAnswer(Parser& parser, unsigned version) {
@@ -212,9 +249,14 @@
         !co_await SendContinue(version)) {
       co_return false;
     }
-    auto [ec, n] = co_await http::async_read(stream_, buffer_, parser, kAwait);
-    if (ec)
+    beast::error_code ec;
+    const BodyRead read = co_await ReadBody(parser, ec);
+    if (read == BodyRead::kFailed)
       co_return co_await FailRead(ec, version);
+    if (read == BodyRead::kNoRoom) {
+      co_return co_await Refuse(503, "no memory for the request's body",
+                                version);
+    }
     ++owner_->requests_;
     const bool keep_alive = parser.get().keep_alive();
     const bool head = parser.get().method() == http::verb::head;
@@ -232,10 +274,16 @@
       HttpRequest whole = FromBeast(std::move(request));
       whole.remote_ip = ec ? "" : remote.address().to_string();
       whole.connected_at = connected_at_;
-      co_return co_await owner_->handler_(std::move(whole));
+      whole.began_at = began_at_;
+      whole.caller = std::make_shared<CallerWatch>();
+      WatchCaller(whole.caller);
+      HttpResponse response = co_await owner_->handler_(std::move(whole));
+      StopWatching();
+      co_return response;
     } catch (const std::exception& e) {
       failure = e.what();
     }
+    StopWatching();
     HttpResponse response =
         TextResponse(500, "the host failed on this request: " + failure);
     response.fields.Add(kVerdictHeader,
@@ -243,6 +291,34 @@
     co_return response;
   }
 
+  // Notes when the other side closes while its request is worked on. Stops at
+  // bytes of a next request: what follows them cannot be seen without reading
+  // them.
+  void WatchCaller(std::shared_ptr<CallerWatch> watch) {
+    if (buffer_.size() > 0)
+      return;
+    watch_ = std::move(watch);
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), seen = watch_](beast::error_code ec) {
+          if (ec || self->watch_ != seen)
+            return;
+          char byte = 0;
+          const ssize_t n = ::recv(self->stream_.socket().native_handle(),
+                                   &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+          if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            seen->Leave();
+        });
+  }
+
+  void StopWatching() {
+    if (!watch_)
+      return;
+    watch_.reset();
+    beast::error_code ec;
+    stream_.socket().cancel(ec);
+  }
+
   asio::awaitable<bool> SendContinue(unsigned version) {
     http::response<http::empty_body> go_on(http::status::continue_, version);
     auto [ec, n] = co_await http::async_write(stream_, go_on, kAwait);
@@ -329,6 +405,12 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   const Instant connected_at_ = SteadyNow();
+  // When the first byte of the request at hand was read.
+  Instant began_at_;
+  // Memory that its body has reserved.
+  int64_t reserved_ = 0;
+  // Set while the request at hand is worked on.
+  std::shared_ptr<CallerWatch> watch_;
   bool idle_ = false;
 };
 
@@ -483,6 +565,10 @@
   listener_->Abort();
 }
 
+void HttpServer::SetTimeouts(Duration idle, Duration header) {
+  listener_->SetTimeouts(idle, header);
+}
+
 int64_t HttpServer::OpenConnections() const {
   return listener_->Counts().open_connections;
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -72,6 +72,8 @@
   void StopAccepting();
   // Closes every connection at once.
   void Abort();
+  // Changes the time limits of connections for what they wait for next.
+  void SetTimeouts(Duration idle, Duration header);
 
   // Connections that are open.
   int64_t OpenConnections() const;
--- a/src/limits/retry_budget.cc
+++ b/src/limits/retry_budget.cc
@@ -3,14 +3,11 @@
 #include <algorithm>
 
 namespace toucanknot {
-namespace {
 
-constexpr int64_t kBucketMs = RetryBudget::kWindow.ms() / 10;
-
-}  // namespace
-
-RetryBudget::RetryBudget(double ratio, int64_t floor)
-    : ratio_(ratio), floor_(floor) {}
+RetryBudget::RetryBudget(double ratio, int64_t floor, Duration window)
+    : ratio_(ratio),
+      floor_(floor),
+      bucket_ms_(std::max<int64_t>(window.ms() / kBuckets, 1)) {}
 
 void RetryBudget::OnSuccess(Instant now) {
   Roll(now);
@@ -34,7 +31,7 @@
 }
 
 void RetryBudget::Roll(Instant now) {
-  const int64_t tick = now.ms() / kBucketMs;
+  const int64_t tick = now.ms() / bucket_ms_;
   if (tick <= tick_)
     return;
   const int64_t steps = std::min<int64_t>(tick - tick_, kBuckets);
--- /dev/null
+++ b/src/placing/server_load.cc
@@ -0,0 +1,100 @@
+#include "include/placing/server_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace toucanknot {
+namespace {
+
+// Requests of other hosts end within about a second.
+constexpr double kOthersFadeMs = 1'000;
+// A slow server is tried again as its slowness is forgotten.
+constexpr double kSlownessFadeMs = 4'000;
+constexpr double kSlownessWeight = 0.3;
+constexpr double kMostSlowness = 20;
+constexpr double kFailureFadeMs = 3'000;
+constexpr double kFailureWeight = 0.25;
+// The first pause after a broken connection; doubles with each further one.
+constexpr Duration kFirstPause{250};
+constexpr int kMostDoublings = 3;
+// What a server handled longer ago may have been pushed out by other objects.
+constexpr Duration kWarmFor{30'000};
+constexpr size_t kMostWarmObjects = 4'096;
+
+double Fade(Duration age, double fade_ms) {
+  return std::exp(-static_cast<double>(age.ms()) / fade_ms);
+}
+
+}  // namespace
+
+double ServerLoad::Others(Instant now) const {
+  return others_ * Fade(now - others_at_, kOthersFadeMs);
+}
+
+void ServerLoad::OnSent(Instant now) {
+  ++in_flight_;
+  last_sent_ = now;
+}
+
+void ServerLoad::OnReport(int running, int waiting, Instant now) {
+  others_ = std::max(0, running + waiting - in_flight_);
+  others_at_ = now;
+}
+
+void ServerLoad::OnSpeed(double ratio, Instant now) {
+  const double old = Slowness(now);
+  ratio = std::clamp(ratio, 0.2, kMostSlowness);
+  slowness_ = old + (ratio - old) * kSlownessWeight;
+  slowness_at_ = now;
+}
+
+double ServerLoad::Slowness(Instant now) const {
+  return 1 + (slowness_ - 1) * Fade(now - slowness_at_, kSlownessFadeMs);
+}
+
+void ServerLoad::OnFailure(Instant now) {
+  const double old = FailureRate(now);
+  failure_rate_ = old + (1 - old) * kFailureWeight;
+  failure_at_ = now;
+}
+
+void ServerLoad::OnSuccess(Instant now) {
+  failure_rate_ = FailureRate(now) * (1 - kFailureWeight);
+  failure_at_ = now;
+  breaks_ = 0;
+}
+
+double ServerLoad::FailureRate(Instant now) const {
+  return failure_rate_ * Fade(now - failure_at_, kFailureFadeMs);
+}
+
+void ServerLoad::Suspend(Instant now) {
+  if (IsSuspended(now))
+    return;
+  suspended_until_ = now + kFirstPause * (1 << std::min(breaks_, kMostDoublings));
+  ++breaks_;
+}
+
+bool ServerLoad::IsWarm(uint64_t object, Instant now) const {
+  const auto it = warm_.find(object);
+  return it != warm_.end() && now - it->second < kWarmFor;
+}
+
+void ServerLoad::SetWarm(uint64_t object, Instant now) {
+  if (warm_.size() >= kMostWarmObjects && !warm_.contains(object))
+    warm_.clear();
+  warm_[object] = now;
+}
+
+bool ServerLoad::MayTakeCold(double rate, Instant now) const {
+  return rate > 0 && static_cast<double>((now - last_cold_).ms()) * rate >= 1000;
+}
+
+bool ServerLoad::TryTakeCold(double rate, Instant now) {
+  if (!MayTakeCold(rate, now))
+    return false;
+  last_cold_ = now;
+  return true;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/placing/work_times.cc
@@ -0,0 +1,39 @@
+#include "include/placing/work_times.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// First guesses, as parts of the route's target latency: an operator sets it
+// between the two.
+constexpr double kColdGuess = 1.4;
+constexpr double kWarmGuess = 0.6;
+// A sample counts at most as this many times the current mean, so that one
+// stuck answer does not spoil the estimate.
+constexpr double kMostOverMean = 3;
+
+}  // namespace
+
+WorkTimes::WorkTimes(Duration target, bool sticky)
+    : sticky_(sticky),
+      warm_(static_cast<double>(target.ms()) * kWarmGuess),
+      cold_(static_cast<double>(target.ms()) * kColdGuess),
+      mean_(cold_) {}
+
+void WorkTimes::Blend(double& mean, int& count, double sample) {
+  ++count;
+  sample = std::min(sample, mean * kMostOverMean);
+  mean += (sample - mean) * std::max(kWeight, 1.0 / (count + 1));
+}
+
+void WorkTimes::Learn(double took, bool warm) {
+  Blend(mean_, mean_count_, took);
+  if (sticky_ && (warm || LooksWarm(took)))
+    Blend(warm_, warm_count_, took);
+  else
+    Blend(cold_, cold_count_, took);
+  warm_ = std::min(warm_, cold_);
+}
+
+}  // namespace toucanknot
