placing: each object has a home server in the order of its hash, first in its region

Cause: each host chose by its own figures, so an object was fetched at 5.4 servers, each time at three times the work of a warm one. Change: weighted rendezvous order of the servers per object, presumed warm at the first ones; a part of the objects is kept in other regions when the own region's slots would not bear them; an object counts as warm from when it is sent.

--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -42,7 +42,8 @@
 
   // The most hosts that were there at once lately, this one included.
   int HostCount(Instant now);
-  size_t size() const { return hosts_.size(); }
+  // The hosts in `region` now, at least 1.
+  int HostsIn(const RegionId& region) const;
 
  private:
   struct Host {
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -136,8 +136,12 @@
   void Forget(const ServerId& server);
   // A new version is in force.
   void OnConfig(const RouteConfigPtr& config) { config_ = config; }
-  // How many hosts share each server's bound while it is cold.
-  void SetHostCount(int n) { host_count_ = n; }
+  // How many hosts share each server's bound while it is cold, and how many of
+  // them are in this region.
+  void SetHostCount(int all, int in_region) {
+    host_count_ = all;
+    region_host_count_ = in_region;
+  }
 
   static constexpr Duration kAdvanceEvery{20};
 
@@ -166,6 +170,10 @@
   struct Candidate {
     const ServerRegistry::Server* server = nullptr;
     ServerLoad* load = nullptr;
+    // Its place in the order for the request's object, the same at all hosts
+    // of a region: the first ones are where the object is kept.
+    int rank = 0;
+    double order = 0;
     double cost = 0;
     double expected_ms = 0;
     double busy = 0;
@@ -177,11 +185,17 @@
   // The best server for `waiting`; a null one when there is none. `any` tells
   // whether some server takes requests at all.
   Candidate Choose(const Waiting& waiting, bool& any, Instant now);
-  // What is to be expected at one server.
-  Candidate Assess(const Waiting& waiting,
-                   const ServerRegistry::Server& server,
-                   const WorkTimes& times,
-                   Instant now);
+  // The servers that may take it, by rank.
+  std::vector<Candidate> Candidates(const Waiting& waiting, Instant now);
+  // Fills in what is to be expected at one server.
+  void Assess(const Waiting& waiting,
+              const WorkTimes& times,
+              Candidate& c,
+              Instant now);
+  // Whether the servers of this region can bear `object` with the others that
+  // its callers ask for; the rest is kept in other regions.
+  bool IsKeptHere(const ServiceId& service, uint64_t object) const;
+  RegionId RegionOf(const ServerEntry& entry) const;
   Placement Decide(const Waiting& waiting, bool queued, Instant now);
   Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
   Placement Refuse(const Waiting& waiting,
@@ -199,13 +213,23 @@
   const ServerRegistry& registry_;
   RouteConfigPtr config_;
   int host_count_ = 1;
+  int region_host_count_ = 1;
   uint64_t next_order_ = 0;
   std::map<ServerId, ServerLoad> loads_;
   std::map<std::string, WorkTimes> times_;
   std::map<uint64_t, Flight> flights_;
   std::list<Waiting> queue_;
-  // Attempts in flight by service.
-  std::map<ServiceId, int> in_flight_;
+  // The work that this host brings to a service.
+  struct Demand {
+    // Attempts in flight.
+    int in_flight = 0;
+    // Their number on average over the last seconds.
+    double mean = 0;
+    Instant at;
+  };
+  void UpdateDemand(const ServiceId& service, int change, Instant now);
+
+  std::map<ServiceId, Demand> demand_;
 };
 
 }  // namespace toucanknot
--- a/include/placing/work_times.h
+++ b/include/placing/work_times.h
@@ -19,6 +19,8 @@
   bool sticky() const { return sticky_; }
   // The usual one: the mean over all answers.
   double mean() const { return mean_; }
+  // Whether they come from answers rather than from the first guess.
+  bool known() const { return mean_count_ >= kEnoughAnswers; }
 
   // An answer came after `took` from a server that was not full when the
   // request was sent. `warm` says that the object was handled there lately,
@@ -28,6 +30,7 @@
   bool LooksWarm(double took) const { return took < (warm_ + cold_) / 2; }
 
  private:
+  static constexpr int kEnoughAnswers = 5;
   // The weight of one answer, after the first ones.
   static constexpr double kWeight = 0.05;
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -303,7 +303,7 @@
     registry_.Advance(now);
     roster_.Advance(now);
     const int hosts = roster_.HostCount(now);
-    placer_.SetHostCount(hosts);
+    placer_.SetHostCount(hosts, roster_.HostsIn(settings_.region));
     runner_.SetHostCount(hosts);
     desk_.Wake();
     FlushDecisionLog();
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -85,6 +85,13 @@
   return chosen;
 }
 
+int HostRoster::HostsIn(const RegionId& region) const {
+  const auto n = std::count_if(
+      hosts_.begin(), hosts_.end(),
+      [&](const auto& it) { return RegionOf(it.second.record.zone) == region; });
+  return std::max(1, static_cast<int>(n));
+}
+
 int HostRoster::HostCount(Instant now) {
   const int n =
       static_cast<int>(hosts_.size()) + (hosts_.contains(self_.host) ? 0 : 1);
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <cmath>
 #include <tuple>
@@ -14,9 +15,14 @@
 // Requests that are sent to a full server beyond its slots, so that it has the
 // next one at hand when a slot gets free.
 constexpr double kAhead = 1;
-// The part of the extra time of a server that has to fetch the object that
-// counts against it: the object is at hand there for later requests.
-constexpr double kFetchShare = 0.5;
+// How likely an object is not at hand at the first servers of its order, where
+// other hosts send it too; elsewhere it is not unless this host sent it there.
+constexpr std::array<double, 2> kFetchChance{0.1, 0.6};
+// The part of a region's slots that its own callers' objects may fill on
+// average; the rest is for peaks.
+constexpr double kRegionFill = 0.6;
+// The time over which the demand of a host is averaged, in ms.
+constexpr double kDemandFadeMs = 5'000;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
 // A server that joined lately is tried although others know the object.
@@ -25,6 +31,11 @@
 // Shortest and longest time after which a refused caller is told to return.
 constexpr Duration kShortestReturn{150};
 constexpr Duration kLongestReturn{2'000};
+// Costs that differ by less, in ms, are equal.
+constexpr double kSameCostMs = 8;
+// Added to the order of servers in the regions where an object is not kept;
+// above any order inside a region.
+constexpr double kOtherRegions = 1'000;
 // What an answer needs from the server to the caller, in ms.
 constexpr double kAnswerMargin = 10;
 
@@ -32,7 +43,13 @@
   return static_cast<double>(d.ms());
 }
 
-// The order of the servers for an object, the same at all hosts.
+// A number between 0 and 1 for a hash, neither included.
+double UnitOf(uint64_t hash) {
+  const uint64_t mixed = XXH3_64bits(&hash, sizeof hash);
+  return (static_cast<double>(mixed >> 11) + 0.5) * 0x1p-53;
+}
+
+// The hash of a server for an object, the same at all hosts.
 uint64_t Rank(uint64_t object, const ServerId& server) {
   return XXH3_64bits_withSeed(server.str().data(), server.str().size(), object);
 }
@@ -67,69 +84,116 @@
   return it == config_->services.end() ? 0 : it->second.cold_rate;
 }
 
-Placer::Candidate Placer::Assess(const Waiting& waiting,
-                                 const ServerRegistry::Server& server,
-                                 const WorkTimes& times,
-                                 Instant now) {
-  Candidate c;
-  c.server = &server;
-  c.load = &LoadOf(server.entry.id, now);
-  const double slots = std::max(1, server.entry.slots);
+RegionId Placer::RegionOf(const ServerEntry& entry) const {
+  const auto it = options_.regions.find(entry.zone);
+  return it == options_.regions.end() ? RegionId() : it->second;
+}
+
+void Placer::UpdateDemand(const ServiceId& service, int change, Instant now) {
+  Demand& demand = demand_[service];
+  const double keep = std::exp(-Millis(now - demand.at) / kDemandFadeMs);
+  demand.mean = demand.mean * keep + demand.in_flight * (1 - keep);
+  demand.at = now;
+  demand.in_flight += change;
+}
+
+bool Placer::IsKeptHere(const ServiceId& service, uint64_t object) const {
+  const auto demand = demand_.find(service);
+  if (demand == demand_.end())
+    return true;
+  double slots = 0;
+  for (const ServerRegistry::Server* it : registry_.Usable(service)) {
+    if (RegionOf(it->entry) == options_.region)
+      slots += it->entry.slots;
+  }
+  const double asked = demand->second.mean * region_host_count_;
+  const double share = asked > 0 ? slots * kRegionFill / asked : 1;
+  return UnitOf(object) < share;
+}
+
+std::vector<Placer::Candidate> Placer::Candidates(const Waiting& waiting,
+                                                  Instant now) {
+  const PlaceItem& item = waiting.item;
+  const bool here = IsKeptHere(item.service, item.object);
+  std::vector<Candidate> out;
+  for (const ServerRegistry::Server* it : registry_.Usable(item.service)) {
+    const ServerId& id = it->entry.id;
+    if (std::find(item.avoid.begin(), item.avoid.end(), id) != item.avoid.end())
+      continue;
+    const RegionId region = RegionOf(it->entry);
+    const std::vector<RegionId>& allowed = waiting.allowed_regions;
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), region) == allowed.end()) {
+      continue;
+    }
+    Candidate c;
+    c.server = it;
+    c.load = &LoadOf(id, now);
+    if (c.load->IsSuspended(now))
+      continue;
+    // Weighted rendezvous hashing: the least is first, and each server is
+    // first for a part of the objects that its slots make up.
+    c.order = -std::log(UnitOf(Rank(item.object, id))) / it->entry.slots;
+    if ((region == options_.region) != here)
+      c.order += kOtherRegions;
+    out.push_back(c);
+  }
+  const size_t first = std::min(out.size(), kFetchChance.size());
+  std::partial_sort(out.begin(), out.begin() + static_cast<ptrdiff_t>(first),
+                    out.end(), [](const Candidate& a, const Candidate& b) {
+                      return a.order < b.order;
+                    });
+  for (size_t i = 0; i < out.size(); ++i)
+    out[i].rank = static_cast<int>(std::min(i, first));
+  return out;
+}
+
+void Placer::Assess(const Waiting& waiting,
+                    const WorkTimes& times,
+                    Candidate& c,
+                    Instant now) {
+  const ServerRegistry::Server& server = *c.server;
+  const double slots = server.entry.slots;
   const double slowness = c.load->Slowness(now);
   c.busy = c.load->Busy(now);
   c.full = c.busy >= slots + kAhead;
   c.cold = now < server.cold_until;
   const uint64_t object = waiting.item.object;
   c.warm = object == 0 || c.load->IsWarm(object, now);
-  const double usual = c.warm ? times.warm() : times.cold();
+  const double fetch = times.cold() - times.warm();
   const double wait = std::max(0.0, c.busy - slots + 1) / slots * times.mean();
   const double rtt = Rtt(server.entry);
-  c.expected_ms = (usual + wait) * slowness + rtt;
-  double counted = usual;
-  if (!c.warm)
-    counted = times.warm() + (times.cold() - times.warm()) * kFetchShare;
-  c.cost = (counted + wait) * slowness + rtt +
-           c.load->FailureRate(now) * kFailureCost * times.mean();
+  const auto rank = static_cast<size_t>(c.rank);
+  const double chance = c.warm                        ? 0
+                        : rank < kFetchChance.size() ? kFetchChance[rank]
+                                                     : 1;
+  c.expected_ms = (times.warm() + chance * fetch + wait) * slowness + rtt;
+  c.cost =
+      c.expected_ms + c.load->FailureRate(now) * kFailureCost * times.mean();
   const bool joined = now - server.appeared_at < kJoinedLately &&
                       now - c.load->last_sent() > kTryJoinedEvery;
   if (joined && !c.cold && c.load->in_flight() == 0)
     c.cost -= times.cold();
-  return c;
 }
 
 Placer::Candidate Placer::Choose(const Waiting& waiting,
                                  bool& any,
                                  Instant now) {
-  const PlaceItem& item = waiting.item;
   const WorkTimes& times = times_.at(waiting.route_name);
-  const double cold_rate = ColdRate(item.service) / host_count_;
+  const double cold_rate = ColdRate(waiting.item.service) / host_count_;
+  std::vector<Candidate> candidates = Candidates(waiting, now);
+  any = !candidates.empty();
   Candidate best;
-  std::tuple<double, uint64_t> best_key;
-  any = false;
-  for (const ServerRegistry::Server* it : registry_.Usable(item.service)) {
-    const ServerId& id = it->entry.id;
-    if (std::find(item.avoid.begin(), item.avoid.end(), id) != item.avoid.end())
-      continue;
-    if (!waiting.allowed_regions.empty()) {
-      const auto region = options_.regions.find(it->entry.zone);
-      if (region == options_.regions.end() ||
-          std::find(waiting.allowed_regions.begin(),
-                    waiting.allowed_regions.end(),
-                    region->second) == waiting.allowed_regions.end()) {
-        continue;
-      }
-    }
-    Candidate c = Assess(waiting, *it, times, now);
-    if (c.load->IsSuspended(now))
-      continue;
-    any = true;
-    if (c.cold && !c.load->MayTakeCold(cold_rate, now))
+  std::tuple<double, double> best_key;
+  for (Candidate& it : candidates) {
+    Assess(waiting, times, it, now);
+    if (it.cold && !it.load->MayTakeCold(cold_rate, now))
       continue;
     // Costs within a few milliseconds are equal; the object's order decides.
-    const std::tuple<double, uint64_t> key(std::floor(c.cost / 8),
-                                           Rank(item.object, id));
+    const std::tuple<double, double> key(std::floor(it.cost / kSameCostMs),
+                                         it.order);
     if (best.server == nullptr || key < best_key) {
-      best = c;
+      best = it;
       best_key = key;
     }
   }
@@ -137,8 +201,8 @@
 }
 
 double Placer::QueueWait(const Waiting& waiting, double service_ms) const {
-  const auto it = in_flight_.find(waiting.item.service);
-  const int running = it == in_flight_.end() ? 0 : it->second;
+  const auto it = demand_.find(waiting.item.service);
+  const int running = it == demand_.end() ? 0 : it->second.in_flight;
   int ahead = 0;
   for (const Waiting& other : queue_) {
     if (other.item.service == waiting.item.service &&
@@ -167,7 +231,10 @@
   flight.slowness = best.load->Slowness(now);
   flight.expected_ms = best.expected_ms;
   best.load->OnSent(now);
-  ++in_flight_[item.service];
+  // The object is at hand from when the server begins on its first request.
+  if (item.object != 0)
+    best.load->SetWarm(item.object, now);
+  UpdateDemand(item.service, +1, now);
   flights_[item.id] = std::move(flight);
   Placement out;
   out.item = item.id;
@@ -200,12 +267,12 @@
   const WorkTimes& times = times_.at(waiting.route_name);
   // A server that was slow may be so no more: only what cannot be met at the
   // usual speed is refused while a slot is free.
-  if (best.server != nullptr && !best.full && times.warm() <= left)
+  const bool fits = !times.known() || times.warm() <= left;
+  if (best.server != nullptr && !best.full && fits && left > 0)
     return Send(waiting, best, now);
   if (!any)
     return Refuse(waiting, PlaceRefusal::kNoServer, Duration(400), now);
-  const double service =
-      best.server != nullptr && !best.full ? best.expected_ms : times.mean();
+  const double service = times.known() ? times.warm() : 0;
   const double wait = QueueWait(waiting, times.mean());
   // A request that waits already is refused only when it could not be answered
   // even if it were sent now.
@@ -248,7 +315,7 @@
     return;
   const Flight flight = std::move(it->second);
   flights_.erase(it);
-  --in_flight_[flight.service];
+  UpdateDemand(flight.service, -1, now);
   const auto load = loads_.find(flight.server);
   if (load == loads_.end())
     return;
@@ -269,8 +336,6 @@
         figures.OnSpeed(took / std::max(1.0, usual), now);
         times.Learn(work, flight.was_warm);
       }
-      if (flight.object != 0)
-        figures.SetWarm(flight.object, now);
       break;
     case SendEnd::kFailed:
     case SendEnd::kRefused:
