placing: a further server for an object has its price

Cause: early on, busy homes were passed by for servers that had to fetch the object too, which filled more slots than waiting would have. Change: a server beyond the first of the order costs a part of the fetch more, and so does a full one; a server that joined is tried once by each host of its region instead of by all hosts again and again.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -119,7 +119,8 @@
     double region_rtt = 40;
   };
 
-  Placer(Options options, const ServerRegistry& registry);
+  // `now` is when the host began.
+  Placer(Options options, const ServerRegistry& registry, Instant now);
 
   // Decides on a new request, or on the next attempt of one.
   Placement Offer(const PlaceItem& item, Instant now);
@@ -211,6 +212,7 @@
 
   const Options options_;
   const ServerRegistry& registry_;
+  const Instant started_at_;
   RouteConfigPtr config_;
   int host_count_ = 1;
   int region_host_count_ = 1;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -119,7 +119,9 @@
                        const ServerRegistry::Server& server) {
         OnServerChange(change, server);
       }),
-      placer_({settings_.zone, settings_.region, settings_.regions}, registry_),
+      placer_({settings_.zone, settings_.region, settings_.regions},
+              registry_,
+              SteadyNow()),
       desk_(loop_, placer_),
       connections_(loop_),
       roster_({settings_.host, settings_.zone, settings_.callers, incarnation_},
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -25,9 +25,13 @@
 constexpr double kDemandFadeMs = 5'000;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
-// A server that joined lately is tried although others know the object.
+// The part of the time to fetch an object that counts against a server beyond
+// the first of its order, and against a full one.
+constexpr double kSpreadCost = 0.6;
+constexpr double kFullCost = 0.5;
+// A server that joined lately is tried once by each host of its region,
+// although others have the objects at hand.
 constexpr Duration kJoinedLately{12'000};
-constexpr Duration kTryJoinedEvery{2'500};
 // Shortest and longest time after which a refused caller is told to return.
 constexpr Duration kShortestReturn{150};
 constexpr Duration kLongestReturn{2'000};
@@ -56,8 +60,10 @@
 
 }  // namespace
 
-Placer::Placer(Options options, const ServerRegistry& registry)
-    : options_(std::move(options)), registry_(registry) {}
+Placer::Placer(Options options, const ServerRegistry& registry, Instant now)
+    : options_(std::move(options)),
+      registry_(registry),
+      started_at_(now) {}
 
 ServerLoad& Placer::LoadOf(const ServerId& id, Instant now) {
   return loads_.try_emplace(id, now).first->second;
@@ -170,9 +176,15 @@
   c.expected_ms = (times.warm() + chance * fetch + wait) * slowness + rtt;
   c.cost =
       c.expected_ms + c.load->FailureRate(now) * kFailureCost * times.mean();
+  // What is fetched at one more server takes slots from others.
+  if (!c.warm && c.rank > 0)
+    c.cost += fetch * kSpreadCost;
+  if (c.full)
+    c.cost += fetch * kFullCost;
   const bool joined = now - server.appeared_at < kJoinedLately &&
-                      now - c.load->last_sent() > kTryJoinedEvery;
-  if (joined && !c.cold && c.load->in_flight() == 0)
+                      c.load->last_sent() == Instant() &&
+                      server.appeared_at - started_at_ > kJoinedLately;
+  if (joined && !c.cold && RegionOf(server.entry) == options_.region)
     c.cost -= times.cold();
 }
 
