--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -56,6 +56,20 @@
   return seconds > 0 ? Duration(seconds * 800) : kDefaultIdle;
 }
 
+// Probes an idle or waiting connection, so that one that has gone silent
+// breaks after about three seconds.
+void KeepAlive(int socket) {
+  const int on = 1;
+  const int idle_s = 1;
+  const int interval_s = 1;
+  const int probes = 2;
+  ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+               sizeof interval_s);
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 }  // namespace
 
 class ConnectionPool::Impl {
@@ -208,6 +222,7 @@
   ++counts_.opened;
   beast::error_code ignored;
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+  KeepAlive(connection->stream.socket().native_handle());
   const int silent_ms = static_cast<int>(options.silent_after.ms());
   ::setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP,
                TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
