placing: hosts tell each other how many requests they have at each server

Cause: a host sees its own requests and the servers' reports with answers; while all answers are slow there are none, and hosts fill the same servers. Change: sheets in datagrams, ten a second inside a region when changed, two a second to other regions.

--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -27,6 +27,8 @@
   // Where metrics are read; port 0: nowhere.
   Endpoint metrics;
   Endpoint store;
+  // Where the other hosts send datagrams; the same port at all of them.
+  Endpoint peers;
   // How often a backend server writes its entry.
   Duration heartbeat{1'500};
   // Memory that the process may use.
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -42,6 +42,8 @@
 
   // The most hosts that were there at once lately, this one included.
   int HostCount(Instant now);
+  // The other hosts in `region` (`inside`) or in all other regions.
+  std::vector<Endpoint> Others(const RegionId& region, bool inside) const;
   // The hosts in `region` now, at least 1.
   int HostsIn(const RegionId& region) const;
 
--- /dev/null
+++ b/include/placing/peer_loads.h
@@ -0,0 +1,63 @@
+#ifndef INCLUDE_PLACING_PEER_LOADS_H_
+#define INCLUDE_PLACING_PEER_LOADS_H_
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstdint>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/ids.h"
+
+namespace toucanknot {
+
+// How many requests one host has at each backend server.
+struct LoadSheet {
+  struct Row {
+    // ServerKey() of its id.
+    uint32_t server = 0;
+    int requests = 0;
+
+    bool operator==(const Row&) const = default;
+  };
+
+  // Hash of the host's id, and the life and number of the sheet.
+  uint64_t host = 0;
+  Incarnation incarnation = 0;
+  uint64_t sequence = 0;
+  std::vector<Row> rows;
+
+  bool operator==(const LoadSheet&) const = default;
+};
+
+// A short name of a server for sheets. Two servers may share one; the figures
+// of both then count for each.
+uint32_t ServerKey(const ServerId& id);
+uint64_t HostKey(const HostId& id);
+
+// The newest sheets of the other hosts. Does no I/O. Not thread-safe.
+class PeerLoads {
+ public:
+  // Sheets come several times a second; an older one says nothing.
+  static constexpr Duration kFresh{1'200};
+
+  // Sheets that are older than one that was seen are ignored.
+  void OnSheet(const LoadSheet& sheet, Instant now);
+  // Requests of the other hosts at a server, by fresh sheets.
+  int InFlight(uint32_t server, Instant now) const;
+  // Hosts with a fresh sheet.
+  int FreshHosts(Instant now) const;
+
+ private:
+  struct Host {
+    Incarnation incarnation = 0;
+    uint64_t sequence = 0;
+    Instant at;
+    boost::unordered_flat_map<uint32_t, int> requests;
+  };
+
+  boost::unordered_flat_map<uint64_t, Host> hosts_;
+};
+
+}  // namespace toucanknot
+
+#endif  // INCLUDE_PLACING_PEER_LOADS_H_
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -10,6 +10,7 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
+#include "include/placing/peer_loads.h"
 #include "include/placing/server_load.h"
 #include "include/placing/server_registry.h"
 #include "include/placing/work_times.h"
@@ -133,6 +134,13 @@
   std::vector<Placement> Advance(Instant now);
   size_t waiting() const { return queue_.size(); }
 
+  // Another host told of its requests.
+  void OnPeerSheet(const LoadSheet& sheet, Instant now) {
+    peers_.OnSheet(sheet, now);
+  }
+  // This host's own requests at servers.
+  std::vector<LoadSheet::Row> OwnRows() const;
+
   // Another life of a server began, or it is gone.
   void Forget(const ServerId& server);
   // A new version is in force.
@@ -205,9 +213,11 @@
                    Instant now);
   // How long a request would wait here behind the more urgent ones, in ms.
   double QueueWait(const Waiting& waiting, double service_ms) const;
-  ServerLoad& LoadOf(const ServerId& id, Instant now);
+  ServerLoad& LoadOf(const ServerId& id);
   WorkTimes& TimesOf(const Route& route);
   double Rtt(const ServerEntry& entry) const;
+  // Requests at a server, of all hosts.
+  double Busy(const ServerLoad& load, Instant now) const;
   double ColdRate(const ServiceId& service) const;
 
   const Options options_;
@@ -218,6 +228,7 @@
   int region_host_count_ = 1;
   uint64_t next_order_ = 0;
   std::map<ServerId, ServerLoad> loads_;
+  PeerLoads peers_;
   std::map<std::string, WorkTimes> times_;
   std::map<uint64_t, Flight> flights_;
   std::list<Waiting> queue_;
--- a/include/placing/server_load.h
+++ b/include/placing/server_load.h
@@ -13,15 +13,16 @@
 // lately. Does no I/O.
 class ServerLoad {
  public:
-  explicit ServerLoad(Instant now) : created_at_(now) {}
+  // `key` names the server in sheets.
+  explicit ServerLoad(uint32_t key) : key_(key) {}
+
+  uint32_t key() const { return key_; }
 
   // Requests of this host.
   int in_flight() const { return in_flight_; }
   // Requests of other hosts there, by the server's last report; it fades as
   // those requests end.
   double Others(Instant now) const;
-  double Busy(Instant now) const { return in_flight_ + Others(now); }
-
   void OnSent(Instant now);
   void OnEnded() { in_flight_ = in_flight_ > 0 ? in_flight_ - 1 : 0; }
   // The server reported how many requests it runs and holds waiting, with an
@@ -54,7 +55,7 @@
   Instant last_sent() const { return last_sent_; }
 
  private:
-  const Instant created_at_;
+  const uint32_t key_;
   int in_flight_ = 0;
   double others_ = 0;
   Instant others_at_;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -15,6 +15,7 @@
 #include "include/routing/route_table.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/entry_metrics.h"
+#include "src/entry/load_exchange.h"
 #include "src/entry/placement_desk.h"
 #include "src/entry/request_runner.h"
 #include "src/forward/connection_pool.h"
@@ -64,6 +65,7 @@
 
  private:
   FleetNews News();
+  LoadExchange::Hooks ExchangeHooks();
   void OnConfig(const RouteConfigPtr& config);
   void OnEvacuations(const std::set<ZoneId>& zones);
   void OnServerChange(ServerChange change, const ServerRegistry::Server& server);
@@ -94,6 +96,8 @@
   EntryMetrics metrics_;
   HostRoster roster_;
   RequestRunner runner_;
+  LoadExchange load_exchange_;
+  uint64_t sheets_ = 0;
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer directory_;
@@ -131,6 +135,7 @@
                [this](uint64_t fingerprint, const ServerId& server) {
                  store_->TellCrash(fingerprint, server);
                }}),
+      load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
           LimitsOf(settings_),
@@ -173,6 +178,7 @@
   directory_.Listen(settings_.directory);
   if (settings_.metrics.port != 0)
     metrics_server_.Listen(settings_.metrics);
+  load_exchange_.Start();
   asio::post(loop_, [this] {
     LogChange("start", {{"zone", settings_.zone.str()},
                         {"region", settings_.region.str()},
@@ -238,6 +244,24 @@
   return news;
 }
 
+LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
+  LoadExchange::Hooks hooks;
+  hooks.own_sheet = [this] {
+    return LoadSheet{HostKey(settings_.host), incarnation_, ++sheets_,
+                     placer_.OwnRows()};
+  };
+  hooks.on_sheet = [this](const LoadSheet& sheet) {
+    placer_.OnPeerSheet(sheet, SteadyNow());
+  };
+  hooks.peers = [this](bool near) {
+    std::vector<Endpoint> peers = roster_.Others(settings_.region, near);
+    for (Endpoint& it : peers)
+      it.port = settings_.peers.port;
+    return peers;
+  };
+  return hooks;
+}
+
 void EntryDaemon::Impl::OnConfig(const RouteConfigPtr& config) {
   const uint64_t before = routes_.version();
   if (!routes_.Apply(config))
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -85,6 +85,16 @@
   return chosen;
 }
 
+std::vector<Endpoint> HostRoster::Others(const RegionId& region,
+                                         bool inside) const {
+  std::vector<Endpoint> out;
+  for (const auto& [id, host] : hosts_) {
+    if (id != self_.host && (RegionOf(host.record.zone) == region) == inside)
+      out.push_back(host.record.callers);
+  }
+  return out;
+}
+
 int HostRoster::HostsIn(const RegionId& region) const {
   const auto n = std::count_if(
       hosts_.begin(), hosts_.end(),
--- /dev/null
+++ b/src/entry/load_exchange.cc
@@ -0,0 +1,150 @@
+#include "src/entry/load_exchange.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <limits>
+#include <memory>
+#include <utility>
+
+#include "src/http/one_shot.h"
+#include "src/peer/gen/peer_types.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// Sheets stay in one datagram.
+constexpr size_t kMostRows = 1'000;
+
+}  // namespace
+
+std::string EncodeSheet(const LoadSheet& sheet) {
+  wire::LoadSheet out;
+  out.__set_host(static_cast<int64_t>(sheet.host));
+  out.__set_incarnation(static_cast<int64_t>(sheet.incarnation));
+  out.__set_sequence(static_cast<int64_t>(sheet.sequence));
+  std::vector<int32_t> servers;
+  std::vector<int16_t> requests;
+  for (const LoadSheet::Row& it : sheet.rows) {
+    if (servers.size() == kMostRows)
+      break;
+    servers.push_back(static_cast<int32_t>(it.server));
+    requests.push_back(static_cast<int16_t>(
+        std::min<int>(it.requests, std::numeric_limits<int16_t>::max())));
+  }
+  out.__set_servers(servers);
+  out.__set_requests(requests);
+  const auto buf = std::make_shared<TMemoryBuffer>();
+  Protocol protocol(buf);
+  out.write(&protocol);
+  return buf->getBufferAsString();
+}
+
+std::optional<LoadSheet> DecodeSheet(std::string_view bytes) {
+  wire::LoadSheet in;
+  try {
+    std::string copy(bytes);
+    const auto buf = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<uint8_t*>(copy.data()),
+        static_cast<uint32_t>(copy.size()));
+    // No list in a datagram is longer than the datagram.
+    const auto limit = static_cast<int32_t>(bytes.size());
+    Protocol protocol(buf, limit, limit);
+    in.read(&protocol);
+  } catch (const apache::thrift::TException&) {
+    return std::nullopt;
+  }
+  if (!in.__isset.host || in.servers.size() != in.requests.size())
+    return std::nullopt;
+  LoadSheet sheet;
+  sheet.host = static_cast<uint64_t>(in.host);
+  sheet.incarnation = static_cast<Incarnation>(in.incarnation);
+  sheet.sequence = static_cast<uint64_t>(in.sequence);
+  for (size_t i = 0; i < in.servers.size(); ++i) {
+    sheet.rows.push_back({static_cast<uint32_t>(in.servers[i]),
+                          std::max<int>(in.requests[i], 0)});
+  }
+  return sheet;
+}
+
+LoadExchange::LoadExchange(asio::io_context& loop, Endpoint listen, Hooks hooks)
+    : loop_(loop),
+      listen_(std::move(listen)),
+      hooks_(std::move(hooks)),
+      socket_(loop) {}
+
+void LoadExchange::Start() {
+  const asio::ip::udp::endpoint address(asio::ip::make_address(listen_.ip),
+                                        listen_.port);
+  socket_.open(address.protocol());
+  socket_.bind(address);
+  socket_.non_blocking(true);
+  asio::co_spawn(loop_, ReceiveLoop(), asio::detached);
+  asio::co_spawn(loop_, SendLoop(), asio::detached);
+}
+
+asio::awaitable<void> LoadExchange::ReceiveLoop() {
+  for (;;) {
+    asio::ip::udp::endpoint from;
+    auto [ec, n] = co_await socket_.async_receive_from(asio::buffer(buffer_),
+                                                       from, kAwait);
+    if (ec == asio::error::operation_aborted)
+      co_return;
+    // Other errors speak of a datagram that was sent, not of this socket.
+    if (ec)
+      continue;
+    if (const auto sheet = DecodeSheet({buffer_.data(), n}))
+      hooks_.on_sheet(*sheet);
+  }
+}
+
+asio::awaitable<void> LoadExchange::SendLoop() {
+  std::vector<LoadSheet::Row> told_near;
+  std::vector<LoadSheet::Row> told_far;
+  constexpr int kFarRounds = static_cast<int>(kFarEvery.ms() / kNearEvery.ms());
+  for (int round = 0;; ++round) {
+    co_await SleepFor(kNearEvery);
+    const bool far = round % kFarRounds == 0;
+    const LoadSheet sheet = hooks_.own_sheet();
+    // An unchanged sheet is told again before it grows too old.
+    const bool tell_near = far || sheet.rows != told_near;
+    const bool tell_far = far && (!sheet.rows.empty() || !told_far.empty() ||
+                                  round % (2 * kFarRounds) == 0);
+    if (!tell_near && !tell_far)
+      continue;
+    const std::string bytes = EncodeSheet(sheet);
+    if (tell_near) {
+      SendTo(hooks_.peers(true), bytes);
+      told_near = sheet.rows;
+    }
+    if (tell_far) {
+      SendTo(hooks_.peers(false), bytes);
+      told_far = sheet.rows;
+    }
+  }
+}
+
+void LoadExchange::SendTo(const std::vector<Endpoint>& peers,
+                          const std::string& bytes) {
+  for (const Endpoint& it : peers) {
+    boost::system::error_code ec;
+    // A datagram that does not go out is as good as lost.
+    socket_.send_to(
+        asio::buffer(bytes),
+        {asio::ip::make_address(it.ip), it.port}, 0, ec);
+  }
+}
+
+}  // namespace toucanknot
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3401,4 +3401,243 @@
   out << ")";
 }
 
+
+LoadSheet::~LoadSheet() noexcept {
+}
+
+
+void LoadSheet::__set_host(const int64_t val) {
+  this->host = val;
+__isset.host = true;
+}
+
+void LoadSheet::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+__isset.incarnation = true;
+}
+
+void LoadSheet::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
+
+void LoadSheet::__set_servers(const std::vector<int32_t> & val) {
+  this->servers = val;
+__isset.servers = true;
+}
+
+void LoadSheet::__set_requests(const std::vector<int16_t> & val) {
+  this->requests = val;
+__isset.requests = true;
+}
+std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadSheet::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->servers.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += iprot->readI32(this->servers[_i144]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->requests.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += iprot->readI16(this->requests[_i149]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadSheet::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadSheet");
+
+  if (this->__isset.host) {
+    xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->host);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.servers) {
+    xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
+      std::vector<int32_t> ::const_iterator _iter150;
+      for (_iter150 = this->servers.begin(); _iter150 != this->servers.end(); ++_iter150)
+      {
+        xfer += oprot->writeI32((*_iter150));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requests) {
+    xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
+      std::vector<int16_t> ::const_iterator _iter151;
+      for (_iter151 = this->requests.begin(); _iter151 != this->requests.end(); ++_iter151)
+      {
+        xfer += oprot->writeI16((*_iter151));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadSheet &a, LoadSheet &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.servers, b.servers);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+LoadSheet::LoadSheet(const LoadSheet& other152) {
+  host = other152.host;
+  incarnation = other152.incarnation;
+  sequence = other152.sequence;
+  servers = other152.servers;
+  requests = other152.requests;
+  __isset = other152.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other153) noexcept {
+  host = other153.host;
+  incarnation = other153.incarnation;
+  sequence = other153.sequence;
+  servers = std::move(other153.servers);
+  requests = std::move(other153.requests);
+  __isset = other153.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other154) {
+  host = other154.host;
+  incarnation = other154.incarnation;
+  sequence = other154.sequence;
+  servers = other154.servers;
+  requests = other154.requests;
+  __isset = other154.__isset;
+  return *this;
+}
+LoadSheet& LoadSheet::operator=(LoadSheet&& other155) noexcept {
+  host = other155.host;
+  incarnation = other155.incarnation;
+  sequence = other155.sequence;
+  servers = std::move(other155.servers);
+  requests = std::move(other155.requests);
+  __isset = other155.__isset;
+  return *this;
+}
+void LoadSheet::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadSheet(";
+  out << "host="; (__isset.host ? (out << to_string(host)) : (out << "<null>"));
+  out << ", " << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
+  out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
+  out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -61,6 +61,8 @@
 
 class Envelope;
 
+class LoadSheet;
+
 typedef struct _ConfigStamp__isset {
   _ConfigStamp__isset() : version(false), digest(false) {}
   bool version :1;
@@ -1397,6 +1399,87 @@
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
+typedef struct _LoadSheet__isset {
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool servers :1;
+  bool requests :1;
+} _LoadSheet__isset;
+
+class LoadSheet : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadSheet(const LoadSheet&);
+  LoadSheet(LoadSheet&&) noexcept;
+  LoadSheet& operator=(const LoadSheet&);
+  LoadSheet& operator=(LoadSheet&&) noexcept;
+  LoadSheet() noexcept
+            : host(0),
+              incarnation(0),
+              sequence(0) {
+  }
+
+  virtual ~LoadSheet() noexcept;
+  int64_t host;
+  int64_t incarnation;
+  int64_t sequence;
+  std::vector<int32_t>  servers;
+  std::vector<int16_t>  requests;
+
+  _LoadSheet__isset __isset;
+
+  void __set_host(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_servers(const std::vector<int32_t> & val);
+
+  void __set_requests(const std::vector<int16_t> & val);
+
+  bool operator == (const LoadSheet & rhs) const
+  {
+    if (__isset.host != rhs.__isset.host)
+      return false;
+    else if (__isset.host && !(host == rhs.host))
+      return false;
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
+      return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
+    if (__isset.servers != rhs.__isset.servers)
+      return false;
+    else if (__isset.servers && !(servers == rhs.servers))
+      return false;
+    if (__isset.requests != rhs.__isset.requests)
+      return false;
+    else if (__isset.requests && !(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadSheet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadSheet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadSheet &a, LoadSheet &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadSheet& obj);
+
 }} // namespace
 
 #endif
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -129,3 +129,13 @@
   13: optional ServerViews server_views
   14: optional TicketHandoff ticket_handoff
 }
+
+// One host's requests at backend servers, in a datagram to the others. Servers
+// are named by hashes of their ids.
+struct LoadSheet {
+  1: optional i64 host
+  2: optional i64 incarnation
+  3: optional i64 sequence
+  4: optional list<i32> servers
+  5: optional list<i16> requests
+}
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -65,8 +65,28 @@
       registry_(registry),
       started_at_(now) {}
 
-ServerLoad& Placer::LoadOf(const ServerId& id, Instant now) {
-  return loads_.try_emplace(id, now).first->second;
+ServerLoad& Placer::LoadOf(const ServerId& id) {
+  const auto it = loads_.find(id);
+  if (it != loads_.end())
+    return it->second;
+  return loads_.try_emplace(id, ServerKey(id)).first->second;
+}
+
+double Placer::Busy(const ServerLoad& load, Instant now) const {
+  const double told = peers_.InFlight(load.key(), now);
+  // The server's own reports fill in for hosts that cannot be heard.
+  const bool all_heard = peers_.FreshHosts(now) >= host_count_ - 1;
+  return load.in_flight() +
+         (all_heard ? told : std::max(told, load.Others(now)));
+}
+
+std::vector<LoadSheet::Row> Placer::OwnRows() const {
+  std::vector<LoadSheet::Row> rows;
+  for (const auto& [id, load] : loads_) {
+    if (load.in_flight() > 0)
+      rows.push_back({load.key(), load.in_flight()});
+  }
+  return rows;
 }
 
 WorkTimes& Placer::TimesOf(const Route& route) {
@@ -134,7 +154,7 @@
     }
     Candidate c;
     c.server = it;
-    c.load = &LoadOf(id, now);
+    c.load = &LoadOf(id);
     if (c.load->IsSuspended(now))
       continue;
     // Weighted rendezvous hashing: the least is first, and each server is
@@ -161,7 +181,7 @@
   const ServerRegistry::Server& server = *c.server;
   const double slots = server.entry.slots;
   const double slowness = c.load->Slowness(now);
-  c.busy = c.load->Busy(now);
+  c.busy = Busy(*c.load, now);
   c.full = c.busy >= slots + kAhead;
   c.cold = now < server.cold_until;
   const uint64_t object = waiting.item.object;
