placing: while a service is crowded, an object stays with its first servers

Demand was measured by requests in flight, which grow as servers slow down, so that objects moved regions just then. Ruled out: too few slots (the work of warm objects is 62 of 96). Change: above three quarters of the slots only the first three servers of an object's order, or where it is at hand; demand by the slot time of warm requests.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -194,7 +194,8 @@
   // The best server for `waiting`; a null one when there is none. `any` tells
   // whether some server takes requests at all.
   Candidate Choose(const Waiting& waiting, bool& any, Instant now);
-  // The servers that may take it, by rank.
+  // The servers that may take it, with their ranks. While the service is
+  // crowded, only those where the object is kept or at hand.
   std::vector<Candidate> Candidates(const Waiting& waiting, Instant now);
   // Fills in what is to be expected at one server.
   void Assess(const Waiting& waiting,
@@ -203,7 +204,9 @@
               Instant now);
   // Whether the servers of this region can bear `object` with the others that
   // its callers ask for; the rest is kept in other regions.
-  bool IsKeptHere(const ServiceId& service, uint64_t object) const;
+  bool IsKeptHere(const ServiceId& service,
+                  uint64_t object,
+                  Instant now) const;
   RegionId RegionOf(const ServerEntry& entry) const;
   Placement Decide(const Waiting& waiting, bool queued, Instant now);
   Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
@@ -232,15 +235,20 @@
   std::map<std::string, WorkTimes> times_;
   std::map<uint64_t, Flight> flights_;
   std::list<Waiting> queue_;
-  // The work that this host brings to a service.
+  // The work that this host's callers bring to a service.
   struct Demand {
     // Attempts in flight.
     int in_flight = 0;
-    // Their number on average over the last seconds.
-    double mean = 0;
+    // Slot time of requests, in ms, faded by age: what they need where their
+    // objects are at hand, so that it does not grow while servers are slow.
+    double work = 0;
     Instant at;
+    Instant since;
+
+    void Add(double ms, Instant now);
+    // Slots that are needed on average.
+    double Slots(Instant now) const;
   };
-  void UpdateDemand(const ServiceId& service, int change, Instant now);
 
   std::map<ServiceId, Demand> demand_;
 };
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -17,12 +17,16 @@
 constexpr double kAhead = 1;
 // How likely an object is not at hand at the first servers of its order, where
 // other hosts send it too; elsewhere it is not unless this host sent it there.
-constexpr std::array<double, 2> kFetchChance{0.1, 0.6};
+constexpr std::array<double, 3> kFetchChance{0.1, 0.6, 0.9};
+// Above this part of a service's slots in use, an object is sent to the first
+// servers of its order only: each further one would fetch it, and push out
+// others, just when slots are short.
+constexpr double kCrowded = 0.75;
 // The part of a region's slots that its own callers' objects may fill on
 // average; the rest is for peaks.
 constexpr double kRegionFill = 0.6;
 // The time over which the demand of a host is averaged, in ms.
-constexpr double kDemandFadeMs = 5'000;
+constexpr double kDemandFadeMs = 12'000;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
 // The part of the time to fetch an object that counts against a server beyond
@@ -35,6 +39,8 @@
 // Shortest and longest time after which a refused caller is told to return.
 constexpr Duration kShortestReturn{150};
 constexpr Duration kLongestReturn{2'000};
+// Demand is averaged over this many ms at least.
+constexpr double kShortestSpanMs = 500;
 // Costs that differ by less, in ms, are equal.
 constexpr double kSameCostMs = 8;
 // Added to the order of servers in the regions where an object is not kept;
@@ -115,15 +121,24 @@
   return it == options_.regions.end() ? RegionId() : it->second;
 }
 
-void Placer::UpdateDemand(const ServiceId& service, int change, Instant now) {
-  Demand& demand = demand_[service];
-  const double keep = std::exp(-Millis(now - demand.at) / kDemandFadeMs);
-  demand.mean = demand.mean * keep + demand.in_flight * (1 - keep);
-  demand.at = now;
-  demand.in_flight += change;
+void Placer::Demand::Add(double ms, Instant now) {
+  if (since == Instant())
+    since = now;
+  work = work * std::exp(-Millis(now - at) / kDemandFadeMs) + ms;
+  at = now;
 }
 
-bool Placer::IsKeptHere(const ServiceId& service, uint64_t object) const {
+double Placer::Demand::Slots(Instant now) const {
+  const double faded = work * std::exp(-Millis(now - at) / kDemandFadeMs);
+  // The first seconds have no past.
+  const double span =
+      kDemandFadeMs * (1 - std::exp(-Millis(now - since) / kDemandFadeMs));
+  return faded / std::max(span, kShortestSpanMs);
+}
+
+bool Placer::IsKeptHere(const ServiceId& service,
+                        uint64_t object,
+                        Instant now) const {
   const auto demand = demand_.find(service);
   if (demand == demand_.end())
     return true;
@@ -132,7 +147,7 @@
     if (RegionOf(it->entry) == options_.region)
       slots += it->entry.slots;
   }
-  const double asked = demand->second.mean * region_host_count_;
+  const double asked = demand->second.Slots(now) * region_host_count_;
   const double share = asked > 0 ? slots * kRegionFill / asked : 1;
   return UnitOf(object) < share;
 }
@@ -140,7 +155,9 @@
 std::vector<Placer::Candidate> Placer::Candidates(const Waiting& waiting,
                                                   Instant now) {
   const PlaceItem& item = waiting.item;
-  const bool here = IsKeptHere(item.service, item.object);
+  double busy = 0;
+  double slots = 0;
+  const bool here = IsKeptHere(item.service, item.object, now);
   std::vector<Candidate> out;
   for (const ServerRegistry::Server* it : registry_.Usable(item.service)) {
     const ServerId& id = it->entry.id;
@@ -162,6 +179,9 @@
     c.order = -std::log(UnitOf(Rank(item.object, id))) / it->entry.slots;
     if ((region == options_.region) != here)
       c.order += kOtherRegions;
+    c.busy = Busy(*c.load, now);
+    busy += c.busy;
+    slots += it->entry.slots;
     out.push_back(c);
   }
   const size_t first = std::min(out.size(), kFetchChance.size());
@@ -171,6 +191,12 @@
                     });
   for (size_t i = 0; i < out.size(); ++i)
     out[i].rank = static_cast<int>(std::min(i, first));
+  if (item.object != 0 && busy > slots * kCrowded) {
+    std::erase_if(out, [&](const Candidate& c) {
+      return c.rank == static_cast<int>(first) &&
+             !c.load->IsWarm(item.object, now);
+    });
+  }
   return out;
 }
 
@@ -181,7 +207,6 @@
   const ServerRegistry::Server& server = *c.server;
   const double slots = server.entry.slots;
   const double slowness = c.load->Slowness(now);
-  c.busy = Busy(*c.load, now);
   c.full = c.busy >= slots + kAhead;
   c.cold = now < server.cold_until;
   const uint64_t object = waiting.item.object;
@@ -266,7 +291,7 @@
   // The object is at hand from when the server begins on its first request.
   if (item.object != 0)
     best.load->SetWarm(item.object, now);
-  UpdateDemand(item.service, +1, now);
+  ++demand_[item.service].in_flight;
   flights_[item.id] = std::move(flight);
   Placement out;
   out.item = item.id;
@@ -331,6 +356,7 @@
   waiting.order = next_order_++;
   waiting.route_name = item.route->name;
   waiting.allowed_regions = item.route->allowed_regions;
+  demand_[item.service].Add(times_.at(waiting.route_name).warm(), now);
   const Placement out = Decide(waiting, false, now);
   if (out.step == PlaceStep::kWait)
     queue_.push_back(std::move(waiting));
@@ -347,7 +373,7 @@
     return;
   const Flight flight = std::move(it->second);
   flights_.erase(it);
-  UpdateDemand(flight.service, -1, now);
+  --demand_[flight.service].in_flight;
   const auto load = loads_.find(flight.server);
   if (load == loads_.end())
     return;
