placing: what lapsed is dropped by the first sign of the store's return

Ruled out: telling a store outage from a cut of this host by the store's revision (tried: heartbeats do not change it).

--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -39,6 +39,8 @@
   // Servers write their entries again within about two seconds of the store's
   // return.
   static constexpr Duration kLapseGrace{2'200};
+  // Failures after which a return does not count as another one.
+  static constexpr Duration kFlapping{1'500};
 
   struct Server {
     ServerEntry entry;
@@ -64,6 +66,8 @@
   void OnRemoved(const ServerId& id, Instant now);
   // The whole registry was read: entries of other ids are not there.
   void OnListed(const std::set<ServerId>& ids, Instant now);
+  // How often a server writes its entry.
+  void SetHeartbeat(Duration heartbeat) { heartbeat_ = heartbeat; }
   // The store stopped answering this host, or answers again.
   void SetStoreAway(bool away, Instant now);
 
@@ -71,7 +75,7 @@
   void Evacuate(const ZoneId& zone) { evacuated_.insert(zone); }
   // Its servers may have become cold since they wrote their entries: they are
   // taken for cold until they had time to say so.
-  void Restore(const ZoneId& zone, Duration heartbeat, Instant now);
+  void Restore(const ZoneId& zone, Instant now);
   bool IsEvacuated(const ZoneId& zone) const {
     return evacuated_.contains(zone);
   }
@@ -101,6 +105,7 @@
   std::map<ServerId, Server> servers_;
   std::map<ServiceId, std::map<ServerId, const Server*>> by_service_;
   std::set<ZoneId> evacuated_;
+  Duration heartbeat_{1'500};
   bool store_away_ = false;
   std::optional<Instant> store_back_at_;
 };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -179,6 +179,7 @@
   if (settings_.metrics.port != 0)
     metrics_server_.Listen(settings_.metrics);
   load_exchange_.Start();
+  registry_.SetHeartbeat(settings_.heartbeat);
   asio::post(loop_, [this] {
     LogChange("start", {{"zone", settings_.zone.str()},
                         {"region", settings_.region.str()},
@@ -195,7 +196,7 @@
     settings_.retry_ratio = settings.retry_ratio;
     settings_.retry_slack = settings.retry_slack;
     settings_.stop_within = settings.stop_within;
-    settings_.heartbeat = settings.heartbeat;
+    registry_.SetHeartbeat(settings.heartbeat);
     LogChange("reload", {{"retry_slack", settings.retry_slack}});
   });
 }
@@ -209,7 +210,7 @@
   };
   news.zone_restored = [this](const ZoneId& zone) {
     LogChange("zone_restored", {{"zone", zone.str()}});
-    registry_.Restore(zone, settings_.heartbeat * 2, SteadyNow());
+    registry_.Restore(zone, SteadyNow());
     desk_.Wake();
   };
   news.evacuations_listed = [this](const std::set<ZoneId>& zones) {
@@ -283,7 +284,7 @@
     registry_.Evacuate(it);
   for (const ZoneId& it : before) {
     if (!zones.contains(it))
-      registry_.Restore(it, settings_.heartbeat * 2, SteadyNow());
+      registry_.Restore(it, SteadyNow());
   }
 }
 
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -28,8 +28,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kMaxBufferBytes = 128 << 10;
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 << 10;
-// A connection attempt that takes longer has failed.
-constexpr Duration kConnectLimit{1'000};
 // How long an idle connection is kept whose other side states no limit: well
 // under the shortest default of common servers, 5 s.
 constexpr Duration kDefaultIdle{4'000};
@@ -208,7 +206,7 @@
   auto connection = std::make_unique<Connection>(*this, endpoint);
   const Duration left = options.deadline - SteadyNow();
   connection->stream.expires_after(
-      std::chrono::milliseconds(std::min(left, kConnectLimit).ms()));
+      std::chrono::milliseconds(std::min(left, options.connect_limit).ms()));
   const tcp::endpoint address(asio::ip::make_address(endpoint.ip),
                               endpoint.port);
   auto [ec] = co_await connection->stream.async_connect(address, kAwait);
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -21,6 +21,8 @@
   Instant deadline = Instant::Never();
   // Only a new connection, or one that moved bytes within this time, is used.
   Duration fresh_for = Duration::Max();
+  // A connection attempt that takes longer has failed.
+  Duration connect_limit{1'000};
   // No idle connection is used.
   bool new_connection = false;
   // Bytes that the peer does not acknowledge for this long break the
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -49,7 +49,8 @@
     Drop(it);
 }
 
-void ServerRegistry::OnListed(const std::set<ServerId>& ids, Instant now) {
+void ServerRegistry::OnListed(const std::set<ServerId>& ids,
+                              Instant now) {
   for (auto& [id, server] : servers_) {
     if (!ids.contains(id))
       Miss(server, now);
@@ -75,19 +76,21 @@
 }
 
 void ServerRegistry::SetStoreAway(bool away, Instant now) {
-  if (store_away_ && !away)
-    store_back_at_ = now;
+  if (away == store_away_)
+    return;
   store_away_ = away;
+  const bool flaps = store_back_at_ && now - *store_back_at_ < kFlapping;
+  if (!away && !flaps)
+    store_back_at_ = now;
 }
 
 void ServerRegistry::Restore(const ZoneId& zone,
-                             Duration heartbeat,
                              Instant now) {
   if (evacuated_.erase(zone) == 0)
     return;
   for (auto& [id, server] : servers_) {
-    if (server.entry.zone == zone && server.seen_at + heartbeat > now)
-      server.cold_until = std::max(server.cold_until, now + heartbeat);
+    if (server.entry.zone == zone)
+      server.cold_until = std::max(server.cold_until, now + heartbeat_);
   }
 }
 
