--- /dev/null
+++ b/tests/platform/platform_store_test.cc
@@ -0,0 +1,180 @@
+#include "platform/platform_store.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <future>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/store_standin.h"
+
+namespace toucanknot::platform {
+namespace {
+
+constexpr char kServer[] =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","cold_left":"0ms","sequence":1,"born":7})";
+
+std::string Config(int version) {
+  return R"({"version":"r)" + std::to_string(version) +
+         R"(","routes":{},"services":{},"limits":{"max_header_bytes":16384,)"
+         R"("max_body_bytes":1000,"header_timeout":"3s","idle_timeout":"15s"}})";
+}
+
+// A PlatformStore on a loop of its own, and what it told.
+struct Fixture {
+  Fixture() : store(loop, standin.endpoint(), 1) {
+    thread = std::thread([this] { loop.run(); });
+  }
+  ~Fixture() {
+    loop.stop();
+    thread.join();
+  }
+
+  void Start() {
+    FleetNews news;
+    news.config = [this](RouteConfigPtr c) { version = c->version; };
+    news.zone_evacuated = [this](const ZoneId& z) { zones.insert(z); };
+    news.zone_restored = [this](const ZoneId& z) { zones.erase(z); };
+    news.evacuations_listed = [this](const std::set<ZoneId>& z) { zones = z; };
+    news.server = [this](const ServerEntry& e) { servers.insert(e.id); };
+    news.server_removed = [this](const ServerId& id) { servers.erase(id); };
+    news.servers_listed = [this](const std::set<ServerId>& ids) {
+      ++listings;
+      std::erase_if(servers,
+                    [&](const ServerId& id) { return !ids.contains(id); });
+    };
+    news.host = [this](const HostRecord& r) { hosts.insert(r.host); };
+    news.host_removed = [this](const HostId& h) { hosts.erase(h); };
+    news.hosts_listed = [](const std::set<HostId>&) {};
+    news.crash = [this](uint64_t f, const ServerId& s) {
+      crashes.push_back(std::to_string(f) + " " + s.str());
+    };
+    news.store_away = [this](bool a) { away = a; };
+    boost::asio::post(loop, [this, news] { store.Start(news); });
+  }
+
+  // Runs `check` on the loop until it holds.
+  bool Until(const std::function<bool()>& check) {
+    for (int i = 0; i < 1'000; ++i) {
+      std::promise<bool> done;
+      boost::asio::post(loop, [&] { done.set_value(check()); });
+      if (done.get_future().get())
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  StoreStandin standin;
+  boost::asio::io_context loop;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard{loop.get_executor()};
+  PlatformStore store;
+  std::thread thread;
+  uint64_t version = 0;
+  std::set<ZoneId> zones;
+  std::set<ServerId> servers;
+  std::set<HostId> hosts;
+  std::vector<std::string> crashes;
+  int listings = 0;
+  bool away = false;
+};
+
+}  // namespace
+
+TEST_CASE("what the store holds is read page by page, and then followed") {
+  Fixture it;
+  it.standin.SetPage(2);
+  it.standin.Put("op/config", Config(3));
+  for (const char* id : {"a", "b", "c", "d"})
+    it.standin.Put(std::string("servers/") + id, kServer);
+  it.Start();
+  REQUIRE(it.Until([&] { return it.version == 3 && it.servers.size() == 4; }));
+  it.standin.Put("op/config", Config(8));
+  it.standin.Put("op/evacuate/z", "{}");
+  it.standin.Remove("servers/a");
+  CHECK(it.Until([&] {
+    return it.version == 8 && it.servers.size() == 3 && it.zones.size() == 1;
+  }));
+  it.standin.Remove("op/evacuate/z");
+  CHECK(it.Until([&] { return it.zones.empty(); }));
+}
+
+TEST_CASE("items that cannot be read harm only themselves") {
+  Fixture it;
+  it.standin.Put("servers/good", kServer);
+  it.standin.Put("servers/no-json", "{");
+  it.standin.Put("servers/list", "[1]");
+  it.standin.Put("servers/state",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+                 R"("version":"v1","slots":4,"state":"odd","cold_left":"0ms",)"
+                 R"("sequence":1})");
+  it.standin.Put("op/config", R"({"version":7})");
+  it.standin.Put("toucanknot/hosts/x", "\xff\xfe");
+  it.standin.Put("toucanknot/crashes/zz/", "");
+  it.standin.Put("toucanknot/crashes/1f/a", "");
+  it.standin.Put("elsewhere", "?");
+  it.Start();
+  REQUIRE(it.Until([&] { return it.listings == 1; }));
+  CHECK(it.Until([&] { return it.servers == std::set{ServerId("good")}; }));
+  CHECK(it.Until([&] { return it.crashes == std::vector<std::string>{"31 a"}; }));
+  CHECK(it.Until([&] { return it.store.counts().malformed_items == 6; }));
+}
+
+TEST_CASE("a watch that was dropped without a word does not last") {
+  // A silent store dropped a waiting watch; changes went unheard for 21 s.
+  Fixture it;
+  it.standin.Put("servers/a", kServer);
+  it.Start();
+  REQUIRE(it.Until([&] { return it.servers.size() == 1; }));
+  REQUIRE(it.Until([&] { return it.standin.Calls("GET /v1/kv-watch") > 0; }));
+  it.standin.DropWatches();
+  it.standin.Remove("servers/a");
+  const Instant start = SteadyNow();
+  REQUIRE(it.Until([&] { return it.servers.empty(); }));
+  CHECK(SteadyNow() - start < Duration(5'000));
+  CHECK(it.Until([&] { return it.listings >= 2; }));
+}
+
+TEST_CASE("lost history is read anew") {
+  Fixture it;
+  it.standin.Put("servers/a", kServer);
+  it.Start();
+  REQUIRE(it.Until([&] { return it.servers.size() == 1; }));
+  it.standin.RefuseWith(503);
+  REQUIRE(it.Until([&] { return it.away; }));
+  it.standin.Remove("servers/a");
+  it.standin.Put("servers/b", kServer);
+  it.standin.Compact();
+  it.standin.RefuseWith(0);
+  CHECK(it.Until([&] { return it.servers == std::set{ServerId("b")}; }));
+  CHECK(it.Until([&] { return !it.away; }));
+}
+
+TEST_CASE("a host's record is there until it is withdrawn") {
+  Fixture it;
+  it.Start();
+  const HostRecord record{HostId("h"), ZoneId("z"), {"10.0.0.1", 80}, 5};
+  boost::asio::post(it.loop, [&] { it.store.Publish(record); });
+  REQUIRE(it.Until([&] { return it.hosts.size() == 1; }));
+  CHECK(ReadHostRecord(it.standin.Get("toucanknot/hosts/h")) == record);
+  boost::asio::post(it.loop, [&] { it.store.Withdraw(); });
+  CHECK(it.Until([&] { return it.hosts.empty(); }));
+}
+
+TEST_CASE("a crash is told to the others") {
+  Fixture it;
+  it.Start();
+  boost::asio::post(it.loop,
+                    [&] { it.store.TellCrash(0xabc, ServerId("a")); });
+  CHECK(it.Until(
+      [&] { return it.crashes == std::vector<std::string>{"2748 a"}; }));
+}
+
+}  // namespace toucanknot::platform
--- /dev/null
+++ b/tests/platform/store_standin.cc
@@ -0,0 +1,225 @@
+#include "tests/platform/store_standin.h"
+
+#include <algorithm>
+#include <boost/beast/core/detail/base64.hpp>
+#include <utility>
+
+#include "src/http/one_shot.h"
+
+namespace toucanknot::platform {
+namespace {
+
+namespace asio = boost::asio;
+namespace base64 = boost::beast::detail::base64;
+
+std::string Encode(const std::string& text) {
+  std::string out(base64::encoded_size(text.size()), '\0');
+  out.resize(base64::encode(out.data(), text.data(), text.size()));
+  return out;
+}
+
+std::string Decode(const std::string& text) {
+  std::string out(base64::decoded_size(text.size()), '\0');
+  out.resize(base64::decode(out.data(), text.data(), text.size()).first);
+  return out;
+}
+
+HttpResponse Json(int status, const boost::json::value& value) {
+  return JsonResponse(status, boost::json::serialize(value));
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin()
+    : server_(
+          workers_,
+          {},
+          [](std::string_view) { return uint64_t{1} << 20; },
+          [this](HttpRequest request) { return Answer(std::move(request)); }),
+      endpoint_(server_.Listen({"127.0.0.1", 0})) {}
+
+StoreStandin::~StoreStandin() {
+  workers_.Stop();
+}
+
+void StoreStandin::Put(const std::string& key, const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  Write(key, value, 0);
+}
+
+void StoreStandin::Remove(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  Erase(key);
+}
+
+std::string StoreStandin::Get(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  const auto it = items_.find(key);
+  return it == items_.end() ? "" : it->second.value;
+}
+
+void StoreStandin::DropWatches() {
+  const std::lock_guard lock(mutex_);
+  ++watch_round_;
+}
+
+void StoreStandin::RefuseWith(int status) {
+  const std::lock_guard lock(mutex_);
+  refuse_with_ = status;
+}
+
+void StoreStandin::SetSilent(bool silent) {
+  const std::lock_guard lock(mutex_);
+  silent_ = silent;
+}
+
+void StoreStandin::Compact() {
+  const std::lock_guard lock(mutex_);
+  compacted_ = revision_;
+  changes_.clear();
+}
+
+void StoreStandin::SetPage(size_t items) {
+  const std::lock_guard lock(mutex_);
+  page_ = items;
+}
+
+int StoreStandin::Calls(const std::string& prefix) {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(
+      std::count_if(calls_.begin(), calls_.end(), [&](const std::string& it) {
+        return it.starts_with(prefix);
+      }));
+}
+
+void StoreStandin::Write(const std::string& key,
+                         const std::string& value,
+                         uint64_t lease) {
+  items_[key] = {value, ++revision_, lease};
+  changes_.push_back({key, revision_, false});
+}
+
+void StoreStandin::Erase(const std::string& key) {
+  if (items_.erase(key) > 0)
+    changes_.push_back({key, ++revision_, true});
+}
+
+boost::json::object StoreStandin::Show(const std::string& key) const {
+  const Item& item = items_.at(key);
+  return {{"key", key},
+          {"value", Encode(item.value)},
+          {"revision", item.revision},
+          {"created_rev", item.revision},
+          {"lease", item.lease}};
+}
+
+asio::awaitable<HttpResponse> StoreStandin::Answer(HttpRequest request) {
+  for (;;) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (!silent_) {
+        calls_.push_back(request.method + " " + request.target);
+        if (refuse_with_ != 0)
+          co_return TextResponse(refuse_with_, "refused");
+        break;
+      }
+    }
+    if (request.caller->left())
+      co_return TextResponse(503, "left");
+    co_await SleepFor(Duration(10));
+  }
+  const std::string_view path = TargetPath(request.target);
+  if (path == "/v1/kv-watch")
+    co_return co_await Watch(request.target);
+  const std::lock_guard lock(mutex_);
+  if (path == "/v1/kv-range")
+    co_return List(request.target);
+  if (path == "/v1/kv-txn")
+    co_return Transact(request.body);
+  if (path == "/v1/kv-lease") {
+    co_return Json(200, {{"lease", ++leases_}, {"ttl_time", "4000ms"}});
+  }
+  if (path.starts_with("/v1/kv-keep/"))
+    co_return Json(200, {{"ttl_time", "4000ms"}});
+  if (path.starts_with("/v1/kv-lease-end/"))
+    co_return EndLease(std::stoull(std::string(path.substr(17))));
+  co_return TextResponse(404, "unknown call");
+}
+
+asio::awaitable<HttpResponse> StoreStandin::Watch(std::string target) {
+  const uint64_t after = std::stoull(QueryValue(target, "after"));
+  const Instant end =
+      SteadyNow() + Duration(std::stoll(QueryValue(target, "wait_ms")));
+  uint64_t round = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    round = watch_round_;
+    if (after < compacted_)
+      co_return Json(410, {{"store_revision", revision_}});
+  }
+  for (;;) {
+    {
+      const std::lock_guard lock(mutex_);
+      boost::json::array events;
+      for (const Change& it : changes_) {
+        if (it.revision <= after)
+          continue;
+        if (it.removed) {
+          events.push_back(boost::json::object{
+              {"key", it.key}, {"revision", it.revision}, {"tombstone", true}});
+        } else if (items_.contains(it.key) &&
+                   items_[it.key].revision == it.revision) {
+          events.push_back(Show(it.key));
+        }
+      }
+      const bool deaf = round != watch_round_;
+      if (!deaf && (!events.empty() || SteadyNow() >= end)) {
+        co_return Json(200, {{"events", std::move(events)},
+                             {"store_revision", revision_}});
+      }
+    }
+    co_await SleepFor(Duration(5));
+  }
+}
+
+HttpResponse StoreStandin::List(const std::string& target) {
+  const std::string prefix = QueryValue(target, "prefix");
+  const std::string after = QueryValue(target, "after");
+  boost::json::array items;
+  bool truncated = false;
+  for (const auto& [key, item] : items_) {
+    if (!key.starts_with(prefix) || key <= after)
+      continue;
+    if (items.size() == page_) {
+      truncated = true;
+      break;
+    }
+    items.push_back(Show(key));
+  }
+  return Json(200, {{"items", std::move(items)},
+                    {"truncated", truncated},
+                    {"store_revision", revision_}});
+}
+
+HttpResponse StoreStandin::Transact(const std::string& body) {
+  const boost::json::value in = boost::json::parse(body);
+  for (const auto& it : in.at("puts").as_array()) {
+    Write(std::string(it.at("key").as_string()),
+          Decode(std::string(it.at("value").as_string())),
+          it.at("lease").to_number<uint64_t>());
+  }
+  return Json(200, {{"revision", revision_}});
+}
+
+HttpResponse StoreStandin::EndLease(uint64_t lease) {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (item.lease == lease)
+      keys.push_back(key);
+  }
+  for (const std::string& it : keys)
+    Erase(it);
+  return Json(200, boost::json::object());
+}
+
+}  // namespace toucanknot::platform
--- /dev/null
+++ b/tests/platform/wire_decoder_test.cc
@@ -0,0 +1,134 @@
+#include "platform/wire_decoder.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+
+#include "include/base/error.h"
+
+namespace toucanknot::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":"r12","routes":{
+  "r-1":{"host":"a.example","prefix":"/x/","kind":"safe","timeout":"1.5s",
+    "target_latency":"600ms","priority":2,"backends":[
+      {"service":"s","weight":90},{"service":"t","weight":10}],
+    "attempts":2,"sticky_sessions":true,"allowed_regions":["here"]},
+  "r-2":{"host":"a.example","prefix":"/y/","kind":"unsafe","timeout":"900ms",
+    "target_latency":"400ms","priority":0,"service":"t","attempts":1}},
+  "services":{"s":{"health_path":"/h","max_connections":330,"protocol":"h1",
+    "tls":false,"cold_start":"3s","cold_per_s":4.1}},
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+    "header_timeout":"3000ms","idle_timeout":"15000ms"}})";
+
+constexpr char kServer[] =
+    R"({"service":"s","address":"10.0.0.1:8080","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"draining","cold_left":"1200ms","sequence":9,)"
+    R"("born":1780472036029,"later":true})";
+
+std::string Replaced(std::string text,
+                     const std::string& what,
+                     const std::string& with) {
+  text.replace(text.find(what), what.size(), with);
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a configuration is decoded whole") {
+  const RouteConfigPtr config = DecodeConfig(kConfig);
+  CHECK(config->version == 12);
+  REQUIRE(config->routes.size() == 2);
+  const Route& split = config->routes[0];
+  CHECK(split.kind == RequestKind::kIdempotent);
+  CHECK(split.timeout == Duration(1'500));
+  CHECK(split.targets.size() == 2);
+  CHECK(split.targets[0].weight == 90);
+  CHECK(split.sticky);
+  CHECK(split.allowed_regions == std::vector{RegionId("here")});
+  CHECK(config->routes[1].kind == RequestKind::kNonIdempotent);
+  CHECK(config->routes[1].targets.front().service == ServiceId("t"));
+  CHECK(config->services.at(ServiceId("s")).cold_rate == 4.1);
+  CHECK(config->limits.max_body_bytes == 67'108'864);
+  CHECK(config->limits.idle_timeout == Duration(15'000));
+}
+
+TEST_CASE("a configuration with a fault is refused whole") {
+  const auto [what, with] = GENERATE(table<std::string, std::string>(
+      {{"\"r12\"", "12"},
+       {"\"r12\"", "\"r\""},
+       {"\"r12\"", "\"r99999999999999999999\""},
+       {"\"1.5s\"", "1.5"},
+       {"\"1.5s\"", "\"1.5\""},
+       {"\"attempts\":2", "\"attempts\":0"},
+       {"\"weight\":90", "\"weight\":-1"},
+       {"\"limits\"", "\"limit\""},
+       {"\"prefix\":\"/x/\"", "\"prefix\":7"}}));
+  INFO(what << " -> " << with);
+  CHECK_THROWS_AS(DecodeConfig(Replaced(kConfig, what, with)), Error);
+}
+
+TEST_CASE("a kind that is not known to be repeatable runs once") {
+  const RouteConfigPtr config =
+      DecodeConfig(Replaced(kConfig, "\"safe\"", "\"keyed\""));
+  CHECK(config->routes[0].kind == RequestKind::kNonIdempotent);
+}
+
+TEST_CASE("a server's entry is decoded, or names no server") {
+  const ServerEntry entry = DecodeServer("i-1", kServer);
+  CHECK(entry.id == ServerId("i-1"));
+  CHECK(entry.endpoint == Endpoint{"10.0.0.1", 8080});
+  CHECK(entry.leaving);
+  CHECK(entry.cold_left == Duration(1'200));
+  CHECK(entry.incarnation == 1'780'472'036'029);
+  const auto [what, with] = GENERATE(table<std::string, std::string>(
+      {{"\"slots\":4", "\"slots\":\"4\""},
+       {"\"slots\":4", "\"slots\":0"},
+       {"\"slots\":4", "\"slots\":4.5"},
+       {"\"slots\":4,", ""},
+       {"\"draining\"", "\"gone\""},
+       {"\"10.0.0.1:8080\"", "\"host:8080\""},
+       {"\"1200ms\"", "1200"},
+       {"1780472036029", "1780472036029.5"},
+       {"1780472036029", "\"now\""}}));
+  INFO(what << " -> " << with);
+  CHECK_THROWS_AS(DecodeServer("i-1", Replaced(kServer, what, with)), Error);
+}
+
+TEST_CASE("an item that cannot be read leaves the others of its page") {
+  const StorePage page = DecodeEvents(
+      R"({"events":[{"key":"a","value":"aGk=","revision":4},)"
+      R"({"key":"b","value":"%%%%","revision":5},)"
+      R"({"key":"c","revision":6,"tombstone":true},7],"store_revision":9})");
+  REQUIRE(page.items.size() == 2);
+  CHECK(page.items[0].value == "hi");
+  CHECK(page.items[1].removed);
+  CHECK(page.malformed == 2);
+  CHECK(page.revision == 9);
+  CHECK_THROWS_AS(DecodeEvents("{}"), Error);
+  CHECK_THROWS_AS(DecodeListing(R"({"items":{},"store_revision":1})"), Error);
+}
+
+TEST_CASE("mutated texts are decoded or refused, nothing else") {
+  std::mt19937_64 random(20261204);
+  for (int i = 0; i < 2'000; ++i) {
+    std::string config = kConfig;
+    std::string server = kServer;
+    for (std::string* it : {&config, &server}) {
+      for (uint64_t n = 1 + random() % 3; n > 0; --n)
+        (*it)[random() % it->size()] = static_cast<char>(random());
+    }
+    try {
+      DecodeConfig(config);
+    } catch (const Error&) {
+      SUCCEED();
+    }
+    try {
+      DecodeServer("i", server);
+    } catch (const Error&) {
+      SUCCEED();
+    }
+  }
+}
+
+}  // namespace toucanknot::platform
