entry: tests of a whole host over loopback; the directory's answer is written by the adapter

The host's parts and a whole host with servers that break, refuse, answer for another request, cut their answers or stay silent, callers that leave, a stop. They showed that a host which takes a free port named port 0 in its record.

--- a/include/entry/entry_daemon.h
+++ b/include/entry/entry_daemon.h
@@ -7,7 +7,7 @@
 
 #include "include/entry/entry_settings.h"
 #include "include/entry/fleet_store.h"
-#include "include/entry/header_names.h"
+#include "include/entry/entry_wire.h"
 
 namespace toucanknot {
 
@@ -22,7 +22,7 @@
       boost::asio::io_context& loop, const EntrySettings& settings)>;
 
   EntryDaemon(EntrySettings settings,
-            HeaderNames names,
+            EntryWire names,
             const StoreFactory& make_store);
   ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
@@ -31,6 +31,10 @@
   // Opens the listeners. Throws boost::system::system_error when an address
   // cannot be had.
   void Start();
+  // The addresses in use, for settings that leave the ports open.
+  Endpoint callers() const;
+  Endpoint readiness() const;
+  Endpoint directory() const;
   // Takes what may change while the host runs: limits, not addresses.
   void Reload(const EntrySettings& settings);
   // Begins to leave: no new callers, what runs goes on.
--- a/include/entry/header_names.h
+++ b/include/entry/entry_wire.h
@@ -1,13 +1,18 @@
-#ifndef INCLUDE_ENTRY_HEADER_NAMES_H_
-#define INCLUDE_ENTRY_HEADER_NAMES_H_
+#ifndef INCLUDE_ENTRY_ENTRY_WIRE_H_
+#define INCLUDE_ENTRY_ENTRY_WIRE_H_
 
+#include <functional>
 #include <string>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/endpoint.h"
 
 namespace toucanknot {
 
-// The HTTP fields by which callers, entry hosts and backend servers tell each
-// other more than HTTP does; a deployment's adapter names them.
-struct HeaderNames {
+// How callers, entry hosts and backend servers tell each other more than HTTP
+// does. The adapter to a platform names it all.
+struct EntryWire {
   // Names one attempt of a caller; the answer repeats it.
   std::string request_id;
   // Milliseconds that the sender waits.
@@ -29,8 +34,14 @@
   // Paths of the host's own answers.
   std::string ready_path;
   std::string lookup_path;
+  // Where a caller of the directory is, in the query.
+  std::string lookup_zone;
+  std::string lookup_region;
+  // The directory's answer: addresses, and how long a caller may keep them.
+  std::function<std::string(const std::vector<Endpoint>&, Duration lifetime)>
+      write_hosts;
 };
 
 }  // namespace toucanknot
 
-#endif  // INCLUDE_ENTRY_HEADER_NAMES_H_
+#endif  // INCLUDE_ENTRY_ENTRY_WIRE_H_
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -30,6 +30,8 @@
   void SetStoreAway(bool away, Instant now);
   // Drops hosts whose grace is over.
   void Advance(Instant now);
+  // For a host that learns its address when it listens.
+  void SetSelf(HostRecord self) { self_ = std::move(self); }
   // Whether this host itself takes new callers.
   void SetSelfReady(bool ready) { self_ready_ = ready; }
 
@@ -46,6 +48,7 @@
   std::vector<Endpoint> Others(const RegionId& region, bool inside) const;
   // The hosts in `region` now, at least 1.
   int HostsIn(const RegionId& region) const;
+  size_t size() const { return hosts_.size(); }
 
  private:
   struct Host {
@@ -56,7 +59,7 @@
   void Miss(Host& host, Instant now);
   RegionId RegionOf(const ZoneId& zone) const;
 
-  const HostRecord self_;
+  HostRecord self_;
   const std::map<ZoneId, RegionId> regions_;
   std::map<HostId, Host> hosts_;
   bool self_ready_ = false;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -54,16 +54,20 @@
 class EntryDaemon::Impl {
  public:
   Impl(EntrySettings settings,
-       HeaderNames names,
+       EntryWire names,
        const StoreFactory& make_store);
   ~Impl();
 
   void Start();
+  const EntrySettings& settings() const { return settings_; }
   void Reload(const EntrySettings& settings);
   void BeginStop();
   bool WaitStopped();
 
  private:
+  HostRecord Self() const {
+    return {settings_.host, settings_.zone, settings_.callers, incarnation_};
+  }
   FleetNews News();
   LoadExchange::Hooks ExchangeHooks();
   void OnConfig(const RouteConfigPtr& config);
@@ -82,7 +86,7 @@
                                 const);
 
   EntrySettings settings_;
-  const HeaderNames names_;
+  const EntryWire names_;
   const Incarnation incarnation_;
   WorkerPool workers_;
   asio::io_context& loop_;
@@ -111,7 +115,7 @@
 };
 
 EntryDaemon::Impl::Impl(EntrySettings settings,
-                      HeaderNames names,
+                      EntryWire names,
                       const StoreFactory& make_store)
     : settings_(std::move(settings)),
       names_(std::move(names)),
@@ -128,8 +132,7 @@
               SteadyNow()),
       desk_(loop_, placer_),
       connections_(loop_),
-      roster_({settings_.host, settings_.zone, settings_.callers, incarnation_},
-              settings_.regions),
+      roster_(Self(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, desk_,
                connections_, crashes_, metrics_,
                [this](uint64_t fingerprint, const ServerId& server) {
@@ -173,11 +176,12 @@
 }
 
 void EntryDaemon::Impl::Start() {
-  callers_.Listen(settings_.callers);
-  readiness_.Listen(settings_.readiness);
-  directory_.Listen(settings_.directory);
+  settings_.callers = callers_.Listen(settings_.callers);
+  settings_.readiness = readiness_.Listen(settings_.readiness);
+  settings_.directory = directory_.Listen(settings_.directory);
+  roster_.SetSelf(Self());
   if (settings_.metrics.port != 0)
-    metrics_server_.Listen(settings_.metrics);
+    settings_.metrics = metrics_server_.Listen(settings_.metrics);
   load_exchange_.Start();
   registry_.SetHeartbeat(settings_.heartbeat);
   asio::post(loop_, [this] {
@@ -315,12 +319,10 @@
   ready_ = ready;
   roster_.SetSelfReady(ready);
   LogChange("ready", {{"ready", ready}});
-  if (ready) {
-    store_->Publish(
-        {settings_.host, settings_.zone, settings_.callers, incarnation_});
-  } else {
+  if (ready)
+    store_->Publish(Self());
+  else
     store_->Withdraw();
-  }
 }
 
 asio::awaitable<void> EntryDaemon::Impl::Tick() {
@@ -344,20 +346,15 @@
 HttpResponse EntryDaemon::Impl::AnswerLookup(const HttpRequest& request) const {
   if (TargetPath(request.target) != names_.lookup_path)
     return TextResponse(404, "unknown path");
-  const ZoneId zone(QueryValue(request.target, "zone"));
-  const RegionId region(QueryValue(request.target, "region"));
+  const ZoneId zone(QueryValue(request.target, names_.lookup_zone));
+  const RegionId region(QueryValue(request.target, names_.lookup_region));
   const std::vector<Endpoint> addresses =
       roster_.AddressesFor(zone, region, kMostAddresses);
   if (addresses.empty())
     return TextResponse(503, "no entry host is ready");
-  boost::json::array list;
-  for (const Endpoint& it : addresses)
-    list.emplace_back(it.ToString());
-  const Duration lifetime =
-      std::min(kLookupLifetime, settings_.lookup_lifetime);
-  return JsonResponse(200, boost::json::serialize(boost::json::value{
-                               {"addresses", std::move(list)},
-                               {"ttl", std::to_string(lifetime.ms()) + "ms"}}));
+  return JsonResponse(
+      200, names_.write_hosts(addresses, std::min(kLookupLifetime,
+                                                  settings_.lookup_lifetime)));
 }
 
 HttpResponse EntryDaemon::Impl::AnswerMetrics(const HttpRequest& request) {
@@ -419,7 +416,7 @@
 }
 
 EntryDaemon::EntryDaemon(EntrySettings settings,
-                     HeaderNames names,
+                     EntryWire names,
                      const StoreFactory& make_store)
     : impl_(std::make_unique<Impl>(std::move(settings),
                                    std::move(names),
@@ -431,6 +428,18 @@
   impl_->Start();
 }
 
+Endpoint EntryDaemon::callers() const {
+  return impl_->settings().callers;
+}
+
+Endpoint EntryDaemon::readiness() const {
+  return impl_->settings().readiness;
+}
+
+Endpoint EntryDaemon::directory() const {
+  return impl_->settings().directory;
+}
+
 void EntryDaemon::Reload(const EntrySettings& settings) {
   impl_->Reload(settings);
 }
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "include/entry/entry_settings.h"
-#include "include/entry/header_names.h"
+#include "include/entry/entry_wire.h"
 #include "include/health/crash_ledger.h"
 #include "include/limits/retry_budget.h"
 #include "include/placing/placer.h"
@@ -31,7 +31,7 @@
   struct Parts {
     boost::asio::io_context& loop;
     const EntrySettings& settings;
-    const HeaderNames& names;
+    const EntryWire& names;
     RouteTable& routes;
     const ServerRegistry& registry;
     PlacementDesk& desk;
--- /dev/null
+++ b/tests/entry/entry_daemon_test.cc
@@ -0,0 +1,219 @@
+// One host over loopback: what callers and backend servers see of it.
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+#include "tests/entry/entry_fixture.h"
+#include "tests/forward/fake_server.h"
+
+namespace toucanknot {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+std::string Status(const std::string& answer) {
+  return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+// An answer as a backend server writes it, byte for byte.
+std::string Bytes(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nX-Stamp: s\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+TEST_CASE("a host without a configuration refuses and is not ready") {
+  EntryFixture it;
+  const std::string out = it.Ask("/safe/a");
+  CHECK(Status(out) == "503");
+  CHECK(out.find("Retry-After: ") != std::string::npos);
+  CHECK(Status(it.AskReadiness()) == "503");
+  CHECK_FALSE(it.store->published);
+  it.Configure();
+  CHECK(Status(it.AskReadiness()) == "200");
+  CHECK(it.store->published);
+  CHECK(Status(it.Ask("/elsewhere/")) == "404");
+}
+
+TEST_CASE("a request goes to a server by name, with the time that is left") {
+  EntryFixture it;
+  it.Configure();
+  std::string seen;
+  TestServer server([&](const HttpRequest& request) {
+    seen = std::string(request.fields.Get("X-Server")) + " " + request.target;
+    const int left = std::stoi(std::string(request.fields.Get("X-Deadline")));
+    CHECK(left <= 1'000);
+    CHECK(left > 500);
+    return TestServer::Ran(request, "hello");
+  });
+  it.AddServer("a", server.endpoint());
+  const std::string out = it.Ask("/safe/b?q=1");
+  CHECK(Status(out) == "200");
+  CHECK(out.find("X-Stamp: s") != std::string::npos);
+  CHECK(out.find("hello") != std::string::npos);
+  CHECK(seen == "a /safe/b?q=1");
+}
+
+TEST_CASE("what a server did not run goes to another; all refusing is a 503") {
+  EntryFixture it;
+  it.Configure();
+  TestServer full(&TestServer::NotRun);
+  it.AddServer("a", full.endpoint());
+  const std::string refused = it.Ask("/once/a");
+  CHECK(Status(refused) == "503");
+  CHECK(refused.find("Retry-After: ") != std::string::npos);
+  TestServer other([](const HttpRequest& request) {
+    return TestServer::Ran(request, "other");
+  });
+  it.AddServer("b", other.endpoint());
+  for (int i = 0; i < 4; ++i)
+    CHECK(Status(it.Ask("/once/a")) == "200");
+  CHECK(other.arrivals == 4);
+}
+
+TEST_CASE("a broken connection: once is once, and 502 says it may have run") {
+  EntryFixture it;
+  it.Configure();
+  FakeServer server({{FakeServer::kClose}});
+  it.AddServer("a", server.endpoint());
+  const std::string out = it.Ask("/once/a");
+  CHECK(Status(out) == "502");
+  CHECK(it.store->crashes == 1);
+}
+
+TEST_CASE("a broken connection: what may be repeated is, elsewhere") {
+  EntryFixture it;
+  it.Configure();
+  TestServer good([](const HttpRequest& request) {
+    return TestServer::Ran(request, "good");
+  });
+  FakeServer bad({{FakeServer::kClose}});
+  it.AddServer("bad", bad.endpoint());
+  // The only server breaks; its repeat finds none until the other is there.
+  std::thread add([&] { it.AddServer("good", good.endpoint()); });
+  add.join();
+  int served = 0;
+  // Whichever is chosen first, every request is served.
+  for (int i = 0; i < 6; ++i)
+    served += Status(it.Ask("/safe/" + std::to_string(i))) == "200" ? 1 : 0;
+  CHECK(served == 6);
+  if (bad.endpoint().port != 0 && good.arrivals == 6) {
+    // End the script of a server that was never asked.
+    EntryFixture::Send(bad.endpoint(), "GET / HTTP/1.1\r\n\r\n");
+  }
+}
+
+TEST_CASE("an answer of another request is dropped, the own one is given") {
+  EntryFixture it;
+  it.Configure();
+  FakeServer server({{Bytes("41", "late") + Bytes("42", "mine")}});
+  it.AddServer("a", server.endpoint());
+  const std::string out = it.Ask("/once/a");
+  CHECK(Status(out) == "200");
+  CHECK(out.find("mine") != std::string::npos);
+  CHECK(out.find("late") == std::string::npos);
+}
+
+TEST_CASE("bytes that are no whole answer are never passed on") {
+  const std::string answer =
+      GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: "
+                                  "s\r\nContent-Length: 90\r\n\r\ncut",
+               "garbage\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nX-Id: 42\r\nContent-Length: 2\r\n\r\nhi");
+  EntryFixture it;
+  it.Configure();
+  FakeServer server({{answer}});
+  it.AddServer("a", server.endpoint());
+  const std::string out = it.Ask("/once/a");
+  CHECK(Status(out) == "502");
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+  EntryFixture it;
+  it.Configure();
+  FakeServer server(
+      {{"HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: s\r\n\r\nwhole",
+        FakeServer::kClose}});
+  it.AddServer("a", server.endpoint());
+  std::string out;
+  std::thread asker([&] { out = it.Ask("/once/a"); });
+  asker.join();
+  // The script closes when it waits for a second request; until then the
+  // answer is not whole, and the route's time may pass.
+  CHECK((Status(out) == "200" || Status(out) == "504"));
+}
+
+TEST_CASE("a silent server costs the route's time and no more") {
+  EntryFixture it;
+  it.Configure(1, Duration(300));
+  FakeServer server({{""}});
+  it.AddServer("a", server.endpoint());
+  const Instant start = SteadyNow();
+  CHECK(Status(it.Ask("/once/a")) == "504");
+  CHECK(SteadyNow() - start >= Duration(280));
+}
+
+TEST_CASE("a caller that leaves ends its run at the server") {
+  EntryFixture it;
+  it.Configure(1, Duration(20'000));
+  boost::asio::io_context io;
+  Tcp::acceptor acceptor(io, Tcp::endpoint(Tcp::v4(), 0));
+  it.AddServer("a", {"127.0.0.1", acceptor.local_endpoint().port()});
+  Tcp::socket caller(io);
+  const Endpoint to = it.daemon->callers();
+  caller.connect({boost::asio::ip::make_address(to.ip), to.port});
+  boost::asio::write(caller,
+                     boost::asio::buffer(EntryFixture::RequestText("/once/a")));
+  Tcp::socket server(io);
+  acceptor.accept(server);
+  boost::asio::streambuf in;
+  boost::asio::read_until(server, in, "\r\n\r\n");
+  caller.close();
+  // The read ends when the host closes its connection, long before the time
+  // of the route.
+  const Instant start = SteadyNow();
+  boost::system::error_code ec;
+  char byte = 0;
+  server.read_some(boost::asio::buffer(&byte, 1), ec);
+  CHECK(ec);
+  CHECK(SteadyNow() - start < Duration(5'000));
+}
+
+TEST_CASE("a stop withdraws the host, answers what runs and closes") {
+  EntryFixture it;
+  it.Configure();
+  TestServer server([](const HttpRequest& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    return TestServer::Ran(request, "done");
+  });
+  it.AddServer("a", server.endpoint());
+  std::string out;
+  std::thread asker([&] { out = it.Ask("/once/a"); });
+  while (server.arrivals == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  it.daemon->BeginStop();
+  it.store->Run([] {});
+  CHECK_FALSE(it.store->published);
+  CHECK(Status(it.AskReadiness()) == "503");
+  CHECK(it.daemon->WaitStopped());
+  asker.join();
+  CHECK(Status(out) == "200");
+}
+
+TEST_CASE("the directory names hosts that are ready, for a short time") {
+  EntryFixture it;
+  const std::string ask = "GET /hosts?name=x&region=r&zone=z HTTP/1.1\r\n"
+                          "Host: x\r\nConnection: close\r\n\r\n";
+  CHECK(Status(EntryFixture::Send(it.daemon->directory(), ask)) == "503");
+  it.Configure();
+  const std::string out = EntryFixture::Send(it.daemon->directory(), ask);
+  CHECK(Status(out) == "200");
+  CHECK(out.find(it.daemon->callers().ToString()) != std::string::npos);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/tests/entry/entry_parts_test.cc
@@ -0,0 +1,184 @@
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "include/base/error.h"
+#include "include/entry/entry_settings.h"
+#include "include/entry/host_record.h"
+#include "include/entry/host_roster.h"
+#include "include/health/crash_ledger.h"
+#include "src/entry/load_exchange.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr char kSettings[] = R"({
+  // A comment.
+  "host": "h-1", "zone": "a-1", "region": "a",
+  "regions": {"a-1": "a", "a-2": "a", "b-1": "b"},
+  "callers": "127.0.0.1:80", "readiness": "127.0.0.1:81",
+  "directory": "127.0.0.1:82", "store": "127.0.0.1:83", "peer_port": 84,
+  "memory_mb": 260, "stop_within": "6s", "lookup_lifetime": "5s",
+  "retry_ratio": 0.2, "retry_slack": 58, "retry_window": "10s",
+  "server_heartbeat": "1500ms"
+})";
+
+HostRecord MakeHost(const std::string& name,
+                    const std::string& zone,
+                    uint16_t port) {
+  return {HostId(name), ZoneId(zone), {"10.0.0.1", port}, 1};
+}
+
+std::set<uint16_t> Ports(const std::vector<Endpoint>& endpoints) {
+  std::set<uint16_t> ports;
+  for (const Endpoint& it : endpoints)
+    ports.insert(it.port);
+  return ports;
+}
+
+constexpr Instant At(int64_t ms) {
+  return Instant(100'000 + ms);
+}
+
+}  // namespace
+
+TEST_CASE("settings are read, and every fault is named at once") {
+  const EntrySettings settings = ParseEntrySettings(kSettings, "test");
+  CHECK(settings.region == RegionId("a"));
+  CHECK(settings.regions.at(ZoneId("b-1")) == RegionId("b"));
+  CHECK(settings.stop_within == Duration(6'000));
+  CHECK(settings.peers == Endpoint{"127.0.0.1", 84});
+  try {
+    ParseEntrySettings(R"({"host": "", "zone": "z", "stop_within": "6"})",
+                       "test");
+    FAIL("faulty settings were taken");
+  } catch (const InvalidConfigError& e) {
+    CHECK(e.problems().size() >= 6);
+  }
+}
+
+TEST_CASE("lengths of time") {
+  CHECK(ParseDuration("1500ms") == Duration(1'500));
+  CHECK(ParseDuration("2.5s") == Duration(2'500));
+  CHECK(ParseDuration("0ms") == Duration(0));
+  const std::string bad =
+      GENERATE("", "5", "s", "-1s", "1 s", "1m", "nans", "infs", "1ss");
+  CHECK_THROWS_AS(ParseDuration(bad), Error);
+}
+
+TEST_CASE("a host's record survives its way") {
+  const HostRecord record = MakeHost("h-1", "a-1", 80);
+  CHECK(ReadHostRecord(WriteHostRecord(record)) == record);
+  CHECK_THROWS_AS(ReadHostRecord("{}"), InvalidConfigError);
+}
+
+TEST_CASE("callers are sent to their zone, or region, or anywhere") {
+  HostRoster roster(
+      MakeHost("self", "a-1", 1),
+      {{ZoneId("a-1"), RegionId("a")}, {ZoneId("a-2"), RegionId("a")},
+       {ZoneId("b-1"), RegionId("b")}});
+  const auto ports = [&](const char* zone, const char* region) {
+    return Ports(roster.AddressesFor(ZoneId(zone), RegionId(region), 64));
+  };
+  CHECK(ports("a-1", "a").empty());
+  roster.SetSelfReady(true);
+  roster.OnHost(MakeHost("self", "a-1", 1), At(0));
+  roster.OnHost(MakeHost("two", "a-2", 2), At(0));
+  roster.OnHost(MakeHost("three", "b-1", 3), At(0));
+  // One host of the zone alone would be no choice.
+  CHECK(ports("a-1", "a") == std::set<uint16_t>{1, 2});
+  CHECK(ports("b-1", "b") == std::set<uint16_t>{3});
+  CHECK(ports("c-1", "c") == std::set<uint16_t>{1, 2, 3});
+  roster.OnHost(MakeHost("four", "a-1", 4), At(0));
+  CHECK(ports("a-1", "a") == std::set<uint16_t>{1, 4});
+  CHECK(roster.AddressesFor(ZoneId("c"), RegionId("c"), 2).size() == 2);
+  CHECK(Ports(roster.Others(RegionId("a"), true)) == std::set<uint16_t>{2, 4});
+  CHECK(Ports(roster.Others(RegionId("a"), false)) == std::set<uint16_t>{3});
+  CHECK(roster.HostsIn(RegionId("a")) == 3);
+}
+
+TEST_CASE("a host is dropped when its record goes, later after an outage") {
+  HostRoster roster(MakeHost("self", "a-1", 1), {});
+  roster.OnHost(MakeHost("two", "a-1", 2), At(0));
+  CHECK(roster.HostCount(At(0)) == 2);
+  roster.OnRemoved(HostId("two"), At(10));
+  CHECK(roster.size() == 0);
+  // Shares are kept for a while by the greater number.
+  CHECK(roster.HostCount(At(20)) == 2);
+  CHECK(roster.HostCount(At(20) + HostRoster::kCountMemory) == 1);
+  roster.OnHost(MakeHost("two", "a-1", 2), At(0));
+  roster.SetStoreAway(true, At(100));
+  roster.OnListed({}, At(200));
+  roster.Advance(At(5'000));
+  CHECK(roster.size() == 1);
+  roster.SetStoreAway(false, At(5'000));
+  roster.OnListed({}, At(5'010));
+  CHECK(roster.size() <= 1);
+  roster.Advance(At(5'000) + HostRoster::kLapseGrace);
+  CHECK(roster.size() == 0);
+}
+
+TEST_CASE("sheets survive their way; other datagrams are none") {
+  const LoadSheet sheet{HostKey(HostId("h")), 1'780'472'036'029, 12,
+                        {{ServerKey(ServerId("a")), 3}, {7, 40'000}}};
+  const std::string bytes = EncodeSheet(sheet);
+  const auto back = DecodeSheet(bytes);
+  REQUIRE(back);
+  CHECK(back->rows[0] == sheet.rows[0]);
+  CHECK(back->rows[1].requests == 32'767);
+  CHECK(back->sequence == 12);
+  CHECK_FALSE(DecodeSheet(""));
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 3'000; ++i) {
+    std::string mutated = bytes;
+    for (uint64_t n = 1 + random() % 4; n > 0; --n)
+      mutated[random() % mutated.size()] = static_cast<char>(random());
+    mutated.resize(random() % (mutated.size() + 1));
+    const auto sheet_or_none = DecodeSheet(mutated);
+    CHECK((!sheet_or_none || sheet_or_none->rows.size() <= bytes.size()));
+  }
+}
+
+TEST_CASE("sheets of an earlier life or number are ignored, old ones fade") {
+  PeerLoads loads;
+  loads.OnSheet({1, 5, 10, {{7, 3}}}, At(0));
+  loads.OnSheet({1, 5, 9, {{7, 9}}}, At(1));
+  loads.OnSheet({1, 4, 99, {{7, 9}}}, At(1));
+  loads.OnSheet({2, 1, 1, {{7, 1}, {8, 2}}}, At(1));
+  CHECK(loads.InFlight(7, At(2)) == 4);
+  CHECK(loads.InFlight(8, At(2)) == 2);
+  CHECK(loads.FreshHosts(At(2)) == 2);
+  loads.OnSheet({1, 6, 1, {}}, At(3));
+  CHECK(loads.InFlight(7, At(4)) == 1);
+  CHECK(loads.InFlight(7, At(2'000)) == 0);
+  CHECK(loads.FreshHosts(At(2'000)) == 0);
+}
+
+TEST_CASE("a request that breaks two servers is refused, an innocent is not") {
+  CrashLedger ledger;
+  CHECK(ledger.OnBroken(1, ServerId("a"), At(0)));
+  CHECK_FALSE(ledger.IsCrasher(1, At(0)));
+  // The same server twice is one crash.
+  ledger.OnCharge(1, ServerId("a"), At(10));
+  CHECK_FALSE(ledger.IsCrasher(1, At(10)));
+  // Told by another host.
+  ledger.OnCharge(1, ServerId("b"), At(20));
+  CHECK(ledger.IsCrasher(1, At(20)));
+  CHECK_FALSE(ledger.IsCrasher(1, At(21) + CrashLedger::kMemory));
+  ledger.OnBroken(2, ServerId("a"), At(2'000));
+  ledger.OnAnswered(2);
+  ledger.OnCharge(2, ServerId("b"), At(2'100));
+  CHECK_FALSE(ledger.IsCrasher(2, At(2'100)));
+}
+
+TEST_CASE("when many servers break at once, no request is to blame") {
+  CrashLedger ledger;
+  CHECK(ledger.OnBroken(1, ServerId("a"), At(0)));
+  CHECK(ledger.OnBroken(2, ServerId("b"), At(1)));
+  CHECK_FALSE(ledger.OnBroken(1, ServerId("c"), At(2)));
+  CHECK_FALSE(ledger.IsCrasher(1, At(3)));
+}
+
+}  // namespace toucanknot
