--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -345,7 +345,7 @@
   if (since % 100 == 0) {
     for (const auto& from : hosts_) {
       const LoadSheet sheet{static_cast<uint64_t>(&from - hosts_.data()) + 1, 1,
-                            ++from->sheets, from->placer.OwnRows()};
+                            ++from->sheets, from->placer.OwnRows(), {}};
       for (const auto& to : hosts_) {
         if (to != from && (far || to->region == from->region))
           to->placer.OnPeerSheet(sheet, Now());
--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -27,9 +27,6 @@
   std::function<void(const HostRecord&)> host;
   std::function<void(const HostId&)> host_removed;
   std::function<void(const std::set<HostId>&)> hosts_listed;
-  // A connection that carried a request with this fingerprint broke at a
-  // backend server.
-  std::function<void(uint64_t fingerprint, const ServerId&)> crash;
   // The store stopped answering this host, or answers again.
   std::function<void(bool away)> store_away;
 };
@@ -53,8 +50,6 @@
   // ends.
   virtual void Publish(const HostRecord& record) = 0;
   virtual void Withdraw() = 0;
-  // Tells all hosts of a request whose connection broke at `server`.
-  virtual void TellCrash(uint64_t fingerprint, const ServerId& server) = 0;
   virtual FleetStoreCounts counts() const = 0;
 };
 
--- a/include/health/crash_ledger.h
+++ b/include/health/crash_ledger.h
@@ -6,16 +6,16 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "include/base/clock.h"
-#include "include/base/ids.h"
 
 namespace toucanknot {
 
 // Tells requests that crash the backend servers that run them by what all
 // hosts have seen: a fingerprint whose connection broke at kCrashes servers
 // without a whole answer in between is refused. A host tells the others of
-// each charge. When connections to several servers break at once, the network
+// its charges. Servers are named by a hash. When connections to several servers break at once, the network
 // or an outage is to blame, and nothing is charged. Does no I/O.
 class CrashLedger {
  public:
@@ -26,12 +26,21 @@
   static constexpr size_t kMassBreak = 3;
   // Fingerprints remembered; the oldest go first.
   static constexpr size_t kMostRecords = 4'096;
+  static constexpr size_t kMostTold = 32;
+
+  // A charge of this host, for the others.
+  struct Charge {
+    uint64_t fingerprint = 0;
+    uint32_t server = 0;
+    Instant at;
+  };
 
   // A connection that carried the request broke at `server` without an answer.
-  // Returns whether the other hosts should be told.
-  bool OnBroken(uint64_t fingerprint, const ServerId& server, Instant now);
-  // Another host (or this one) told of a charge.
-  void OnCharge(uint64_t fingerprint, const ServerId& server, Instant now);
+  void OnBroken(uint64_t fingerprint, uint32_t server, Instant now);
+  // Another host told of a charge.
+  void OnCharge(uint64_t fingerprint, uint32_t server, Instant now);
+  // What this host charged since `since`, at most kMostTold of the newest.
+  std::vector<Charge> OwnSince(Instant since) const;
   // The request ran whole.
   void OnAnswered(uint64_t fingerprint) { records_.erase(fingerprint); }
 
@@ -40,18 +49,19 @@
 
  private:
   struct Record {
-    std::set<ServerId> servers;
+    std::set<uint32_t> servers;
     Instant last;
   };
   struct Break {
-    ServerId server;
+    uint32_t server = 0;
     Instant at;
   };
 
-  bool IsMassBreak(const ServerId& server, Instant now);
+  bool IsMassBreak(uint32_t server, Instant now);
 
   std::map<uint64_t, Record> records_;
   std::deque<Break> breaks_;
+  std::deque<Charge> own_;
 };
 
 }  // namespace toucanknot
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -19,12 +19,21 @@
 
     bool operator==(const Row&) const = default;
   };
+  // A connection that carried a request broke at a server.
+  struct Crash {
+    uint64_t fingerprint = 0;
+    uint32_t server = 0;
+
+    bool operator==(const Crash&) const = default;
+  };
 
   // Hash of the host's id, and the life and number of the sheet.
   uint64_t host = 0;
   Incarnation incarnation = 0;
   uint64_t sequence = 0;
   std::vector<Row> rows;
+  // Those of the last seconds: a lost datagram loses none.
+  std::vector<Crash> crashes;
 
   bool operator==(const LoadSheet&) const = default;
 };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -35,6 +35,8 @@
 constexpr Duration kLeaveNotice{2'500};
 constexpr Duration kLookupLifetime{1'000};
 constexpr size_t kMostAddresses = 64;
+// Four datagrams to the farthest hosts.
+constexpr Duration kTellCrashesFor{2'000};
 // A caller that is idle for longer than the limit is cut only after this part
 // more, so that its next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
@@ -134,10 +136,7 @@
       connections_(loop_),
       roster_(Self(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, desk_,
-               connections_, crashes_, metrics_,
-               [this](uint64_t fingerprint, const ServerId& server) {
-                 store_->TellCrash(fingerprint, server);
-               }}),
+               connections_, crashes_, metrics_}),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
@@ -242,9 +241,6 @@
   news.hosts_listed = [this](const std::set<HostId>& hosts) {
     roster_.OnListed(hosts, SteadyNow());
   };
-  news.crash = [this](uint64_t fingerprint, const ServerId& server) {
-    crashes_.OnCharge(fingerprint, server, SteadyNow());
-  };
   news.store_away = [this](bool away) { OnStoreAway(away); };
   return news;
 }
@@ -252,11 +248,18 @@
 LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
   LoadExchange::Hooks hooks;
   hooks.own_sheet = [this] {
-    return LoadSheet{HostKey(settings_.host), incarnation_, ++sheets_,
-                     placer_.OwnRows()};
+    LoadSheet sheet{HostKey(settings_.host), incarnation_, ++sheets_,
+                    placer_.OwnRows(), {}};
+    for (const CrashLedger::Charge& it :
+         crashes_.OwnSince(SteadyNow() - kTellCrashesFor)) {
+      sheet.crashes.push_back({it.fingerprint, it.server});
+    }
+    return sheet;
   };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
     placer_.OnPeerSheet(sheet, SteadyNow());
+    for (const LoadSheet::Crash& it : sheet.crashes)
+      crashes_.OnCharge(it.fingerprint, it.server, SteadyNow());
   };
   hooks.peers = [this](bool near) {
     std::vector<Endpoint> peers = roster_.Others(settings_.region, near);
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -46,6 +46,16 @@
   }
   out.__set_servers(servers);
   out.__set_requests(requests);
+  if (!sheet.crashes.empty()) {
+    std::vector<int64_t> fingerprints;
+    std::vector<int32_t> places;
+    for (const LoadSheet::Crash& it : sheet.crashes) {
+      fingerprints.push_back(static_cast<int64_t>(it.fingerprint));
+      places.push_back(static_cast<int32_t>(it.server));
+    }
+    out.__set_crash_requests(fingerprints);
+    out.__set_crash_servers(places);
+  }
   const auto buf = std::make_shared<TMemoryBuffer>();
   Protocol protocol(buf);
   out.write(&protocol);
@@ -66,8 +76,10 @@
   } catch (const apache::thrift::TException&) {
     return std::nullopt;
   }
-  if (!in.__isset.host || in.servers.size() != in.requests.size())
+  if (!in.__isset.host || in.servers.size() != in.requests.size() ||
+      in.crash_requests.size() != in.crash_servers.size()) {
     return std::nullopt;
+  }
   LoadSheet sheet;
   sheet.host = static_cast<uint64_t>(in.host);
   sheet.incarnation = static_cast<Incarnation>(in.incarnation);
@@ -76,6 +88,10 @@
     sheet.rows.push_back({static_cast<uint32_t>(in.servers[i]),
                           std::max<int>(in.requests[i], 0)});
   }
+  for (size_t i = 0; i < in.crash_requests.size(); ++i) {
+    sheet.crashes.push_back({static_cast<uint64_t>(in.crash_requests[i]),
+                             static_cast<uint32_t>(in.crash_servers[i])});
+  }
   return sheet;
 }
 
@@ -121,6 +137,7 @@
     // An unchanged sheet is told again before it grows too old.
     const bool tell_near = far || sheet.rows != told_near;
     const bool tell_far = far && (!sheet.rows.empty() || !told_far.empty() ||
+                                  !sheet.crashes.empty() ||
                                   round % (2 * kFarRounds) == 0);
     if (!tell_near && !tell_far)
       continue;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -269,9 +269,9 @@
                            attempt.end == SendEnd::kNotConnected;
   run.may_have_run = run.may_have_run || !did_not_run;
   if (attempt.end == SendEnd::kBroken && !exchange.answer_started &&
-      exchange.end == AttemptEnd::kBroken &&
-      parts_.crashes.OnBroken(run.fingerprint, placement.server, SteadyNow())) {
-    parts_.tell_crash(run.fingerprint, placement.server);
+      exchange.end == AttemptEnd::kBroken) {
+    parts_.crashes.OnBroken(run.fingerprint, ServerKey(placement.server),
+                            SteadyNow());
   }
   Report(run, placement, attempt, SteadyNow() - start);
   co_return attempt;
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -38,8 +37,6 @@
     ConnectionPool& connections;
     CrashLedger& crashes;
     EntryMetrics& metrics;
-    // Tells the other hosts of a request whose connection broke at a server.
-    std::function<void(uint64_t fingerprint, const ServerId&)> tell_crash;
   };
 
   explicit RequestRunner(Parts parts);
--- a/src/health/crash_ledger.cc
+++ b/src/health/crash_ledger.cc
@@ -4,27 +4,36 @@
 
 namespace toucanknot {
 
-bool CrashLedger::IsMassBreak(const ServerId& server, Instant now) {
+bool CrashLedger::IsMassBreak(uint32_t server, Instant now) {
   breaks_.push_back({server, now});
   while (now - breaks_.front().at > kMassWindow)
     breaks_.pop_front();
-  std::set<ServerId> servers;
+  std::set<uint32_t> servers;
   for (const Break& it : breaks_)
     servers.insert(it.server);
   return servers.size() >= kMassBreak;
 }
 
-bool CrashLedger::OnBroken(uint64_t fingerprint,
-                           const ServerId& server,
-                           Instant now) {
+void CrashLedger::OnBroken(uint64_t fingerprint, uint32_t server, Instant now) {
   if (IsMassBreak(server, now))
-    return false;
+    return;
   OnCharge(fingerprint, server, now);
-  return true;
+  own_.push_back({fingerprint, server, now});
+  if (own_.size() > kMostTold)
+    own_.pop_front();
+}
+
+std::vector<CrashLedger::Charge> CrashLedger::OwnSince(Instant since) const {
+  std::vector<Charge> out;
+  for (const Charge& it : own_) {
+    if (it.at >= since)
+      out.push_back(it);
+  }
+  return out;
 }
 
 void CrashLedger::OnCharge(uint64_t fingerprint,
-                           const ServerId& server,
+                           uint32_t server,
                            Instant now) {
   if (records_.size() >= kMostRecords && !records_.contains(fingerprint)) {
     records_.erase(std::min_element(
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3430,6 +3430,16 @@
   this->requests = val;
 __isset.requests = true;
 }
+
+void LoadSheet::__set_crash_requests(const std::vector<int64_t> & val) {
+  this->crash_requests = val;
+__isset.crash_requests = true;
+}
+
+void LoadSheet::__set_crash_servers(const std::vector<int32_t> & val) {
+  this->crash_servers = val;
+__isset.crash_servers = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3522,6 +3532,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crash_requests.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->crash_requests.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += iprot->readI64(this->crash_requests[_i154]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crash_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crash_servers.clear();
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->crash_servers.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
+            {
+              xfer += iprot->readI32(this->crash_servers[_i159]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crash_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3558,10 +3608,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter150;
-      for (_iter150 = this->servers.begin(); _iter150 != this->servers.end(); ++_iter150)
+      std::vector<int32_t> ::const_iterator _iter160;
+      for (_iter160 = this->servers.begin(); _iter160 != this->servers.end(); ++_iter160)
       {
-        xfer += oprot->writeI32((*_iter150));
+        xfer += oprot->writeI32((*_iter160));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3571,10 +3621,36 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter151;
-      for (_iter151 = this->requests.begin(); _iter151 != this->requests.end(); ++_iter151)
+      std::vector<int16_t> ::const_iterator _iter161;
+      for (_iter161 = this->requests.begin(); _iter161 != this->requests.end(); ++_iter161)
+      {
+        xfer += oprot->writeI16((*_iter161));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_requests) {
+    xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
+      std::vector<int64_t> ::const_iterator _iter162;
+      for (_iter162 = this->crash_requests.begin(); _iter162 != this->crash_requests.end(); ++_iter162)
+      {
+        xfer += oprot->writeI64((*_iter162));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_servers) {
+    xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
+      std::vector<int32_t> ::const_iterator _iter163;
+      for (_iter163 = this->crash_servers.begin(); _iter163 != this->crash_servers.end(); ++_iter163)
       {
-        xfer += oprot->writeI16((*_iter151));
+        xfer += oprot->writeI32((*_iter163));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3592,41 +3668,51 @@
   swap(a.sequence, b.sequence);
   swap(a.servers, b.servers);
   swap(a.requests, b.requests);
+  swap(a.crash_requests, b.crash_requests);
+  swap(a.crash_servers, b.crash_servers);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other152) {
-  host = other152.host;
-  incarnation = other152.incarnation;
-  sequence = other152.sequence;
-  servers = other152.servers;
-  requests = other152.requests;
-  __isset = other152.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other153) noexcept {
-  host = other153.host;
-  incarnation = other153.incarnation;
-  sequence = other153.sequence;
-  servers = std::move(other153.servers);
-  requests = std::move(other153.requests);
-  __isset = other153.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other154) {
-  host = other154.host;
-  incarnation = other154.incarnation;
-  sequence = other154.sequence;
-  servers = other154.servers;
-  requests = other154.requests;
-  __isset = other154.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other164) {
+  host = other164.host;
+  incarnation = other164.incarnation;
+  sequence = other164.sequence;
+  servers = other164.servers;
+  requests = other164.requests;
+  crash_requests = other164.crash_requests;
+  crash_servers = other164.crash_servers;
+  __isset = other164.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other165) noexcept {
+  host = other165.host;
+  incarnation = other165.incarnation;
+  sequence = other165.sequence;
+  servers = std::move(other165.servers);
+  requests = std::move(other165.requests);
+  crash_requests = std::move(other165.crash_requests);
+  crash_servers = std::move(other165.crash_servers);
+  __isset = other165.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other166) {
+  host = other166.host;
+  incarnation = other166.incarnation;
+  sequence = other166.sequence;
+  servers = other166.servers;
+  requests = other166.requests;
+  crash_requests = other166.crash_requests;
+  crash_servers = other166.crash_servers;
+  __isset = other166.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other155) noexcept {
-  host = other155.host;
-  incarnation = other155.incarnation;
-  sequence = other155.sequence;
-  servers = std::move(other155.servers);
-  requests = std::move(other155.requests);
-  __isset = other155.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other167) noexcept {
+  host = other167.host;
+  incarnation = other167.incarnation;
+  sequence = other167.sequence;
+  servers = std::move(other167.servers);
+  requests = std::move(other167.requests);
+  crash_requests = std::move(other167.crash_requests);
+  crash_servers = std::move(other167.crash_servers);
+  __isset = other167.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -3637,6 +3723,8 @@
   out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
+  out << ", " << "crash_requests="; (__isset.crash_requests ? (out << to_string(crash_requests)) : (out << "<null>"));
+  out << ", " << "crash_servers="; (__isset.crash_servers ? (out << to_string(crash_servers)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,12 +1400,14 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
   bool servers :1;
   bool requests :1;
+  bool crash_requests :1;
+  bool crash_servers :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1427,6 +1429,8 @@
   int64_t sequence;
   std::vector<int32_t>  servers;
   std::vector<int16_t>  requests;
+  std::vector<int64_t>  crash_requests;
+  std::vector<int32_t>  crash_servers;
 
   _LoadSheet__isset __isset;
 
@@ -1440,6 +1444,10 @@
 
   void __set_requests(const std::vector<int16_t> & val);
 
+  void __set_crash_requests(const std::vector<int64_t> & val);
+
+  void __set_crash_servers(const std::vector<int32_t> & val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1462,6 +1470,14 @@
       return false;
     else if (__isset.requests && !(requests == rhs.requests))
       return false;
+    if (__isset.crash_requests != rhs.__isset.crash_requests)
+      return false;
+    else if (__isset.crash_requests && !(crash_requests == rhs.crash_requests))
+      return false;
+    if (__isset.crash_servers != rhs.__isset.crash_servers)
+      return false;
+    else if (__isset.crash_servers && !(crash_servers == rhs.crash_servers))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -138,4 +138,7 @@
   3: optional i64 sequence
   4: optional list<i32> servers
   5: optional list<i16> requests
+  // Requests whose connection broke lately, and the servers where it did.
+  6: optional list<i64> crash_requests
+  7: optional list<i32> crash_servers
 }
