--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -341,9 +341,14 @@
 
 void FleetModel::Tick() {
   const int64_t since = now_ - kStart;
-  const bool far = since % 500 == 0;
   if (since % 100 == 0) {
     for (const auto& from : hosts_) {
+      // As the hosts' exchange of sheets does.
+      const bool crowded = from->placer.crowded(Now());
+      const bool near = since % (crowded ? 100 : 200) == 0;
+      const bool far = since % (crowded ? 200 : 600) == 0;
+      if (!near && !far)
+        continue;
       const LoadSheet sheet{static_cast<uint64_t>(&from - hosts_.data()) + 1, 1,
                             ++from->sheets, from->placer.OwnRows(), {}};
       for (const auto& to : hosts_) {
--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -29,6 +29,8 @@
   Endpoint store;
   // Where the other hosts send datagrams; the same port at all of them.
   Endpoint peers;
+  // The host hears of a change in the store within this time.
+  Duration news_within{2'500};
   // How often a backend server writes its entry.
   Duration heartbeat{1'500};
   // Memory that the process may use.
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -136,6 +136,9 @@
   // the registry, and every kAdvanceEvery while anything waits.
   std::vector<Placement> Advance(Instant now);
   size_t waiting() const { return queue_.size(); }
+  // Whether the slots of some service were short when it was last looked at,
+  // within kCrowdedMemory.
+  bool crowded(Instant now) const { return now < crowded_until_; }
 
   // Another host told of its requests.
   void OnPeerSheet(const LoadSheet& sheet, Instant now) {
@@ -158,6 +161,7 @@
   }
 
   static constexpr Duration kAdvanceEvery{20};
+  static constexpr Duration kCrowdedMemory{1'000};
 
   // The figures of all servers of `service`, as JSON.
   std::string Explain(const ServiceId& service, Instant now) const;
@@ -276,6 +280,7 @@
                    ServerLoad& load,
                    Instant now);
 
+  Instant crowded_until_;
   std::map<ServiceId, Service> services_;
   // Servers that this host sent requests for an object to.
   boost::unordered_flat_map<uint64_t, std::vector<ServerId>> fetched_;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -256,6 +256,7 @@
     }
     return sheet;
   };
+  hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
     placer_.OnPeerSheet(sheet, SteadyNow());
     for (const LoadSheet::Crash& it : sheet.crashes)
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -81,6 +81,7 @@
   out.metrics.port =
       static_cast<uint16_t>(in.Integer("metrics_port", 0, kMaxPort, 0));
   out.heartbeat = Time(in, "server_heartbeat", out.heartbeat);
+  out.news_within = Time(in, "news_within", out.news_within);
   out.memory_bytes = in.Integer("memory_mb", 16, kMaxMemoryMb, 256) << 20;
   out.stop_within = Time(in, "stop_within", out.stop_within);
   out.lookup_lifetime = Time(in, "lookup_lifetime", out.lookup_lifetime);
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -127,29 +127,30 @@
 }
 
 asio::awaitable<void> LoadExchange::SendLoop() {
-  std::vector<LoadSheet::Row> told_near;
-  std::vector<LoadSheet::Row> told_far;
-  constexpr int kFarRounds = static_cast<int>(kFarEvery.ms() / kNearEvery.ms());
-  for (int round = 0;; ++round) {
-    co_await SleepFor(kNearEvery);
-    const bool far = round % kFarRounds == 0;
+  std::vector<LoadSheet::Row> told;
+  int near = 0;
+  int far = 0;
+  for (;;) {
+    co_await SleepFor(kRound);
+    const bool crowded = hooks_.crowded();
+    const bool far_due =
+        ++far >= (crowded ? kFarRoundsCrowded : kFarRounds);
+    const bool near_due =
+        ++near >= (crowded ? kNearRoundsCrowded : kNearRounds);
+    if (!far_due && !near_due)
+      continue;
     const LoadSheet sheet = hooks_.own_sheet();
     // An unchanged sheet is told again before it grows too old.
-    const bool tell_near = far || sheet.rows != told_near;
-    const bool tell_far = far && (!sheet.rows.empty() || !told_far.empty() ||
-                                  !sheet.crashes.empty() ||
-                                  round % (2 * kFarRounds) == 0);
-    if (!tell_near && !tell_far)
+    if (!far_due && sheet.rows == told)
       continue;
     const std::string bytes = EncodeSheet(sheet);
-    if (tell_near) {
-      SendTo(hooks_.peers(true), bytes);
-      told_near = sheet.rows;
-    }
-    if (tell_far) {
-      SendTo(hooks_.peers(false), bytes);
-      told_far = sheet.rows;
-    }
+    told = sheet.rows;
+    near = 0;
+    SendTo(hooks_.peers(true), bytes);
+    if (!far_due)
+      continue;
+    far = 0;
+    SendTo(hooks_.peers(false), bytes);
   }
 }
 
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -26,13 +26,19 @@
 // ones are made good by the next. Used on one loop.
 class LoadExchange {
  public:
-  // Hosts that share backend servers with this one hear of each change within
-  // kNearEvery, the others within kFarEvery: bytes between regions are dear.
-  static constexpr Duration kNearEvery{100};
-  static constexpr Duration kFarEvery{500};
+  // A round of sheets. While slots are short, what a host does not know of the
+  // others costs requests, and sheets are frequent; else bytes are saved. Hosts
+  // of the own region share most backend servers with this one.
+  static constexpr Duration kRound{100};
+  static constexpr int kNearRounds = 2;
+  static constexpr int kFarRounds = 6;
+  static constexpr int kNearRoundsCrowded = 1;
+  static constexpr int kFarRoundsCrowded = 2;
 
   struct Hooks {
     std::function<LoadSheet()> own_sheet;
+    // Whether slots are short.
+    std::function<bool()> crowded;
     std::function<void(const LoadSheet&)> on_sheet;
     // The other hosts; `near` tells which of the two groups.
     std::function<std::vector<Endpoint>(bool near)> peers;
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -20,6 +20,8 @@
 // servers of its order only: each further one would fetch it, and push out
 // others, just when slots are short.
 constexpr double kCrowded = 0.75;
+// Above this part, hosts tell each other of their requests more often.
+constexpr double kNearlyCrowded = 0.6;
 // The part of a region's slots that its own callers' objects may fill on
 // average; the rest is for peaks.
 constexpr double kRegionFill = 0.6;
@@ -150,8 +152,11 @@
   const PlaceItem& item = waiting.item;
   Service& service = ServiceOf(item.service);
   ServiceView& view = *service.view;
-  crowded = view.Filled([&](const ServerLoad& load) { return Busy(load, now); },
-                        now) > kCrowded;
+  const double filled = view.Filled(
+      [&](const ServerLoad& load) { return Busy(load, now); }, now);
+  crowded = filled > kCrowded;
+  if (filled > kNearlyCrowded)
+    crowded_until_ = now + kCrowdedMemory;
   std::vector<Candidate> out;
   const auto add = [&](int index, int rank) {
     const ServiceView::Server& server = view.servers()[index];
