entry: callers go to hosts of their region by capacity

Ruled out: too few slots (other zones of the region were well served by the same servers). Change: hosts publish a capacity from their link and core; the directory names two hosts of the region by a weighted hash of the caller's address, the same for as long as the hosts stay.

--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -35,6 +35,9 @@
   Duration heartbeat{1'500};
   // Memory that the process may use.
   int64_t memory_bytes = 256LL << 20;
+  // Its link, in Mbit/s, and its part of a core.
+  double link_mbps = 1'000;
+  double cpu_share = 1;
   // From a stop signal to the end of the process, at most.
   Duration stop_within{6'000};
   // The longest time that callers may keep an answer of the directory.
--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -34,8 +34,7 @@
   // Paths of the host's own answers.
   std::string ready_path;
   std::string lookup_path;
-  // Where a caller of the directory is, in the query.
-  std::string lookup_zone;
+  // The region of a caller of the directory, in the query.
   std::string lookup_region;
   // The directory's answer: addresses, and how long a caller may keep them.
   std::function<std::string(const std::vector<Endpoint>&, Duration lifetime)>
--- a/include/entry/host_record.h
+++ b/include/entry/host_record.h
@@ -17,6 +17,9 @@
   // Where callers connect.
   Endpoint callers;
   Incarnation incarnation = 0;
+  // Requests a second that it can carry, roughly; callers are sent to hosts in
+  // these proportions.
+  int64_t capacity = 1;
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -35,12 +36,11 @@
   // Whether this host itself takes new callers.
   void SetSelfReady(bool ready) { self_ready_ = ready; }
 
-  // Addresses for a caller in `zone` of `region`, at most `most`: hosts of its
-  // zone; with those of its region where that is fewer than two; with all
-  // hosts where the region has none.
-  std::vector<Endpoint> AddressesFor(const ZoneId& zone,
-                                     const RegionId& region,
-                                     size_t most) const;
+  // Two addresses for a caller in `region`, one for when the other fails; of
+  // all regions where that one has no host. Each caller gets the same ones
+  // while the hosts stay the same, and hosts get callers by their capacities.
+  std::vector<Endpoint> AddressesFor(const RegionId& region,
+                                     std::string_view caller) const;
 
   // The most hosts that were there at once lately, this one included.
   int HostCount(Instant now);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -34,7 +34,10 @@
 // lifetimes of an answer; until then its listener stays open.
 constexpr Duration kLeaveNotice{2'500};
 constexpr Duration kLookupLifetime{1'000};
-constexpr size_t kMostAddresses = 64;
+// Requests of some ten kilobytes, in and out, that a Mbit/s carries, and
+// requests that a core serves, both at about half of their limits.
+constexpr double kRequestsPerMbit = 5;
+constexpr double kRequestsPerCore = 1'000;
 // Four datagrams to the farthest hosts.
 constexpr Duration kTellCrashesFor{2'000};
 // A caller that is idle for longer than the limit is cut only after this part
@@ -44,6 +47,12 @@
 constexpr int64_t kBodyMemoryPart = 4;
 constexpr Duration kStopPoll{20};
 
+int64_t CapacityOf(const EntrySettings& settings) {
+  const double requests = std::min(settings.link_mbps * kRequestsPerMbit,
+                                   settings.cpu_share * kRequestsPerCore);
+  return std::max<int64_t>(1, static_cast<int64_t>(requests));
+}
+
 HttpServerLimits LimitsOf(const EntrySettings& settings) {
   HttpServerLimits limits;
   limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryPart;
@@ -68,7 +77,8 @@
 
  private:
   HostRecord Self() const {
-    return {settings_.host, settings_.zone, settings_.callers, incarnation_};
+    return {settings_.host, settings_.zone, settings_.callers, incarnation_,
+            CapacityOf(settings_)};
   }
   FleetNews News();
   LoadExchange::Hooks ExchangeHooks();
@@ -351,10 +361,9 @@
 HttpResponse EntryDaemon::Impl::AnswerLookup(const HttpRequest& request) const {
   if (TargetPath(request.target) != names_.lookup_path)
     return TextResponse(404, "unknown path");
-  const ZoneId zone(QueryValue(request.target, names_.lookup_zone));
   const RegionId region(QueryValue(request.target, names_.lookup_region));
   const std::vector<Endpoint> addresses =
-      roster_.AddressesFor(zone, region, kMostAddresses);
+      roster_.AddressesFor(region, request.remote_ip);
   if (addresses.empty())
     return TextResponse(503, "no entry host is ready");
   return JsonResponse(
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -16,6 +16,8 @@
 
 constexpr double kMaxRetries = 1e9;
 constexpr int64_t kMaxMemoryMb = 1 << 20;
+constexpr double kMaxLink = 1e7;
+constexpr double kMaxCores = 1'024;
 constexpr int64_t kMaxPort = 65'535;
 
 Duration Time(ObjectReader& in, std::string_view key, Duration fallback) {
@@ -83,6 +85,8 @@
   out.heartbeat = Time(in, "server_heartbeat", out.heartbeat);
   out.news_within = Time(in, "news_within", out.news_within);
   out.memory_bytes = in.Integer("memory_mb", 16, kMaxMemoryMb, 256) << 20;
+  out.link_mbps = in.Number("link_mbps", 0.001, kMaxLink, out.link_mbps);
+  out.cpu_share = in.Number("cpu_share", 0.001, kMaxCores, out.cpu_share);
   out.stop_within = Time(in, "stop_within", out.stop_within);
   out.lookup_lifetime = Time(in, "lookup_lifetime", out.lookup_lifetime);
   out.retry_ratio = in.Number("retry_ratio", 0, 1, out.retry_ratio);
--- a/src/entry/host_record.cc
+++ b/src/entry/host_record.cc
@@ -10,13 +10,19 @@
 #include "include/config/object_reader.h"
 
 namespace toucanknot {
+namespace {
+
+constexpr int64_t kMaxCapacity = 1'000'000'000;
+
+}  // namespace
 
 std::string WriteHostRecord(const HostRecord& record) {
   return boost::json::serialize(boost::json::value{
       {"host", record.host.str()},
       {"zone", record.zone.str()},
       {"callers", record.callers.ToString()},
-      {"incarnation", static_cast<int64_t>(record.incarnation)}});
+      {"incarnation", static_cast<int64_t>(record.incarnation)},
+      {"capacity", record.capacity}});
 }
 
 HostRecord ReadHostRecord(std::string_view text) {
@@ -30,6 +36,7 @@
   record.callers = in.Address("callers");
   record.incarnation = static_cast<Incarnation>(
       in.Integer("incarnation", 0, std::numeric_limits<int64_t>::max()));
+  record.capacity = in.Integer("capacity", 1, kMaxCapacity, 1);
   if (!problems.empty())
     throw InvalidConfigError(source, std::move(problems));
   return record;
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -1,12 +1,20 @@
 #include "include/entry/host_roster.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "include/placing/peer_loads.h"
+#include "src/placing/service_view.h"
 
 namespace toucanknot {
 namespace {
 
-// Callers with one address only would have to ask again when it fails.
-constexpr size_t kEnoughAddresses = 2;
+// Callers with one address only would have to ask again when it fails; more
+// would even the shares of strong and weak hosts out.
+constexpr size_t kAddresses = 2;
 
 }  // namespace
 
@@ -58,18 +66,14 @@
   return it == regions_.end() ? RegionId() : it->second;
 }
 
-std::vector<Endpoint> HostRoster::AddressesFor(const ZoneId& zone,
-                                               const RegionId& region,
-                                               size_t most) const {
-  std::vector<Endpoint> in_zone;
-  std::vector<Endpoint> in_region;
-  std::vector<Endpoint> all;
+std::vector<Endpoint> HostRoster::AddressesFor(const RegionId& region,
+                                               std::string_view caller) const {
+  std::vector<const HostRecord*> in_region;
+  std::vector<const HostRecord*> all;
   const auto add = [&](const HostRecord& record) {
-    all.push_back(record.callers);
+    all.push_back(&record);
     if (RegionOf(record.zone) == region)
-      in_region.push_back(record.callers);
-    if (record.zone == zone)
-      in_zone.push_back(record.callers);
+      in_region.push_back(&record);
   };
   if (self_ready_)
     add(self_);
@@ -77,12 +81,19 @@
     if (id != self_.host)
       add(host.record);
   }
-  std::vector<Endpoint>& chosen = in_zone.size() >= kEnoughAddresses ? in_zone
-                                  : in_region.empty()                ? all
-                                                      : in_region;
-  if (chosen.size() > most)
-    chosen.resize(most);
-  return chosen;
+  std::vector<std::pair<double, Endpoint>> order;
+  for (const HostRecord* it : in_region.empty() ? all : in_region) {
+    const uint64_t hash = XXH3_64bits_withSeed(
+        caller.data(), caller.size(), HostKey(it->host));
+    order.emplace_back(
+        -std::log(UnitOf(hash)) / static_cast<double>(it->capacity),
+        it->callers);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<Endpoint> addresses;
+  for (size_t i = 0; i < order.size() && i < kAddresses; ++i)
+    addresses.push_back(order[i].second);
+  return addresses;
 }
 
 std::vector<Endpoint> HostRoster::Others(const RegionId& region,
