--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -192,8 +192,7 @@
   request->item.route = request->route;
   request->item.service = ServiceId("s");
   request->item.object = request->object;
-  request->item.target =
-      Instant(request->first_asked) + request->model->target;
+  request->item.target = Instant(request->first_asked) + request->model->target;
   request->item.deadline = Instant(request->deadline);
   if (!setup_.naive) {
     Act(request, request->host->placer.Offer(request->item, Now()));
@@ -269,8 +268,8 @@
 
 void FleetModel::Begin(Server& server, const RequestPtr& request) {
   ++server.running;
-  const auto it = std::find(server.objects.begin(), server.objects.end(),
-                            request->object);
+  const auto it =
+      std::find(server.objects.begin(), server.objects.end(), request->object);
   const bool warm = it != server.objects.end();
   if (warm)
     server.objects.erase(it);
@@ -284,9 +283,8 @@
                       (warm ? request->model->warm_part : 1) * server.slow *
                       std::max(0.3, spread(random_));
   const auto took = static_cast<int64_t>(std::ceil(work));
-  At(now_ + took, [this, request, &server, took] {
-    EndRun(server, request, took);
-  });
+  At(now_ + took,
+     [this, request, &server, took] { EndRun(server, request, took); });
 }
 
 void FleetModel::EndRun(Server& server, const RequestPtr& request, int64_t) {
@@ -349,8 +347,11 @@
       const bool far = since % (crowded ? 200 : 600) == 0;
       if (!near && !far)
         continue;
-      const LoadSheet sheet{static_cast<uint64_t>(&from - hosts_.data()) + 1, 1,
-                            ++from->sheets, from->placer.OwnRows(), {}};
+      const LoadSheet sheet{static_cast<uint64_t>(&from - hosts_.data()) + 1,
+                            1,
+                            ++from->sheets,
+                            from->placer.OwnRows(),
+                            {}};
       for (const auto& to : hosts_) {
         if (to != from && (far || to->region == from->region))
           to->placer.OnPeerSheet(sheet, Now());
--- a/bench/placing/placing_command.cc
+++ b/bench/placing/placing_command.cc
@@ -38,9 +38,10 @@
 }
 
 int Run(const std::vector<std::string>&) {
-  std::printf("%-22s %7s %7s  by route: worth, served, refused, failed, "
-              "slowest refusal in ms\n",
-              "load", "sends", "fetches");
+  std::printf(
+      "%-22s %7s %7s  by route: worth, served, refused, failed, "
+      "slowest refusal in ms\n",
+      "load", "sends", "fetches");
   for (const double load : {1.0, 1.45, 2.0, 3.0}) {
     char name[32];
     std::snprintf(name, sizeof name, "%.2f", load);
--- a/include/entry/entry_daemon.h
+++ b/include/entry/entry_daemon.h
@@ -6,8 +6,8 @@
 #include <memory>
 
 #include "include/entry/entry_settings.h"
-#include "include/entry/fleet_store.h"
 #include "include/entry/entry_wire.h"
+#include "include/entry/fleet_store.h"
 
 namespace toucanknot {
 
@@ -18,12 +18,13 @@
 class EntryDaemon {
  public:
   // Makes the adapter to the platform's store on the host's loop.
-  using StoreFactory = std::function<std::unique_ptr<FleetStore>(
-      boost::asio::io_context& loop, const EntrySettings& settings)>;
+  using StoreFactory =
+      std::function<std::unique_ptr<FleetStore>(boost::asio::io_context& loop,
+                                                const EntrySettings& settings)>;
 
   EntryDaemon(EntrySettings settings,
-            EntryWire names,
-            const StoreFactory& make_store);
+              EntryWire names,
+              const StoreFactory& make_store);
   ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
--- a/include/health/crash_ledger.h
+++ b/include/health/crash_ledger.h
@@ -15,8 +15,9 @@
 // Tells requests that crash the backend servers that run them by what all
 // hosts have seen: a fingerprint whose connection broke at kCrashes servers
 // without a whole answer in between is refused. A host tells the others of
-// its charges. Servers are named by a hash. When connections to several servers break at once, the network
-// or an outage is to blame, and nothing is charged. Does no I/O.
+// its charges. Servers are named by a hash. When connections to several servers
+// break at once, the network or an outage is to blame, and nothing is charged.
+// Does no I/O.
 class CrashLedger {
  public:
   static constexpr size_t kCrashes = 2;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -226,9 +226,7 @@
   bool IsToBeTried(const ServiceView::Server& server, Instant now) const;
   Placement Decide(const Waiting& waiting, bool queued, Instant now);
   Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
-  Placement Refuse(const Waiting& waiting,
-                   PlaceRefusal refusal,
-                   Duration wait);
+  Placement Refuse(const Waiting& waiting, PlaceRefusal refusal, Duration wait);
   // How long a request would wait here behind the more urgent ones, in ms.
   double QueueWait(const Waiting& waiting, double service_ms) const;
   std::shared_ptr<ServerLoad> LoadOf(const ServerId& id);
--- a/src/entry/decision_log.h
+++ b/src/entry/decision_log.h
@@ -10,9 +10,8 @@
 namespace toucanknot {
 
 // The members of a log line.
-using LogFields =
-    std::initializer_list<std::pair<boost::json::string_view,
-                                    boost::json::value_ref>>;
+using LogFields = std::initializer_list<
+    std::pair<boost::json::string_view, boost::json::value_ref>>;
 
 // Sends the process's log to standard output, one JSON object a line. Lines
 // that standard output does not take at once are dropped; they and those above
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -64,9 +64,7 @@
 // All members are used on the loop after Start(), but for the pool of workers.
 class EntryDaemon::Impl {
  public:
-  Impl(EntrySettings settings,
-       EntryWire names,
-       const StoreFactory& make_store);
+  Impl(EntrySettings settings, EntryWire names, const StoreFactory& make_store);
   ~Impl();
 
   void Start();
@@ -84,7 +82,8 @@
   LoadExchange::Hooks ExchangeHooks();
   void OnConfig(const RouteConfigPtr& config);
   void OnEvacuations(const std::set<ZoneId>& zones);
-  void OnServerChange(ServerChange change, const ServerRegistry::Server& server);
+  void OnServerChange(ServerChange change,
+                      const ServerRegistry::Server& server);
   void OnStoreAway(bool away);
   asio::awaitable<void> Tick();
   asio::awaitable<void> Leave();
@@ -127,18 +126,18 @@
 };
 
 EntryDaemon::Impl::Impl(EntrySettings settings,
-                      EntryWire names,
-                      const StoreFactory& make_store)
+                        EntryWire names,
+                        const StoreFactory& make_store)
     : settings_(std::move(settings)),
       names_(std::move(names)),
       incarnation_(static_cast<Incarnation>(UnixMillis())),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
-      registry_([this](ServerChange change,
-                       const ServerRegistry::Server& server) {
-        OnServerChange(change, server);
-      }),
+      registry_(
+          [this](ServerChange change, const ServerRegistry::Server& server) {
+            OnServerChange(change, server);
+          }),
       placer_({settings_.zone, settings_.region, settings_.regions},
               registry_,
               SteadyNow()),
@@ -258,8 +257,11 @@
 LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
   LoadExchange::Hooks hooks;
   hooks.own_sheet = [this] {
-    LoadSheet sheet{HostKey(settings_.host), incarnation_, ++sheets_,
-                    placer_.OwnRows(), {}};
+    LoadSheet sheet{HostKey(settings_.host),
+                    incarnation_,
+                    ++sheets_,
+                    placer_.OwnRows(),
+                    {}};
     for (const CrashLedger::Charge& it :
          crashes_.OwnSince(SteadyNow() - kTellCrashesFor)) {
       sheet.crashes.push_back({it.fingerprint, it.server});
@@ -307,15 +309,15 @@
 }
 
 void EntryDaemon::Impl::OnServerChange(ServerChange change,
-                                     const ServerRegistry::Server& server) {
+                                       const ServerRegistry::Server& server) {
   const Instant now = SteadyNow();
-  LogChange("server", {{"change", kServerChangeNames.Name(change)},
-                       {"server", server.entry.id.str()},
-                       {"service", server.entry.service.str()},
-                       {"zone", server.entry.zone.str()},
-                       {"cold_ms", std::max<int64_t>(
-                                       (server.cold_until - now).ms(), 0)},
-                       {"seen_ms_ago", (now - server.seen_at).ms()}});
+  LogChange("server",
+            {{"change", kServerChangeNames.Name(change)},
+             {"server", server.entry.id.str()},
+             {"service", server.entry.service.str()},
+             {"zone", server.entry.zone.str()},
+             {"cold_ms", std::max<int64_t>((server.cold_until - now).ms(), 0)},
+             {"seen_ms_ago", (now - server.seen_at).ms()}});
   if (change == ServerChange::kRestarted || change == ServerChange::kGone)
     placer_.Forget(server.entry.id);
 }
@@ -430,8 +432,8 @@
 }
 
 EntryDaemon::EntryDaemon(EntrySettings settings,
-                     EntryWire names,
-                     const StoreFactory& make_store)
+                         EntryWire names,
+                         const StoreFactory& make_store)
     : impl_(std::make_unique<Impl>(std::move(settings),
                                    std::move(names),
                                    make_store)) {}
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -77,8 +77,7 @@
   out.directory = in.Address("directory");
   out.store = in.Address("store");
   out.peers.ip = out.callers.ip;
-  out.peers.port =
-      static_cast<uint16_t>(in.Integer("peer_port", 1, kMaxPort));
+  out.peers.port = static_cast<uint16_t>(in.Integer("peer_port", 1, kMaxPort));
   out.metrics.ip = out.callers.ip;
   out.metrics.port =
       static_cast<uint16_t>(in.Integer("metrics_port", 0, kMaxPort, 0));
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -83,8 +83,8 @@
   }
   std::vector<std::pair<double, Endpoint>> order;
   for (const HostRecord* it : in_region.empty() ? all : in_region) {
-    const uint64_t hash = XXH3_64bits_withSeed(
-        caller.data(), caller.size(), HostKey(it->host));
+    const uint64_t hash =
+        XXH3_64bits_withSeed(caller.data(), caller.size(), HostKey(it->host));
     order.emplace_back(
         -std::log(UnitOf(hash)) / static_cast<double>(it->capacity),
         it->callers);
@@ -107,9 +107,10 @@
 }
 
 int HostRoster::HostsIn(const RegionId& region) const {
-  const auto n = std::count_if(
-      hosts_.begin(), hosts_.end(),
-      [&](const auto& it) { return RegionOf(it.second.record.zone) == region; });
+  const auto n =
+      std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& it) {
+        return RegionOf(it.second.record.zone) == region;
+      });
   return std::max(1, static_cast<int>(n));
 }
 
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -66,9 +66,9 @@
   wire::LoadSheet in;
   try {
     std::string copy(bytes);
-    const auto buf = std::make_shared<TMemoryBuffer>(
-        reinterpret_cast<uint8_t*>(copy.data()),
-        static_cast<uint32_t>(copy.size()));
+    const auto buf =
+        std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(copy.data()),
+                                        static_cast<uint32_t>(copy.size()));
     // No list in a datagram is longer than the datagram.
     const auto limit = static_cast<int32_t>(bytes.size());
     Protocol protocol(buf, limit, limit);
@@ -133,8 +133,7 @@
   for (;;) {
     co_await SleepFor(kRound);
     const bool crowded = hooks_.crowded();
-    const bool far_due =
-        ++far >= (crowded ? kFarRoundsCrowded : kFarRounds);
+    const bool far_due = ++far >= (crowded ? kFarRoundsCrowded : kFarRounds);
     const bool near_due =
         ++near >= (crowded ? kNearRoundsCrowded : kNearRounds);
     if (!far_due && !near_due)
@@ -159,9 +158,8 @@
   for (const Endpoint& it : peers) {
     boost::system::error_code ec;
     // A datagram that does not go out is as good as lost.
-    socket_.send_to(
-        asio::buffer(bytes),
-        {asio::ip::make_address(it.ip), it.port}, 0, ec);
+    socket_.send_to(asio::buffer(bytes),
+                    {asio::ip::make_address(it.ip), it.port}, 0, ec);
   }
 }
 
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -78,8 +78,8 @@
 
 RetryBudget& RequestRunner::BudgetOf(const ServiceId& service) {
   const EntrySettings& settings = parts_.settings;
-  const auto floor = static_cast<int64_t>(settings.retry_slack * kRetryShare /
-                                          host_count_);
+  const auto floor =
+      static_cast<int64_t>(settings.retry_slack * kRetryShare / host_count_);
   return budgets_
       .try_emplace(service, settings.retry_ratio * kRetryShare, floor,
                    settings.retry_window)
@@ -111,8 +111,8 @@
   const HttpFields& fields = run.request.fields;
   run.id = std::string(fields.Get(parts_.names.request_id));
   if (parts_.routes.version() == 0) {
-    HttpResponse response = Refuse(run, 503, "this host has no configuration",
-                                   kUnconfiguredReturn);
+    HttpResponse response =
+        Refuse(run, 503, "this host has no configuration", kUnconfiguredReturn);
     LogOutcome(run, response);
     co_return response;
   }
@@ -150,7 +150,8 @@
   run.item.service = run.service;
   if (const std::string_view object = fields.Get(parts_.names.object);
       !object.empty()) {
-    run.item.object = std::max<uint64_t>(Hash(object, Hash(run.route.name, 0)), 1);
+    run.item.object =
+        std::max<uint64_t>(Hash(object, Hash(run.route.name, 0)), 1);
   }
   run.item.target = began + run.route.target_latency - spent;
   run.item.deadline = run.deadline - kAnswerMargin;
@@ -165,9 +166,9 @@
       co_return Refuse(run, 503, "the caller left", Duration(0));
     }
     if (placement->step == PlaceStep::kRefuse) {
-      run.story += fmt::format(
-          " refused:{} queued:{}", kPlaceRefusalNames.Name(placement->refusal),
-          placement->queued);
+      run.story += fmt::format(" refused:{} queued:{}",
+                               kPlaceRefusalNames.Name(placement->refusal),
+                               placement->queued);
       if (run.may_have_run)
         co_return Fail(run, SendEnd::kTimedOut, "no time for another attempt");
       co_return Refuse(run, 503, "no backend server can answer in time",
@@ -219,8 +220,7 @@
 asio::awaitable<RequestRunner::Attempt> RequestRunner::Send(
     Run& run,
     const Placement& placement) {
-  const ServerRegistry::Server* server =
-      parts_.registry.Find(placement.server);
+  const ServerRegistry::Server* server = parts_.registry.Find(placement.server);
   Attempt attempt;
   if (server == nullptr) {
     attempt.end = SendEnd::kNotConnected;
@@ -260,8 +260,8 @@
   }
   if (caller)
     caller->Clear();
-  attempt.end = caller && caller->left() ? SendEnd::kCancelled
-                                         : Judge(exchange);
+  attempt.end =
+      caller && caller->left() ? SendEnd::kCancelled : Judge(exchange);
   attempt.response = std::move(exchange.response);
   attempt.error = std::move(exchange.error);
   const bool did_not_run = attempt.end == SendEnd::kRefused ||
@@ -351,8 +351,8 @@
     std::uniform_int_distribution<int64_t> spread(0, retry_after.ms() / 2);
     response.fields.Add(
         "Retry-After",
-        fmt::format("{:.3f}", (retry_after + Duration(spread(random_)))
-                                  .seconds()));
+        fmt::format("{:.3f}",
+                    (retry_after + Duration(spread(random_))).seconds()));
   }
   return response;
 }
@@ -360,9 +360,8 @@
 HttpResponse RequestRunner::Fail(const Run& run,
                                  SendEnd end,
                                  const std::string& why) {
-  HttpResponse response =
-      TextResponse(end == SendEnd::kTimedOut ? 504 : 502,
-                   "the request may have run: " + why);
+  HttpResponse response = TextResponse(end == SendEnd::kTimedOut ? 504 : 502,
+                                       "the request may have run: " + why);
   if (!run.id.empty())
     response.fields.Add(parts_.names.request_id, run.id);
   return response;
@@ -371,18 +370,17 @@
 void RequestRunner::LogOutcome(const Run& run, const HttpResponse& response) {
   const Duration took = SteadyNow() - run.request.began_at;
   parts_.metrics.CountRequest(run.service, response.status, took);
-  LogRequest(response.status < 300,
-             {{"id", run.id},
-              {"target", run.request.target},
-              {"route", run.route.name},
-              {"service", run.service.str()},
-              {"config", parts_.routes.version()},
-              {"status", response.status},
-              {"took_ms", took.ms()},
-              {"sent", run.sent},
-              {"may_have_run", run.may_have_run},
-              {"caller_left", run.caller_left},
-              {"story", run.story}});
+  LogRequest(response.status < 300, {{"id", run.id},
+                                     {"target", run.request.target},
+                                     {"route", run.route.name},
+                                     {"service", run.service.str()},
+                                     {"config", parts_.routes.version()},
+                                     {"status", response.status},
+                                     {"took_ms", took.ms()},
+                                     {"sent", run.sent},
+                                     {"may_have_run", run.may_have_run},
+                                     {"caller_left", run.caller_left},
+                                     {"story", run.story}});
 }
 
 }  // namespace toucanknot
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -304,12 +304,11 @@
       co_await ReadAnswer(connection, head, options, result, reusable);
   if (ec) {
     reusable = false;
-    const bool unsent =
-        sending->done && sending->ec && sending->bytes == 0;
+    const bool unsent = sending->done && sending->ec && sending->bytes == 0;
     result.end = unsent ? AttemptEnd::kNotSent : EndOf(ec);
-    result.error = (result.answer_started ? "the answer broke off: "
-                                          : "no answer: ") +
-                   ec.message();
+    result.error =
+        (result.answer_started ? "the answer broke off: " : "no answer: ") +
+        ec.message();
     co_return;
   }
   counts_.surplus_bytes += connection.buffer.size();
--- a/src/health/crash_ledger.cc
+++ b/src/health/crash_ledger.cc
@@ -32,14 +32,12 @@
   return out;
 }
 
-void CrashLedger::OnCharge(uint64_t fingerprint,
-                           uint32_t server,
-                           Instant now) {
+void CrashLedger::OnCharge(uint64_t fingerprint, uint32_t server, Instant now) {
   if (records_.size() >= kMostRecords && !records_.contains(fingerprint)) {
-    records_.erase(std::min_element(
-        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
-          return a.second.last < b.second.last;
-        }));
+    records_.erase(std::min_element(records_.begin(), records_.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second.last < b.second.last;
+                                    }));
   }
   Record& record = records_[fingerprint];
   if (now - record.last > kMemory)
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -167,8 +167,7 @@
     Parser parser;
     parser.header_limit(owner_->limits_.max_header_bytes);
     parser.body_limit(boost::none);
-    stream_.expires_after(
-        std::chrono::milliseconds(owner_->header_ms_.load()));
+    stream_.expires_after(std::chrono::milliseconds(owner_->header_ms_.load()));
     auto [ec, n] =
         co_await http::async_read_header(stream_, buffer_, parser, kAwait);
     if (ec)
@@ -202,8 +201,7 @@
     // An idle connection keeps no more than a small buffer.
     buffer_.shrink_to_fit();
     idle_ = true;
-    stream_.expires_after(
-        std::chrono::milliseconds(owner_->idle_ms_.load()));
+    stream_.expires_after(std::chrono::milliseconds(owner_->idle_ms_.load()));
     auto [ec, n] = co_await stream_.async_read_some(
         buffer_.prepare(kFirstReadBytes), kAwait);
     idle_ = false;
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -59,9 +59,7 @@
 }  // namespace
 
 Placer::Placer(Options options, const ServerRegistry& registry, Instant now)
-    : options_(std::move(options)),
-      registry_(registry),
-      started_at_(now) {}
+    : options_(std::move(options)), registry_(registry), started_at_(now) {}
 
 std::shared_ptr<ServerLoad> Placer::LoadOf(const ServerId& id) {
   std::shared_ptr<ServerLoad>& load = loads_[id];
@@ -152,8 +150,8 @@
   const PlaceItem& item = waiting.item;
   Service& service = ServiceOf(item.service);
   ServiceView& view = *service.view;
-  const double filled = view.Filled(
-      [&](const ServerLoad& load) { return Busy(load, now); }, now);
+  const double filled =
+      view.Filled([&](const ServerLoad& load) { return Busy(load, now); }, now);
   crowded = filled > kCrowded;
   if (filled > kNearlyCrowded)
     crowded_until_ = now + kCrowdedMemory;
@@ -163,8 +161,8 @@
     if (MayTake(waiting, server, now))
       out.push_back({&server, rank, static_cast<int>(out.size())});
   };
-  const ServiceView::Order& order = view.OrderOf(
-      item.object, IsKeptHere(service, item.object, now));
+  const ServiceView::Order& order =
+      view.OrderOf(item.object, IsKeptHere(service, item.object, now));
   const int kept = static_cast<int>(kFetchChance.size());
   int rank = 0;
   for (size_t i = 0; i < order.size() && order[i] >= 0; ++i) {
@@ -238,12 +236,12 @@
   const double fetch = times.cold() - times.warm();
   const double wait = std::max(0.0, c.busy - slots + 1) / slots * times.mean();
   const auto rank = static_cast<size_t>(c.rank);
-  const double chance = c.warm                        ? 0
+  const double chance = c.warm                       ? 0
                         : rank < kFetchChance.size() ? kFetchChance[rank]
                                                      : 1;
-  c.expected_ms = (times.warm() + chance * fetch + wait) * slowness + c.server->rtt;
-  c.cost =
-      c.expected_ms + load.FailureRate(now) * kFailureCost * times.mean();
+  c.expected_ms =
+      (times.warm() + chance * fetch + wait) * slowness + c.server->rtt;
+  c.cost = c.expected_ms + load.FailureRate(now) * kFailureCost * times.mean();
   // What is fetched at one more server takes slots from others.
   if (!c.warm && c.rank > 0)
     c.cost += fetch * kSpreadCost;
@@ -257,8 +255,7 @@
   const WorkTimes& times = times_.at(waiting.route_name);
   const double cold_rate = ColdRate(waiting.item.service) / host_count_;
   Choice choice;
-  std::vector<Candidate> candidates =
-      Candidates(waiting, choice.crowded, now);
+  std::vector<Candidate> candidates = Candidates(waiting, choice.crowded, now);
   choice.any = !candidates.empty();
   Candidate& best = choice.best;
   std::tuple<double, int> best_key;
@@ -394,8 +391,7 @@
   waiting.order = next_order_++;
   waiting.route_name = item.route->name;
   waiting.allowed_regions = item.route->allowed_regions;
-  ServiceOf(item.service)
-      .demand.Add(times_.at(waiting.route_name).warm(), now);
+  ServiceOf(item.service).demand.Add(times_.at(waiting.route_name).warm(), now);
   const Placement out = Decide(waiting, false, now);
   if (out.step == PlaceStep::kWait)
     queue_.push_back(std::move(waiting));
--- a/src/placing/server_load.cc
+++ b/src/placing/server_load.cc
@@ -71,7 +71,8 @@
 void ServerLoad::Suspend(Instant now) {
   if (IsSuspended(now))
     return;
-  suspended_until_ = now + kFirstPause * (1 << std::min(breaks_, kMostDoublings));
+  suspended_until_ =
+      now + kFirstPause * (1 << std::min(breaks_, kMostDoublings));
   ++breaks_;
 }
 
@@ -87,7 +88,8 @@
 }
 
 bool ServerLoad::MayTakeCold(double rate, Instant now) const {
-  return rate > 0 && static_cast<double>((now - last_cold_).ms()) * rate >= 1000;
+  return rate > 0 &&
+         static_cast<double>((now - last_cold_).ms()) * rate >= 1000;
 }
 
 bool ServerLoad::TryTakeCold(double rate, Instant now) {
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -9,9 +9,9 @@
   const bool known = it != servers_.end();
   if (known) {
     const ServerEntry& old = it->second.entry;
-    const bool older = entry.incarnation < old.incarnation ||
-                       (entry.incarnation == old.incarnation &&
-                        entry.sequence < old.sequence);
+    const bool older =
+        entry.incarnation < old.incarnation ||
+        (entry.incarnation == old.incarnation && entry.sequence < old.sequence);
     // A late write of an earlier life, or an earlier heartbeat.
     if (older)
       return;
@@ -55,8 +55,7 @@
     Drop(it);
 }
 
-void ServerRegistry::OnListed(const std::set<ServerId>& ids,
-                              Instant now) {
+void ServerRegistry::OnListed(const std::set<ServerId>& ids, Instant now) {
   for (auto& [id, server] : servers_) {
     if (!ids.contains(id))
       Miss(server, now);
@@ -90,8 +89,7 @@
     store_back_at_ = now;
 }
 
-void ServerRegistry::Restore(const ZoneId& zone,
-                             Instant now) {
+void ServerRegistry::Restore(const ZoneId& zone, Instant now) {
   if (evacuated_.erase(zone) == 0)
     return;
   ++version_;
--- a/src/placing/service_view.cc
+++ b/src/placing/service_view.cc
@@ -66,9 +66,8 @@
   return orders[object] = order;
 }
 
-double ServiceView::Filled(
-    const std::function<double(const ServerLoad&)>& busy,
-    Instant now) {
+double ServiceView::Filled(const std::function<double(const ServerLoad&)>& busy,
+                           Instant now) {
   if (measured_ && now - filled_at_ < kMeasureEvery)
     return filled_;
   double sum = 0;
--- a/tests/entry/entry_daemon_test.cc
+++ b/tests/entry/entry_daemon_test.cc
@@ -120,8 +120,9 @@
 
 TEST_CASE("bytes that are no whole answer are never passed on") {
   const std::string answer =
-      GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: "
-                                  "s\r\nContent-Length: 90\r\n\r\ncut",
+      GENERATE(as<std::string>(),
+               "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: "
+               "s\r\nContent-Length: 90\r\n\r\ncut",
                "garbage\r\n\r\n",
                "HTTP/1.1 200 OK\r\nX-Id: 42\r\nContent-Length: 2\r\n\r\nhi");
   EntryFixture it;
@@ -135,9 +136,8 @@
 TEST_CASE("an answer without a length ends with its connection") {
   EntryFixture it;
   it.Configure();
-  FakeServer server(
-      {{"HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: s\r\n\r\nwhole",
-        FakeServer::kClose}});
+  FakeServer server({{"HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: s\r\n\r\nwhole",
+                      FakeServer::kClose}});
   it.AddServer("a", server.endpoint());
   std::string out;
   std::thread asker([&] { out = it.Ask("/once/a"); });
@@ -206,8 +206,9 @@
 
 TEST_CASE("the directory names hosts that are ready, for a short time") {
   EntryFixture it;
-  const std::string ask = "GET /hosts?name=x&region=r&zone=z HTTP/1.1\r\n"
-                          "Host: x\r\nConnection: close\r\n\r\n";
+  const std::string ask =
+      "GET /hosts?name=x&region=r&zone=z HTTP/1.1\r\n"
+      "Host: x\r\nConnection: close\r\n\r\n";
   CHECK(Status(EntryFixture::Send(it.daemon->directory(), ask)) == "503");
   it.Configure();
   const std::string out = EntryFixture::Send(it.daemon->directory(), ask);
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -167,8 +167,8 @@
             workers_,
             {},
             [](std::string_view) { return uint64_t{1} << 20; },
-            [this, handler = std::move(handler)](HttpRequest request)
-                -> boost::asio::awaitable<HttpResponse> {
+            [this, handler = std::move(handler)](
+                HttpRequest request) -> boost::asio::awaitable<HttpResponse> {
               ++arrivals;
               co_return handler(request);
             }),
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -75,10 +75,10 @@
 }
 
 TEST_CASE("callers are sent to hosts of their region, by capacity") {
-  HostRoster roster(
-      MakeHost("self", "a-1", 1),
-      {{ZoneId("a-1"), RegionId("a")}, {ZoneId("a-2"), RegionId("a")},
-       {ZoneId("b-1"), RegionId("b")}});
+  HostRoster roster(MakeHost("self", "a-1", 1),
+                    {{ZoneId("a-1"), RegionId("a")},
+                     {ZoneId("a-2"), RegionId("a")},
+                     {ZoneId("b-1"), RegionId("b")}});
   const auto ports = [&](const char* region) {
     return Ports(roster.AddressesFor(RegionId(region), "10.9.0.1"));
   };
@@ -134,7 +134,9 @@
 }
 
 TEST_CASE("sheets survive their way; other datagrams are none") {
-  const LoadSheet sheet{HostKey(HostId("h")), 1'780'472'036'029, 12,
+  const LoadSheet sheet{HostKey(HostId("h")),
+                        1'780'472'036'029,
+                        12,
                         {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
                         {{0xfedcba9876543210, 9}}};
   const std::string bytes = EncodeSheet(sheet);
--- a/tests/platform/store_standin.cc
+++ b/tests/platform/store_standin.cc
@@ -86,10 +86,9 @@
 
 int StoreStandin::Calls(const std::string& prefix) {
   const std::lock_guard lock(mutex_);
-  return static_cast<int>(
-      std::count_if(calls_.begin(), calls_.end(), [&](const std::string& it) {
-        return it.starts_with(prefix);
-      }));
+  return static_cast<int>(std::count_if(
+      calls_.begin(), calls_.end(),
+      [&](const std::string& it) { return it.starts_with(prefix); }));
 }
 
 void StoreStandin::Write(const std::string& key,
--- a/tests/platform/wire_decoder_test.cc
+++ b/tests/platform/wire_decoder_test.cc
@@ -81,16 +81,16 @@
   CHECK(entry.leaving);
   CHECK(entry.cold_left == Duration(1'200));
   CHECK(entry.incarnation == 1'780'472'036'029);
-  const auto [what, with] = GENERATE(table<std::string, std::string>(
-      {{"\"slots\":4", "\"slots\":\"4\""},
-       {"\"slots\":4", "\"slots\":0"},
-       {"\"slots\":4", "\"slots\":4.5"},
-       {"\"slots\":4,", ""},
-       {"\"draining\"", "\"gone\""},
-       {"\"10.0.0.1:8080\"", "\"host:8080\""},
-       {"\"1200ms\"", "1200"},
-       {"1780472036029", "1780472036029.5"},
-       {"1780472036029", "\"now\""}}));
+  const auto [what, with] = GENERATE(
+      table<std::string, std::string>({{"\"slots\":4", "\"slots\":\"4\""},
+                                       {"\"slots\":4", "\"slots\":0"},
+                                       {"\"slots\":4", "\"slots\":4.5"},
+                                       {"\"slots\":4,", ""},
+                                       {"\"draining\"", "\"gone\""},
+                                       {"\"10.0.0.1:8080\"", "\"host:8080\""},
+                                       {"\"1200ms\"", "1200"},
+                                       {"1780472036029", "1780472036029.5"},
+                                       {"1780472036029", "\"now\""}}));
   INFO(what << " -> " << with);
   CHECK_THROWS_AS(DecodeServer("i-1", Replaced(kServer, what, with)), Error);
 }
--- a/tests/routing/route_table_test.cc
+++ b/tests/routing/route_table_test.cc
@@ -29,9 +29,9 @@
 
 TEST_CASE("the longest prefix of the path wins") {
   RouteTable table;
-  REQUIRE(table.Apply(MakeConfig(
-      1, {MakeRoute("all", "/"), MakeRoute("x", "/x/"),
-          MakeRoute("xy", "/x/y/")})));
+  REQUIRE(
+      table.Apply(MakeConfig(1, {MakeRoute("all", "/"), MakeRoute("x", "/x/"),
+                                 MakeRoute("xy", "/x/y/")})));
   const auto name = [&](std::string_view host, std::string_view path) {
     const Route* route = table.Find(host, path);
     return route == nullptr ? "none" : route->name;
