entry: a host tells where a request would go now, and why

On the metrics port: /explain?host=&path=&object= with the route, the server that would be taken and the figures of those that were weighed.

--- a/include/entry/entry_daemon.h
+++ b/include/entry/entry_daemon.h
@@ -36,6 +36,7 @@
   Endpoint callers() const;
   Endpoint readiness() const;
   Endpoint directory() const;
+  Endpoint metrics() const;
   // Takes what may change while the host runs: limits, not addresses.
   void Reload(const EntrySettings& settings);
   // Begins to leave: no new callers, what runs goes on.
--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -2,6 +2,7 @@
 #define INCLUDE_ENTRY_ENTRY_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,8 +25,8 @@
   Endpoint callers;
   Endpoint readiness;
   Endpoint directory;
-  // Where metrics are read; port 0: nowhere.
-  Endpoint metrics;
+  // Where metrics are read, if anywhere.
+  std::optional<Endpoint> metrics;
   Endpoint store;
   // Where the other hosts send datagrams; the same port at all of them.
   Endpoint peers;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -165,6 +165,9 @@
 
   // The figures of all servers of `service`, as JSON.
   std::string Explain(const ServiceId& service, Instant now) const;
+  // Where `item` would go now, and the figures of the servers that were
+  // weighed, as JSON. Sends nothing.
+  std::string ExplainItem(const PlaceItem& item, Instant now);
 
  private:
   struct Waiting {
@@ -224,6 +227,8 @@
                Instant now) const;
   // Whether the server has joined lately and had no request of this host yet.
   bool IsToBeTried(const ServiceView::Server& server, Instant now) const;
+  // `item` as it is decided on and waits.
+  Waiting MakeWaiting(const PlaceItem& item);
   Placement Decide(const Waiting& waiting, bool queued, Instant now);
   Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
   Placement Refuse(const Waiting& waiting, PlaceRefusal refusal, Duration wait);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -145,7 +145,7 @@
       connections_(loop_),
       roster_(Self(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, desk_,
-               connections_, crashes_, metrics_}),
+               connections_, crashes_, metrics_, placer_}),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
@@ -188,8 +188,8 @@
   settings_.readiness = readiness_.Listen(settings_.readiness);
   settings_.directory = directory_.Listen(settings_.directory);
   roster_.SetSelf(Self());
-  if (settings_.metrics.port != 0)
-    settings_.metrics = metrics_server_.Listen(settings_.metrics);
+  if (settings_.metrics)
+    settings_.metrics = metrics_server_.Listen(*settings_.metrics);
   load_exchange_.Start();
   registry_.SetHeartbeat(settings_.heartbeat);
   asio::post(loop_, [this] {
@@ -376,7 +376,12 @@
 HttpResponse EntryDaemon::Impl::AnswerMetrics(const HttpRequest& request) {
   const Instant now = SteadyNow();
   if (TargetPath(request.target) == "/explain") {
-    const ServiceId service(QueryValue(request.target, "service"));
+    const std::string& target = request.target;
+    if (const std::string host = QueryValue(target, "host"); !host.empty()) {
+      return JsonResponse(200, runner_.Explain(host, QueryValue(target, "path"),
+                                               QueryValue(target, "object")));
+    }
+    const ServiceId service(QueryValue(target, "service"));
     return JsonResponse(200, placer_.Explain(service, now));
   }
   const FleetStoreCounts store = store_->counts();
@@ -456,6 +461,10 @@
   return impl_->settings().directory;
 }
 
+Endpoint EntryDaemon::metrics() const {
+  return impl_->settings().metrics.value_or(Endpoint());
+}
+
 void EntryDaemon::Reload(const EntrySettings& settings) {
   impl_->Reload(settings);
 }
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -78,9 +78,11 @@
   out.store = in.Address("store");
   out.peers.ip = out.callers.ip;
   out.peers.port = static_cast<uint16_t>(in.Integer("peer_port", 1, kMaxPort));
-  out.metrics.ip = out.callers.ip;
-  out.metrics.port =
-      static_cast<uint16_t>(in.Integer("metrics_port", 0, kMaxPort, 0));
+  // 0, and no port at all: no metrics.
+  const int64_t metrics_port = in.Integer("metrics_port", 0, kMaxPort, 0);
+  if (metrics_port > 0) {
+    out.metrics = Endpoint{out.callers.ip, static_cast<uint16_t>(metrics_port)};
+  }
   out.heartbeat = Time(in, "server_heartbeat", out.heartbeat);
   out.news_within = Time(in, "news_within", out.news_within);
   out.memory_bytes = in.Integer("memory_mb", 16, kMaxMemoryMb, 256) << 20;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
 #include <boost/system/system_error.hpp>
 #include <charconv>
 #include <memory>
@@ -146,14 +147,8 @@
     co_return Refuse(run, 503, "requests like this crash backend servers",
                      run.route.timeout);
   }
-  run.item.route = &run.route;
-  run.item.service = run.service;
-  if (const std::string_view object = fields.Get(parts_.names.object);
-      !object.empty()) {
-    run.item.object =
-        std::max<uint64_t>(Hash(object, Hash(run.route.name, 0)), 1);
-  }
-  run.item.target = began + run.route.target_latency - spent;
+  run.item = MakeItem(run.route, run.service, fields.Get(parts_.names.object),
+                      began - spent);
   run.item.deadline = run.deadline - kAnswerMargin;
   parts_.metrics.Set("toucanknot_requests_in_flight", in_flight_);
   BudgetOf(run.service).OnSuccess(SteadyNow());
@@ -195,6 +190,44 @@
   }
 }
 
+PlaceItem RequestRunner::MakeItem(const Route& route,
+                                  const ServiceId& service,
+                                  std::string_view object,
+                                  Instant began) const {
+  PlaceItem item;
+  item.route = &route;
+  item.service = service;
+  if (!object.empty())
+    item.object = std::max<uint64_t>(Hash(object, Hash(route.name, 0)), 1);
+  item.target = began + route.target_latency;
+  item.deadline = began + route.timeout - kAnswerMargin;
+  return item;
+}
+
+std::string RequestRunner::Explain(std::string_view host_name,
+                                   std::string_view target,
+                                   std::string_view object) {
+  boost::json::object out{{"config", parts_.routes.version()}};
+  const Route* route = parts_.routes.Find(host_name, target);
+  if (route == nullptr) {
+    out["route"] = nullptr;
+    return boost::json::serialize(out);
+  }
+  out["route"] = route->name;
+  out["kind"] = kRequestKindNames.Name(route->kind);
+  const Instant now = SteadyNow();
+  boost::json::array targets;
+  for (const RouteTarget& it : route->targets) {
+    const PlaceItem item = MakeItem(*route, it.service, object, now);
+    boost::json::value placing =
+        boost::json::parse(parts_.placer.ExplainItem(item, now));
+    placing.as_object()["weight"] = it.weight;
+    targets.push_back(std::move(placing));
+  }
+  out["targets"] = std::move(targets);
+  return boost::json::serialize(out);
+}
+
 Duration RequestRunner::TimeSpent(const Route& route, Duration left) {
   Duration& longest = longest_waits_[route.name];
   longest = std::max(longest, std::min(left, kLongestWait));
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -37,12 +37,19 @@
     ConnectionPool& connections;
     CrashLedger& crashes;
     EntryMetrics& metrics;
+    Placer& placer;
   };
 
   explicit RequestRunner(Parts parts);
 
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
+  // Where a request for `target` of `host_name` about `object` would go now,
+  // and why, as JSON. Nothing is sent.
+  std::string Explain(std::string_view host_name,
+                      std::string_view target,
+                      std::string_view object);
+
   // How many hosts share the bound on retries.
   void SetHostCount(int n);
   // Requests that are being worked on.
@@ -77,6 +84,11 @@
   boost::asio::awaitable<HttpResponse> HandleCounted(HttpRequest request);
   boost::asio::awaitable<HttpResponse> Serve(Run& run);
   boost::asio::awaitable<Attempt> Send(Run& run, const Placement& placement);
+  // What the placer is asked for a request of `route` that began at `began`.
+  PlaceItem MakeItem(const Route& route,
+                     const ServiceId& service,
+                     std::string_view object,
+                     Instant began) const;
   // How long the caller has waited already, at other attempts: what it says is
   // left falls short of what callers of the route have at first.
   Duration TimeSpent(const Route& route, Duration left);
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -380,7 +380,7 @@
   return out;
 }
 
-Placement Placer::Offer(const PlaceItem& item, Instant now) {
+Placer::Waiting Placer::MakeWaiting(const PlaceItem& item) {
   TimesOf(*item.route);
   Waiting waiting;
   waiting.item = item;
@@ -391,6 +391,11 @@
   waiting.order = next_order_++;
   waiting.route_name = item.route->name;
   waiting.allowed_regions = item.route->allowed_regions;
+  return waiting;
+}
+
+Placement Placer::Offer(const PlaceItem& item, Instant now) {
+  Waiting waiting = MakeWaiting(item);
   ServiceOf(item.service).demand.Add(times_.at(waiting.route_name).warm(), now);
   const Placement out = Decide(waiting, false, now);
   if (out.step == PlaceStep::kWait)
@@ -481,6 +486,36 @@
   peers_.Expire(now);
 }
 
+std::string Placer::ExplainItem(const PlaceItem& item, Instant now) {
+  const Waiting waiting = MakeWaiting(item);
+  const WorkTimes& times = times_.at(waiting.route_name);
+  bool crowded = false;
+  boost::json::array servers;
+  for (Candidate& it : Candidates(waiting, crowded, now)) {
+    Assess(waiting, times, it, now);
+    servers.push_back({{"server", it.server->entry->entry.id.str()},
+                       {"zone", it.server->entry->entry.zone.str()},
+                       {"rank", it.rank},
+                       {"cost_ms", it.cost},
+                       {"expected_ms", it.expected_ms},
+                       {"busy", it.busy},
+                       {"at_hand", it.warm},
+                       {"cold", it.cold},
+                       {"full", it.full}});
+  }
+  const Choice choice = Choose(waiting, now);
+  const bool found = choice.best.server != nullptr;
+  return boost::json::serialize(boost::json::value{
+      {"server", found ? choice.best.server->entry->entry.id.str() : ""},
+      {"service", item.service.str()},
+      {"crowded", crowded},
+      {"warm_ms", times.warm()},
+      {"cold_ms", times.cold()},
+      {"hosts", host_count_},
+      {"sheets", peers_.fresh_hosts()},
+      {"weighed", std::move(servers)}});
+}
+
 std::string Placer::Explain(const ServiceId& service, Instant now) const {
   boost::json::array servers;
   for (const ServerRegistry::Server* it : registry_.Usable(service)) {
--- a/tests/entry/entry_daemon_test.cc
+++ b/tests/entry/entry_daemon_test.cc
@@ -204,6 +204,30 @@
   CHECK(Status(out) == "200");
 }
 
+TEST_CASE("a host tells where a request would go, and why") {
+  EntryFixture it;
+  it.Configure();
+  TestServer server([](const HttpRequest& request) {
+    return TestServer::Ran(request, "hi");
+  });
+  it.AddServer("a", server.endpoint());
+  const auto ask = [&](const std::string& path) {
+    return EntryFixture::Send(it.daemon->metrics(),
+                              EntryFixture::RequestText(path));
+  };
+  const std::string out = ask("/explain?host=x&path=/safe/a&object=7");
+  CHECK(Status(out) == "200");
+  CHECK(out.find("\"route\":\"/safe/\"") != std::string::npos);
+  CHECK(out.find("\"server\":\"a\"") != std::string::npos);
+  CHECK(ask("/explain?host=x&path=/none").find("\"route\":null") !=
+        std::string::npos);
+  CHECK(ask("/explain?service=s").find("\"server\":\"a\"") !=
+        std::string::npos);
+  CHECK(server.arrivals == 0);
+  CHECK(ask("/metrics").find("toucanknot_config_version 1") !=
+        std::string::npos);
+}
+
 TEST_CASE("the directory names hosts that are ready, for a short time") {
   EntryFixture it;
   const std::string ask =
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -80,6 +80,7 @@
                          &settings.directory, &settings.peers}) {
       *it = {"127.0.0.1", 0};
     }
+    settings.metrics = Endpoint{"127.0.0.1", 0};
     settings.retry_slack = 20;
     settings.stop_within = Duration(1'500);
     daemon = std::make_unique<EntryDaemon>(
