--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -79,6 +79,16 @@
   return total;
 }
 
+ModelSetup TrackerSetup(double load) {
+  ModelSetup setup;
+  setup.routes = {
+      {"lookup", 36 * load, 26, 880, 0.3, Duration(600), Duration(1'500), 2},
+      {"sign-off", 11 * load, 24, 1'160, 0.3, Duration(800), Duration(1'500),
+       1}};
+  setup.servers = {2, 10, 12};
+  return setup;
+}
+
 FleetModel::FleetModel(ModelSetup setup)
     : setup_(std::move(setup)), random_(setup_.seed) {
   auto config = std::make_shared<RouteConfig>();
--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -60,6 +60,11 @@
   bool naive = false;
 };
 
+// Two kinds of request like those of a job tracker: 880 ms and 1,160 ms of
+// work, 0.3 of it with the object at hand; one region of three has few servers.
+// At a load of 1.45 the work of warm requests fills 64 % of the slots.
+ModelSetup TrackerSetup(double load);
+
 // What callers got of one route.
 struct ModelResult {
   int asked = 0;
--- a/bench/placing/placing_command.cc
+++ b/bench/placing/placing_command.cc
@@ -11,18 +11,6 @@
 // What a late answer is worth beside one in time.
 constexpr double kLateWorth = 0.2;
 
-// Two kinds of request to one service with warm and cold objects, as in the
-// load tests; `load` 1.45 fills 64 % of the slots with warm work.
-ModelSetup Setup(double load) {
-  ModelSetup setup;
-  setup.routes = {
-      {"lookup", 36 * load, 26, 880, 0.3, Duration(600), Duration(1'500), 2},
-      {"sign-off", 11 * load, 24, 1'160, 0.3, Duration(800), Duration(1'500),
-       1}};
-  setup.servers = {2, 10, 12};
-  return setup;
-}
-
 void PrintRow(const std::string& name, const ModelSetup& setup) {
   const ModelOutcome out = FleetModel(setup).Run();
   std::printf("%-22s %7d %7d", name.c_str(), out.sends, out.fetches);
@@ -45,17 +33,17 @@
   for (const double load : {1.0, 1.45, 2.0, 3.0}) {
     char name[32];
     std::snprintf(name, sizeof name, "%.2f", load);
-    ModelSetup setup = Setup(load);
+    ModelSetup setup = TrackerSetup(load);
     PrintRow(name, setup);
     setup.naive = true;
     PrintRow(std::string(name) + " any server", setup);
   }
-  ModelSetup burst = Setup(1);
+  ModelSetup burst = TrackerSetup(1);
   burst.burst_from = Duration(12'000);
   burst.burst_to = Duration(16'000);
   burst.burst_by = 2.5;
   PrintRow("1.00, burst of 2.5", burst);
-  ModelSetup slow = Setup(1);
+  ModelSetup slow = TrackerSetup(1);
   slow.slow_from = Duration(10'000);
   slow.slow_part = 0.16;
   slow.slow_by = 5;
--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -27,12 +27,7 @@
   std::string not_run;
   // Running requests, waiting requests and slots, with commas between.
   std::string load;
-  // Who answers a health check.
-  std::string server_id;
-  // How long the server stays cold.
-  std::string cold_left_ms;
-  // Paths of the host's own answers.
-  std::string ready_path;
+  // The path of the directory.
   std::string lookup_path;
   // The region of a caller of the directory, in the query.
   std::string lookup_region;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -15,9 +15,9 @@
 #include "include/placing/peer_loads.h"
 #include "include/placing/server_load.h"
 #include "include/placing/server_registry.h"
+#include "include/placing/service_view.h"
 #include "include/placing/work_times.h"
 #include "include/routing/route_config.h"
-#include "src/placing/service_view.h"
 
 namespace toucanknot {
 
--- a/src/placing/service_view.h
+++ b/include/placing/service_view.h
@@ -1,5 +1,5 @@
-#ifndef SRC_PLACING_SERVICE_VIEW_H_
-#define SRC_PLACING_SERVICE_VIEW_H_
+#ifndef INCLUDE_PLACING_SERVICE_VIEW_H_
+#define INCLUDE_PLACING_SERVICE_VIEW_H_
 
 #include <array>
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -77,4 +77,4 @@
 
 }  // namespace toucanknot
 
-#endif  // SRC_PLACING_SERVICE_VIEW_H_
+#endif  // INCLUDE_PLACING_SERVICE_VIEW_H_
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "include/placing/peer_loads.h"
-#include "src/placing/service_view.h"
+#include "include/placing/service_view.h"
 
 namespace toucanknot {
 namespace {
--- a/src/placing/service_view.cc
+++ b/src/placing/service_view.cc
@@ -1,4 +1,4 @@
-#include "src/placing/service_view.h"
+#include "include/placing/service_view.h"
 
 #include <xxhash.h>
 
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -55,7 +55,6 @@
   names.stamp = "X-Stamp";
   names.not_run = "X-Not-Run";
   names.load = "X-Load";
-  names.ready_path = "/ready";
   names.lookup_path = "/hosts";
   names.lookup_region = "region";
   names.write_hosts = [](const std::vector<Endpoint>& hosts, Duration) {
--- a/tests/placing/placer_load_test.cc
+++ b/tests/placing/placer_load_test.cc
@@ -8,18 +8,6 @@
 namespace toucanknot {
 namespace {
 
-// Two kinds of request like those of a job tracker: 880 ms and 1,160 ms of
-// work, 0.3 of it with the object at hand; one region has few servers.
-ModelSetup Tracker(double load) {
-  ModelSetup setup;
-  setup.routes = {
-      {"lookup", 36 * load, 26, 880, 0.3, Duration(600), Duration(1'500), 2},
-      {"sign-off", 11 * load, 24, 1'160, 0.3, Duration(800), Duration(1'500),
-       1}};
-  setup.servers = {2, 10, 12};
-  return setup;
-}
-
 void Show(const ModelOutcome& out) {
   for (const auto& [name, it] : out.routes) {
     UNSCOPED_INFO(name << ": asked " << it.asked << " in target "
@@ -34,7 +22,7 @@
 }  // namespace
 
 TEST_CASE("a usual load is answered within its target once objects are there") {
-  const ModelOutcome out = FleetModel(Tracker(1)).Run();
+  const ModelOutcome out = FleetModel(TrackerSetup(1)).Run();
   Show(out);
   CHECK(out.Total().InTarget() > 0.85);
   CHECK(out.Total().Served() > 0.98);
@@ -45,7 +33,7 @@
 TEST_CASE("a load whose warm work fits does not collapse from a cold start") {
   // The work of warm requests fills 64 % of the slots, that of cold ones over
   // 200 %: whoever spreads objects never gets out of it.
-  ModelSetup setup = Tracker(1.45);
+  ModelSetup setup = TrackerSetup(1.45);
   const ModelOutcome out = FleetModel(setup).Run();
   Show(out);
   CHECK(out.Total().InTarget() > 0.6);
@@ -59,7 +47,7 @@
   // With many hosts, some sheet is always missing; the servers' own reports,
   // made when they are busiest, then took the place of all sheets, and a
   // service with half of its slots in use refused requests.
-  ModelSetup setup = Tracker(4);
+  ModelSetup setup = TrackerSetup(4);
   for (ModelRoute& it : setup.routes)
     it.objects *= 4;
   for (int& it : setup.servers)
@@ -75,7 +63,7 @@
 }
 
 TEST_CASE("a burst is got over") {
-  ModelSetup setup = Tracker(1);
+  ModelSetup setup = TrackerSetup(1);
   setup.burst_from = Duration(12'000);
   setup.burst_to = Duration(16'000);
   setup.burst_by = 2.5;
@@ -85,7 +73,7 @@
 }
 
 TEST_CASE("slow servers are passed by") {
-  ModelSetup setup = Tracker(0.8);
+  ModelSetup setup = TrackerSetup(0.8);
   setup.slow_from = Duration(10'000);
   setup.slow_part = 0.16;
   setup.slow_by = 5;
@@ -95,7 +83,7 @@
 }
 
 TEST_CASE("beyond the slots, the urgent are served and refusals come at once") {
-  const ModelOutcome out = FleetModel(Tracker(3)).Run();
+  const ModelOutcome out = FleetModel(TrackerSetup(3)).Run();
   Show(out);
   const ModelResult& urgent = out.routes.at("sign-off");
   const ModelResult& other = out.routes.at("lookup");
@@ -111,7 +99,7 @@
   // Six times the size: the shares of a hundred requests move by 0.15 at
   // random, those of six hundred do not.
   constexpr int kScale = 6;
-  ModelSetup setup = Tracker(kScale);
+  ModelSetup setup = TrackerSetup(kScale);
   for (ModelRoute& it : setup.routes)
     it.objects *= kScale;
   for (int& it : setup.servers)
@@ -125,8 +113,8 @@
 }
 
 TEST_CASE("the same setup gives the same outcome") {
-  const ModelOutcome a = FleetModel(Tracker(1.45)).Run();
-  const ModelOutcome b = FleetModel(Tracker(1.45)).Run();
+  const ModelOutcome a = FleetModel(TrackerSetup(1.45)).Run();
+  const ModelOutcome b = FleetModel(TrackerSetup(1.45)).Run();
   CHECK(a.sends == b.sends);
   CHECK(a.Total().in_target == b.Total().in_target);
 }
