trace: the story of a request or a server from hosts' logs

From an id to its cause took a person who knows the log's lines; request lines did not say how old the figures behind them were. Change: 'toucanknot trace ID [FILE ...]' reads the logs of several hosts or standard input, passes over cut lines, prints what concerns the id in order and ends with what it concludes. Request lines now have store_heard_ms_ago, each attempt the age of the server's entry and how many hosts were heard. Tests: tests/trace; tests/entry/failure_walks_test.cc makes four failures happen at a real host and checks that the story names them.

--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -36,6 +36,8 @@
   uint64_t calls = 0;
   uint64_t failed = 0;
   uint64_t malformed_items = 0;
+  // When the store last answered this host.
+  Instant answered_at;
 };
 
 // The platform's store as an entry host uses it. All calls return at once;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -71,6 +71,8 @@
   double expected_ms = 0;
   bool warm = false;
   int queued = 0;
+  // How long ago the server's entry last changed.
+  Duration entry_age;
   // The part of the service's slots in use.
   double filled = 0;
   // Other hosts whose requests are counted in it, and all others.
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -1,14 +1,15 @@
 #include "include/cli/command_line.h"
 #include "src/cli/config_commands.h"
 #include "src/cli/exception_commands.h"
+#include "src/cli/trace_command.h"
 #include "src/cli/watch_commands.h"
 
 namespace toucanknot {
 
 std::vector<CliCommand> OperatorCommands() {
   std::vector<CliCommand> all;
-  for (auto group :
-       {ConfigCommands::All(), ExceptionCommands::All(), WatchCommands::All()})
+  for (auto group : {ConfigCommands::All(), ExceptionCommands::All(),
+                     WatchCommands::All(), TraceCommand::All()})
     all.insert(all.end(), group.begin(), group.end());
   return all;
 }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -48,6 +48,9 @@
 // Part of the memory that request bodies may take.
 constexpr int64_t kBodyMemoryPart = 4;
 constexpr Duration kStopPoll{20};
+// The process ends this long before it would be killed, so that it can say what
+// it leaves: a host that gets a small part of a core needs some of it.
+constexpr Duration kEndMargin{300};
 
 int64_t CapacityOf(const EntrySettings& settings) {
   const double requests = std::min(settings.link_mbps * kRequestsPerMbit,
@@ -148,7 +151,7 @@
       connections_(loop_),
       roster_(Self(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, desk_,
-               connections_, crashes_, metrics_, placer_}),
+               connections_, crashes_, metrics_, placer_, *store_}),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
@@ -424,7 +427,7 @@
 
 asio::awaitable<void> EntryDaemon::Impl::Leave() {
   const Instant begun = SteadyNow();
-  const Instant end = begun + settings_.stop_within;
+  const Instant end = begun + settings_.stop_within - kEndMargin;
   co_await SleepFor(std::min(kLeaveNotice, settings_.stop_within / 2));
   callers_.StopAccepting();
   directory_.StopAccepting();
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -350,9 +350,11 @@
   if (attempt.end == SendEnd::kAnswered || attempt.end == SendEnd::kFailed)
     parts_.crashes.OnAnswered(run.fingerprint);
   run.story += fmt::format(
-      " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{}",
+      " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{} "
+      "entry-age:{}ms heard:{}/{}",
       placement.server.str(), kSendEndNames.Name(attempt.end), took.ms(),
-      placement.busy, placement.expected_ms, placement.warm, placement.queued);
+      placement.busy, placement.expected_ms, placement.warm, placement.queued,
+      placement.entry_age.ms(), placement.heard, placement.others);
 }
 
 bool RequestRunner::MayRepeat(Run& run, SendEnd end) {
@@ -404,11 +406,13 @@
 void RequestRunner::LogOutcome(const Run& run, const HttpResponse& response) {
   const Duration took = SteadyNow() - run.request.began_at;
   parts_.metrics.CountRequest(run.service, response.status, took);
+  const Duration heard = SteadyNow() - parts_.store.counts().answered_at;
   LogRequest(response.status < 300, {{"id", run.id},
                                      {"target", run.request.target},
                                      {"route", run.route.name},
                                      {"service", run.service.str()},
                                      {"config", parts_.routes.version()},
+                                     {"store_heard_ms_ago", heard.ms()},
                                      {"status", response.status},
                                      {"took_ms", took.ms()},
                                      {"sent", run.sent},
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -10,6 +10,7 @@
 
 #include "include/entry/entry_settings.h"
 #include "include/entry/entry_wire.h"
+#include "include/entry/fleet_store.h"
 #include "include/health/crash_ledger.h"
 #include "include/limits/retry_budget.h"
 #include "include/placing/placer.h"
@@ -38,6 +39,7 @@
     CrashLedger& crashes;
     EntryMetrics& metrics;
     Placer& placer;
+    const FleetStore& store;
   };
 
   explicit RequestRunner(const Parts& parts);
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -328,6 +328,9 @@
   out.busy = best.busy;
   out.expected_ms = best.expected_ms;
   out.warm = best.warm;
+  out.entry_age = now - best.server->entry->seen_at;
+  out.heard = peers_.fresh_hosts();
+  out.others = host_count_ - 1;
   out.queued = static_cast<int>(queue_.size());
   return out;
 }
--- /dev/null
+++ b/tests/entry/failure_walks_test.cc
@@ -0,0 +1,135 @@
+// The ways from a failed request's id to its cause, with the log lines of a
+// real host: the story that is told names what the test made happen.
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <thread>
+
+#include "include/trace/log_story.h"
+#include "src/entry/decision_log.h"
+#include "tests/entry/entry_fixture.h"
+#include "tests/forward/fake_server.h"
+
+namespace toucanknot {
+namespace {
+
+// Takes what this process logs while it lives.
+class LogCapture {
+ public:
+  LogCapture() {
+    std::fflush(stdout);
+    saved_ = ::dup(STDOUT_FILENO);
+    const int file = ::mkstemp(path_.data());
+    REQUIRE(file >= 0);
+    ::dup2(file, STDOUT_FILENO);
+    ::close(file);
+    StartDecisionLog("h");
+  }
+  ~LogCapture() { End(); }
+
+  // The story of a request in what was logged.
+  std::string Tell(const std::string& id) {
+    End();
+    LogStory story;
+    std::ifstream in(path_);
+    story.Read(in);
+    std::string out;
+    for (const std::string& it : story.Conclusions(id))
+      out += it + "\n";
+    std::remove(path_.c_str());
+    return out;
+  }
+
+ private:
+  void End() {
+    if (saved_ < 0)
+      return;
+    std::fflush(stdout);
+    ::dup2(saved_, STDOUT_FILENO);
+    ::close(saved_);
+    saved_ = -1;
+  }
+
+  int saved_ = -1;
+  std::string path_ = "/tmp/toucanknot-log-XXXXXX";
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("walk: refused, since the service has no server") {
+  LogCapture log;
+  {
+    EntryFixture it;
+    it.Configure();
+    it.Ask("/once/1");
+  }
+  const std::string told = log.Tell("42");
+  INFO(told);
+  CHECK(Has(told, "503"));
+  CHECK(Has(told, "it did not run"));
+  CHECK(Has(told, "no backend server of the service took requests"));
+}
+
+TEST_CASE("walk: out of time at a server that does not answer") {
+  LogCapture log;
+  {
+    EntryFixture it;
+    TestServer server([](const HttpRequest& request) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+      return TestServer::Ran(request, "late");
+    });
+    it.Configure(1, Duration(300));
+    it.AddServer("s-slow", server.endpoint());
+    it.Ask("/once/1");
+  }
+  const std::string told = log.Tell("42");
+  INFO(told);
+  CHECK(Has(told, "504"));
+  CHECK(Has(told, "it may have run"));
+  CHECK(Has(told, "s-slow did not answer in the route's time"));
+}
+
+TEST_CASE("walk: lost with a server that crashes") {
+  LogCapture log;
+  {
+    EntryFixture it;
+    FakeServer server({{FakeServer::kClose}});
+    it.Configure();
+    it.AddServer("s-crash", server.endpoint());
+    it.Ask("/once/1");
+    it.store->Run([&] { it.store->news.server_removed(ServerId("s-crash")); });
+  }
+  const std::string told = log.Tell("42");
+  INFO(told);
+  CHECK(Has(told, "502"));
+  CHECK(Has(told, "s-crash broke the connection"));
+  CHECK(Has(told, ": gone"));
+}
+
+TEST_CASE("walk: a server that was full says so, and the request did not run") {
+  LogCapture log;
+  {
+    EntryFixture it;
+    TestServer server(
+        [](const HttpRequest& request) { return TestServer::NotRun(request); });
+    it.Configure();
+    it.AddServer("s-full", server.endpoint());
+    it.Ask("/once/1");
+  }
+  const std::string told = log.Tell("42");
+  INFO(told);
+  CHECK(Has(told, "503"));
+  CHECK(Has(told, "it did not run"));
+  CHECK(Has(told, "s-full did not run it"));
+}
+
+}  // namespace toucanknot
