soak: faults against real processes, with every promise checked

toucanknot-soak starts toucanknot-entry processes, and in its own process the store's stand-in, backend servers and a proxy on each link. A seed draws kills, pauses, stops and reloads by signal, delayed, reset, one-way cut and silenced links, store outages of seven kinds, servers that crash, slow down, fail or leave, configurations and evacuations. Callers keep connections open and look hosts up as users' programs do. Checked: at most one run, refusals that are true, whole and own answers, nothing unasked, planned stops that cut nothing, leaving servers and evacuated zones left alone in time, configurations in force and never back, the retry budget, hosts that end only when told to, and service after the last fault. The store's stand-in has leases that end, slow answers and lost ones.

--- /dev/null
+++ b/soak/fault_plan.cc
@@ -0,0 +1,55 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace toucanknot::soak {
+namespace {
+
+// An episode's faults begin within this time, so that they overlap or come in
+// series; two heartbeats of a server.
+constexpr int64_t kEpisodeMs = 3'000;
+// From the begin of one episode to the next: the shorter ones leave no quiet
+// time for a host to settle, the longer ones some seconds of it.
+constexpr int64_t kShortestGapMs = 2'000;
+constexpr int64_t kLongestGapMs = 12'000;
+constexpr int kMostFaults = 5;
+// Shorter than any timer of the fleet, and longer than a lease.
+constexpr int64_t kShortestMs = 100;
+constexpr int64_t kLongestMs = 6'000;
+// Planned changes come this often on average, whatever else happens.
+constexpr int64_t kPlannedGapMs = 5'000;
+constexpr FaultKind kPlanned[] = {
+    FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
+    FaultKind::kEvacuateZone, FaultKind::kReloadHost};
+
+}  // namespace
+
+std::vector<Fault> DrawPlan(uint64_t seed, Duration length) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&](int64_t low, int64_t high) {
+    return std::uniform_int_distribution<int64_t>(low, high)(random);
+  };
+  std::vector<Fault> plan;
+  const auto add = [&](int64_t at, FaultKind kind) {
+    plan.push_back({Duration(at), kind, random(),
+                    Duration(draw(kShortestMs, kLongestMs))});
+  };
+  const int64_t end = length.ms() - kEpisodeMs;
+  for (int64_t at = draw(0, kShortestGapMs); at < end;
+       at += draw(kShortestGapMs, kLongestGapMs)) {
+    for (int64_t n = draw(1, kMostFaults); n > 0; --n) {
+      add(at + draw(0, kEpisodeMs),
+          static_cast<FaultKind>(draw(0, kFaultKinds - 1)));
+    }
+  }
+  for (int64_t at = draw(0, kPlannedGapMs); at < end;
+       at += draw(1, 2 * kPlannedGapMs)) {
+    add(at, kPlanned[draw(0, std::size(kPlanned) - 1)]);
+  }
+  std::stable_sort(plan.begin(), plan.end(),
+                   [](const Fault& a, const Fault& b) { return a.at < b.at; });
+  return plan;
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/soak/fault_proxy.cc
@@ -0,0 +1,142 @@
+#include "soak/fault_proxy.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "src/http/one_shot.h"
+
+namespace toucanknot::soak {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// How often a held connection looks whether it may go on.
+constexpr Duration kHoldPoll{20};
+constexpr size_t kPieceBytes = 16 << 10;
+
+Tcp::endpoint AddressOf(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.ip), endpoint.port};
+}
+
+}  // namespace
+
+FaultProxy::FaultProxy(asio::io_context& loop, Endpoint target)
+    : loop_(loop), target_(std::move(target)), endpoint_{"127.0.0.1", 0} {
+  Open();
+}
+
+FaultProxy::~FaultProxy() {
+  Close();
+}
+
+void FaultProxy::Open() {
+  if (acceptor_)
+    return;
+  acceptor_ = std::make_shared<Tcp::acceptor>(loop_, AddressOf(endpoint_));
+  endpoint_.port = acceptor_->local_endpoint().port();
+  asio::co_spawn(loop_, AcceptLoop(acceptor_), asio::detached);
+}
+
+void FaultProxy::Close() {
+  if (!acceptor_)
+    return;
+  boost::system::error_code ec;
+  // Closing fails only where it is closed already.
+  acceptor_->close(ec);
+  acceptor_.reset();
+  ResetAll();
+}
+
+void FaultProxy::Reset(Session& session) {
+  for (Socket* it : {&session.client, &session.target}) {
+    boost::system::error_code ec;
+    // A socket that is not connected needs no reset.
+    it->set_option(asio::socket_base::linger(true, 0), ec);
+    it->close(ec);
+  }
+}
+
+void FaultProxy::ResetAll() {
+  for (const SessionPtr& it : std::exchange(sessions_, {}))
+    Reset(*it);
+}
+
+void FaultProxy::SilenceOpen() {
+  for (const SessionPtr& it : sessions_)
+    it->silenced = true;
+}
+
+asio::awaitable<void> FaultProxy::AcceptLoop(
+    std::shared_ptr<Tcp::acceptor> acceptor) {
+  while (acceptor->is_open()) {
+    const auto session = std::make_shared<Session>(loop_);
+    auto [ec] = co_await acceptor->async_accept(session->client, kAwait);
+    if (ec)
+      continue;
+    sessions_.insert(session);
+    asio::co_spawn(loop_, Connect(session), asio::detached);
+  }
+}
+
+asio::awaitable<void> FaultProxy::Connect(SessionPtr session) {
+  co_await WaitUntilPassing(*session, true);
+  auto [ec] =
+      co_await session->target.async_connect(AddressOf(target_), kAwait);
+  if (ec) {
+    Reset(*session);
+    sessions_.erase(session);
+    co_return;
+  }
+  for (Socket* it : {&session->client, &session->target}) {
+    boost::system::error_code ignored;
+    it->set_option(Tcp::no_delay(true), ignored);
+  }
+  asio::co_spawn(loop_, Carry(session, true), asio::detached);
+  co_await Carry(session, false);
+  sessions_.erase(session);
+}
+
+asio::awaitable<void> FaultProxy::WaitUntilPassing(const Session& session,
+                                                   bool to_target) {
+  if (state_.delay > Duration(0))
+    co_await SleepFor(state_.delay);
+  while (session.client.is_open() &&
+         (session.silenced ||
+          !(to_target ? state_.to_target : state_.from_target))) {
+    co_await SleepFor(kHoldPoll);
+  }
+}
+
+asio::awaitable<void> FaultProxy::Carry(SessionPtr session, bool to_target) {
+  Socket& from = to_target ? session->client : session->target;
+  Socket& to = to_target ? session->target : session->client;
+  std::array<char, kPieceBytes> buf{};
+  for (;;) {
+    auto [ec, n] = co_await from.async_read_some(asio::buffer(buf), kAwait);
+    co_await WaitUntilPassing(*session, to_target);
+    if (ec == asio::error::eof) {
+      to.shutdown(Socket::shutdown_send, ec);
+      co_return;
+    }
+    if (ec) {
+      Reset(*session);
+      co_return;
+    }
+    auto [write_ec, written] =
+        co_await asio::async_write(to, asio::buffer(buf.data(), n), kAwait);
+    if (write_ec) {
+      Reset(*session);
+      co_return;
+    }
+  }
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/soak/fault_proxy.h
@@ -0,0 +1,75 @@
+#ifndef SOAK_FAULT_PROXY_H_
+#define SOAK_FAULT_PROXY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "include/base/clock.h"
+#include "include/base/endpoint.h"
+
+namespace toucanknot::soak {
+
+// How a link behaves. Bytes that may not pass are held back, and go on when
+// they may again, as after a network partition.
+struct LinkState {
+  // Added to each piece of bytes, each way.
+  Duration delay;
+  // Whether bytes pass to the target, and back from it.
+  bool to_target = true;
+  bool from_target = true;
+};
+
+// Carries TCP connections to one target and misbehaves on demand. Used on its
+// loop only, which must be stopped before this object goes.
+class FaultProxy {
+ public:
+  // Listens on a free port of 127.0.0.1.
+  FaultProxy(boost::asio::io_context& loop, Endpoint target);
+  ~FaultProxy();
+
+  const Endpoint& endpoint() const { return endpoint_; }
+
+  void SetLink(const LinkState& state) { state_ = state; }
+  // Resets all connections.
+  void ResetAll();
+  // Open connections hear nothing any more, both ways; new ones work.
+  void SilenceOpen();
+  // Resets all connections and listens no longer, or again on the same port.
+  void Close();
+  void Open();
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Session {
+    explicit Session(boost::asio::io_context& loop)
+        : client(loop), target(loop) {}
+
+    Socket client;
+    Socket target;
+    bool silenced = false;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+
+  boost::asio::awaitable<void> AcceptLoop(
+      std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
+  boost::asio::awaitable<void> Connect(SessionPtr session);
+  boost::asio::awaitable<void> Carry(SessionPtr session, bool to_target);
+  boost::asio::awaitable<void> WaitUntilPassing(const Session& session,
+                                                bool to_target);
+  static void Reset(Session& session);
+
+  boost::asio::io_context& loop_;
+  const Endpoint target_;
+  Endpoint endpoint_;
+  LinkState state_;
+  std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::set<SessionPtr> sessions_;
+};
+
+}  // namespace toucanknot::soak
+
+#endif  // SOAK_FAULT_PROXY_H_
--- /dev/null
+++ b/soak/fault_times.cc
@@ -0,0 +1,20 @@
+#include "soak/fault_times.h"
+
+namespace toucanknot::soak {
+
+void FaultTimes::End(const std::string& subject, Instant now) {
+  Subject& it = faults_[subject];
+  --it.running;
+  it.ended_at = now;
+}
+
+bool FaultTimes::CalmSince(const std::string& subject, Instant from) const {
+  const auto it = faults_.find(subject);
+  if (it == faults_.end())
+    return true;
+  const Subject& found = it->second;
+  return found.running == 0 &&
+         (found.ended_at == Instant() || found.ended_at + kSettle <= from);
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/soak/host_process.cc
@@ -0,0 +1,82 @@
+#include "soak/host_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <fstream>
+#include <utility>
+
+#include "include/base/error.h"
+
+namespace toucanknot::soak {
+namespace {
+
+constexpr mode_t kLogMode = 0644;
+
+}  // namespace
+
+HostProcess::HostProcess(std::string program,
+                         std::string settings,
+                         std::string log)
+    : program_(std::move(program)),
+      settings_(std::move(settings)),
+      log_(std::move(log)) {}
+
+HostProcess::~HostProcess() {
+  if (!running())
+    return;
+  Signal(SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+void HostProcess::Start() {
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of this process must close when it closes them.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+  std::string option = "--settings";
+  std::string program = program_;
+  std::string settings = settings_;
+  char* const argv[] = {program.data(), option.data(), settings.data(),
+                        nullptr};
+  const int error =
+      ::posix_spawn(&pid_, program_.c_str(), &files, nullptr, argv, environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (error != 0) {
+    pid_ = 0;
+    throw Error("cannot start " + program_ + ": error " +
+                std::to_string(error));
+  }
+}
+
+void HostProcess::Signal(int signal) {
+  if (running())
+    ::kill(pid_, signal);
+}
+
+std::optional<int> HostProcess::Reap() {
+  int status = 0;
+  if (!running() || ::waitpid(pid_, &status, WNOHANG) != pid_)
+    return std::nullopt;
+  pid_ = 0;
+  return status;
+}
+
+int64_t HostProcess::ResidentBytes() const {
+  if (!running())
+    return 0;
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
+  int64_t total = 0;
+  int64_t resident = 0;
+  in >> total >> resident;
+  return resident * ::sysconf(_SC_PAGESIZE);
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/soak/run_ledger.cc
@@ -0,0 +1,103 @@
+#include "soak/run_ledger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace toucanknot::soak {
+namespace {
+
+// A request may be sent to a second server shortly after it was counted, so
+// the window before counts too where it had more.
+int CountIn(const std::vector<Instant>& times, Instant from, Instant to) {
+  const auto first = std::lower_bound(times.begin(), times.end(), from);
+  const auto last = std::lower_bound(times.begin(), times.end(), to);
+  return static_cast<int>(std::distance(first, last));
+}
+
+}  // namespace
+
+void RunLedger::Report(Breach breach, const std::string& what) {
+  breaches_.push_back(fmt::format("{}: {}", kBreachNames.Name(breach), what));
+}
+
+void RunLedger::OnSent(const std::string& id,
+                       const std::string& service,
+                       bool idempotent,
+                       const std::string& host,
+                       uint64_t digest,
+                       Instant now) {
+  ++counts_.sent;
+  requests_[id] = {service, idempotent, host, digest, now, 0, 0, false};
+  services_[service].sent.push_back(now);
+}
+
+void RunLedger::OnArrived(const std::string& id, Instant now) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end())
+    return;
+  if (++it->second.arrivals > 1)
+    services_[it->second.service].repeats.push_back(now);
+}
+
+void RunLedger::OnRun(const std::string& id, uint64_t digest) {
+  ++counts_.runs;
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) {
+    Report(Breach::kUnasked, id + " was sent by no caller");
+    return;
+  }
+  Request& request = it->second;
+  if (request.digest != digest)
+    Report(Breach::kUnasked, id + " differs from what the caller sent");
+  if (++request.runs > 1 && !request.idempotent)
+    Report(Breach::kRanTwice, id + " taken by " + request.host);
+  if (request.refused && !request.idempotent)
+    Report(Breach::kRefusedAndRan, id + " ran after its refusal");
+}
+
+void RunLedger::OnRefused(const std::string& id) {
+  ++counts_.refused;
+  Request& request = requests_[id];
+  request.refused = true;
+  if (request.runs > 0 && !request.idempotent)
+    Report(Breach::kRefusedAndRan, id + " taken by " + request.host);
+}
+
+bool RunLedger::HasArrived(const std::string& id) const {
+  const auto it = requests_.find(id);
+  return it != requests_.end() && it->second.arrivals > 0;
+}
+
+std::string RunLedger::HostOf(const std::string& id) const {
+  const auto it = requests_.find(id);
+  return it == requests_.end() ? "" : it->second.host;
+}
+
+void RunLedger::Finish() {
+  for (const auto& [name, service] : services_)
+    CheckBudget(name, service);
+}
+
+void RunLedger::CheckBudget(const std::string& name, const Service& service) {
+  for (size_t i = 0; i < service.repeats.size(); ++i) {
+    const Instant from = service.repeats[i];
+    const Instant to = from + budget_.window;
+    const int repeats = CountIn(service.repeats, from, to);
+    const Duration window = budget_.window;
+    const int sent =
+        std::max({CountIn(service.sent, from, to),
+                  CountIn(service.sent, from - window, to - window),
+                  CountIn(service.sent, from - window / 2, to - window / 2)});
+    const double most = sent * budget_.ratio + budget_.slack;
+    if (repeats <= most)
+      continue;
+    Report(Breach::kOverBudget,
+           fmt::format("{} got {} repeats in one window, {} requests allow {}",
+                       name, repeats, sent, most));
+    return;
+  }
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/soak/run_ledger.h
@@ -0,0 +1,119 @@
+#ifndef SOAK_RUN_LEDGER_H_
+#define SOAK_RUN_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "include/base/clock.h"
+#include "include/base/enum_names.h"
+
+namespace toucanknot::soak {
+
+// A promise that was broken.
+enum class Breach {
+  // A non-idempotent request ran more than once.
+  kRanTwice,
+  // A request that the caller was told had not run ran.
+  kRefusedAndRan,
+  // A success that is not the whole answer of a server to this request.
+  kWrongAnswer,
+  // A server ran what no caller sent, or something else under its id.
+  kUnasked,
+  // A request that had reached a server was cut by a planned stop.
+  kCutByStop,
+  // A request reached a server that had left, or was in an evacuated zone.
+  kSentToLeaver,
+  // A host acted by a configuration that was no longer in force, or turned
+  // away what it allows.
+  kOldConfig,
+  // A service got more retries than its budget.
+  kOverBudget,
+  // A host ended by itself, or did not end in time.
+  kHostEnded,
+  // The fleet did not serve again after all faults had ended.
+  kNotRecovered,
+};
+
+inline constexpr EnumNames<Breach, 10> kBreachNames{
+    {"ran-twice", "refused-and-ran", "wrong-answer", "unasked", "cut-by-stop",
+     "sent-to-leaver", "old-config", "over-budget", "host-ended",
+     "not-recovered"}};
+
+// What is known of every request: what the caller sent and was told, and which
+// servers it reached and ran at. Finds broken promises. Used on one loop only.
+class RunLedger {
+ public:
+  // The bound on retries: a part of a service's requests in any window, and a
+  // number beside.
+  struct Budget {
+    double ratio = 0.2;
+    int slack = 30;
+    Duration window{10'000};
+  };
+
+  explicit RunLedger(Budget budget) : budget_(budget) {}
+
+  // A caller sends a request to `host`. `digest` is of all that a server must
+  // see of it.
+  void OnSent(const std::string& id,
+              const std::string& service,
+              bool idempotent,
+              const std::string& host,
+              uint64_t digest,
+              Instant now);
+  // It reached a server, which may still refuse it.
+  void OnArrived(const std::string& id, Instant now);
+  // A server begins to run it.
+  void OnRun(const std::string& id, uint64_t digest);
+  // The caller was told that it did not run and never will.
+  void OnRefused(const std::string& id);
+
+  // Whether it reached any server, and which host took it.
+  bool HasArrived(const std::string& id) const;
+  std::string HostOf(const std::string& id) const;
+
+  // Notes a breach found elsewhere.
+  void Report(Breach breach, const std::string& what);
+  // Call once, when all requests have ended: finds what only the whole shows.
+  void Finish();
+
+  struct Counts {
+    int sent = 0;
+    int runs = 0;
+    int refused = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  const std::vector<std::string>& breaches() const { return breaches_; }
+
+ private:
+  struct Request {
+    std::string service;
+    bool idempotent = true;
+    std::string host;
+    uint64_t digest = 0;
+    Instant sent_at;
+    int arrivals = 0;
+    int runs = 0;
+    bool refused = false;
+  };
+  // Times of one service's requests, and of arrivals beyond their first.
+  struct Service {
+    std::vector<Instant> sent;
+    std::vector<Instant> repeats;
+  };
+
+  void CheckBudget(const std::string& name, const Service& service);
+
+  const Budget budget_;
+  std::unordered_map<std::string, Request> requests_;
+  std::map<std::string, Service> services_;
+  Counts counts_;
+  std::vector<std::string> breaches_;
+};
+
+}  // namespace toucanknot::soak
+
+#endif  // SOAK_RUN_LEDGER_H_
--- /dev/null
+++ b/soak/soak_run.cc
@@ -0,0 +1,148 @@
+#include "soak/soak_run.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/json.hpp>
+#include <memory>
+
+#include "platform/wire_decoder.h"
+#include "soak/soak_callers.h"
+#include "src/http/one_shot.h"
+
+namespace toucanknot::soak {
+namespace {
+
+namespace asio = boost::asio;
+
+// From the start of the processes to the first fault.
+constexpr Duration kWarmUp{4'000};
+// By then the fleet serves again, whatever had happened.
+constexpr Duration kRecover{15'000};
+// Over which it is then measured, and what it must serve.
+constexpr Duration kMeasured{5'000};
+constexpr double kMustServe = 0.95;
+// For what callers and servers still have under way.
+constexpr Duration kLastAnswers{4'000};
+constexpr Duration kPoll{20};
+
+double PartOf(const SoakCallers::Share& share) {
+  return share.ended > 0 ? static_cast<double>(share.served) / share.ended : 0;
+}
+
+// Everything of one run, on one loop.
+class Run {
+ public:
+  Run(const SoakOptions& options, WorkerPool& workers)
+      : options_(options),
+        loop_(workers.loop(0)),
+        names_(platform::PlatformWire()),
+        ledger_({}),
+        fleet_(options, workers, names_, ledger_),
+        callers_(loop_, fleet_, names_, ledger_, options.seed) {}
+
+  asio::awaitable<SoakReport> Play() {
+    fleet_.Start();
+    Spawn(fleet_.Supervise(stop_supervising_));
+    co_await SleepFor(kWarmUp);
+    for (int i = 0; i < options_.callers; ++i)
+      Spawn(callers_.Call(i, stop_calling_));
+    Spawn(callers_.ProbeConfig(stop_calling_));
+    SoakReport report;
+    report.seed = options_.seed;
+    report.faults = co_await PlayPlan();
+    report.served = PartOf(callers_.TakeShare());
+    co_await SleepFor(kRecover);
+    callers_.TakeShare();
+    co_await SleepFor(kMeasured);
+    report.served_after = PartOf(callers_.TakeShare());
+    if (report.served_after < kMustServe) {
+      ledger_.Report(Breach::kNotRecovered,
+                     "served " + std::to_string(report.served_after) +
+                         " after all faults had ended");
+    }
+    stop_calling_ = true;
+    co_await SleepFor(kLastAnswers);
+    co_await fleet_.StopAll();
+    stop_supervising_ = true;
+    while (running_ > 0)
+      co_await SleepFor(kPoll);
+    ledger_.Finish();
+    report.counts = ledger_.counts();
+    report.most_resident_bytes = fleet_.most_resident_bytes();
+    report.breaches = ledger_.breaches();
+    co_return report;
+  }
+
+ private:
+  // Returns how many faults were drawn, once all have ended.
+  asio::awaitable<int> PlayPlan() {
+    const std::vector<Fault> plan = DrawPlan(options_.seed, options_.length);
+    const Instant begun = SteadyNow();
+    const int before = running_;
+    for (const Fault& it : plan) {
+      co_await SleepFor(it.at - (SteadyNow() - begun));
+      Spawn(fleet_.Apply(it));
+    }
+    while (running_ > before)
+      co_await SleepFor(kPoll);
+    co_return static_cast<int>(plan.size());
+  }
+
+  void Spawn(asio::awaitable<void> work) {
+    ++running_;
+    asio::co_spawn(loop_, std::move(work),
+                   [this](const std::exception_ptr& failure) {
+                     --running_;
+                     // A fault of the soak itself ends the program with what it
+                     // says.
+                     if (failure)
+                       std::rethrow_exception(failure);
+                   });
+  }
+
+  const SoakOptions options_;
+  asio::io_context& loop_;
+  const EntryWire names_;
+  RunLedger ledger_;
+  SoakFleet fleet_;
+  SoakCallers callers_;
+  bool stop_calling_ = false;
+  bool stop_supervising_ = false;
+  int running_ = 0;
+};
+
+}  // namespace
+
+SoakReport RunSoak(const SoakOptions& options) {
+  WorkerPool workers(1);
+  // Made on the loop, which its parts belong to.
+  std::unique_ptr<Run> run;
+  SoakReport report = asio::co_spawn(
+                          workers.loop(0),
+                          [&]() -> asio::awaitable<SoakReport> {
+                            run = std::make_unique<Run>(options, workers);
+                            co_return co_await run->Play();
+                          },
+                          asio::use_future)
+                          .get();
+  workers.Stop();
+  return report;
+}
+
+std::string WriteReport(const SoakReport& report) {
+  boost::json::array breaches;
+  for (const std::string& it : report.breaches)
+    breaches.emplace_back(it);
+  return boost::json::serialize(
+      boost::json::value{{"seed", report.seed},
+                         {"faults", report.faults},
+                         {"requests", report.counts.sent},
+                         {"runs", report.counts.runs},
+                         {"refused", report.counts.refused},
+                         {"served", report.served},
+                         {"served_after", report.served_after},
+                         {"most_resident_mb", report.most_resident_bytes >> 20},
+                         {"breaches", std::move(breaches)}});
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/tests/platform/platform_texts.cc
@@ -0,0 +1,82 @@
+#include "tests/platform/platform_texts.h"
+
+#include <boost/json.hpp>
+
+namespace toucanknot::platform {
+namespace {
+
+namespace json = boost::json;
+
+std::string Time(Duration d) {
+  return std::to_string(d.ms()) + "ms";
+}
+
+json::object RouteObject(const Route& route) {
+  json::array parts;
+  for (const RouteTarget& it : route.targets)
+    parts.push_back({{"service", it.service.str()}, {"weight", it.weight}});
+  return {{"host", route.host_name},
+          {"prefix", route.prefix},
+          {"kind", route.kind == RequestKind::kIdempotent ? "safe" : "unsafe"},
+          {"timeout", Time(route.timeout)},
+          {"target_latency", Time(route.target_latency)},
+          {"priority", route.priority},
+          {"attempts", route.attempts},
+          {"sticky_sessions", route.sticky},
+          {"backends", std::move(parts)}};
+}
+
+}  // namespace
+
+std::string EncodeConfig(const RouteConfig& config) {
+  json::object routes;
+  for (const Route& it : config.routes)
+    routes[it.name] = RouteObject(it);
+  json::object services;
+  for (const auto& [id, options] : config.services) {
+    services[id.str()] =
+        json::object{{"health_path", options.health_path},
+                     {"max_connections", options.max_connections},
+                     {"protocol", "h1"},
+                     {"tls", false},
+                     {"cold_start", Time(options.cold_start)},
+                     {"cold_per_s", options.cold_rate}};
+  }
+  const CallerLimits& limits = config.limits;
+  return json::serialize(
+      json::value{{"version", "r" + std::to_string(config.version)},
+                  {"routes", std::move(routes)},
+                  {"services", std::move(services)},
+                  {"limits",
+                   {{"max_header_bytes", limits.max_header_bytes},
+                    {"max_body_bytes", limits.max_body_bytes},
+                    {"header_timeout", Time(limits.header_timeout)},
+                    {"idle_timeout", Time(limits.idle_timeout)}}}});
+}
+
+std::string EncodeServer(const ServerEntry& entry) {
+  return json::serialize(
+      json::value{{"service", entry.service.str()},
+                  {"address", entry.endpoint.ToString()},
+                  {"zone", entry.zone.str()},
+                  {"version", "v1"},
+                  {"slots", entry.slots},
+                  {"state", entry.leaving ? "draining" : "ready"},
+                  {"cold_left", Time(entry.cold_left)},
+                  {"sequence", entry.sequence},
+                  {"born", entry.incarnation}});
+}
+
+std::string ConfigKey() {
+  return "op/config";
+}
+
+std::string EvacuationKey(const ZoneId& zone) {
+  return "op/evacuate/" + zone.str();
+}
+
+std::string ServerKeyInStore(const ServerId& id) {
+  return "servers/" + id.str();
+}
+
+}  // namespace toucanknot::platform
--- /dev/null
+++ b/tests/platform/platform_texts.h
@@ -0,0 +1,23 @@
+#ifndef TESTS_PLATFORM_PLATFORM_TEXTS_H_
+#define TESTS_PLATFORM_PLATFORM_TEXTS_H_
+
+#include <string>
+
+#include "include/placing/server_entry.h"
+#include "include/routing/route_config.h"
+
+namespace toucanknot::platform {
+
+// What operators and backend servers write into the platform's store, for
+// stand-ins: the inverse of DecodeConfig() and DecodeServer().
+std::string EncodeConfig(const RouteConfig& config);
+std::string EncodeServer(const ServerEntry& entry);
+
+// The keys that they write.
+std::string ConfigKey();
+std::string EvacuationKey(const ZoneId& zone);
+std::string ServerKeyInStore(const ServerId& id);
+
+}  // namespace toucanknot::platform
+
+#endif  // TESTS_PLATFORM_PLATFORM_TEXTS_H_
--- a/tests/platform/store_standin.cc
+++ b/tests/platform/store_standin.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <utility>
 
+#include "include/entry/entry_settings.h"
 #include "src/http/one_shot.h"
 
 namespace toucanknot::platform {
@@ -24,6 +25,9 @@
   return out;
 }
 
+// How often a call that waits looks whether it may go on.
+constexpr Duration kPoll{10};
+
 HttpResponse Json(int status, const boost::json::value& value) {
   return JsonResponse(status, boost::json::serialize(value));
 }
@@ -73,6 +77,16 @@
   silent_ = silent;
 }
 
+void StoreStandin::SetDelay(Duration delay) {
+  const std::lock_guard lock(mutex_);
+  delay_ = delay;
+}
+
+void StoreStandin::SetLosingAnswers(bool losing) {
+  const std::lock_guard lock(mutex_);
+  losing_answers_ = losing;
+}
+
 void StoreStandin::Compact() {
   const std::lock_guard lock(mutex_);
   compacted_ = revision_;
@@ -125,24 +139,44 @@
     }
     if (request.caller->left())
       co_return TextResponse(503, "left");
-    co_await SleepFor(Duration(10));
+    co_await SleepFor(kPoll);
+  }
+  Duration delay;
+  bool lose_answer = false;
+  {
+    const std::lock_guard lock(mutex_);
+    delay = delay_;
+    lose_answer = losing_answers_ && request.method != "GET";
   }
-  const std::string_view path = TargetPath(request.target);
-  if (path == "/v1/kv-watch")
+  if (delay > Duration(0))
+    co_await SleepFor(delay);
+  if (TargetPath(request.target) == "/v1/kv-watch")
     co_return co_await Watch(request.target);
+  HttpResponse response = Execute(request);
+  // The caller gives up; until then the connection says nothing.
+  while (lose_answer && !request.caller->left())
+    co_await SleepFor(kPoll);
+  co_return response;
+}
+
+HttpResponse StoreStandin::Execute(const HttpRequest& request) {
   const std::lock_guard lock(mutex_);
+  ExpireLeases();
+  const std::string path(TargetPath(request.target));
+  const auto lease = [&] {
+    return std::stoull(path.substr(path.rfind('/') + 1));
+  };
   if (path == "/v1/kv-range")
-    co_return List(request.target);
+    return List(request.target);
   if (path == "/v1/kv-txn")
-    co_return Transact(request.body);
-  if (path == "/v1/kv-lease") {
-    co_return Json(200, {{"lease", ++leases_}, {"ttl_time", "4000ms"}});
-  }
+    return Transact(request.body);
+  if (path == "/v1/kv-lease")
+    return GrantLease(request.body);
   if (path.starts_with("/v1/kv-keep/"))
-    co_return Json(200, {{"ttl_time", "4000ms"}});
+    return KeepLease(lease());
   if (path.starts_with("/v1/kv-lease-end/"))
-    co_return EndLease(std::stoull(std::string(path.substr(17))));
-  co_return TextResponse(404, "unknown call");
+    return EndLease(lease());
+  return TextResponse(404, "unknown call");
 }
 
 asio::awaitable<HttpResponse> StoreStandin::Watch(std::string target) {
@@ -159,6 +193,7 @@
   for (;;) {
     {
       const std::lock_guard lock(mutex_);
+      ExpireLeases();
       boost::json::array events;
       for (const Change& it : changes_) {
         if (it.revision <= after)
@@ -202,6 +237,11 @@
 
 HttpResponse StoreStandin::Transact(const std::string& body) {
   const boost::json::value in = boost::json::parse(body);
+  for (const auto& it : in.at("puts").as_array()) {
+    const auto lease = it.at("lease").to_number<uint64_t>();
+    if (lease != 0 && !leases_.contains(lease))
+      return Json(404, boost::json::object());
+  }
   for (const auto& it : in.at("puts").as_array()) {
     Write(std::string(it.at("key").as_string()),
           Decode(std::string(it.at("value").as_string())),
@@ -210,7 +250,35 @@
   return Json(200, {{"revision", revision_}});
 }
 
+HttpResponse StoreStandin::GrantLease(const std::string& body) {
+  const boost::json::value in = boost::json::parse(body);
+  const std::string text(in.at("ttl_time").as_string());
+  const Duration lifetime = ParseDuration(text);
+  leases_[++next_lease_] = {lifetime, SteadyNow() + lifetime};
+  return Json(200, {{"lease", next_lease_}, {"ttl_time", text}});
+}
+
+HttpResponse StoreStandin::KeepLease(uint64_t lease) {
+  const auto it = leases_.find(lease);
+  if (it == leases_.end())
+    return Json(404, boost::json::object());
+  it->second.ends_at = SteadyNow() + it->second.lifetime;
+  return Json(200,
+              {{"ttl_time", std::to_string(it->second.lifetime.ms()) + "ms"}});
+}
+
+void StoreStandin::ExpireLeases() {
+  std::vector<uint64_t> ended;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.ends_at <= SteadyNow())
+      ended.push_back(id);
+  }
+  for (const uint64_t it : ended)
+    EndLease(it);
+}
+
 HttpResponse StoreStandin::EndLease(uint64_t lease) {
+  leases_.erase(lease);
   std::vector<std::string> keys;
   for (const auto& [key, item] : items_) {
     if (item.lease == lease)
--- /dev/null
+++ b/tests/soak/fault_plan_test.cc
@@ -0,0 +1,39 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace toucanknot::soak {
+
+TEST_CASE("a seed draws the same plan each time, in order and in time") {
+  const Duration length(120'000);
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const std::vector<Fault> plan = DrawPlan(seed, length);
+    CHECK(plan == DrawPlan(seed, length));
+    CHECK(plan.size() > 20);
+    CHECK(std::is_sorted(
+        plan.begin(), plan.end(),
+        [](const Fault& a, const Fault& b) { return a.at < b.at; }));
+    for (const Fault& it : plan)
+      CHECK(it.at < length);
+  }
+  CHECK(DrawPlan(1, length) != DrawPlan(2, length));
+}
+
+TEST_CASE("fifty seeds of a minute draw every fault, and some that overlap") {
+  std::set<FaultKind> kinds;
+  int overlaps = 0;
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    const std::vector<Fault> plan = DrawPlan(seed, Duration(60'000));
+    for (size_t i = 0; i < plan.size(); ++i) {
+      kinds.insert(plan[i].kind);
+      if (i > 0 && plan[i].at < plan[i - 1].at + plan[i - 1].length)
+        ++overlaps;
+    }
+  }
+  CHECK(kinds.size() == kFaultKinds);
+  CHECK(overlaps > 100);
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/tests/soak/fault_proxy_test.cc
@@ -0,0 +1,115 @@
+#include "soak/fault_proxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+
+#include "soak/fault_times.h"
+#include "src/forward/connection_pool.h"
+#include "src/http/http_server.h"
+#include "src/http/one_shot.h"
+#include "src/http/worker_pool.h"
+
+namespace toucanknot::soak {
+namespace {
+
+namespace asio = boost::asio;
+
+// A server behind a proxy, and a client, all on one loop.
+struct Fixture {
+  Fixture()
+      : server(
+            workers,
+            {},
+            [](std::string_view) { return uint64_t{1'000}; },
+            [this](HttpRequest) -> asio::awaitable<HttpResponse> {
+              ++arrivals;
+              co_return TextResponse(200, "here");
+            }),
+        proxy(workers.loop(0), server.Listen({"127.0.0.1", 0})),
+        client(workers.loop(0)) {}
+  ~Fixture() { workers.Stop(); }
+
+  // Asks once, with `before` done first, and returns how it ended.
+  AttemptEnd Ask(const std::function<void()>& before,
+                 Duration limit = Duration(2'000)) {
+    return asio::co_spawn(
+               workers.loop(0),
+               [&]() -> asio::awaitable<AttemptEnd> {
+                 before();
+                 HttpRequest request;
+                 request.method = "GET";
+                 request.target = "/";
+                 request.fields.Add("Host", "x");
+                 ExchangeOptions options;
+                 options.deadline = SteadyNow() + limit;
+                 const ExchangeResult result = co_await client.Exchange(
+                     proxy.endpoint(), std::move(request), std::move(options));
+                 co_return result.end;
+               },
+               asio::use_future)
+        .get();
+  }
+
+  WorkerPool workers{1};
+  int arrivals = 0;
+  HttpServer server;
+  FaultProxy proxy;
+  ConnectionPool client;
+};
+
+}  // namespace
+
+TEST_CASE("a link passes bytes, holds them one way, and passes them again") {
+  Fixture it;
+  CHECK(it.Ask([] {}) == AttemptEnd::kAnswered);
+  CHECK(it.Ask(
+            [&] {
+              it.proxy.SetLink({Duration(0), true, false});
+            },
+            Duration(200)) == AttemptEnd::kTimedOut);
+  // The request arrived; only its answer was held.
+  CHECK(it.arrivals == 2);
+  CHECK(it.Ask(
+            [&] {
+              it.proxy.SetLink({Duration(0), false, true});
+            },
+            Duration(200)) == AttemptEnd::kTimedOut);
+  CHECK(it.arrivals == 2);
+  CHECK(it.Ask([&] { it.proxy.SetLink({}); }) == AttemptEnd::kAnswered);
+}
+
+TEST_CASE("open connections go silent while new ones work") {
+  Fixture it;
+  CHECK(it.Ask([] {}) == AttemptEnd::kAnswered);
+  CHECK(it.Ask([&] { it.proxy.SilenceOpen(); }, Duration(200)) ==
+        AttemptEnd::kTimedOut);
+  CHECK(it.Ask([] {}) == AttemptEnd::kAnswered);
+}
+
+TEST_CASE("a closed link refuses, an opened one works on the same port") {
+  Fixture it;
+  CHECK(it.Ask([] {}) == AttemptEnd::kAnswered);
+  const Endpoint before = it.proxy.endpoint();
+  CHECK(it.Ask([&] { it.proxy.Close(); }) != AttemptEnd::kAnswered);
+  CHECK(it.Ask([&] { it.proxy.Open(); }) == AttemptEnd::kAnswered);
+  CHECK(it.proxy.endpoint() == before);
+}
+
+TEST_CASE("calm is what was left alone for the time to settle") {
+  FaultTimes it;
+  const Instant t(1'000'000);
+  CHECK(it.CalmSince("a", t));
+  it.Begin("a");
+  it.Begin("a");
+  it.End("a", t);
+  CHECK_FALSE(it.CalmSince("a", t + Duration(60'000)));
+  it.End("a", t);
+  CHECK_FALSE(it.CalmSince("a", t + FaultTimes::kSettle - Duration(1)));
+  CHECK(it.CalmSince("a", t + FaultTimes::kSettle));
+  CHECK(it.CalmSince("b", t));
+}
+
+}  // namespace toucanknot::soak
--- /dev/null
+++ b/tests/soak/run_ledger_test.cc
@@ -0,0 +1,87 @@
+#include "soak/run_ledger.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace toucanknot::soak {
+namespace {
+
+Instant At(int64_t ms) {
+  return Instant(1'000'000 + ms);
+}
+
+// Whether exactly one breach, of that kind, was found.
+bool Found(RunLedger& ledger, Breach breach) {
+  ledger.Finish();
+  return ledger.breaches().size() == 1 &&
+         ledger.breaches()[0].starts_with(kBreachNames.Name(breach));
+}
+
+void Send(RunLedger& ledger, const std::string& id, bool idempotent) {
+  ledger.OnSent(id, "s", idempotent, "host-0", 7, At(0));
+}
+
+}  // namespace
+
+TEST_CASE("a usual request breaks nothing") {
+  RunLedger it({});
+  Send(it, "a", false);
+  it.OnArrived("a", At(1));
+  it.OnRun("a", 7);
+  CHECK(it.HasArrived("a"));
+  CHECK(it.HostOf("a") == "host-0");
+  it.Finish();
+  CHECK(it.breaches().empty());
+}
+
+TEST_CASE("a second run is found where it matters") {
+  RunLedger once({});
+  Send(once, "a", false);
+  once.OnRun("a", 7);
+  once.OnRun("a", 7);
+  CHECK(Found(once, Breach::kRanTwice));
+  RunLedger often({});
+  Send(often, "a", true);
+  often.OnRun("a", 7);
+  often.OnRun("a", 7);
+  often.Finish();
+  CHECK(often.breaches().empty());
+}
+
+TEST_CASE("a refusal is wrong after a run, and before one") {
+  RunLedger after({});
+  Send(after, "a", false);
+  after.OnRun("a", 7);
+  after.OnRefused("a");
+  CHECK(Found(after, Breach::kRefusedAndRan));
+  RunLedger before({});
+  Send(before, "a", false);
+  before.OnRefused("a");
+  before.OnRun("a", 7);
+  CHECK(Found(before, Breach::kRefusedAndRan));
+}
+
+TEST_CASE("what no caller sent, or sent otherwise, is found") {
+  RunLedger unknown({});
+  unknown.OnRun("a", 7);
+  CHECK(Found(unknown, Breach::kUnasked));
+  RunLedger changed({});
+  Send(changed, "a", true);
+  changed.OnRun("a", 8);
+  CHECK(Found(changed, Breach::kUnasked));
+}
+
+TEST_CASE("repeats beyond the budget are found, and those within are not") {
+  const int repeats = GENERATE(25, 26);
+  RunLedger it({0.2, 5, Duration(10'000)});
+  for (int i = 0; i < 100; ++i)
+    Send(it, std::to_string(i), true);
+  for (int i = 0; i < repeats; ++i) {
+    it.OnArrived(std::to_string(i), At(1));
+    it.OnArrived(std::to_string(i), At(2));
+  }
+  it.Finish();
+  CHECK(it.breaches().size() == (repeats > 25 ? 1 : 0));
+}
+
+}  // namespace toucanknot::soak
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,14 +9,15 @@
 export build stamps="$build/lint"
 mkdir -p "$stamps"
 if [ $# -gt 0 ]; then files=("$@"); else
-  mapfile -t files < <(git ls-files 'src/*.cc' 'platform/*.cc' 'bench/*.cc' 'tools/*.cc' |
+  mapfile -t files < <(git ls-files 'src/*.cc' 'platform/*.cc' 'bench/*.cc' 'tools/*.cc' \
+    'soak/*.cc' |
     grep -v '/gen/')
 fi
 # The project's own headers of each source, as the last build found them.
 export deps="$stamps/deps"
 ninja -C "$build" -t deps | awk '
   /#deps/ { file = $1; sub(/^.*\.dir\//, "", file); sub(/\.o:$/, "", file) }
-  $1 ~ /^\.\.\/(include|src|platform|bench)\// { print file, substr($1, 4) }' > "$deps"
+  $1 ~ /^\.\.\/(include|src|platform|bench|soak)\// { print file, substr($1, 4) }' > "$deps"
 printf '%s\0' "${files[@]}" | xargs -0 -P "${LINT_JOBS:-8}" -n 1 bash -c '
   key=$(awk -v f="$0" "\$1 == f { print \$2 }" "$deps" | sort -u |
     xargs cat .clang-tidy "$0" | sha256sum | cut -c1-32)
