--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -75,11 +75,13 @@
 SoakFleet::SoakFleet(SoakOptions options,
                      WorkerPool& workers,
                      const EntryWire& names,
-                     RunLedger& ledger)
+                     RunLedger& ledger,
+                     const RunLedger::Budget& budget)
     : options_(std::move(options)),
       workers_(workers),
       names_(names),
-      ledger_(ledger) {
+      ledger_(ledger),
+      budget_(budget) {
   for (int region = 0; region < kRegions; ++region) {
     for (int zone = 0; zone < kZonesOfRegion; ++zone) {
       zones_[ZoneId(fmt::format("zone-{}-{}", region, zone))] =
@@ -140,19 +142,22 @@
     return Endpoint{ip, static_cast<uint16_t>(options_.first_port + offset)}
         .ToString();
   };
-  return boost::json::serialize(
-      boost::json::value{{"host", host.id.str()},
-                         {"zone", host.zone.str()},
-                         {"region", host.region.str()},
-                         {"regions", std::move(regions)},
-                         {"callers", port(0)},
-                         {"directory", port(1)},
-                         {"readiness", port(2)},
-                         {"peer_port", options_.first_port + 3},
-                         {"metrics_port", options_.first_port + 4},
-                         {"store", host.store_link->endpoint().ToString()},
-                         {"news_within", fmt::format("{}ms", kDrain.ms())},
-                         {"stop_within", fmt::format("{}ms", kGrace.ms())}});
+  return boost::json::serialize(boost::json::value{
+      {"host", host.id.str()},
+      {"zone", host.zone.str()},
+      {"region", host.region.str()},
+      {"regions", std::move(regions)},
+      {"callers", port(0)},
+      {"directory", port(1)},
+      {"readiness", port(2)},
+      {"peer_port", options_.first_port + 3},
+      {"metrics_port", options_.first_port + 4},
+      {"store", host.store_link->endpoint().ToString()},
+      {"retry_ratio", budget_.ratio},
+      {"retry_slack", budget_.slack},
+      {"retry_window", fmt::format("{}ms", budget_.window.ms())},
+      {"news_within", fmt::format("{}ms", kDrain.ms())},
+      {"stop_within", fmt::format("{}ms", kGrace.ms())}});
 }
 
 void SoakFleet::Start() {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -29,7 +29,7 @@
   Duration length{60'000};
   int hosts = 5;
   int servers = 10;
-  int callers = 24;
+  int callers = 40;
   // Ports of the hosts, each at an address of its own: this one and the next
   // four.
   uint16_t first_port = 26'000;
@@ -71,7 +71,8 @@
   SoakFleet(SoakOptions options,
             WorkerPool& workers,
             const EntryWire& names,
-            RunLedger& ledger);
+            RunLedger& ledger,
+            const RunLedger::Budget& budget);
 
   // Writes the first configuration and the servers, and starts the hosts.
   void Start();
@@ -125,6 +126,7 @@
   WorkerPool& workers_;
   const EntryWire& names_;
   RunLedger& ledger_;
+  const RunLedger::Budget budget_;
   platform::StoreStandin store_;
   FaultTimes times_;
   std::map<ZoneId, RegionId> zones_;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -35,7 +35,7 @@
       "how long faults happen, for each seed");
   add("hosts", po::value<int>()->default_value(5), "processes");
   add("servers", po::value<int>()->default_value(12), "backend servers");
-  add("callers", po::value<int>()->default_value(24), "callers");
+  add("callers", po::value<int>()->default_value(40), "callers");
   add("first-port", po::value<uint16_t>()->default_value(26'000),
       "the hosts listen on this port and the next four");
   add("keep", po::value<std::string>()->default_value("soak-logs"),
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -24,6 +24,8 @@
 // For what callers and servers still have under way.
 constexpr Duration kLastAnswers{4'000};
 constexpr Duration kPoll{20};
+// What the hosts are told, and held to.
+constexpr RunLedger::Budget kBudget;
 
 double PartOf(const SoakCallers::Share& share) {
   return share.ended > 0 ? static_cast<double>(share.served) / share.ended : 0;
@@ -36,8 +38,8 @@
       : options_(options),
         loop_(workers.loop(0)),
         names_(platform::PlatformWire()),
-        ledger_({}),
-        fleet_(options, workers, names_, ledger_),
+        ledger_(kBudget),
+        fleet_(options, workers, names_, ledger_, kBudget),
         callers_(loop_, fleet_, names_, ledger_, options.seed) {}
 
   asio::awaitable<SoakReport> Play() {
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -32,7 +32,7 @@
   struct Options {
     ServerEntry entry;
     // Mean time of work.
-    Duration work{60};
+    Duration work{120};
     int queue = 8;
     uint64_t seed = 1;
   };
