--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -1,7 +1,6 @@
 #ifndef INCLUDE_PLACING_PLACER_H_
 #define INCLUDE_PLACING_PLACER_H_
 
-#include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -13,6 +12,8 @@
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
 #include "include/placing/cold_owners.h"
+#include "include/placing/demand.h"
+#include "include/placing/fetched_objects.h"
 #include "include/placing/peer_loads.h"
 #include "include/placing/server_load.h"
 #include "include/placing/server_registry.h"
@@ -271,19 +272,6 @@
   std::map<std::string, WorkTimes> times_;
   std::map<uint64_t, Flight> flights_;
   std::list<Waiting> queue_;
-  // The work that this host's callers bring to a service.
-  struct Demand {
-    // Slot time of requests, in ms, faded by age: what they need where their
-    // objects are at hand, so that it does not grow while servers are slow.
-    double work = 0;
-    Instant at;
-    Instant since;
-
-    void Add(double ms, Instant now);
-    // Slots that are needed on average.
-    double Slots(Instant now) const;
-  };
-
   struct Service {
     std::unique_ptr<ServiceView> view;
     // The registry's when the view was made.
@@ -297,15 +285,10 @@
   // Whether the servers of this region can bear `object` with the others that
   // its callers ask for; the rest is kept in other regions.
   bool IsKeptHere(const Service& service, uint64_t object, Instant now) const;
-  void NoteFetched(uint64_t object,
-                   const ServerId& id,
-                   ServerLoad& load,
-                   Instant now);
 
   Instant crowded_until_;
   std::map<ServiceId, Service> services_;
-  // Servers that this host sent requests for an object to.
-  boost::unordered_flat_map<uint64_t, std::vector<ServerId>> fetched_;
+  FetchedObjects fetched_;
 };
 
 }  // namespace toucanknot
--- /dev/null
+++ b/src/placing/fetched_objects.cc
@@ -0,0 +1,24 @@
+#include "include/placing/fetched_objects.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+
+void FetchedObjects::Note(uint64_t object, const ServerId& server) {
+  if (servers_.size() >= kMostObjects && !servers_.contains(object))
+    servers_.clear();
+  std::vector<ServerId>& servers = servers_[object];
+  if (std::find(servers.begin(), servers.end(), server) != servers.end())
+    return;
+  if (servers.size() >= kMostServers)
+    servers.erase(servers.begin());
+  servers.push_back(server);
+}
+
+const std::vector<ServerId>& FetchedObjects::ServersOf(uint64_t object) const {
+  static const std::vector<ServerId> none;
+  const auto it = servers_.find(object);
+  return it == servers_.end() ? none : it->second;
+}
+
+}  // namespace toucanknot
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/json.hpp>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -25,8 +24,6 @@
 // The part of a region's slots that its own callers' objects may fill on
 // average; the rest is for peaks.
 constexpr double kRegionFill = 0.6;
-// The time over which the demand of a host is averaged, in ms.
-constexpr double kDemandFadeMs = 12'000;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
 // The part of the time to fetch an object that counts against a server beyond
@@ -41,14 +38,8 @@
 // Shortest and longest time after which a refused caller is told to return.
 constexpr Duration kShortestReturn{150};
 constexpr Duration kLongestReturn{2'000};
-// Demand is averaged over this many ms at least.
-constexpr double kShortestSpanMs = 500;
 // Costs that differ by less, in ms, are equal.
 constexpr double kSameCostMs = 8;
-// Servers remembered for an object, and objects; a cache of what is also in the
-// servers' figures.
-constexpr size_t kMostFetched = 12;
-constexpr size_t kMostObjects = 100'000;
 // What an answer needs from the server to the caller, in ms.
 constexpr double kAnswerMargin = 10;
 
@@ -127,21 +118,6 @@
   return service;
 }
 
-void Placer::Demand::Add(double ms, Instant now) {
-  if (since == Instant())
-    since = now;
-  work = work * std::exp(-Millis(now - at) / kDemandFadeMs) + ms;
-  at = now;
-}
-
-double Placer::Demand::Slots(Instant now) const {
-  const double faded = work * std::exp(-Millis(now - at) / kDemandFadeMs);
-  // The first seconds have no past.
-  const double span =
-      kDemandFadeMs * (1 - std::exp(-Millis(now - since) / kDemandFadeMs));
-  return faded / std::max(span, kShortestSpanMs);
-}
-
 bool Placer::IsKeptHere(const Service& service,
                         uint64_t object,
                         Instant now) const {
@@ -181,17 +157,15 @@
       add(order[i], std::min(rank, kept));
     rank += out.size() > before ? 1 : 0;
   }
-  if (const auto it = fetched_.find(item.object); it != fetched_.end()) {
-    for (const ServerId& id : it->second) {
-      const int index = view.IndexOf(id);
-      const bool listed =
-          std::any_of(out.begin(), out.end(), [&](const Candidate& c) {
-            return c.server == &view.servers()[std::max(index, 0)];
-          });
-      if (index >= 0 && !listed &&
-          view.servers()[index].load->IsWarm(item.object, now))
-        add(index, kept);
-    }
+  for (const ServerId& id : fetched_.ServersOf(item.object)) {
+    const int index = view.IndexOf(id);
+    const bool listed =
+        std::any_of(out.begin(), out.end(), [&](const Candidate& c) {
+          return c.server == &view.servers()[std::max(index, 0)];
+        });
+    if (index >= 0 && !listed &&
+        view.servers()[index].load->IsWarm(item.object, now))
+      add(index, kept);
   }
   for (const int it : view.joined()) {
     if (IsToBeTried(view.servers()[it], now))
@@ -317,8 +291,10 @@
   flight.slowness = load->Slowness(now);
   load->OnSent(now);
   // The object is at hand from when the server begins on its first request.
-  if (item.object != 0)
-    NoteFetched(item.object, entry.id, *load, now);
+  if (item.object != 0) {
+    load->SetWarm(item.object, now);
+    fetched_.Note(item.object, entry.id);
+  }
   ++services_[item.service].in_flight;
   flights_[item.id] = std::move(flight);
   Placement out;
@@ -335,21 +311,6 @@
   return out;
 }
 
-void Placer::NoteFetched(uint64_t object,
-                         const ServerId& id,
-                         ServerLoad& load,
-                         Instant now) {
-  load.SetWarm(object, now);
-  if (fetched_.size() >= kMostObjects && !fetched_.contains(object))
-    fetched_.clear();
-  std::vector<ServerId>& servers = fetched_[object];
-  if (std::find(servers.begin(), servers.end(), id) != servers.end())
-    return;
-  if (servers.size() >= kMostFetched)
-    servers.erase(servers.begin());
-  servers.push_back(id);
-}
-
 Placement Placer::Refuse(const Waiting& waiting,
                          PlaceRefusal refusal,
                          Duration wait,
@@ -508,54 +469,4 @@
   peers_.Expire(now);
 }
 
-std::string Placer::ExplainItem(const PlaceItem& item, Instant now) {
-  const Waiting waiting = MakeWaiting(item);
-  const WorkTimes& times = times_.at(waiting.route_name);
-  double filled = 0;
-  boost::json::array servers;
-  for (Candidate& it : Candidates(waiting, filled, now)) {
-    Assess(waiting, times, it, now);
-    servers.push_back({{"server", it.server->entry->entry.id.str()},
-                       {"zone", it.server->entry->entry.zone.str()},
-                       {"rank", it.rank},
-                       {"cost_ms", it.cost},
-                       {"expected_ms", it.expected_ms},
-                       {"busy", it.busy},
-                       {"at_hand", it.warm},
-                       {"cold", it.cold},
-                       {"full", it.full}});
-  }
-  const Choice choice = Choose(waiting, now);
-  const bool found = choice.best.server != nullptr;
-  return boost::json::serialize(boost::json::value{
-      {"server", found ? choice.best.server->entry->entry.id.str() : ""},
-      {"service", item.service.str()},
-      {"filled", filled},
-      {"warm_ms", times.warm()},
-      {"cold_ms", times.cold()},
-      {"hosts", host_count_},
-      {"sheets", peers_.fresh_hosts()},
-      {"weighed", std::move(servers)}});
-}
-
-std::string Placer::Explain(const ServiceId& service, Instant now) const {
-  boost::json::array servers;
-  for (const ServerRegistry::Server* it : registry_.Usable(service)) {
-    boost::json::object row{{"server", it->entry.id.str()},
-                            {"zone", it->entry.zone.str()},
-                            {"slots", it->entry.slots},
-                            {"seen_ms_ago", (now - it->seen_at).ms()},
-                            {"cold", now < it->cold_until}};
-    if (const auto load = loads_.find(it->entry.id); load != loads_.end()) {
-      row["in_flight"] = load->second->in_flight();
-      row["busy"] = Busy(*load->second, now);
-      row["slowness"] = load->second->Slowness(now);
-      row["failure_rate"] = load->second->FailureRate(now);
-      row["suspended"] = load->second->IsSuspended(now);
-    }
-    servers.push_back(std::move(row));
-  }
-  return boost::json::serialize(servers);
-}
-
 }  // namespace toucanknot
