placing: after a silence in which no entry can lapse, what is missing is gone

Open connections of that host to the store went silent; its watch was given up after 2.2 s as it must be, the list then lacked the server, and the host took that for a lapse in an outage and used it for 2 s more. Ruled out: a host cut off for longer (that grace ends 3 s after the return), flapping. Change: entries live for three heartbeats and are written in each, so that a silence under 1.8 heartbeats lets none lapse. Then a missing entry is gone at once.

--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -43,6 +43,9 @@
   static constexpr Duration kLapseGrace{2'000};
   // How often Advance() is to be called: a grace ends late by this much.
   static constexpr Duration kAdvanceEvery{100};
+  // Entries live for three heartbeats and are written in each: a silence
+  // shorter than the other two, less what heartbeats vary, lets none lapse.
+  static constexpr double kSafeHeartbeats = 1.8;
   // Failures after which a return does not count as another one.
   static constexpr Duration kFlapping{1'500};
 
@@ -72,8 +75,9 @@
   void OnListed(const std::set<ServerId>& ids, Instant now);
   // How often a server writes its entry.
   void SetHeartbeat(Duration heartbeat) { heartbeat_ = heartbeat; }
-  // The store stopped answering this host, or answers again.
-  void SetStoreAway(bool away, Instant now);
+  // The store stopped answering this host, or answers again. `heard_at` is when
+  // it answered last before that.
+  void SetStoreAway(bool away, Instant heard_at, Instant now);
 
   // No request may go to the servers of `zone`, until Restore().
   void Evacuate(const ZoneId& zone) {
@@ -117,6 +121,8 @@
   uint64_t version_ = 1;
   Duration heartbeat_{1'500};
   bool store_away_ = false;
+  // When the store had answered last, before it went away.
+  Instant store_heard_at_;
   std::optional<Instant> store_back_at_;
 };
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -330,7 +330,7 @@
 
 void EntryDaemon::Impl::OnStoreAway(bool away) {
   const Instant now = SteadyNow();
-  registry_.SetStoreAway(away, now);
+  registry_.SetStoreAway(away, store_->counts().answered_at, now);
   roster_.SetStoreAway(away, now);
 }
 
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -80,12 +80,19 @@
     on_change_(ServerChange::kLapsed, server);
 }
 
-void ServerRegistry::SetStoreAway(bool away, Instant now) {
+void ServerRegistry::SetStoreAway(bool away, Instant heard_at, Instant now) {
   if (away == store_away_)
     return;
   store_away_ = away;
+  if (away) {
+    store_heard_at_ = heard_at;
+    return;
+  }
   const bool flaps = store_back_at_ && now - *store_back_at_ < kFlapping;
-  if (!away && !flaps)
+  const bool none_lapsed =
+      static_cast<double>((now - store_heard_at_).ms()) <
+      kSafeHeartbeats * static_cast<double>(heartbeat_.ms());
+  if (!flaps && !none_lapsed)
     store_back_at_ = now;
 }
 
--- a/tests/placing/server_registry_test.cc
+++ b/tests/placing/server_registry_test.cc
@@ -29,7 +29,10 @@
   size_t Usable() { return registry.Usable(ServiceId("s")).size(); }
 };
 
-constexpr Instant At(int64_t ms) {
+constexpr  // The store had been heard long before it went away.
+    const Instant kLongAgo(1);
+
+Instant At(int64_t ms) {
   return Instant(100'000 + ms);
 }
 
@@ -86,10 +89,10 @@
   Fixture it;
   it.registry.OnEntry(MakeEntry("a"), At(0));
   it.registry.OnEntry(MakeEntry("b"), At(0));
-  it.registry.SetStoreAway(true, At(1'000));
+  it.registry.SetStoreAway(true, kLongAgo, At(1'000));
   it.registry.Advance(At(60'000));
   CHECK(it.Usable() == 2);
-  it.registry.SetStoreAway(false, At(60'000));
+  it.registry.SetStoreAway(false, kLongAgo, At(60'000));
   it.registry.OnListed({}, At(60'100));
   CHECK(it.Usable() == 2);
   // One writes its entry again.
@@ -104,11 +107,11 @@
   // had left meanwhile: each failed connection began another outage.
   Fixture it;
   it.registry.OnEntry(MakeEntry("a"), At(0));
-  it.registry.SetStoreAway(true, At(1'000));
-  it.registry.SetStoreAway(false, At(13'000));
+  it.registry.SetStoreAway(true, kLongAgo, At(1'000));
+  it.registry.SetStoreAway(false, kLongAgo, At(13'000));
   for (int64_t at = 13'050; at < 14'000; at += 100) {
-    it.registry.SetStoreAway(true, At(at));
-    it.registry.SetStoreAway(false, At(at + 50));
+    it.registry.SetStoreAway(true, kLongAgo, At(at));
+    it.registry.SetStoreAway(false, kLongAgo, At(at + 50));
   }
   it.registry.OnListed({}, At(14'000));
   CHECK(it.Usable() == 1);
@@ -124,9 +127,9 @@
   constexpr Duration kBound{3'000};
   Fixture it;
   it.registry.OnEntry(MakeEntry("a"), At(0));
-  it.registry.SetStoreAway(true, At(1'000));
+  it.registry.SetStoreAway(true, kLongAgo, At(1'000));
   const Instant back = At(13'000) + kToFindTheStore;
-  it.registry.SetStoreAway(false, back);
+  it.registry.SetStoreAway(false, kLongAgo, back);
   it.registry.OnListed({}, back + Duration(5));
   for (Instant now = back; now < At(13'000) + kBound;
        now = now + ServerRegistry::kAdvanceEvery) {
@@ -135,13 +138,27 @@
   CHECK(it.Usable() == 0);
 }
 
+TEST_CASE("a silence too short for entries to lapse gives no grace") {
+  // Soak, seed 148: one host's watch went silent and was given up after 2.2 s;
+  // a server that had left meanwhile was used for 2 s more.
+  const auto [silence, grace] = GENERATE(
+      table<int64_t, bool>({{2'250, false}, {2'690, false}, {2'750, true}}));
+  Fixture it;
+  it.registry.SetHeartbeat(Duration(1'500));
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  it.registry.SetStoreAway(true, At(10'000), At(10'000 + silence - 50));
+  it.registry.SetStoreAway(false, At(10'000), At(10'000 + silence));
+  it.registry.OnListed({}, At(10'000 + silence));
+  CHECK(it.registry.IsUsable(ServerId("a")) == grace);
+}
+
 TEST_CASE("a server that had said that it leaves gets no grace") {
   Fixture it;
   ServerEntry entry = MakeEntry("a");
   entry.leaving = true;
   it.registry.OnEntry(entry, At(0));
-  it.registry.SetStoreAway(true, At(1'000));
-  it.registry.SetStoreAway(false, At(2'000));
+  it.registry.SetStoreAway(true, kLongAgo, At(1'000));
+  it.registry.SetStoreAway(false, kLongAgo, At(2'000));
   it.registry.OnListed({}, At(2'001));
   CHECK(it.registry.Find(ServerId("a")) == nullptr);
 }
