soak: faults are played by a class of their own; callers that left are looked after

New check: at most three requests may reach a server over half a second after their caller closed its connection.

--- a/soak/fault_times.cc
+++ b/soak/fault_times.cc
@@ -1,5 +1,7 @@
 #include "soak/fault_times.h"
 
+#include <utility>
+
 namespace toucanknot::soak {
 
 void FaultTimes::End(const std::string& subject, Instant now) {
@@ -17,4 +19,15 @@
          (found.ended_at == Instant() || found.ended_at + kSettle <= from);
 }
 
+FaultSpan::FaultSpan(FaultTimes& times, std::vector<std::string> subjects)
+    : times_(times), subjects_(std::move(subjects)) {
+  for (const std::string& it : subjects_)
+    times_.Begin(it);
+}
+
+FaultSpan::~FaultSpan() {
+  for (const std::string& it : subjects_)
+    times_.End(it, SteadyNow());
+}
+
 }  // namespace toucanknot::soak
--- a/soak/fault_times.h
+++ b/soak/fault_times.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "include/base/clock.h"
 
@@ -36,6 +37,19 @@
   std::map<std::string, Subject> faults_;
 };
 
+// One fault: its subjects are in trouble for as long as it lives.
+class FaultSpan {
+ public:
+  FaultSpan(FaultTimes& times, std::vector<std::string> subjects);
+  ~FaultSpan();
+  FaultSpan(const FaultSpan&) = delete;
+  FaultSpan& operator=(const FaultSpan&) = delete;
+
+ private:
+  FaultTimes& times_;
+  const std::vector<std::string> subjects_;
+};
+
 }  // namespace toucanknot::soak
 
 #endif  // SOAK_FAULT_TIMES_H_
--- a/soak/run_ledger.cc
+++ b/soak/run_ledger.cc
@@ -8,6 +8,9 @@
 namespace toucanknot::soak {
 namespace {
 
+// Requests of a run that may reach a server after their callers left.
+constexpr size_t kMostAfterLeft = 3;
+
 // A request may be sent to a second server shortly after it was counted, so
 // the window before counts too where it had more.
 int CountIn(const std::vector<Instant>& times, Instant from, Instant to) {
@@ -29,7 +32,8 @@
                        uint64_t digest,
                        Instant now) {
   ++counts_.sent;
-  requests_[id] = {service, idempotent, host, digest, now, 0, 0, false};
+  requests_[id] = {service, idempotent, host,  digest,      now,
+                   0,       0,          false, std::nullopt};
   services_[service].sent.push_back(now);
 }
 
@@ -65,6 +69,19 @@
     Report(Breach::kRefusedAndRan, id + " taken by " + request.host);
 }
 
+void RunLedger::OnLeft(const std::string& id, Instant now) {
+  requests_[id].left_at = now;
+}
+
+void RunLedger::OnSentAfterLeft(const std::string& id, Duration late) {
+  after_left_.push_back(fmt::format("{} after {} ms", id, late.ms()));
+}
+
+std::optional<Instant> RunLedger::LeftAt(const std::string& id) const {
+  const auto it = requests_.find(id);
+  return it == requests_.end() ? std::nullopt : it->second.left_at;
+}
+
 bool RunLedger::HasArrived(const std::string& id) const {
   const auto it = requests_.find(id);
   return it != requests_.end() && it->second.arrivals > 0;
@@ -76,6 +93,10 @@
 }
 
 void RunLedger::Finish() {
+  if (after_left_.size() > kMostAfterLeft) {
+    Report(Breach::kSentAfterLeft,
+           fmt::format("{}", fmt::join(after_left_, ", ")));
+  }
   for (const auto& [name, service] : services_)
     CheckBudget(name, service);
 }
--- a/soak/run_ledger.h
+++ b/soak/run_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,8 @@
   kCutByStop,
   // A request reached a server that had left, or was in an evacuated zone.
   kSentToLeaver,
+  // Requests reached servers long after their callers had left.
+  kSentAfterLeft,
   // A host acted by a configuration that was no longer in force, or turned
   // away what it allows.
   kOldConfig,
@@ -37,10 +40,10 @@
   kNotRecovered,
 };
 
-inline constexpr EnumNames<Breach, 10> kBreachNames{
+inline constexpr EnumNames<Breach, 11> kBreachNames{
     {"ran-twice", "refused-and-ran", "wrong-answer", "unasked", "cut-by-stop",
-     "sent-to-leaver", "old-config", "over-budget", "host-ended",
-     "not-recovered"}};
+     "sent-to-leaver", "sent-after-left", "old-config", "over-budget",
+     "host-ended", "not-recovered"}};
 
 // What is known of every request: what the caller sent and was told, and which
 // servers it reached and ran at. Finds broken promises. Used on one loop only.
@@ -71,6 +74,14 @@
   // The caller was told that it did not run and never will.
   void OnRefused(const std::string& id);
 
+  // The caller closed its connection without an answer.
+  void OnLeft(const std::string& id, Instant now);
+  // It reached a server from a host that had time to notice that: `late` after
+  // the caller had left. A few in a run may cross.
+  void OnSentAfterLeft(const std::string& id, Duration late);
+
+  // When the caller left, if it did.
+  std::optional<Instant> LeftAt(const std::string& id) const;
   // Whether it reached any server, and which host took it.
   bool HasArrived(const std::string& id) const;
   std::string HostOf(const std::string& id) const;
@@ -98,6 +109,7 @@
     int arrivals = 0;
     int runs = 0;
     bool refused = false;
+    std::optional<Instant> left_at;
   };
   // Times of one service's requests, and of arrivals beyond their first.
   struct Service {
@@ -111,6 +123,7 @@
   std::unordered_map<std::string, Request> requests_;
   std::map<std::string, Service> services_;
   Counts counts_;
+  std::vector<std::string> after_left_;
   std::vector<std::string> breaches_;
 };
 
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -149,6 +149,8 @@
                    fmt::format("{} was turned away by {} with {}", call.id,
                                call.host, status));
   }
+  if (result.end == AttemptEnd::kTimedOut)
+    ledger_.OnLeft(call.id, SteadyNow());
   if (answered || result.end == AttemptEnd::kTimedOut)
     return Outcome::kFailed;
   const auto& hosts = fleet_.hosts();
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -22,18 +22,6 @@
 constexpr int kZonesOfRegion = 2;
 constexpr int kSlots = 4;
 constexpr Duration kSupervisePoll{20};
-// A process that ended is started again after this.
-constexpr Duration kRestartAfter{300};
-// A server serves on for this long after it said that it leaves.
-constexpr Duration kServeOn{4'000};
-// Entries of a server that crashed go after three heartbeats.
-constexpr Duration kEntryLife{4'500};
-// Entries that lapsed are written again within this time of the store's return.
-constexpr Duration kEntriesBack{1'500};
-constexpr Duration kLinkDelay{120};
-constexpr Duration kStoreDelay{250};
-constexpr int64_t kSlowTimes = 6;
-constexpr double kFailingPart = 0.4;
 // What the scheduler and a busy machine may add to the end of a process.
 constexpr Duration kEndSlack{1'000};
 constexpr uint64_t kVersionStep = 3;
@@ -60,12 +48,6 @@
   return route;
 }
 
-bool IsServerFault(FaultKind kind) {
-  return (kind >= FaultKind::kDelayServer &&
-          kind <= FaultKind::kSilenceServer) ||
-         (kind >= FaultKind::kCrashServer && kind <= FaultKind::kReplaceServer);
-}
-
 }  // namespace
 
 std::string VersionPath(uint64_t version) {
@@ -166,7 +148,7 @@
   config_.services[ServiceId("confirm")] = {};
   WriteConfig();
   for (const Server& it : servers_)
-    WriteServer(it);
+    WriteEntry(it);
   for (Host& it : hosts_)
     StartHost(it);
 }
@@ -181,7 +163,11 @@
   version_at_ = SteadyNow();
 }
 
-void SoakFleet::WriteServer(const Server& server) {
+void SoakFleet::RemoveEntry(const Server& server) {
+  store_.Remove(platform::ServerKeyInStore(server.server->entry().id));
+}
+
+void SoakFleet::WriteEntry(const Server& server) {
   const ServerEntry& entry = server.server->entry();
   store_.Put(platform::ServerKeyInStore(entry.id),
              platform::EncodeServer(entry));
@@ -216,6 +202,9 @@
       !times_.CalmSince(FaultTimes::kStore, now)) {
     return;
   }
+  const std::optional<Instant> left_at = ledger_.LeftAt(id);
+  if (left_at && now - *left_at > kNoticed)
+    ledger_.OnSentAfterLeft(id, now - *left_at);
   if (it->leaving_since && now - *it->leaving_since > kDrain) {
     ledger_.Report(Breach::kSentToLeaver,
                    fmt::format("{} from {} reached {} {} ms after it left", id,
@@ -275,221 +264,33 @@
   co_await WaitGone(host, kEndSlack);
 }
 
+asio::awaitable<void> SoakFleet::KillHost(Host& host) {
+  host.to_end = true;
+  host.process->Signal(SIGKILL);
+  co_await WaitGone(host, kEndSlack);
+}
+
 asio::awaitable<void> SoakFleet::StopAll() {
   for (Host& it : hosts_)
     co_await StopHost(it);
 }
 
-asio::awaitable<void> SoakFleet::HostFault(Host& host, const Fault& fault) {
-  if (!host.process->running() || host.to_end || host.paused)
-    co_return;
-  const std::string name = host.id.str();
-  switch (fault.kind) {
-    case FaultKind::kReloadHost:
-      host.process->Signal(SIGHUP);
-      co_return;
-    case FaultKind::kStopHost:
-      co_await StopHost(host);
-      co_await SleepFor(kRestartAfter);
-      StartHost(host);
-      co_return;
-    case FaultKind::kPauseHost:
-      times_.Begin(name);
-      times_.Begin(FaultTimes::kUnplanned);
-      host.paused = true;
-      host.process->Signal(SIGSTOP);
-      co_await SleepFor(fault.length);
-      host.process->Signal(SIGCONT);
-      host.paused = false;
-      break;
-    default:
-      times_.Begin(name);
-      times_.Begin(FaultTimes::kUnplanned);
-      host.to_end = true;
-      host.process->Signal(SIGKILL);
-      co_await WaitGone(host, kEndSlack);
-      co_await SleepFor(fault.length);
-      StartHost(host);
-      break;
-  }
-  times_.End(name, SteadyNow());
-  times_.End(FaultTimes::kUnplanned, SteadyNow());
-}
-
-asio::awaitable<void> SoakFleet::LinkFault(FaultProxy& link,
-                                           int variant,
-                                           Duration length) {
-  switch (variant) {
-    case 0:
-      link.SetLink({kLinkDelay, true, true});
-      break;
-    case 1:
-      link.ResetAll();
-      co_return;
-    case 2:
-      link.SetLink({Duration(0), length.ms() % 2 == 0, length.ms() % 2 != 0});
-      break;
-    default:
-      link.SilenceOpen();
-      break;
-  }
-  co_await SleepFor(length);
-  link.SetLink({});
-}
-
-asio::awaitable<void> SoakFleet::StoreFault(const Fault& fault) {
-  switch (fault.kind) {
-    case FaultKind::kStoreRefuses:
-      store_.RefuseWith(503);
-      break;
-    case FaultKind::kStoreSilent:
-      store_.SetSilent(true);
-      break;
-    case FaultKind::kStoreSlow:
-      store_.SetDelay(kStoreDelay);
-      break;
-    case FaultKind::kStoreLosesAnswers:
-      store_.SetLosingAnswers(true);
-      break;
-    case FaultKind::kStoreForgetsHistory:
-      store_.Compact();
-      break;
-    case FaultKind::kStoreDropsWatches:
-      store_.DropWatches();
-      break;
-    default: {
-      store_.RefuseWith(503);
-      for (size_t i = fault.subject % 2; i < servers_.size(); i += 2) {
-        store_.Remove(
-            platform::ServerKeyInStore(servers_[i].server->entry().id));
-      }
-      break;
-    }
-  }
-  co_await SleepFor(fault.length);
-  store_.RefuseWith(0);
-  store_.SetSilent(false);
-  store_.SetDelay(Duration(0));
-  store_.SetLosingAnswers(false);
-  if (fault.kind != FaultKind::kStoreLapsesServers)
-    co_return;
-  co_await SleepFor(kEntriesBack);
-  for (const Server& it : servers_) {
-    if (it.server->up())
-      WriteServer(it);
-  }
-}
-
-asio::awaitable<void> SoakFleet::ServerFault(Server& server,
-                                             const Fault& fault) {
-  if (server.busy)
-    co_return;
-  server.busy = true;
-  SoakServer& it = *server.server;
-  if (fault.kind == FaultKind::kReplaceServer) {
-    co_await ReplaceServer(server, fault.length);
-    server.busy = false;
-    co_return;
-  }
-  const std::string name = it.entry().id.str();
-  times_.Begin(name);
-  times_.Begin(FaultTimes::kUnplanned);
-  if (fault.kind == FaultKind::kSlowServer) {
-    it.SetSlowness(kSlowTimes);
-    co_await SleepFor(fault.length);
-    it.SetSlowness(1);
-  } else if (fault.kind == FaultKind::kFailServer) {
-    it.SetFailing(kFailingPart);
-    co_await SleepFor(fault.length);
-    it.SetFailing(0);
-  } else if (fault.kind == FaultKind::kCrashServer) {
-    it.Crash();
-    co_await SleepFor(std::min(fault.length, kEntryLife));
-    if (fault.length > kEntryLife)
-      store_.Remove(platform::ServerKeyInStore(it.entry().id));
-    it.Restart(it.entry().id);
-    WriteServer(server);
-  } else {
-    co_await LinkFault(it.link(),
-                       static_cast<int>(fault.kind) -
-                           static_cast<int>(FaultKind::kDelayServer),
-                       fault.length);
-  }
-  times_.End(name, SteadyNow());
-  times_.End(FaultTimes::kUnplanned, SteadyNow());
-  server.busy = false;
-}
-
-asio::awaitable<void> SoakFleet::ReplaceServer(Server& server,
-                                               Duration length) {
-  SoakServer& it = *server.server;
-  const std::string key = platform::ServerKeyInStore(it.entry().id);
-  it.SetLeaving();
-  // Some leave without a word.
-  if (length.ms() % 3 == 0)
-    store_.Remove(key);
-  else
-    WriteServer(server);
-  server.leaving_since = SteadyNow();
-  co_await SleepFor(kServeOn + length);
-  store_.Remove(key);
-  it.Crash();
-  co_await SleepFor(kEntriesBack);
-  server.leaving_since.reset();
-  ++server.generation;
-  const std::string name = it.entry().id.str();
-  it.Restart(ServerId(fmt::format("{}-{}", name.substr(0, name.rfind('-')),
-                                  server.generation)));
-  WriteServer(server);
+void SoakFleet::ChangeConfig() {
+  config_.version += kVersionStep;
+  WriteConfig();
 }
 
-asio::awaitable<void> SoakFleet::EvacuateZone(const ZoneId& zone,
-                                              Duration length) {
-  // The other zones must bear the load.
+bool SoakFleet::BeginEvacuation(const ZoneId& zone) {
   if (!evacuated_.empty())
-    co_return;
+    return false;
   store_.Put(platform::EvacuationKey(zone), "{}");
   evacuated_[zone] = SteadyNow();
-  co_await SleepFor(kEvacuate + length);
-  evacuated_.erase(zone);
-  store_.Remove(platform::EvacuationKey(zone));
+  return true;
 }
 
-asio::awaitable<void> SoakFleet::Apply(Fault fault) {
-  Host& host = hosts_[fault.subject % hosts_.size()];
-  Server& server = servers_[fault.subject % servers_.size()];
-  if (fault.kind <= FaultKind::kReloadHost) {
-    co_await HostFault(host, fault);
-  } else if (fault.kind <= FaultKind::kSilenceCallers) {
-    times_.Begin(host.id.str());
-    times_.Begin(FaultTimes::kUnplanned);
-    co_await LinkFault(*host.caller_link,
-                       static_cast<int>(fault.kind) -
-                           static_cast<int>(FaultKind::kDelayCallers),
-                       fault.length);
-    times_.End(host.id.str(), SteadyNow());
-    times_.End(FaultTimes::kUnplanned, SteadyNow());
-  } else if (IsServerFault(fault.kind)) {
-    co_await ServerFault(server, fault);
-  } else if (fault.kind <= FaultKind::kSilenceStore) {
-    times_.Begin(host.id.str());
-    co_await LinkFault(
-        *host.store_link,
-        static_cast<int>(fault.kind) - static_cast<int>(FaultKind::kDelayStore),
-        fault.length);
-    times_.End(host.id.str(), SteadyNow());
-  } else if (fault.kind <= FaultKind::kStoreLapsesServers) {
-    times_.Begin(FaultTimes::kStore);
-    co_await StoreFault(fault);
-    times_.End(FaultTimes::kStore, SteadyNow());
-  } else if (fault.kind == FaultKind::kChangeConfig) {
-    config_.version += kVersionStep;
-    WriteConfig();
-  } else {
-    const auto zone = std::next(
-        zones_.begin(), static_cast<ptrdiff_t>(fault.subject % zones_.size()));
-    co_await EvacuateZone(zone->first, fault.length);
-  }
+void SoakFleet::EndEvacuation(const ZoneId& zone) {
+  evacuated_.erase(zone);
+  store_.Remove(platform::EvacuationKey(zone));
 }
 
 }  // namespace toucanknot::soak
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -10,7 +10,6 @@
 
 #include "include/entry/entry_wire.h"
 #include "include/routing/route_config.h"
-#include "soak/fault_plan.h"
 #include "soak/fault_proxy.h"
 #include "soak/fault_times.h"
 #include "soak/host_process.h"
@@ -36,17 +35,19 @@
 };
 
 // The fleet of a soak: hosts as processes, and in this process the store, the
-// backend servers and a proxy on each link. Makes faults happen, and checks
-// what can be seen of hosts and servers. Used on the loop of `workers` only,
-// which must be stopped before this object goes.
+// backend servers and a proxy on each link. Checks what can be seen of hosts
+// and servers. Used on the loop of `workers` only, which must be stopped before
+// this object goes.
 class SoakFleet {
  public:
   // The bounds of the promises: a server that leaves gets nothing later than
-  // this, an evacuated zone, a configuration is in force, a host has ended.
+  // this, an evacuated zone, a configuration is in force, a host has ended, a
+  // caller that left is noticed.
   static constexpr Duration kDrain{2'500};
   static constexpr Duration kEvacuate{5'000};
   static constexpr Duration kConfigApply{2'500};
   static constexpr Duration kGrace{6'000};
+  static constexpr Duration kNoticed{500};
 
   struct Host {
     HostId id;
@@ -68,6 +69,14 @@
     uint64_t seen_version = 0;
   };
 
+  struct Server {
+    std::unique_ptr<SoakServer> server;
+    int generation = 0;
+    std::optional<Instant> leaving_since;
+    // A fault or a replacement is under way.
+    bool busy = false;
+  };
+
   SoakFleet(SoakOptions options,
             WorkerPool& workers,
             const EntryWire& names,
@@ -76,15 +85,29 @@
 
   // Writes the first configuration and the servers, and starts the hosts.
   void Start();
-  // Makes one fault happen, and ends it.
-  boost::asio::awaitable<void> Apply(Fault fault);
   // Watches the processes until `stop` is set.
   boost::asio::awaitable<void> Supervise(const bool& stop);
-  // Ends all hosts as an operator would; returns when they are gone.
+  // Starts a host's process.
+  void StartHost(Host& host);
+  // Ends a host as an operator would; returns when it is gone.
+  boost::asio::awaitable<void> StopHost(Host& host);
   boost::asio::awaitable<void> StopAll();
+  // Ends it without a word.
+  boost::asio::awaitable<void> KillHost(Host& host);
+
+  // What servers and operators write into the store.
+  void WriteEntry(const Server& server);
+  void RemoveEntry(const Server& server);
+  void ChangeConfig();
+  // Returns false when some zone is evacuated already.
+  bool BeginEvacuation(const ZoneId& zone);
+  void EndEvacuation(const ZoneId& zone);
 
   std::vector<Host>& hosts() { return hosts_; }
-  const FaultTimes& times() const { return times_; }
+  std::vector<Server>& servers() { return servers_; }
+  const std::map<ZoneId, RegionId>& zones() const { return zones_; }
+  platform::StoreStandin& store() { return store_; }
+  FaultTimes& times() { return times_; }
   // Null when no host listens there.
   Host* FindHost(const Endpoint& callers);
   // The version that was written last, and when the store took it.
@@ -93,34 +116,14 @@
   int64_t most_resident_bytes() const { return most_resident_bytes_; }
 
  private:
-  struct Server {
-    std::unique_ptr<SoakServer> server;
-    int generation = 0;
-    std::optional<Instant> leaving_since;
-    // A fault or a replacement is under way.
-    bool busy = false;
-  };
-
   void AddHost(int i);
   void AddServer(int i);
   std::string SettingsOf(const Host& host) const;
-  void StartHost(Host& host);
   void WriteConfig();
-  void WriteServer(const Server& server);
   void OnArrival(const std::string& server, const std::string& id);
 
-  boost::asio::awaitable<void> HostFault(Host& host, const Fault& fault);
-  boost::asio::awaitable<void> StopHost(Host& host);
-  // Waits until the process of that life is gone, `limit` at most.
+  // Waits until the process is gone, `limit` at most; returns whether it is.
   boost::asio::awaitable<bool> WaitGone(Host& host, Duration limit);
-  boost::asio::awaitable<void> LinkFault(FaultProxy& link,
-                                         int variant,
-                                         Duration length);
-  boost::asio::awaitable<void> StoreFault(const Fault& fault);
-  boost::asio::awaitable<void> ServerFault(Server& server, const Fault& fault);
-  boost::asio::awaitable<void> ReplaceServer(Server& server, Duration length);
-  boost::asio::awaitable<void> EvacuateZone(const ZoneId& zone,
-                                            Duration length);
 
   const SoakOptions options_;
   WorkerPool& workers_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "platform/wire_decoder.h"
+#include "soak/fault_player.h"
 #include "soak/soak_callers.h"
 #include "src/http/one_shot.h"
 
@@ -40,6 +41,7 @@
         names_(platform::PlatformWire()),
         ledger_(kBudget),
         fleet_(options, workers, names_, ledger_, kBudget),
+        player_(fleet_),
         callers_(loop_, fleet_, names_, ledger_, options.seed) {}
 
   asio::awaitable<SoakReport> Play() {
@@ -83,7 +85,7 @@
     const int before = running_;
     for (const Fault& it : plan) {
       co_await SleepFor(it.at - (SteadyNow() - begun));
-      Spawn(fleet_.Apply(it));
+      Spawn(player_.Play(it));
     }
     while (running_ > before)
       co_await SleepFor(kPoll);
@@ -107,6 +109,7 @@
   const EntryWire names_;
   RunLedger ledger_;
   SoakFleet fleet_;
+  FaultPlayer player_;
   SoakCallers callers_;
   bool stop_calling_ = false;
   bool stop_supervising_ = false;
--- a/tests/soak/run_ledger_test.cc
+++ b/tests/soak/run_ledger_test.cc
@@ -71,6 +71,20 @@
   CHECK(Found(changed, Breach::kUnasked));
 }
 
+TEST_CASE("a few requests may cross a caller that leaves, more may not") {
+  const int late = GENERATE(3, 4);
+  RunLedger it({});
+  for (int i = 0; i < late; ++i) {
+    const std::string id = std::to_string(i);
+    Send(it, id, true);
+    CHECK_FALSE(it.LeftAt(id));
+    it.OnLeft(id, At(80));
+    CHECK(it.LeftAt(id) == At(80));
+    it.OnSentAfterLeft(id, Duration(700));
+  }
+  CHECK(Found(it, Breach::kSentAfterLeft) == (late > 3));
+}
+
 TEST_CASE("repeats beyond the budget are found, and those within are not") {
   const int repeats = GENERATE(25, 26);
   RunLedger it({0.2, 5, Duration(10'000)});
