--- a/include/trace/log_story.h
+++ b/include/trace/log_story.h
@@ -54,6 +54,9 @@
 // A line as people read it: time since `begin_unix_ms`, host, event, fields.
 std::string FormatLogLine(const LogLine& line, int64_t begin_unix_ms);
 
+// A line as it was logged.
+boost::json::object LogLineJson(const LogLine& line);
+
 }  // namespace toucanknot
 
 #endif  // INCLUDE_TRACE_LOG_STORY_H_
--- a/src/cli/trace_command.cc
+++ b/src/cli/trace_command.cc
@@ -1,8 +1,12 @@
 #include "src/cli/trace_command.h"
 
+#include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
+#include <string>
+#include <utility>
 
+#include "include/config/json_text.h"
 #include "include/trace/log_story.h"
 
 namespace toucanknot {
@@ -11,6 +15,19 @@
 // A host's log files of a day, at a hundred hosts.
 constexpr size_t kMostFiles = 10'000;
 
+boost::json::value StoryJson(const LogStory& story, const std::string& name) {
+  boost::json::array lines;
+  for (const LogLine* it : story.Of(name))
+    lines.push_back(LogLineJson(*it));
+  boost::json::array conclusions;
+  for (const std::string& it : story.Conclusions(name))
+    conclusions.emplace_back(it);
+  return boost::json::object{{"id", name},
+                             {"unreadable", story.unreadable()},
+                             {"lines", std::move(lines)},
+                             {"conclusions", std::move(conclusions)}};
+}
+
 }  // namespace
 
 std::vector<CliCommand> TraceCommand::All() {
@@ -41,6 +58,10 @@
                   << " lines are no log lines or are cut; passed over\n";
   }
   const std::vector<const LogLine*> lines = story.Of(name);
+  if (context.settings.json) {
+    context.out() << WriteJson(StoryJson(story, name));
+    return lines.empty() ? ExitCode::kFailure : ExitCode::kOk;
+  }
   if (lines.empty()) {
     context.out() << "no line of " << story.lines() << " concerns " << name
                   << ": its line was left out, its host ended before it, or it "
--- a/src/trace/log_story.cc
+++ b/src/trace/log_story.cc
@@ -99,6 +99,39 @@
   return "?";
 }
 
+// What the hosts learned of a server around the end of a request.
+void AddNewsOf(const std::string& server,
+               const LogLine& request,
+               const std::vector<const LogLine*>& related,
+               std::vector<std::string>& out) {
+  for (const LogLine* it : related) {
+    if (it->event != kServer || Text(*it, "server") != server)
+      continue;
+    const int64_t later = it->unix_ms - request.unix_ms;
+    out.push_back(fmt::format("{} learned {} ms {}: {}.", it->host,
+                              std::abs(later), later <= 0 ? "before" : "after",
+                              Text(*it, "change")));
+  }
+}
+
+// What one line of a request says of its end.
+void Conclude(const LogLine& line,
+              const std::vector<const LogLine*>& related,
+              std::vector<std::string>& out) {
+  out.push_back(
+      fmt::format("{} answered {} after {} ms; it {}.", line.host,
+                  Whole(line, "status"), Whole(line, "took_ms"),
+                  Flag(line, "may_have_run") ? "may have run" : "did not run"));
+  for (const Attempt& it : AttemptsOf(line)) {
+    out.push_back(fmt::format("{} {}.", it.server, Sentence(it.end)));
+    AddNewsOf(it.server, line, related, out);
+  }
+  if (const auto refusal = kPlaceRefusalNames.Parse(RefusalOf(line)))
+    out.push_back(Sentence(*refusal) + ".");
+  if (Flag(line, "caller_left"))
+    out.push_back("The caller left before the answer.");
+}
+
 }  // namespace
 
 void LogStory::Read(std::istream& in) {
@@ -166,30 +199,10 @@
 
 std::vector<std::string> LogStory::Conclusions(std::string_view id) const {
   std::vector<std::string> out;
-  for (const LogLine& it : lines_) {
-    if (it.event != kRequest || Text(it, "id") != id)
-      continue;
-    out.push_back(
-        fmt::format("{} answered {} after {} ms; it {}.", it.host,
-                    Whole(it, "status"), Whole(it, "took_ms"),
-                    Flag(it, "may_have_run") ? "may have run" : "did not run"));
-    for (const Attempt& attempt : AttemptsOf(it)) {
-      out.push_back(
-          fmt::format("{} {}.", attempt.server, Sentence(attempt.end)));
-      for (const LogLine* near : Of(id)) {
-        if (near->event == kServer && Text(*near, "server") == attempt.server) {
-          out.push_back(
-              fmt::format("{} learned {} ms {}: {}.", near->host,
-                          std::abs(near->unix_ms - it.unix_ms),
-                          near->unix_ms <= it.unix_ms ? "before" : "after",
-                          Text(*near, "change")));
-        }
-      }
-    }
-    if (const auto refusal = kPlaceRefusalNames.Parse(RefusalOf(it)))
-      out.push_back(Sentence(*refusal) + ".");
-    if (Flag(it, "caller_left"))
-      out.push_back("The caller left before the answer.");
+  const std::vector<const LogLine*> related = Of(id);
+  for (const LogLine* it : related) {
+    if (it->event == kRequest && Text(*it, "id") == id)
+      Conclude(*it, related, out);
   }
   return out;
 }
@@ -205,4 +218,12 @@
   return out;
 }
 
+boost::json::object LogLineJson(const LogLine& line) {
+  boost::json::object out{
+      {"unix_ms", line.unix_ms}, {"host", line.host}, {"event", line.event}};
+  for (const auto& it : line.fields)
+    out[it.key()] = it.value();
+  return out;
+}
+
 }  // namespace toucanknot
--- a/tests/cli/cli_fixture.h
+++ b/tests/cli/cli_fixture.h
@@ -15,6 +15,7 @@
 
 #include "include/cli/command_line.h"
 #include "include/config/config_text.h"
+#include "include/store/config_reader.h"
 #include "src/standin/memory_store.h"
 #include "tests/config/small_fleet.h"
 #include "tests/store/scripted_store.h"
--- /dev/null
+++ b/tests/cli/trace_command_test.cc
@@ -0,0 +1,47 @@
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/cli/cli_fixture.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr char kLog[] =
+    R"({"unix_ms":9000,"host":"h1","event":"request","id":"a1","status":503,)"
+    R"("took_ms":0,"sent":0,"may_have_run":false,)"
+    R"("story":" refused:no-server queued:0"})"
+    "\n";
+
+}  // namespace
+
+TEST_CASE("trace tells a request's story and how it ended") {
+  CliFixture it;
+  const TempFile log(kLog);
+  CHECK(it.RunBare({"trace", "a1", log.path()}) == 0);
+  CHECK(it.Says("h1  request"));
+  CHECK(it.Says("it did not run"));
+  CHECK(it.Says("no backend server of the service took requests"));
+}
+
+TEST_CASE("trace as JSON") {
+  CliFixture it;
+  const TempFile log(kLog);
+  CHECK(it.RunBare({"trace", "a1", log.path(), "--json"}) == 0);
+  const boost::json::value out = boost::json::parse(it.out());
+  CHECK(out.at("lines").as_array().size() == 1);
+  CHECK(out.at("lines").at(0).at("status") == 503);
+  CHECK(out.at("conclusions").as_array().size() == 2);
+}
+
+TEST_CASE("trace of what no line concerns, and of files that are not there") {
+  CliFixture it;
+  const TempFile log(std::string(kLog) + "cut {\"unix_");
+  CHECK(it.RunBare({"trace", "zz", log.path()}) == 1);
+  CHECK(it.Says("no line of 1 concerns zz"));
+  CHECK(it.Says("1 lines are no log lines"));
+  CHECK(it.RunBare({"trace", "a1", "/nonexistent"}) == 2);
+  CHECK(it.RunBare({"trace"}) == 2);
+}
+
+}  // namespace toucanknot
