--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -245,13 +245,19 @@
   co_return !host.process->running();
 }
 
-asio::awaitable<void> SoakFleet::StopHost(Host& host) {
+bool SoakFleet::BeginStop(Host& host) {
   if (!host.process->running() || host.to_end)
-    co_return;
+    return false;
   host.to_end = true;
   host.stopped_at = SteadyNow();
-  const Instant begun = SteadyNow();
   host.process->Signal(SIGTERM);
+  return true;
+}
+
+asio::awaitable<void> SoakFleet::StopHost(Host& host) {
+  if (!BeginStop(host))
+    co_return;
+  const Instant begun = *host.stopped_at;
   if (co_await WaitGone(host, kGrace + kEndSlack))
     co_return;
   // A process that was held still may take longer.
@@ -271,8 +277,18 @@
 }
 
 asio::awaitable<void> SoakFleet::StopAll() {
+  // Together, as when a fleet is taken down; each has its grace time.
+  const Instant begun = SteadyNow();
   for (Host& it : hosts_)
-    co_await StopHost(it);
+    BeginStop(it);
+  for (Host& it : hosts_) {
+    const Duration left = kGrace + kEndSlack - (SteadyNow() - begun);
+    if (co_await WaitGone(it, left))
+      continue;
+    ledger_.Report(Breach::kHostEnded,
+                   it.id.str() + " did not end within its grace time");
+    co_await KillHost(it);
+  }
 }
 
 void SoakFleet::ChangeConfig() {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -122,6 +122,8 @@
   void WriteConfig();
   void OnArrival(const std::string& server, const std::string& id);
 
+  // Sends SIGTERM; returns false to a host that ends or has ended already.
+  bool BeginStop(Host& host);
   // Waits until the process is gone, `limit` at most; returns whether it is.
   boost::asio::awaitable<bool> WaitGone(Host& host, Duration limit);
 
