http: idempotent requests of one connection overlap

Cause: requests that a caller sent ahead on its connection were read and worked on one after the other, so each one waited for the whole time of those before it, and a caller that left was not noticed behind bytes of a next request. Change: a connection reads on while requests are under way. Requests that may be repeated are handed over at once, eight at most, and answered in order; any other one waits for those ahead of it, since an answer that closes the connection makes the caller send again what was behind it. On a planned stop all that was handed over is answered, the last answer closes. A close waits for the caller's, when there are unread bytes, so that no reset takes an answer away. Ruled out: a second coroutine that writes (another wake-up a request): whoever has the front's answer writes. Tests: tests/http/overlap_test.cc; "requests that may overlap do" and "a caller that leaves" fail on the code before.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -190,6 +190,11 @@
 }
 
 void EntryDaemon::Impl::Start() {
+  callers_.SetMayOverlap([this](const HttpRequest& request) {
+    const Route* route =
+        routes_.Find(request.fields.Get("Host"), request.target);
+    return route != nullptr && route->kind == RequestKind::kIdempotent;
+  });
   settings_.callers = callers_.Listen(settings_.callers);
   settings_.readiness = readiness_.Listen(settings_.readiness);
   settings_.directory = directory_.Listen(settings_.directory);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -34,6 +34,9 @@
   uint64_t accepted = 0;
   uint64_t refused_connections = 0;
   uint64_t requests = 0;
+  // Requests that were begun while an earlier one of their connection was not
+  // answered yet.
+  uint64_t overlapping = 0;
   uint64_t malformed = 0;
   uint64_t too_large = 0;
   uint64_t timed_out = 0;
@@ -43,7 +46,8 @@
 
 // An HTTP/1.1 listener. Each request is read whole, within limits, and handed
 // to the handler on the connection's worker; requests on one connection are
-// answered in order. What is malformed or too large is answered with a 4xx
+// answered in order, and worked on one after the other unless they may overlap.
+// What is malformed or too large is answered with a 4xx
 // that says "not run", and the connection is closed.
 class HttpServer {
  public:
@@ -52,6 +56,10 @@
       std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
   // The most bytes a body for `target` may have.
   using BodyLimit = std::function<uint64_t(std::string_view target)>;
+  // Whether a request may be worked on while others of its connection are. It
+  // must bear a repeat: when an answer ahead of it closes the connection, its
+  // client sends it again.
+  using MayOverlap = std::function<bool(const HttpRequest&)>;
 
   HttpServer(WorkerPool& workers,
              HttpServerLimits limits,
@@ -61,6 +69,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Call before Listen(). Without it no requests overlap.
+  void SetMayOverlap(MayOverlap hook);
   // Binds and accepts. A port of 0 takes a free one. Throws
   // boost::system::system_error when the address cannot be had.
   Endpoint Listen(const Endpoint& endpoint);
