placing: regions keep objects by what the fleet asks for; callers stay in zones

Cause 1: each host took its own demand times the number of its region's hosts for the region's demand. Hosts get callers by capacity, so strong ones (large: three quarters of the callers) saw twice the demand and weak ones a third: they kept different objects in the region, and each was fetched at two places. And a region kept what fills 60 % of its slots, while others stood at 15 %. Change: hosts tell their demand by service in sheets (FleetDemand); who has not been heard of counts by capacity. A region keeps what fills its slots no more than 1.15 times what all callers fill of all slots, or 22 % where all are empty.

Cause 2: a request without an object had the same eight servers at all times; a service of 40 let requests wait while 32 stood idle. Change: such requests draw eight servers each, of the zone if it can bear its callers, else of the region or all. Test: tests/placing/any_server_test.cc; its first case fails before.

Cause 3: the directory knew a caller's region, not its zone. ChooseHosts names hosts of the zone as far as they have its part of the region's capacity.

Tried and taken back: objects kept by zone first.

--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -25,6 +25,11 @@
   return "zone-" + std::to_string(region);
 }
 
+ModelSetup Complete(ModelSetup setup) {
+  setup.host_weights.resize(setup.hosts_per_region, 1);
+  return setup;
+}
+
 }  // namespace
 
 struct FleetModel::Server {
@@ -90,7 +95,7 @@
 }
 
 FleetModel::FleetModel(ModelSetup setup)
-    : setup_(std::move(setup)), random_(setup_.seed) {
+    : setup_(Complete(std::move(setup))), random_(setup_.seed) {
   auto config = std::make_shared<RouteConfig>();
   config->version = 1;
   for (const ModelRoute& it : setup_.routes) {
@@ -119,23 +124,30 @@
       servers_.push_back(std::move(server));
     }
   }
+  outcome_.regions.resize(setup_.servers.size());
   ran_.assign(setup_.servers.size(), std::vector<int>(setup_.servers.size()));
   ran_before_ = ran_;
+  std::vector<HostSeat> seats;
   const int all =
       setup_.hosts_per_region * static_cast<int>(setup_.servers.size());
   for (size_t region = 0; region < setup_.servers.size(); ++region) {
     for (int i = 0; i < setup_.hosts_per_region; ++i) {
       options.host = HostId(std::to_string(hosts_.size()));
+      options.capacity = setup_.host_weights[i];
       options.zone = ZoneId(ZoneName(region));
       options.region = RegionId(RegionName(region));
       auto host = std::make_unique<Host>(region, options, Now());
       host->placer.OnConfig(config_);
-      host->placer.SetHostCount(all, setup_.hosts_per_region);
+      host->placer.SetHostCount(all);
+      seats.push_back({HostKey(options.host), options.region, options.zone,
+                       options.capacity});
       for (const auto& it : servers_)
         host->registry.OnEntry(it->entry, Now());
       hosts_.push_back(std::move(host));
     }
   }
+  for (const auto& it : hosts_)
+    it->placer.SetHosts(seats);
 }
 
 FleetModel::~FleetModel() = default;
@@ -188,13 +200,15 @@
         object(random_);
     request->first_asked = now_;
     ++outcome_.routes[m.name].asked;
+    ++outcome_.regions[region].asked;
     Offer(request);
     ScheduleArrival(region, route, m);
   });
 }
 
 void FleetModel::Offer(const RequestPtr& request) {
-  std::uniform_int_distribution<int> pick(0, setup_.hosts_per_region - 1);
+  std::discrete_distribution<int> pick(setup_.host_weights.begin(),
+                                       setup_.host_weights.end());
   request->host =
       hosts_[request->region * setup_.hosts_per_region + pick(random_)].get();
   request->asked = now_;
@@ -314,10 +328,12 @@
       return;
     request->ended = true;
     ModelResult& result = outcome_.routes[request->model->name];
-    if (now_ - request->first_asked <= request->model->target.ms())
+    if (now_ - request->first_asked <= request->model->target.ms()) {
       ++result.in_target;
-    else
+      ++outcome_.regions[request->region].in_target;
+    } else {
       ++result.late;
+    }
     Finish(request, SendEnd::kAnswered, server);
   });
 }
@@ -358,11 +374,13 @@
       const bool far = since % (crowded ? 200 : 600) == 0;
       if (!near && !far)
         continue;
-      const LoadSheet sheet{static_cast<uint64_t>(&from - hosts_.data()) + 1,
+      const auto at = static_cast<size_t>(&from - hosts_.data());
+      const LoadSheet sheet{HostKey(HostId(std::to_string(at))),
                             1,
                             ++from->sheets,
                             from->placer.OwnRows(),
-                            {}};
+                            {},
+                            from->placer.OwnDemands(Now())};
       for (const auto& to : hosts_) {
         std::bernoulli_distribution lost(setup_.sheet_loss);
         if (to != from && (far || to->region == from->region) && !lost(random_))
--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -38,6 +38,9 @@
   // Backend servers of each region.
   std::vector<int> servers;
   int hosts_per_region = 2;
+  // Callers that come to each host of a region, relative to the others; all the
+  // same when it is empty.
+  std::vector<double> host_weights;
   int slots = 4;
   // Requests that wait at a server at most.
   int queue = 12;
@@ -92,6 +95,8 @@
   int sends = 0;
   // The most requests at one server.
   int most_at_server = 0;
+  // Answers within the target and requests, by the callers' region.
+  std::vector<ModelResult> regions;
   // The greatest part of a region's requests that ran in another region from
   // one span of two seconds to the next, once traffic had run for six.
   double most_shift = 0;
--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -29,8 +29,10 @@
   std::string load;
   // The path of the directory.
   std::string lookup_path;
-  // The region of a caller of the directory, in the query.
+  // The region and the availability zone of a caller of the directory, in the
+  // query.
   std::string lookup_region;
+  std::string lookup_zone;
   // The directory's answer: addresses, and how long a caller may keep them.
   std::function<std::string(const std::vector<Endpoint>&, Duration lifetime)>
       write_hosts;
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -4,12 +4,12 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string_view>
 #include <vector>
 
 #include "include/base/clock.h"
+#include "include/entry/host_choice.h"
 #include "include/entry/host_record.h"
-#include "include/placing/cold_owners.h"
+#include "include/placing/host_seat.h"
 
 namespace toucanknot {
 
@@ -37,11 +37,8 @@
   // Whether this host itself takes new callers.
   void SetSelfReady(bool ready) { self_ready_ = ready; }
 
-  // Two addresses for a caller in `region`, one for when the other fails; of
-  // all regions where that one has no host. Each caller gets the same ones
-  // while the hosts stay the same, and hosts get callers by their capacities.
-  std::vector<Endpoint> AddressesFor(const RegionId& region,
-                                     std::string_view caller) const;
+  // Where a caller is to connect: see ChooseHosts().
+  std::vector<Endpoint> AddressesFor(const CallerPlace& caller) const;
 
   // The most hosts that were there at once lately, this one included.
   int HostCount(Instant now);
@@ -49,8 +46,6 @@
   std::vector<Endpoint> Others(const RegionId& region, bool inside) const;
   // The hosts that the store lists.
   std::vector<HostSeat> Seats() const;
-  // The hosts in `region` now, at least 1.
-  int HostsIn(const RegionId& region) const;
   size_t size() const { return hosts_.size(); }
 
  private:
--- a/include/placing/cold_owners.h
+++ b/include/placing/cold_owners.h
@@ -5,17 +5,10 @@
 #include <vector>
 
 #include "include/base/ids.h"
+#include "include/placing/host_seat.h"
 
 namespace toucanknot {
 
-// An entry host that takes requests. `key` is its HostKey().
-struct HostSeat {
-  uint64_t key = 0;
-  RegionId region;
-
-  bool operator==(const HostSeat&) const = default;
-};
-
 // Which hosts send requests to a backend server while it is cold. A cold server
 // bears a few requests a second from all hosts together; one from each host is
 // too many where there are many hosts. So a few hosts own it, by rendezvous
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -26,6 +26,14 @@
 
     bool operator==(const Crash&) const = default;
   };
+  // Slots of a service (its ServiceKey()) that the host's own callers need on
+  // average.
+  struct Demand {
+    uint32_t service = 0;
+    double slots = 0;
+
+    bool operator==(const Demand&) const = default;
+  };
 
   // Hash of the host's id, and the life and number of the sheet.
   uint64_t host = 0;
@@ -34,6 +42,7 @@
   std::vector<Row> rows;
   // Those of the last seconds: a lost datagram loses none.
   std::vector<Crash> crashes;
+  std::vector<Demand> demands;
 
   bool operator==(const LoadSheet&) const = default;
 };
@@ -42,6 +51,8 @@
 // of both then count for each.
 uint32_t ServerKey(const ServerId& id);
 uint64_t HostKey(const HostId& id);
+// A short name of a service for sheets.
+uint32_t ServiceKey(const ServiceId& id);
 
 // The newest sheets of the other hosts, added up. Does no I/O. Not thread-safe.
 class PeerLoads {
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -14,6 +14,7 @@
 #include "include/placing/cold_owners.h"
 #include "include/placing/demand.h"
 #include "include/placing/fetched_objects.h"
+#include "include/placing/fleet_demand.h"
 #include "include/placing/peer_loads.h"
 #include "include/placing/server_load.h"
 #include "include/placing/server_registry.h"
@@ -128,6 +129,8 @@
     ZoneId zone;
     RegionId region;
     std::map<ZoneId, RegionId> regions;
+    // As in HostSeat.
+    double capacity = 1;
     // Time to a server and back, in ms.
     double zone_rtt = 2;
     double region_rtt = 40;
@@ -153,9 +156,12 @@
   // Another host told of its requests.
   void OnPeerSheet(const LoadSheet& sheet, Instant now) {
     peers_.OnSheet(sheet, now);
+    fleet_demand_.OnSheet(sheet, now);
   }
   // This host's own requests at servers.
   std::vector<LoadSheet::Row> OwnRows() const;
+  // What this host's own callers ask for.
+  std::vector<LoadSheet::Demand> OwnDemands(Instant now) const;
 
   // Another life of a server began, or it is gone.
   void Forget(const ServerId& server);
@@ -163,14 +169,12 @@
   void Tick(Instant now);
   // A new version is in force.
   void OnConfig(const RouteConfigPtr& config) { config_ = config; }
-  // How many hosts there are, and how many of them in this region.
-  void SetHostCount(int all, int in_region) {
-    host_count_ = all;
-    region_host_count_ = in_region;
-  }
-  // The hosts that share each server's rate while it is cold.
-  void SetHosts(std::vector<HostSeat> hosts) {
-    cold_owners_.SetHosts(std::move(hosts));
+  // How many hosts there are.
+  void SetHostCount(int n) { host_count_ = n; }
+  // The hosts that the store lists.
+  void SetHosts(const std::vector<HostSeat>& hosts) {
+    cold_owners_.SetHosts(hosts);
+    fleet_demand_.SetHosts(hosts);
   }
 
   static constexpr Duration kAdvanceEvery{20};
@@ -264,7 +268,9 @@
   const Instant started_at_;
   RouteConfigPtr config_;
   int host_count_ = 1;
-  int region_host_count_ = 1;
+  // Hosts draw different samples of servers.
+  const uint64_t sample_seed_;
+  FleetDemand fleet_demand_;
   ColdOwners cold_owners_;
   uint64_t next_order_ = 0;
   std::map<ServerId, std::shared_ptr<ServerLoad>> loads_;
@@ -282,9 +288,18 @@
   };
   // With a view of the registry as it is.
   Service& ServiceOf(const ServiceId& id);
-  // Whether the servers of this region can bear `object` with the others that
-  // its callers ask for; the rest is kept in other regions.
-  bool IsKeptHere(const Service& service, uint64_t object, Instant now) const;
+  // The share of what the callers of the zone or region ask for that its
+  // servers are to bear: all of it, unless that fills them more than others.
+  double KeptShare(const ServiceId& id,
+                   const Service& service,
+                   ServiceView::Nearness within,
+                   Instant now) const;
+  // The servers for a request, the best ones first: where its object is kept,
+  // in this region or elsewhere, or some of the nearest ones that can bear what
+  // is asked for.
+  ServiceView::Order OrderFor(Service& service,
+                              const Waiting& waiting,
+                              Instant now) const;
 
   Instant crowded_until_;
   std::map<ServiceId, Service> services_;
--- a/include/placing/service_view.h
+++ b/include/placing/service_view.h
@@ -20,12 +20,14 @@
 // changes. Does no I/O.
 class ServiceView {
  public:
+  // How near a server is to this host.
+  enum class Nearness { kZone, kRegion, kElsewhere };
+
   struct Server {
     const ServerRegistry::Server* entry = nullptr;
     std::shared_ptr<ServerLoad> load;
     RegionId region;
-    // In the region of this host.
-    bool here = false;
+    Nearness nearness = Nearness::kElsewhere;
     // Time there and back, in ms.
     double rtt = 0;
   };
@@ -36,9 +38,11 @@
   explicit ServiceView(std::vector<Server> servers);
 
   const std::vector<Server>& servers() const { return servers_; }
-  // All slots, and those in this host's region.
   double slots() const { return slots_; }
-  double slots_here() const { return slots_here_; }
+  // The slots of servers that are as near as `nearness` or nearer.
+  double SlotsWithin(Nearness nearness) const {
+    return slots_within_[static_cast<size_t>(nearness)];
+  }
   // Servers by the time when they appeared, the newest first, kMostJoined at
   // most.
   const std::vector<int>& joined() const { return joined_; }
@@ -49,6 +53,9 @@
   // rendezvous hashing: each server comes first for a part of the objects that
   // its slots make up, and the order is the same at all hosts of a region.
   const Order& OrderOf(uint64_t object, bool here);
+  // Servers for a request that any of them answers as fast: kOrderSize of those
+  // as near as `within` or nearer, another draw for each `draw`.
+  Order Sample(uint64_t draw, Nearness within) const;
 
   // The part of the slots in use, measured every kMeasureEvery by `busy`.
   double Filled(const std::function<double(const ServerLoad&)>& busy,
@@ -64,7 +71,11 @@
   std::vector<int> joined_;
   boost::unordered_flat_map<std::string_view, int> index_;
   double slots_ = 0;
-  double slots_here_ = 0;
+  std::array<double, 3> slots_within_{};
+  // Indexes of servers_, the nearest first, and how many are within each
+  // nearness.
+  std::vector<int> by_nearness_;
+  std::array<size_t, 3> count_within_{};
   // By object: with the servers of the other regions first, and of this one.
   std::array<boost::unordered_flat_map<uint64_t, Order>, 2> orders_;
   double filled_ = 0;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -143,10 +143,10 @@
           [this](ServerChange change, const ServerRegistry::Server& server) {
             OnServerChange(change, server);
           }),
-      placer_(
-          {settings_.host, settings_.zone, settings_.region, settings_.regions},
-          registry_,
-          SteadyNow()),
+      placer_({settings_.host, settings_.zone, settings_.region,
+               settings_.regions, static_cast<double>(CapacityOf(settings_))},
+              registry_,
+              SteadyNow()),
       desk_(loop_, placer_),
       connections_(loop_),
       roster_(Self(), settings_.regions),
@@ -268,11 +268,9 @@
 LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
   LoadExchange::Hooks hooks;
   hooks.own_sheet = [this] {
-    LoadSheet sheet{HostKey(settings_.host),
-                    incarnation_,
-                    ++sheets_,
-                    placer_.OwnRows(),
-                    {}};
+    LoadSheet sheet{
+        HostKey(settings_.host), incarnation_, ++sheets_,
+        placer_.OwnRows(),       {},           placer_.OwnDemands(SteadyNow())};
     for (const CrashLedger::Charge& it :
          crashes_.OwnSince(SteadyNow() - kTellCrashesFor)) {
       sheet.crashes.push_back({it.fingerprint, it.server});
@@ -360,7 +358,7 @@
     roster_.Advance(now);
     placer_.Tick(now);
     const int hosts = roster_.HostCount(now);
-    placer_.SetHostCount(hosts, roster_.HostsIn(settings_.region));
+    placer_.SetHostCount(hosts);
     placer_.SetHosts(roster_.Seats());
     runner_.SetHostCount(hosts);
     desk_.Wake();
@@ -376,9 +374,10 @@
 HttpResponse EntryDaemon::Impl::AnswerLookup(const HttpRequest& request) const {
   if (TargetPath(request.target) != names_.lookup_path)
     return TextResponse(404, "unknown path");
-  const RegionId region(QueryValue(request.target, names_.lookup_region));
-  const std::vector<Endpoint> addresses =
-      roster_.AddressesFor(region, request.remote_ip);
+  const std::vector<Endpoint> addresses = roster_.AddressesFor(
+      {RegionId(QueryValue(request.target, names_.lookup_region)),
+       ZoneId(QueryValue(request.target, names_.lookup_zone)),
+       request.remote_ip});
   if (addresses.empty())
     return TextResponse(503, "no entry host is ready");
   return JsonResponse(
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -1,22 +1,11 @@
 #include "include/entry/host_roster.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "include/placing/peer_loads.h"
-#include "include/placing/service_view.h"
 
 namespace toucanknot {
-namespace {
-
-// Callers with one address only would have to ask again when it fails; more
-// would even the shares of strong and weak hosts out.
-constexpr size_t kAddresses = 2;
-
-}  // namespace
 
 void HostRoster::OnHost(const HostRecord& record, Instant) {
   hosts_[record.host] = {record, std::nullopt};
@@ -66,34 +55,20 @@
   return it == regions_.end() ? RegionId() : it->second;
 }
 
-std::vector<Endpoint> HostRoster::AddressesFor(const RegionId& region,
-                                               std::string_view caller) const {
-  std::vector<const HostRecord*> in_region;
-  std::vector<const HostRecord*> all;
-  const auto add = [&](const HostRecord& record) {
-    all.push_back(&record);
-    if (RegionOf(record.zone) == region)
-      in_region.push_back(&record);
-  };
+std::vector<Endpoint> HostRoster::AddressesFor(
+    const CallerPlace& caller) const {
+  std::vector<HostOption> options;
+  options.reserve(hosts_.size() + 1);
   if (self_ready_)
-    add(self_);
+    options.push_back({&self_, RegionOf(self_.zone)});
   for (const auto& [id, host] : hosts_) {
     if (id != self_.host)
-      add(host.record);
+      options.push_back({&host.record, RegionOf(host.record.zone)});
   }
-  std::vector<std::pair<double, Endpoint>> order;
-  for (const HostRecord* it : in_region.empty() ? all : in_region) {
-    const uint64_t hash =
-        XXH3_64bits_withSeed(caller.data(), caller.size(), HostKey(it->host));
-    order.emplace_back(
-        -std::log(UnitOf(hash)) / static_cast<double>(it->capacity),
-        it->callers);
-  }
-  std::sort(order.begin(), order.end());
-  std::vector<Endpoint> addresses;
-  for (size_t i = 0; i < order.size() && i < kAddresses; ++i)
-    addresses.push_back(order[i].second);
-  return addresses;
+  const auto zones =
+      std::count_if(regions_.begin(), regions_.end(),
+                    [&](const auto& it) { return it.second == caller.region; });
+  return ChooseHosts(options, caller, static_cast<int>(zones));
 }
 
 std::vector<Endpoint> HostRoster::Others(const RegionId& region,
@@ -110,18 +85,11 @@
   std::vector<HostSeat> out;
   out.reserve(hosts_.size());
   for (const auto& [id, host] : hosts_)
-    out.push_back({HostKey(id), RegionOf(host.record.zone)});
+    out.push_back({HostKey(id), RegionOf(host.record.zone), host.record.zone,
+                   static_cast<double>(host.record.capacity)});
   return out;
 }
 
-int HostRoster::HostsIn(const RegionId& region) const {
-  const auto n =
-      std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& it) {
-        return RegionOf(it.second.record.zone) == region;
-      });
-  return std::max(1, static_cast<int>(n));
-}
-
 int HostRoster::HostCount(Instant now) {
   const int n =
       static_cast<int>(hosts_.size()) + (hosts_.contains(self_.host) ? 0 : 1);
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <limits>
 #include <memory>
 #include <utility>
@@ -27,6 +28,9 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 // Sheets stay in one datagram.
 constexpr size_t kMostRows = 1'000;
+// Demands are told in tenths of a slot; no host has more.
+constexpr double kTenths = 10;
+constexpr double kMostDemand = 1e6;
 
 }  // namespace
 
@@ -56,6 +60,17 @@
     out.__set_crash_requests(fingerprints);
     out.__set_crash_servers(places);
   }
+  if (!sheet.demands.empty()) {
+    std::vector<int32_t> services;
+    std::vector<int32_t> tenths;
+    for (const LoadSheet::Demand& it : sheet.demands) {
+      services.push_back(static_cast<int32_t>(it.service));
+      tenths.push_back(static_cast<int32_t>(
+          std::lround(std::clamp(it.slots, 0.0, kMostDemand) * kTenths)));
+    }
+    out.__set_services(services);
+    out.__set_slot_tenths(tenths);
+  }
   const auto buf = std::make_shared<TMemoryBuffer>();
   Protocol protocol(buf);
   out.write(&protocol);
@@ -77,7 +92,8 @@
     return std::nullopt;
   }
   if (!in.__isset.host || in.servers.size() != in.requests.size() ||
-      in.crash_requests.size() != in.crash_servers.size()) {
+      in.crash_requests.size() != in.crash_servers.size() ||
+      in.services.size() != in.slot_tenths.size()) {
     return std::nullopt;
   }
   LoadSheet sheet;
@@ -92,6 +108,10 @@
     sheet.crashes.push_back({static_cast<uint64_t>(in.crash_requests[i]),
                              static_cast<uint32_t>(in.crash_servers[i])});
   }
+  for (size_t i = 0; i < in.services.size(); ++i) {
+    sheet.demands.push_back({static_cast<uint32_t>(in.services[i]),
+                             std::max(in.slot_tenths[i], 0) / kTenths});
+  }
   return sheet;
 }
 
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3440,6 +3440,26 @@
   this->crash_servers = val;
 __isset.crash_servers = true;
 }
+
+void LoadSheet::__set_services(const std::vector<int32_t> & val) {
+  this->services = val;
+__isset.services = true;
+}
+
+void LoadSheet::__set_slot_tenths(const std::vector<int32_t> & val) {
+  this->slot_tenths = val;
+__isset.slot_tenths = true;
+}
+
+void LoadSheet::__set_store_revision(const int64_t val) {
+  this->store_revision = val;
+__isset.store_revision = true;
+}
+
+void LoadSheet::__set_store_proof_ms(const int32_t val) {
+  this->store_proof_ms = val;
+__isset.store_proof_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3572,6 +3592,62 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->services.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              xfer += iprot->readI32(this->services[_i164]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slot_tenths.clear();
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->slot_tenths.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
+              xfer += iprot->readI32(this->slot_tenths[_i169]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slot_tenths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_revision);
+          this->__isset.store_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store_proof_ms);
+          this->__isset.store_proof_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3608,10 +3684,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter160;
-      for (_iter160 = this->servers.begin(); _iter160 != this->servers.end(); ++_iter160)
+      std::vector<int32_t> ::const_iterator _iter170;
+      for (_iter170 = this->servers.begin(); _iter170 != this->servers.end(); ++_iter170)
       {
-        xfer += oprot->writeI32((*_iter160));
+        xfer += oprot->writeI32((*_iter170));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3621,10 +3697,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter161;
-      for (_iter161 = this->requests.begin(); _iter161 != this->requests.end(); ++_iter161)
+      std::vector<int16_t> ::const_iterator _iter171;
+      for (_iter171 = this->requests.begin(); _iter171 != this->requests.end(); ++_iter171)
       {
-        xfer += oprot->writeI16((*_iter161));
+        xfer += oprot->writeI16((*_iter171));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3634,10 +3710,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter162;
-      for (_iter162 = this->crash_requests.begin(); _iter162 != this->crash_requests.end(); ++_iter162)
+      std::vector<int64_t> ::const_iterator _iter172;
+      for (_iter172 = this->crash_requests.begin(); _iter172 != this->crash_requests.end(); ++_iter172)
       {
-        xfer += oprot->writeI64((*_iter162));
+        xfer += oprot->writeI64((*_iter172));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3647,15 +3723,51 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter163;
-      for (_iter163 = this->crash_servers.begin(); _iter163 != this->crash_servers.end(); ++_iter163)
+      std::vector<int32_t> ::const_iterator _iter173;
+      for (_iter173 = this->crash_servers.begin(); _iter173 != this->crash_servers.end(); ++_iter173)
       {
-        xfer += oprot->writeI32((*_iter163));
+        xfer += oprot->writeI32((*_iter173));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.services) {
+    xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
+      std::vector<int32_t> ::const_iterator _iter174;
+      for (_iter174 = this->services.begin(); _iter174 != this->services.end(); ++_iter174)
+      {
+        xfer += oprot->writeI32((*_iter174));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slot_tenths) {
+    xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
+      std::vector<int32_t> ::const_iterator _iter175;
+      for (_iter175 = this->slot_tenths.begin(); _iter175 != this->slot_tenths.end(); ++_iter175)
+      {
+        xfer += oprot->writeI32((*_iter175));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_revision) {
+    xfer += oprot->writeFieldBegin("store_revision", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->store_revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_proof_ms) {
+    xfer += oprot->writeFieldBegin("store_proof_ms", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->store_proof_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3670,49 +3782,69 @@
   swap(a.requests, b.requests);
   swap(a.crash_requests, b.crash_requests);
   swap(a.crash_servers, b.crash_servers);
+  swap(a.services, b.services);
+  swap(a.slot_tenths, b.slot_tenths);
+  swap(a.store_revision, b.store_revision);
+  swap(a.store_proof_ms, b.store_proof_ms);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other164) {
-  host = other164.host;
-  incarnation = other164.incarnation;
-  sequence = other164.sequence;
-  servers = other164.servers;
-  requests = other164.requests;
-  crash_requests = other164.crash_requests;
-  crash_servers = other164.crash_servers;
-  __isset = other164.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other165) noexcept {
-  host = other165.host;
-  incarnation = other165.incarnation;
-  sequence = other165.sequence;
-  servers = std::move(other165.servers);
-  requests = std::move(other165.requests);
-  crash_requests = std::move(other165.crash_requests);
-  crash_servers = std::move(other165.crash_servers);
-  __isset = other165.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other166) {
-  host = other166.host;
-  incarnation = other166.incarnation;
-  sequence = other166.sequence;
-  servers = other166.servers;
-  requests = other166.requests;
-  crash_requests = other166.crash_requests;
-  crash_servers = other166.crash_servers;
-  __isset = other166.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other176) {
+  host = other176.host;
+  incarnation = other176.incarnation;
+  sequence = other176.sequence;
+  servers = other176.servers;
+  requests = other176.requests;
+  crash_requests = other176.crash_requests;
+  crash_servers = other176.crash_servers;
+  services = other176.services;
+  slot_tenths = other176.slot_tenths;
+  store_revision = other176.store_revision;
+  store_proof_ms = other176.store_proof_ms;
+  __isset = other176.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other177) noexcept {
+  host = other177.host;
+  incarnation = other177.incarnation;
+  sequence = other177.sequence;
+  servers = std::move(other177.servers);
+  requests = std::move(other177.requests);
+  crash_requests = std::move(other177.crash_requests);
+  crash_servers = std::move(other177.crash_servers);
+  services = std::move(other177.services);
+  slot_tenths = std::move(other177.slot_tenths);
+  store_revision = other177.store_revision;
+  store_proof_ms = other177.store_proof_ms;
+  __isset = other177.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other178) {
+  host = other178.host;
+  incarnation = other178.incarnation;
+  sequence = other178.sequence;
+  servers = other178.servers;
+  requests = other178.requests;
+  crash_requests = other178.crash_requests;
+  crash_servers = other178.crash_servers;
+  services = other178.services;
+  slot_tenths = other178.slot_tenths;
+  store_revision = other178.store_revision;
+  store_proof_ms = other178.store_proof_ms;
+  __isset = other178.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other167) noexcept {
-  host = other167.host;
-  incarnation = other167.incarnation;
-  sequence = other167.sequence;
-  servers = std::move(other167.servers);
-  requests = std::move(other167.requests);
-  crash_requests = std::move(other167.crash_requests);
-  crash_servers = std::move(other167.crash_servers);
-  __isset = other167.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other179) noexcept {
+  host = other179.host;
+  incarnation = other179.incarnation;
+  sequence = other179.sequence;
+  servers = std::move(other179.servers);
+  requests = std::move(other179.requests);
+  crash_requests = std::move(other179.crash_requests);
+  crash_servers = std::move(other179.crash_servers);
+  services = std::move(other179.services);
+  slot_tenths = std::move(other179.slot_tenths);
+  store_revision = other179.store_revision;
+  store_proof_ms = other179.store_proof_ms;
+  __isset = other179.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -3725,6 +3857,10 @@
   out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
   out << ", " << "crash_requests="; (__isset.crash_requests ? (out << to_string(crash_requests)) : (out << "<null>"));
   out << ", " << "crash_servers="; (__isset.crash_servers ? (out << to_string(crash_servers)) : (out << "<null>"));
+  out << ", " << "services="; (__isset.services ? (out << to_string(services)) : (out << "<null>"));
+  out << ", " << "slot_tenths="; (__isset.slot_tenths ? (out << to_string(slot_tenths)) : (out << "<null>"));
+  out << ", " << "store_revision="; (__isset.store_revision ? (out << to_string(store_revision)) : (out << "<null>"));
+  out << ", " << "store_proof_ms="; (__isset.store_proof_ms ? (out << to_string(store_proof_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), store_revision(false), store_proof_ms(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1408,6 +1408,10 @@
   bool requests :1;
   bool crash_requests :1;
   bool crash_servers :1;
+  bool services :1;
+  bool slot_tenths :1;
+  bool store_revision :1;
+  bool store_proof_ms :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1420,7 +1424,9 @@
   LoadSheet() noexcept
             : host(0),
               incarnation(0),
-              sequence(0) {
+              sequence(0),
+              store_revision(0),
+              store_proof_ms(0) {
   }
 
   virtual ~LoadSheet() noexcept;
@@ -1431,6 +1437,10 @@
   std::vector<int16_t>  requests;
   std::vector<int64_t>  crash_requests;
   std::vector<int32_t>  crash_servers;
+  std::vector<int32_t>  services;
+  std::vector<int32_t>  slot_tenths;
+  int64_t store_revision;
+  int32_t store_proof_ms;
 
   _LoadSheet__isset __isset;
 
@@ -1448,6 +1458,14 @@
 
   void __set_crash_servers(const std::vector<int32_t> & val);
 
+  void __set_services(const std::vector<int32_t> & val);
+
+  void __set_slot_tenths(const std::vector<int32_t> & val);
+
+  void __set_store_revision(const int64_t val);
+
+  void __set_store_proof_ms(const int32_t val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1478,6 +1496,22 @@
       return false;
     else if (__isset.crash_servers && !(crash_servers == rhs.crash_servers))
       return false;
+    if (__isset.services != rhs.__isset.services)
+      return false;
+    else if (__isset.services && !(services == rhs.services))
+      return false;
+    if (__isset.slot_tenths != rhs.__isset.slot_tenths)
+      return false;
+    else if (__isset.slot_tenths && !(slot_tenths == rhs.slot_tenths))
+      return false;
+    if (__isset.store_revision != rhs.__isset.store_revision)
+      return false;
+    else if (__isset.store_revision && !(store_revision == rhs.store_revision))
+      return false;
+    if (__isset.store_proof_ms != rhs.__isset.store_proof_ms)
+      return false;
+    else if (__isset.store_proof_ms && !(store_proof_ms == rhs.store_proof_ms))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -141,4 +141,12 @@
   // Requests whose connection broke lately, and the servers where it did.
   6: optional list<i64> crash_requests
   7: optional list<i32> crash_servers
+  // Slots that the host's own callers ask for on average, in tenths, by service
+  // (hashes of their names).
+  8: optional list<i32> services
+  9: optional list<i32> slot_tenths
+  // The newest change that the host has heard of from the store, and how long
+  // ago the store last proved that there was none after it.
+  10: optional i64 store_revision
+  11: optional i32 store_proof_ms
 }
--- a/src/placing/peer_loads.cc
+++ b/src/placing/peer_loads.cc
@@ -12,6 +12,10 @@
   return XXH3_64bits(id.str().data(), id.str().size());
 }
 
+uint32_t ServiceKey(const ServiceId& id) {
+  return static_cast<uint32_t>(XXH3_64bits(id.str().data(), id.str().size()));
+}
+
 void PeerLoads::Count(const std::vector<LoadSheet::Row>& rows, int sign) {
   for (const LoadSheet::Row& it : rows) {
     int& total = totals_[it.server];
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -21,9 +21,12 @@
 constexpr double kCrowded = 0.75;
 // Above this part, hosts tell each other of their requests more often.
 constexpr double kNearlyCrowded = 0.6;
-// The part of a region's slots that its own callers' objects may fill on
-// average; the rest is for peaks.
-constexpr double kRegionFill = 0.6;
+// The part of a zone's or region's slots that its own callers may fill on
+// average, however empty the others are, and the part in times of what all
+// callers fill of all slots. What is over goes to other regions: a region with
+// few servers has no peak that others could not share.
+constexpr double kPlaceFill = 0.22;
+constexpr double kFairFill = 1.15;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
 // The part of the time to fetch an object that counts against a server beyond
@@ -53,7 +56,10 @@
     : options_(std::move(options)),
       registry_(registry),
       started_at_(now),
-      cold_owners_(HostKey(options_.host)) {}
+      sample_seed_(HostKey(options_.host)),
+      cold_owners_(HostKey(options_.host)),
+      fleet_demand_({HostKey(options_.host), options_.region, options_.zone,
+                     options_.capacity}) {}
 
 std::shared_ptr<ServerLoad> Placer::LoadOf(const ServerId& id) {
   std::shared_ptr<ServerLoad>& load = loads_[id];
@@ -79,6 +85,13 @@
   return rows;
 }
 
+std::vector<LoadSheet::Demand> Placer::OwnDemands(Instant now) const {
+  std::vector<LoadSheet::Demand> out;
+  for (const auto& [id, service] : services_)
+    out.push_back({ServiceKey(id), service.demand.Slots(now)});
+  return out;
+}
+
 WorkTimes& Placer::TimesOf(const Route& route) {
   return times_.try_emplace(route.name, route.target_latency, route.sticky)
       .first->second;
@@ -107,10 +120,14 @@
     const auto region = options_.regions.find(it->entry.zone);
     if (region != options_.regions.end())
       server.region = region->second;
-    server.here = server.region == options_.region;
-    server.rtt = it->entry.zone == options_.zone ? 0
-                 : server.here                   ? options_.zone_rtt
-                                                 : options_.region_rtt;
+    if (it->entry.zone == options_.zone) {
+      server.nearness = ServiceView::Nearness::kZone;
+    } else if (server.region == options_.region) {
+      server.nearness = ServiceView::Nearness::kRegion;
+      server.rtt = options_.zone_rtt;
+    } else {
+      server.rtt = options_.region_rtt;
+    }
     servers.push_back(std::move(server));
   }
   service.view = std::make_unique<ServiceView>(std::move(servers));
@@ -118,13 +135,39 @@
   return service;
 }
 
-bool Placer::IsKeptHere(const Service& service,
-                        uint64_t object,
-                        Instant now) const {
-  const double asked = service.demand.Slots(now) * region_host_count_;
-  const double share =
-      asked > 0 ? service.view->slots_here() * kRegionFill / asked : 1;
-  return UnitOf(object) < share;
+double Placer::KeptShare(const ServiceId& id,
+                         const Service& service,
+                         ServiceView::Nearness within,
+                         Instant now) const {
+  const FleetDemand::Slots asked =
+      fleet_demand_.Of(ServiceKey(id), service.demand.Slots(now));
+  const ServiceView& view = *service.view;
+  const double slots = view.SlotsWithin(within);
+  const double here =
+      within == ServiceView::Nearness::kZone ? asked.zone : asked.region;
+  if (here <= 0 || slots <= 0)
+    return slots > 0 ? 1 : 0;
+  const double fill =
+      std::max(kPlaceFill, kFairFill * asked.all / view.slots());
+  return fill * slots / here;
+}
+
+ServiceView::Order Placer::OrderFor(Service& service,
+                                    const Waiting& waiting,
+                                    Instant now) const {
+  using enum ServiceView::Nearness;
+  const uint64_t object = waiting.item.object;
+  const ServiceId& id = waiting.item.service;
+  if (object != 0) {
+    const bool here = UnitOf(object) < KeptShare(id, service, kRegion, now);
+    return service.view->OrderOf(object, here);
+  }
+  ServiceView::Nearness within = kElsewhere;
+  if (KeptShare(id, service, kZone, now) >= 1)
+    within = kZone;
+  else if (KeptShare(id, service, kRegion, now) >= 1)
+    within = kRegion;
+  return service.view->Sample(waiting.order + sample_seed_, within);
 }
 
 std::vector<Placer::Candidate> Placer::Candidates(const Waiting& waiting,
@@ -144,8 +187,7 @@
     if (MayTake(waiting, server, now))
       out.push_back({&server, rank, static_cast<int>(out.size())});
   };
-  const ServiceView::Order& order =
-      view.OrderOf(item.object, IsKeptHere(service, item.object, now));
+  const ServiceView::Order order = OrderFor(service, waiting, now);
   const int kept = static_cast<int>(kFetchChance.size());
   int rank = 0;
   for (size_t i = 0; i < order.size() && order[i] >= 0; ++i) {
@@ -195,7 +237,8 @@
 }
 
 bool Placer::IsToBeTried(const ServiceView::Server& server, Instant now) const {
-  return server.here && now - server.entry->appeared_at < kJoinedLately &&
+  return server.nearness != ServiceView::Nearness::kElsewhere &&
+         now - server.entry->appeared_at < kJoinedLately &&
          now >= server.entry->cold_until &&
          server.load->last_sent() == Instant() &&
          server.entry->appeared_at - started_at_ > kJoinedLately;
@@ -467,6 +510,7 @@
 
 void Placer::Tick(Instant now) {
   peers_.Expire(now);
+  fleet_demand_.Update(now);
 }
 
 }  // namespace toucanknot
--- a/src/placing/service_view.cc
+++ b/src/placing/service_view.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <random>
 #include <tuple>
 #include <utility>
 
@@ -27,10 +29,18 @@
   for (size_t i = 0; i < servers_.size(); ++i) {
     const Server& it = servers_[i];
     slots_ += it.entry->entry.slots;
-    slots_here_ += it.here ? it.entry->entry.slots : 0;
+    for (auto n = static_cast<size_t>(it.nearness); n < slots_within_.size();
+         ++n) {
+      slots_within_[n] += it.entry->entry.slots;
+      ++count_within_[n];
+    }
     index_[it.entry->entry.id.str()] = static_cast<int>(i);
     joined_.push_back(static_cast<int>(i));
+    by_nearness_.push_back(static_cast<int>(i));
   }
+  std::stable_sort(by_nearness_.begin(), by_nearness_.end(), [&](int a, int b) {
+    return servers_[a].nearness < servers_[b].nearness;
+  });
   std::sort(joined_.begin(), joined_.end(), [&](int a, int b) {
     return servers_[a].entry->appeared_at > servers_[b].entry->appeared_at;
   });
@@ -52,7 +62,7 @@
   all.reserve(servers_.size());
   for (size_t i = 0; i < servers_.size(); ++i) {
     const ServerEntry& entry = servers_[i].entry->entry;
-    all.emplace_back(servers_[i].here != here,
+    all.emplace_back((servers_[i].nearness != Nearness::kElsewhere) != here,
                      -std::log(UnitOf(HashOf(object, entry.id))) / entry.slots,
                      static_cast<int>(i));
   }
@@ -66,6 +76,24 @@
   return orders[object] = order;
 }
 
+ServiceView::Order ServiceView::Sample(uint64_t draw, Nearness within) const {
+  Order order;
+  order.fill(-1);
+  const size_t count = count_within_[static_cast<size_t>(within)];
+  const size_t n = std::min(count, kOrderSize);
+  // A random start and step: no server comes twice.
+  std::minstd_rand random(static_cast<uint32_t>(XXH3_64bits(&draw, 8)));
+  size_t at = count > 0 ? random() % count : 0;
+  size_t step = count > 0 ? random() % count : 0;
+  while (n > 1 && std::gcd(step, count) != 1)
+    step = (step + 1) % count;
+  for (size_t i = 0; i < n; ++i) {
+    order[i] = by_nearness_[at];
+    at = (at + step) % count;
+  }
+  return order;
+}
+
 double ServiceView::Filled(const std::function<double(const ServerLoad&)>& busy,
                            Instant now) {
   if (measured_ && now - filled_at_ < kMeasureEvery)
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -57,6 +57,7 @@
   names.load = "X-Load";
   names.lookup_path = "/hosts";
   names.lookup_region = "region";
+  names.lookup_zone = "zone";
   names.write_hosts = [](const std::vector<Endpoint>& hosts, Duration) {
     std::string out = "hosts";
     for (const Endpoint& it : hosts)
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -80,7 +80,7 @@
                      {ZoneId("a-2"), RegionId("a")},
                      {ZoneId("b-1"), RegionId("b")}});
   const auto ports = [&](const char* region) {
-    return Ports(roster.AddressesFor(RegionId(region), "10.9.0.1"));
+    return Ports(roster.AddressesFor({RegionId(region), ZoneId(), "10.9.0.1"}));
   };
   CHECK(ports("a").empty());
   roster.SetSelfReady(true);
@@ -92,7 +92,11 @@
   CHECK(ports("c").size() == 2);
   CHECK(Ports(roster.Others(RegionId("a"), true)) == std::set<uint16_t>{2});
   CHECK(Ports(roster.Others(RegionId("a"), false)) == std::set<uint16_t>{3});
-  CHECK(roster.HostsIn(RegionId("a")) == 2);
+  std::map<ZoneId, double> capacity;
+  for (const HostSeat& it : roster.Seats())
+    capacity[it.zone] += it.capacity;
+  CHECK(capacity[ZoneId("a-1")] == 1);
+  CHECK(capacity[ZoneId("b-1")] == 1);
 
   // Hosts behind thin links were filled up while strong ones idled.
   HostRecord strong = MakeHost("strong", "a-2", 4);
@@ -102,9 +106,10 @@
   constexpr int kCallers = 600;
   for (int i = 0; i < kCallers; ++i) {
     const std::string caller = "10.9.0." + std::to_string(i);
-    const auto addresses = roster.AddressesFor(RegionId("a"), caller);
+    const auto addresses =
+        roster.AddressesFor({RegionId("a"), ZoneId(), caller});
     REQUIRE(addresses.size() == 2);
-    CHECK(addresses == roster.AddressesFor(RegionId("a"), caller));
+    CHECK(addresses == roster.AddressesFor({RegionId("a"), ZoneId(), caller}));
     first += addresses[0].port == 4 ? 1 : 0;
   }
   // Ten parts of twelve.
--- /dev/null
+++ b/tests/placing/any_server_test.cc
@@ -0,0 +1,102 @@
+// Requests that any server of a service answers as fast.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+#include "include/placing/placer.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr Instant kNow{1'000'000};
+constexpr int kSlots = 4;
+
+// A host in zone "a" of region "r", and servers in that zone, in "b" beside it
+// and in region "q".
+struct AnyServerFixture {
+  AnyServerFixture()
+      : registry([](ServerChange, const ServerRegistry::Server&) {}),
+        placer({HostId("h"),
+                ZoneId("a"),
+                RegionId("r"),
+                {{ZoneId("a"), RegionId("r")},
+                 {ZoneId("b"), RegionId("r")},
+                 {ZoneId("c"), RegionId("q")}}},
+               registry,
+               kNow) {
+    route.name = "plain";
+    route.target_latency = Duration(400);
+    route.timeout = Duration(2'000);
+    route.sticky = false;
+    route.targets = {{ServiceId("s"), 1}};
+  }
+
+  void AddServers(const std::string& zone, int n) {
+    for (int i = 0; i < n; ++i) {
+      ServerEntry entry;
+      entry.id = ServerId(zone + std::to_string(i));
+      entry.service = ServiceId("s");
+      entry.zone = ZoneId(zone);
+      entry.slots = kSlots;
+      entry.incarnation = 1;
+      registry.OnEntry(entry, kNow);
+    }
+  }
+
+  // Offers `n` requests at once; what each server got.
+  std::map<std::string, int> Offer(int n) {
+    std::map<std::string, int> got;
+    for (int i = 0; i < n; ++i) {
+      PlaceItem item;
+      item.id = ++last_item;
+      item.route = &route;
+      item.service = ServiceId("s");
+      item.target = kNow + route.target_latency;
+      item.deadline = kNow + route.timeout;
+      const Placement placement = placer.Offer(item, kNow);
+      CHECK(placement.step == PlaceStep::kSend);
+      ++got[placement.server.str()];
+    }
+    return got;
+  }
+
+  Route route;
+  ServerRegistry registry;
+  Placer placer;
+  uint64_t last_item = 0;
+};
+
+}  // namespace
+
+TEST_CASE("requests without an object use all servers, not the first few") {
+  AnyServerFixture it;
+  it.AddServers("a", 40);
+  const std::map<std::string, int> got = it.Offer(100);
+  CHECK(got.size() > 30);
+  for (const auto& [server, n] : got)
+    CHECK(n <= kSlots + 1);
+}
+
+TEST_CASE("requests without an object stay in the zone that can bear them") {
+  AnyServerFixture it;
+  it.AddServers("a", 20);
+  it.AddServers("b", 20);
+  it.AddServers("c", 20);
+  for (const auto& [server, n] : it.Offer(5))
+    CHECK(server[0] == 'a');
+}
+
+TEST_CASE("beyond its zone a host uses the region, then the others") {
+  AnyServerFixture it;
+  it.AddServers("b", 2);
+  it.AddServers("c", 20);
+  std::map<char, int> by_zone;
+  for (const auto& [server, n] : it.Offer(60))
+    by_zone[server[0]] += n;
+  CHECK(by_zone['b'] > 0);
+  CHECK(by_zone['c'] > 30);
+}
+
+}  // namespace toucanknot
--- a/tests/placing/cold_server_test.cc
+++ b/tests/placing/cold_server_test.cc
@@ -68,8 +68,7 @@
     for (size_t i = from; i < to; ++i)
       seats.push_back({HostKey(hosts[i]->id), RegionId(hosts[i]->region)});
     for (size_t i = from; i < to; ++i) {
-      hosts[i]->placer.SetHostCount(static_cast<int>(seats.size()),
-                                    static_cast<int>(seats.size()) / 3);
+      hosts[i]->placer.SetHostCount(static_cast<int>(seats.size()));
       hosts[i]->placer.SetHosts(seats);
     }
   }
