forward: answers without end are broken off, in bounded memory

Change: eight of them at most; the bodies that are read share a quarter of the host's memory. Such an exchange counts as broken: the request may have run.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -45,7 +45,7 @@
 // A caller that is idle for longer than the limit is cut only after this part
 // more, so that its next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
-// Part of the memory that request bodies may take.
+// Part of the memory that request bodies may take, and answers that are read.
 constexpr int64_t kBodyMemoryPart = 4;
 constexpr Duration kStopPoll{20};
 // The process ends this long before it would be killed, so that it can say what
@@ -190,6 +190,7 @@
 }
 
 void EntryDaemon::Impl::Start() {
+  connections_.set_max_buffered_bytes(settings_.memory_bytes / kBodyMemoryPart);
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
         routes_.Find(request.fields.Get("Host"), request.target);
@@ -413,6 +414,12 @@
                static_cast<double>(connections.opened));
   metrics_.Set("toucanknot_connections_reused",
                static_cast<double>(connections.reused));
+  metrics_.Set("toucanknot_answers_endless",
+               static_cast<double>(connections.endless));
+  metrics_.Set("toucanknot_answer_bytes_buffered",
+               static_cast<double>(connections.buffered_bytes));
+  metrics_.Set("toucanknot_requests_overlapping",
+               static_cast<double>(http.overlapping));
   metrics_.Set("toucanknot_callers_connected",
                static_cast<double>(http.open_connections));
   metrics_.Set("toucanknot_ready", Ready() ? 1 : 0);
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -31,6 +31,7 @@
 // How long an idle connection is kept whose other side states no limit: well
 // under the shortest default of common servers, 5 s.
 constexpr Duration kDefaultIdle{4'000};
+constexpr int64_t kDefaultBufferedBytes = 1LL << 30;
 // Idle connections kept to one endpoint by one worker.
 constexpr size_t kMaxIdlePerEndpoint = 8;
 
@@ -42,6 +43,13 @@
   return AttemptEnd::kBroken;
 }
 
+// Whether an answer was broken off for its length or number: the limits of
+// heads and bodies, of chunk headers, and of answers to other requests.
+bool IsEndless(const beast::error_code& ec) {
+  return ec == http::error::header_limit || ec == http::error::body_limit ||
+         ec == http::error::buffer_overflow || ec == http::error::bad_status;
+}
+
 // For how long a connection may be idle before it is used again, by the
 // `timeout` of the answer's Keep-Alive field: four fifths of it, so that the
 // request and the other side's close do not cross.
@@ -84,9 +92,11 @@
   void CloseIdle(Duration idle);
 
   ConnectionLimit limit;
+  int64_t max_buffered_bytes = kDefaultBufferedBytes;
   ConnectionPoolCounts Counts() const {
-    return {counts_.opened, counts_.reused, counts_.discarded,
-            counts_.connect_failed, counts_.surplus_bytes};
+    return {counts_.opened,         counts_.reused,        counts_.discarded,
+            counts_.connect_failed, counts_.surplus_bytes, counts_.endless,
+            counts_.buffered_bytes};
   }
 
  private:
@@ -98,6 +108,8 @@
     std::atomic<uint64_t> connect_failed{0};
     std::atomic<uint64_t> surplus_bytes{0};
     std::atomic<uint64_t> surplus_answers{0};
+    std::atomic<uint64_t> endless{0};
+    std::atomic<int64_t> buffered_bytes{0};
   };
 
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
@@ -147,6 +159,25 @@
   static std::shared_ptr<Sending> BeginSending(
       Connection& connection,
       http::request<http::string_body> request);
+  // Memory that the body of an answer takes while it is read.
+  struct Buffered {
+    explicit Buffered(AtomicCounts& counts) : total(counts.buffered_bytes) {}
+    ~Buffered() { total -= bytes; }
+    Buffered(const Buffered&) = delete;
+    Buffered& operator=(const Buffered&) = delete;
+
+    void Set(int64_t n) {
+      total += n - bytes;
+      bytes = n;
+    }
+
+    std::atomic<int64_t>& total;
+    int64_t bytes = 0;
+  };
+  // Reads the body of an answer whose header was read.
+  asio::awaitable<beast::error_code> ReadBody(
+      Connection& connection,
+      http::response_parser<http::string_body>& parser);
   // Reads answers until the request's own, into `result.response`.
   asio::awaitable<beast::error_code> ReadAnswer(Connection& connection,
                                                 bool head,
@@ -256,13 +287,32 @@
   return sending;
 }
 
+asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadBody(
+    Connection& connection,
+    http::response_parser<http::string_body>& parser) {
+  Buffered buffered(counts_);
+  while (!parser.is_done()) {
+    auto [ec, n] = co_await http::async_read_some(
+        connection.stream, connection.buffer, parser, kAwait);
+    // An answer without a length ends with its connection.
+    if (ec == http::error::end_of_stream && parser.is_done())
+      break;
+    if (ec)
+      co_return ec;
+    buffered.Set(static_cast<int64_t>(parser.get().body().size()));
+    if (counts_.buffered_bytes > max_buffered_bytes)
+      co_return http::error::body_limit;
+  }
+  co_return beast::error_code{};
+}
+
 asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadAnswer(
     Connection& connection,
     bool head,
     const ExchangeOptions& options,
     ExchangeResult& result,
     bool& reusable) {
-  for (;;) {
+  for (int others = 0; others <= options.max_other_answers; ++others) {
     http::response_parser<http::string_body> parser;
     parser.header_limit(kMaxAnswerHeaderBytes);
     parser.body_limit(options.max_answer_bytes);
@@ -277,10 +327,9 @@
     // Interim answers (1xx) come before the one that counts.
     if (parser.get().result_int() / 100 == 1)
       continue;
-    auto [ec, m] = co_await http::async_read(connection.stream,
-                                             connection.buffer, parser, kAwait);
-    if (ec)
+    if (const beast::error_code ec = co_await ReadBody(connection, parser)) {
       co_return ec;
+    }
     // An answer without a length ends with its connection; one that is reset
     // has failed above.
     reusable = reusable && parser.get().keep_alive() && !parser.need_eof();
@@ -293,6 +342,7 @@
     if (last)
       co_return http::error::end_of_stream;
   }
+  co_return http::error::bad_status;
 }
 
 asio::awaitable<void> ConnectionPool::Impl::SendAndReceive(
@@ -310,6 +360,8 @@
       co_await ReadAnswer(connection, head, options, result, reusable);
   if (ec) {
     reusable = false;
+    if (IsEndless(ec))
+      ++counts_.endless;
     const bool unsent = sending->done && sending->ec && sending->bytes == 0;
     result.end = unsent ? AttemptEnd::kNotSent : EndOf(ec);
     result.error =
@@ -378,6 +430,10 @@
   impl_->limit = std::move(limit);
 }
 
+void ConnectionPool::set_max_buffered_bytes(int64_t bytes) {
+  impl_->max_buffered_bytes = bytes;
+}
+
 asio::awaitable<ExchangeResult> ConnectionPool::Exchange(
     Endpoint endpoint,
     HttpRequest request,
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -30,6 +30,9 @@
   Duration silent_after{3'000};
   // A larger answer ends the exchange.
   uint64_t max_answer_bytes = 32 << 20;
+  // Interim answers (1xx) and answers to other requests that may come before
+  // the one that counts; a server that sends more will not stop by itself.
+  int max_other_answers = 8;
   // Called once, before the first byte is handed to the kernel. Returns
   // whether it may be; when not, the exchange ends as kCancelled.
   std::function<bool()> before_first_byte;
@@ -61,6 +64,10 @@
   uint64_t discarded = 0;
   uint64_t connect_failed = 0;
   uint64_t surplus_bytes = 0;
+  // Answers that were broken off for their length or number.
+  uint64_t endless = 0;
+  // Bytes of answers that are being read.
+  int64_t buffered_bytes = 0;
 };
 
 // HTTP/1.1 connections to backend servers and other entry hosts, kept open
@@ -80,6 +87,9 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   void set_connection_limit(ConnectionLimit limit);
+  // The memory for bodies of answers that are being read, of all exchanges
+  // together. Beyond it an exchange ends as kBroken.
+  void set_max_buffered_bytes(int64_t bytes);
 
   // Sends `request` to `endpoint` and reads the whole answer. Cancellation
   // closes the connection. Never throws for what the network does.
--- /dev/null
+++ b/tests/entry/server_in_trouble_test.cc
@@ -0,0 +1,49 @@
+// Servers that send bytes without end, and what their callers get.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/entry/entry_fixture.h"
+#include "tests/forward/endless_server.h"
+
+namespace toucanknot {
+namespace {
+
+std::string Status(const std::string& answer) {
+  return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+}  // namespace
+
+TEST_CASE("a caller learns that its request may have run at such a server") {
+  const std::string piece =
+      GENERATE("HTTP/1.1 100 Continue\r\n\r\n", "zzzz",
+               "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Stamp: s\r\n"
+               "Content-Length: 1\r\n\r\nx");
+  EntryFixture it;
+  it.Configure(1, Duration(20'000));
+  EndlessServer endless("", piece);
+  it.AddServer("a", endless.endpoint());
+  const std::string out = it.Ask("/once/a");
+  INFO(out);
+  CHECK(Status(out) == "502");
+  CHECK(out.find("may have run") != std::string::npos);
+  CHECK(out.find("Retry-After") == std::string::npos);
+}
+
+TEST_CASE("such a server is left alone, and others answer meanwhile") {
+  EntryFixture it;
+  it.Configure(1, Duration(20'000));
+  EndlessServer endless("HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Stamp: s\r\n\r\n",
+                        "bbbb");
+  TestServer good([](const HttpRequest& request) {
+    return TestServer::Ran(request, "good");
+  });
+  it.AddServer("a", endless.endpoint());
+  it.AddServer("b", good.endpoint());
+  for (int i = 0; i < 10; ++i)
+    CHECK(Status(it.Ask("/safe/a")) == "200");
+  CHECK(good.arrivals == 10);
+}
+
+}  // namespace toucanknot
