entry: what servers turn away while slots are free is served after all

Change: while slots are free the caller returns after 40 to 60 ms (ReturnAfterRejection); a server that turned a request away is asked once more; six sends that did not run, within the service's budget of retries; of that budget as much is kept for callers that have come back as will need it (ReturnReserve). Ruled out: a longer wait at the host before the next attempt: it does not lower the chance to be shed.

--- a/include/limits/retry_budget.h
+++ b/include/limits/retry_budget.h
@@ -25,8 +25,9 @@
 
   // A first attempt succeeded.
   void OnSuccess(Instant now);
-  // Takes one extra attempt from the budget; false when it is spent.
-  bool TryTake(Instant now);
+  // Takes one extra attempt from the budget; false when it is spent but for
+  // the part `keep` (0 to 1) of what the window allows.
+  bool TryTake(Instant now, double keep = 0);
 
   // Extra attempts that could be taken now.
   int64_t Available(Instant now);
@@ -41,6 +42,8 @@
     int64_t taken = 0;
   };
 
+  // Extra attempts that the window allows.
+  int64_t Allowed() const;
   // Empties the buckets that have left the window.
   void Roll(Instant now);
 
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -248,7 +248,7 @@
   // `item` as it is decided on and waits.
   Waiting MakeWaiting(const PlaceItem& item);
   Placement Decide(const Waiting& waiting, bool queued, Instant now);
-  Placement Send(const Waiting& waiting, const Candidate& best, Instant now);
+  Placement Send(const Waiting& waiting, const Choice& choice, Instant now);
   Placement Refuse(const Waiting& waiting,
                    PlaceRefusal refusal,
                    Duration wait,
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -14,6 +14,7 @@
 #include <memory>
 #include <utility>
 
+#include "include/placing/return_time.h"
 #include "src/entry/decision_log.h"
 
 namespace toucanknot {
@@ -28,6 +29,11 @@
 // Bytes that a server does not acknowledge for this long are lost: several
 // round trips between regions.
 constexpr Duration kSilentAfter{800};
+// A caller that has come back has waited for this long at least.
+constexpr Duration kShortestTrip{30};
+// Servers that a request may be sent to while none runs it. The service's
+// budget of retries bounds them too.
+constexpr int kMostSends = 6;
 // No caller's patience is taken for longer.
 constexpr Duration kLongestWait{600'000};
 // Larger answers are broken off.
@@ -140,6 +146,7 @@
   if (const auto ms = Number(fields.Get(parts_.names.deadline_ms))) {
     run.deadline = std::min(run.deadline, began + Duration(*ms));
     spent = TimeSpent(run.route, Duration(*ms));
+    run.returned = spent >= kShortestTrip;
   }
   run.fingerprint = FingerprintOf(run.request);
   if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow())) {
@@ -179,7 +186,7 @@
       run.caller_left = true;
       co_return Fail(run, attempt.end, "the caller left");
     }
-    run.item.avoid.push_back(placement->server);
+    Avoid(run, placement->server, attempt.end);
     if (MayRepeat(run, attempt.end))
       continue;
     // A server's own failure is the answer.
@@ -187,7 +194,7 @@
       co_return std::move(attempt.response);
     if (!run.may_have_run)
       co_return Refuse(run, 503, "the backend servers did not run it",
-                       Duration(300));
+                       ReturnAfterRejection(placement->filled));
     co_return Fail(run, attempt.end, attempt.error);
   }
 }
@@ -347,6 +354,7 @@
   ReadLoad(attempt.response.fields.Get(parts_.names.load), result);
   parts_.desk.Finish(result);
   parts_.metrics.CountAttempt(run.service, attempt.end, took);
+  reserves_[run.service].OnAttempt(attempt.end == SendEnd::kRefused);
   if (attempt.end == SendEnd::kAnswered || attempt.end == SendEnd::kFailed)
     parts_.crashes.OnAnswered(run.fingerprint);
   run.story += fmt::format(
@@ -357,6 +365,14 @@
       placement.entry_age.ms(), placement.heard, placement.others);
 }
 
+void RequestRunner::Avoid(Run& run, const ServerId& server, SendEnd end) {
+  // A server that sheds a part of its load may take the request the next time,
+  // and is the one that has its object at hand.
+  const bool first = run.rejected_by.insert(server).second;
+  if (end != SendEnd::kRefused || !first)
+    run.item.avoid.push_back(server);
+}
+
 bool RequestRunner::MayRepeat(Run& run, SendEnd end) {
   const bool not_run = end == SendEnd::kRefused ||
                        end == SendEnd::kMisdirected ||
@@ -365,14 +381,17 @@
     return false;
   if (end == SendEnd::kTimedOut)
     return false;
-  if (run.sent >= std::max(run.route.attempts, not_run ? 3 : 1))
+  if (run.sent >= std::max(run.route.attempts, not_run ? kMostSends : 1))
     return false;
   if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow()))
     return false;
   // A connection that was refused brought nothing to the service.
   if (end == SendEnd::kNotConnected)
     return true;
-  return BudgetOf(run.service).TryTake(SteadyNow());
+  const double keep =
+      run.returned ? 0
+                   : reserves_[run.service].Part(parts_.settings.retry_ratio);
+  return BudgetOf(run.service).TryTake(SteadyNow(), keep);
 }
 
 HttpResponse RequestRunner::Refuse(const Run& run,
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "include/entry/entry_settings.h"
@@ -13,6 +14,7 @@
 #include "include/entry/fleet_store.h"
 #include "include/health/crash_ledger.h"
 #include "include/limits/retry_budget.h"
+#include "include/limits/return_reserve.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "src/entry/entry_metrics.h"
@@ -67,12 +69,16 @@
     std::string id;
     uint64_t fingerprint = 0;
     PlaceItem item;
+    // Servers that turned it away.
+    std::set<ServerId> rejected_by;
     int sent = 0;
     // When a server took it first, and the time that was given to it.
     Instant deadline;
     // It may have run somewhere.
     bool may_have_run = false;
     bool caller_left = false;
+    // Its caller was refused before and came back.
+    bool returned = false;
     // What the last attempts came to, for the log.
     std::string story;
   };
@@ -101,6 +107,8 @@
               const Placement& placement,
               const Attempt& attempt,
               Duration took);
+  // Keeps the request away from a server where an attempt ended so.
+  static void Avoid(Run& run, const ServerId& server, SendEnd end);
   // Whether the request may be sent to another server after `end`.
   bool MayRepeat(Run& run, SendEnd end);
   // The answer when no server's answer can be given.
@@ -116,6 +124,7 @@
   int in_flight_ = 0;
   int host_count_ = 1;
   std::map<ServiceId, RetryBudget> budgets_;
+  std::map<ServiceId, ReturnReserve> reserves_;
   // The most time that callers of each route had, by its name.
   std::map<std::string, Duration> longest_waits_;
   std::minstd_rand random_;
--- a/src/limits/retry_budget.cc
+++ b/src/limits/retry_budget.cc
@@ -15,8 +15,9 @@
   ++successes_;
 }
 
-bool RetryBudget::TryTake(Instant now) {
-  if (Available(now) <= 0)
+bool RetryBudget::TryTake(Instant now, double keep) {
+  const auto available = static_cast<double>(Available(now));
+  if (available <= keep * static_cast<double>(Allowed()))
     return false;
   ++buckets_[tick_ % kBuckets].taken;
   ++taken_;
@@ -25,9 +26,13 @@
 
 int64_t RetryBudget::Available(Instant now) {
   Roll(now);
+  return Allowed() - taken_;
+}
+
+int64_t RetryBudget::Allowed() const {
   const auto earned =
       static_cast<int64_t>(ratio_ * static_cast<double>(successes_));
-  return std::max(earned, floor_) - taken_;
+  return std::max(earned, floor_);
 }
 
 void RetryBudget::Roll(Instant now) {
--- /dev/null
+++ b/src/limits/return_reserve.cc
@@ -0,0 +1,23 @@
+#include "include/limits/return_reserve.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// The weight of one attempt.
+constexpr double kWeight = 0.01;
+
+}  // namespace
+
+void ReturnReserve::OnAttempt(bool rejected) {
+  rejected_ += ((rejected ? 1 : 0) - rejected_) * kWeight;
+}
+
+double ReturnReserve::Part(double ratio) const {
+  if (ratio <= 0)
+    return 1;
+  return std::min(1.0, rejected_ * rejected_ / ratio);
+}
+
+}  // namespace toucanknot
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -318,8 +318,9 @@
 }
 
 Placement Placer::Send(const Waiting& waiting,
-                       const Candidate& best,
+                       const Choice& choice,
                        Instant now) {
+  const Candidate& best = choice.best;
   const PlaceItem& item = waiting.item;
   const ServerEntry& entry = best.server->entry->entry;
   const std::shared_ptr<ServerLoad>& load = best.server->load;
@@ -347,6 +348,7 @@
   out.busy = best.busy;
   out.expected_ms = best.expected_ms;
   out.warm = best.warm;
+  out.filled = choice.filled;
   out.entry_age = now - best.server->entry->seen_at;
   out.heard = peers_.fresh_hosts();
   out.others = host_count_ - 1;
@@ -386,7 +388,7 @@
     // be met at the usual speed is refused.
     const double needed = choice.crowded() ? best.expected_ms : service;
     if (needed <= left && left > 0)
-      return Send(waiting, best, now);
+      return Send(waiting, choice, now);
     return Refuse(waiting, PlaceRefusal::kTooLate, kNoServerReturn, choice);
   }
   const double wait = QueueWait(waiting, times.mean());
--- a/tests/entry/server_in_trouble_test.cc
+++ b/tests/entry/server_in_trouble_test.cc
@@ -46,4 +46,30 @@
   CHECK(good.arrivals == 10);
 }
 
+TEST_CASE("a server that sheds a part of its load is asked once more") {
+  EntryFixture it;
+  it.Configure();
+  int n = 0;
+  // Turns away each first attempt.
+  TestServer shedding([&](const HttpRequest& request) {
+    return ++n % 2 == 1 ? TestServer::NotRun(request)
+                        : TestServer::Ran(request, "taken");
+  });
+  it.AddServer("a", shedding.endpoint());
+  for (int i = 0; i < 5; ++i)
+    CHECK(Status(it.Ask("/once/a")) == "200");
+  CHECK(shedding.arrivals == 10);
+}
+
+TEST_CASE("a request that all servers turn away is refused as not run") {
+  EntryFixture it;
+  it.Configure();
+  TestServer first(&TestServer::NotRun);
+  TestServer second(&TestServer::NotRun);
+  it.AddServer("a", first.endpoint());
+  it.AddServer("b", second.endpoint());
+  CHECK(Status(it.Ask("/once/a")) == "503");
+  CHECK(first.arrivals + second.arrivals <= 4);
+}
+
 }  // namespace toucanknot
