placing: a host that starts again after its clock was set back is heard

Cause: the incarnation in sheets is the time of day at the host's start. After a jump back the next life has a lower number, and the others ignored its loads for good; what it told of its demand was ignored until it had sent as many sheets as in its life before. Change: a lower incarnation is believed once the higher one has been silent for as long as its sheet counts; demand follows the incarnation. The two fields of the sheet that nothing uses are gone. Tests: "a host that starts after its clock was set back is heard" (fails before), "a host that starts again counts its sheets anew".

--- a/include/placing/fleet_demand.h
+++ b/include/placing/fleet_demand.h
@@ -43,6 +43,7 @@
  private:
   struct Told {
     Instant at;
+    Incarnation incarnation = 0;
     uint64_t sequence = 0;
     std::vector<LoadSheet::Demand> demands;
   };
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -60,7 +60,8 @@
   // Sheets come several times a second; an older one says nothing.
   static constexpr Duration kFresh{1'200};
 
-  // Sheets that are older than one that was seen are ignored.
+  // Sheets that are older than one that was seen are ignored; so are those of
+  // a lower incarnation for kFresh after the last one of a higher.
   void OnSheet(const LoadSheet& sheet, Instant now);
   // Drops what is no longer fresh. Call several times a second.
   void Expire(Instant now);
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3450,16 +3450,6 @@
   this->slot_tenths = val;
 __isset.slot_tenths = true;
 }
-
-void LoadSheet::__set_store_revision(const int64_t val) {
-  this->store_revision = val;
-__isset.store_revision = true;
-}
-
-void LoadSheet::__set_store_proof_ms(const int32_t val) {
-  this->store_proof_ms = val;
-__isset.store_proof_ms = true;
-}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3632,22 +3622,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->store_revision);
-          this->__isset.store_revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->store_proof_ms);
-          this->__isset.store_proof_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3758,16 +3732,6 @@
     }
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.store_revision) {
-    xfer += oprot->writeFieldBegin("store_revision", ::apache::thrift::protocol::T_I64, 10);
-    xfer += oprot->writeI64(this->store_revision);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.store_proof_ms) {
-    xfer += oprot->writeFieldBegin("store_proof_ms", ::apache::thrift::protocol::T_I32, 11);
-    xfer += oprot->writeI32(this->store_proof_ms);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3784,8 +3748,6 @@
   swap(a.crash_servers, b.crash_servers);
   swap(a.services, b.services);
   swap(a.slot_tenths, b.slot_tenths);
-  swap(a.store_revision, b.store_revision);
-  swap(a.store_proof_ms, b.store_proof_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -3799,8 +3761,6 @@
   crash_servers = other176.crash_servers;
   services = other176.services;
   slot_tenths = other176.slot_tenths;
-  store_revision = other176.store_revision;
-  store_proof_ms = other176.store_proof_ms;
   __isset = other176.__isset;
 }
 LoadSheet::LoadSheet(LoadSheet&& other177) noexcept {
@@ -3813,8 +3773,6 @@
   crash_servers = std::move(other177.crash_servers);
   services = std::move(other177.services);
   slot_tenths = std::move(other177.slot_tenths);
-  store_revision = other177.store_revision;
-  store_proof_ms = other177.store_proof_ms;
   __isset = other177.__isset;
 }
 LoadSheet& LoadSheet::operator=(const LoadSheet& other178) {
@@ -3827,8 +3785,6 @@
   crash_servers = other178.crash_servers;
   services = other178.services;
   slot_tenths = other178.slot_tenths;
-  store_revision = other178.store_revision;
-  store_proof_ms = other178.store_proof_ms;
   __isset = other178.__isset;
   return *this;
 }
@@ -3842,8 +3798,6 @@
   crash_servers = std::move(other179.crash_servers);
   services = std::move(other179.services);
   slot_tenths = std::move(other179.slot_tenths);
-  store_revision = other179.store_revision;
-  store_proof_ms = other179.store_proof_ms;
   __isset = other179.__isset;
   return *this;
 }
@@ -3859,8 +3813,6 @@
   out << ", " << "crash_servers="; (__isset.crash_servers ? (out << to_string(crash_servers)) : (out << "<null>"));
   out << ", " << "services="; (__isset.services ? (out << to_string(services)) : (out << "<null>"));
   out << ", " << "slot_tenths="; (__isset.slot_tenths ? (out << to_string(slot_tenths)) : (out << "<null>"));
-  out << ", " << "store_revision="; (__isset.store_revision ? (out << to_string(store_revision)) : (out << "<null>"));
-  out << ", " << "store_proof_ms="; (__isset.store_proof_ms ? (out << to_string(store_proof_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), store_revision(false), store_proof_ms(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1410,8 +1410,6 @@
   bool crash_servers :1;
   bool services :1;
   bool slot_tenths :1;
-  bool store_revision :1;
-  bool store_proof_ms :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1424,9 +1422,7 @@
   LoadSheet() noexcept
             : host(0),
               incarnation(0),
-              sequence(0),
-              store_revision(0),
-              store_proof_ms(0) {
+              sequence(0) {
   }
 
   virtual ~LoadSheet() noexcept;
@@ -1439,8 +1435,6 @@
   std::vector<int32_t>  crash_servers;
   std::vector<int32_t>  services;
   std::vector<int32_t>  slot_tenths;
-  int64_t store_revision;
-  int32_t store_proof_ms;
 
   _LoadSheet__isset __isset;
 
@@ -1462,10 +1456,6 @@
 
   void __set_slot_tenths(const std::vector<int32_t> & val);
 
-  void __set_store_revision(const int64_t val);
-
-  void __set_store_proof_ms(const int32_t val);
-
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1504,14 +1494,6 @@
       return false;
     else if (__isset.slot_tenths && !(slot_tenths == rhs.slot_tenths))
       return false;
-    if (__isset.store_revision != rhs.__isset.store_revision)
-      return false;
-    else if (__isset.store_revision && !(store_revision == rhs.store_revision))
-      return false;
-    if (__isset.store_proof_ms != rhs.__isset.store_proof_ms)
-      return false;
-    else if (__isset.store_proof_ms && !(store_proof_ms == rhs.store_proof_ms))
-      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -145,8 +145,4 @@
   // (hashes of their names).
   8: optional list<i32> services
   9: optional list<i32> slot_tenths
-  // The newest change that the host has heard of from the store, and how long
-  // ago the store last proved that there was none after it.
-  10: optional i64 store_revision
-  11: optional i32 store_proof_ms
 }
--- a/src/placing/fleet_demand.cc
+++ b/src/placing/fleet_demand.cc
@@ -31,10 +31,10 @@
 
 void FleetDemand::OnSheet(const LoadSheet& sheet, Instant now) {
   Told& told = told_[sheet.host];
-  // An older sheet only matters while it is the only one.
-  if (now - told.at < kMemory && sheet.sequence < told.sequence)
+  // A late datagram. Another life of the host begins to count anew.
+  if (sheet.incarnation == told.incarnation && sheet.sequence < told.sequence)
     return;
-  told = {now, sheet.sequence, sheet.demands};
+  told = {now, sheet.incarnation, sheet.sequence, sheet.demands};
 }
 
 void FleetDemand::Update(Instant now) {
--- a/src/placing/peer_loads.cc
+++ b/src/placing/peer_loads.cc
@@ -36,11 +36,14 @@
 
 void PeerLoads::OnSheet(const LoadSheet& sheet, Instant now) {
   Host& host = hosts_[sheet.host];
-  if (sheet.incarnation < host.incarnation ||
-      (sheet.incarnation == host.incarnation &&
-       sheet.sequence <= host.sequence)) {
+  // A host that starts after its time of day was set back has a lower number
+  // than before: it is believed once the earlier life is silent.
+  const bool earlier =
+      sheet.incarnation < host.incarnation && now - host.at <= kFresh;
+  const bool late =
+      sheet.incarnation == host.incarnation && sheet.sequence <= host.sequence;
+  if (earlier || late)
     return;
-  }
   Clear(host);
   host.incarnation = sheet.incarnation;
   host.sequence = sheet.sequence;
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -144,6 +144,7 @@
                         12,
                         {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
                         {{0xfedcba9876543210, 9}}};
+  sheet.demands = {{3, 12.5}, {4, 0}};
   const std::string bytes = EncodeSheet(sheet);
   const auto back = DecodeSheet(bytes);
   REQUIRE(back);
@@ -151,6 +152,7 @@
   CHECK(back->rows[1].requests == 32'767);
   CHECK(back->sequence == 12);
   CHECK(back->crashes == sheet.crashes);
+  CHECK(back->demands == sheet.demands);
   CHECK_FALSE(DecodeSheet(""));
   std::mt19937_64 random(7);
   for (int i = 0; i < 3'000; ++i) {
@@ -181,6 +183,18 @@
   CHECK(loads.fresh_hosts() == 0);
 }
 
+TEST_CASE("a host that starts after its clock was set back is heard") {
+  PeerLoads loads;
+  loads.OnSheet({1, 9'000, 50, {{7, 3}}, {}}, At(0));
+  // Late, or of the life that follows: not known yet.
+  loads.OnSheet({1, 4'000, 1, {{7, 1}}, {}}, At(100));
+  CHECK(loads.InFlight(7) == 3);
+  loads.OnSheet({1, 4'000, 9, {{7, 2}}, {}}, At(PeerLoads::kFresh.ms() + 1));
+  CHECK(loads.InFlight(7) == 2);
+  loads.OnSheet({1, 4'000, 10, {{7, 4}}, {}}, At(PeerLoads::kFresh.ms() + 2));
+  CHECK(loads.InFlight(7) == 4);
+}
+
 TEST_CASE("a request that breaks two servers is refused, an innocent is not") {
   CrashLedger ledger;
   ledger.OnBroken(1, 10, At(0));
--- a/tests/placing/fleet_demand_test.cc
+++ b/tests/placing/fleet_demand_test.cc
@@ -67,6 +67,17 @@
   CHECK(it.Of(kService, 5).region == Approx(8));
 }
 
+TEST_CASE("a host that starts again counts its sheets anew") {
+  FleetDemand it(kSeats[0]);
+  it.SetHosts(kSeats);
+  it.OnSheet(Sheet(2, 500, 30), kNow);
+  LoadSheet again = Sheet(2, 1, 10);
+  again.incarnation = 2;
+  it.OnSheet(again, kNow + Duration(3'000));
+  it.Update(kNow + Duration(3'000));
+  CHECK(it.Of(kService, 5).zone == Approx(15));
+}
+
 TEST_CASE("a service that no other host was asked for") {
   FleetDemand it(kSeats[0]);
   it.SetHosts(kSeats);
