--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -143,8 +143,8 @@
                         1'780'472'036'029,
                         12,
                         {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
-                        {{0xfedcba9876543210, 9}}};
-  sheet.demands = {{3, 12.5}, {4, 0}};
+                        {{0xfedcba9876543210, 9}},
+                        {{3, 12.5}, {4, 0}}};
   const std::string bytes = EncodeSheet(sheet);
   const auto back = DecodeSheet(bytes);
   REQUIRE(back);
