http: a stop serves the request behind an answer that keeps its connection open

Cause, found by reading: a request that was read while the answer before it was being written, after a planned stop had begun, was dropped without an answer, and the connection stayed open. That answer had been decided on before the stop and did not close. Change: such a request waits for the answer before it; it is dropped only when that one closes. Test: "a stop serves a request behind an answer that keeps open" (did not end before the change).

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -293,7 +293,7 @@
 asio::awaitable<bool> ServerConnection::AwaitTurn(const Exchange& exchange) {
   while (!IsItsTurn(exchange)) {
     // An answer under way closes the connection, or nobody waits for more.
-    if (closing_ || client_left_ || state_->stopping)
+    if (closing_ || client_left_)
       co_return false;
     ReadAhead();
     co_await released_.Wait();
--- a/tests/http/overlap_test.cc
+++ b/tests/http/overlap_test.cc
@@ -24,8 +24,8 @@
 using Tcp = asio::ip::tcp;
 
 // A server whose "/wait" is answered once "/go" has been handed over, and
-// "/hold" once its caller has left. Targets that begin with "/once" must not
-// overlap.
+// "/hold" once its caller has left; "/big" is more than sockets hold. Targets
+// that begin with "/once" must not overlap.
 struct OverlapFixture {
   OverlapFixture()
       : server(
@@ -45,6 +45,8 @@
     most_at_once = std::max(most_at_once.load(), ++at_once);
     ++handled;
     HttpResponse response = TextResponse(200, "to" + request.target);
+    if (request.target == "/big")
+      response.body.assign(32 << 20, 'b');
     if (request.target == "/go")
       gate->Set(true);
     if (request.target == "/wait" &&
@@ -182,6 +184,23 @@
   CHECK(it.handled == 3);
 }
 
+TEST_CASE("a stop serves a request behind an answer that keeps open") {
+  OverlapFixture it;
+  Tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(OverlapFixture::Texts({"/big"}, false)));
+  // The answer is on its way and said that the connection stays open.
+  std::string out(1'000, 0);
+  asio::read(socket, asio::buffer(out));
+  it.server.BeginStop();
+  asio::write(socket, asio::buffer(OverlapFixture::Texts({"/b"}, false)));
+  // The request is read while the first answer cannot go on.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(out), ec);
+  CHECK(ec == asio::error::eof);
+  CHECK(out.find("to/b") != std::string::npos);
+}
+
 TEST_CASE("what cannot be read is refused behind the answers ahead of it") {
   OverlapFixture it;
   Tcp::socket socket = it.Connect();
