--- a/tests/forward/connection_pool_test.cc
+++ b/tests/forward/connection_pool_test.cc
@@ -98,6 +98,25 @@
   CHECK(client.pool.counts().surplus_bytes > 0);
 }
 
+TEST_CASE(
+    "an answer before the end of the body: its connection is not reused") {
+  // The server would take the next request for the rest of the body.
+  FakeServer server({{kAnswer, kAnswer}, {kAnswer}});
+  Client client;
+  HttpRequest upload = Get();
+  upload.method = "POST";
+  upload.body.assign(16 << 20, 'x');
+  auto result = asio::co_spawn(
+      client.loop,
+      client.pool.Exchange(server.endpoint(), std::move(upload), Generous()),
+      asio::use_future);
+  client.loop.run();
+  CHECK(result.get().end == AttemptEnd::kAnswered);
+  const ExchangeResult next = client.Run(server.endpoint());
+  CHECK(next.end == AttemptEnd::kAnswered);
+  CHECK_FALSE(next.reused);
+}
+
 TEST_CASE("an answer that is cut is broken") {
   const std::string answer = GENERATE(
       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "HTTP/1.1 200 O",
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -93,6 +93,26 @@
   CHECK(fixture.server.Counts().requests == 0);
 }
 
+TEST_CASE("bodies that are held share the memory, stated or chunked") {
+  HttpServerLimits limits;
+  limits.max_buffered_bytes = 40;
+  Fixture it(limits);
+  const std::string body(50, 'b');
+  const std::string stated = it.Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n" + body);
+  const std::string chunked = it.Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "32\r\n" +
+      body + "\r\n0\r\n\r\n");
+  for (const std::string& out : {stated, chunked}) {
+    CHECK(Status(out) == "503");
+    CHECK(out.find("Toucanknot-Verdict: not-run") != std::string::npos);
+  }
+  CHECK(it.server.Counts().requests == 0);
+  CHECK(it.server.Counts().buffered_bytes == 0);
+  CHECK(Status(it.Send(std::string(kGood) + kLast)) == "200");
+}
+
 TEST_CASE("a caller that waits for leave gets it") {
   Fixture it;
   const std::string out = it.Send(
