--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -283,6 +283,8 @@
     // The registry's when the view was made.
     uint64_t version = 0;
     Demand demand;
+    // Its ServiceKey().
+    uint32_t key = 0;
     // Attempts in flight.
     int in_flight = 0;
   };
@@ -290,8 +292,7 @@
   Service& ServiceOf(const ServiceId& id);
   // The share of what the callers of the zone or region ask for that its
   // servers are to bear: all of it, unless that fills them more than others.
-  double KeptShare(const ServiceId& id,
-                   const Service& service,
+  double KeptShare(const Service& service,
                    ServiceView::Nearness within,
                    Instant now) const;
   // The servers for a request, the best ones first: where its object is kept,
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -83,13 +83,15 @@
 
 RequestRunner::RequestRunner(const Parts& parts) : parts_(parts) {}
 
-RetryBudget& RequestRunner::BudgetOf(const ServiceId& service) {
+RequestRunner::Retries& RequestRunner::RetriesOf(const ServiceId& service) {
   const EntrySettings& settings = parts_.settings;
   const auto floor =
       static_cast<int64_t>(settings.retry_slack * kRetryShare / host_count_);
-  return budgets_
-      .try_emplace(service, settings.retry_ratio * kRetryShare, floor,
-                   settings.retry_window)
+  return retries_
+      .try_emplace(service,
+                   Retries{RetryBudget(settings.retry_ratio * kRetryShare,
+                                       floor, settings.retry_window),
+                           ReturnReserve()})
       .first->second;
 }
 
@@ -97,9 +99,9 @@
   if (n == host_count_)
     return;
   host_count_ = n;
-  for (auto& [service, budget] : budgets_) {
-    budget.set_floor(static_cast<int64_t>(parts_.settings.retry_slack *
-                                          kRetryShare / host_count_));
+  for (auto& [service, retries] : retries_) {
+    retries.budget.set_floor(static_cast<int64_t>(parts_.settings.retry_slack *
+                                                  kRetryShare / host_count_));
   }
 }
 
@@ -158,7 +160,7 @@
                       began - spent);
   run.item.deadline = run.deadline - kAnswerMargin;
   parts_.metrics.Set("toucanknot_requests_in_flight", in_flight_);
-  BudgetOf(run.service).OnSuccess(SteadyNow());
+  RetriesOf(run.service).budget.OnSuccess(SteadyNow());
   for (;;) {
     run.item.id = parts_.desk.NextItem();
     const std::optional<Placement> placement =
@@ -354,7 +356,7 @@
   ReadLoad(attempt.response.fields.Get(parts_.names.load), result);
   parts_.desk.Finish(result);
   parts_.metrics.CountAttempt(run.service, attempt.end, took);
-  reserves_[run.service].OnAttempt(attempt.end == SendEnd::kRefused);
+  RetriesOf(run.service).reserve.OnAttempt(attempt.end == SendEnd::kRefused);
   if (attempt.end == SendEnd::kAnswered || attempt.end == SendEnd::kFailed)
     parts_.crashes.OnAnswered(run.fingerprint);
   run.story += fmt::format(
@@ -388,10 +390,10 @@
   // A connection that was refused brought nothing to the service.
   if (end == SendEnd::kNotConnected)
     return true;
+  Retries& retries = RetriesOf(run.service);
   const double keep =
-      run.returned ? 0
-                   : reserves_[run.service].Part(parts_.settings.retry_ratio);
-  return BudgetOf(run.service).TryTake(SteadyNow(), keep);
+      run.returned ? 0 : retries.reserve.Part(parts_.settings.retry_ratio);
+  return retries.budget.TryTake(SteadyNow(), keep);
 }
 
 HttpResponse RequestRunner::Refuse(const Run& run,
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -82,6 +82,11 @@
     // What the last attempts came to, for the log.
     std::string story;
   };
+  // What a service's retries may be, and the part kept for callers that return.
+  struct Retries {
+    RetryBudget budget;
+    ReturnReserve reserve;
+  };
   // What one attempt at a server came to.
   struct Attempt {
     SendEnd end = SendEnd::kBroken;
@@ -117,14 +122,13 @@
                       const std::string& why,
                       Duration retry_after);
   HttpResponse Fail(const Run& run, SendEnd end, const std::string& why);
-  RetryBudget& BudgetOf(const ServiceId& service);
+  Retries& RetriesOf(const ServiceId& service);
   void LogOutcome(const Run& run, const HttpResponse& response);
 
   const Parts parts_;
   int in_flight_ = 0;
   int host_count_ = 1;
-  std::map<ServiceId, RetryBudget> budgets_;
-  std::map<ServiceId, ReturnReserve> reserves_;
+  std::map<ServiceId, Retries> retries_;
   // The most time that callers of each route had, by its name.
   std::map<std::string, Duration> longest_waits_;
   std::minstd_rand random_;
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -9,40 +9,11 @@
 namespace toucanknot {
 namespace {
 
-// Requests that are sent to a full server beyond its slots, so that it has the
-// next one at hand when a slot gets free.
-constexpr double kAhead = 1;
-// How likely an object is not at hand at the first servers of its order, where
-// other hosts send it too; elsewhere it is not unless this host sent it there.
-constexpr std::array<double, 3> kFetchChance{0.1, 0.6, 0.9};
-// Above this part of a service's slots in use, an object is sent to the first
-// servers of its order only: each further one would fetch it, and push out
-// others, just when slots are short.
-constexpr double kCrowded = 0.75;
-// Above this part, hosts tell each other of their requests more often.
-constexpr double kNearlyCrowded = 0.6;
-// The part of a zone's or region's slots that its own callers may fill on
-// average, however empty the others are, and the part in times of what all
-// callers fill of all slots. What is over goes to other regions: a region with
-// few servers has no peak that others could not share.
-constexpr double kPlaceFill = 0.22;
-constexpr double kFairFill = 1.15;
-// What a certain failure counts, in times of the usual work.
-constexpr double kFailureCost = 4;
-// The part of the time to fetch an object that counts against a server beyond
-// the first of its order, and against a full one.
-constexpr double kSpreadCost = 0.6;
-constexpr double kFullCost = 0.5;
-// A server that joined lately is tried once by each host of its region,
-// although others have the objects at hand.
-constexpr Duration kJoinedLately{12'000};
 // When to come back where no server can be named for a request.
 constexpr Duration kNoServerReturn{400};
 // Shortest and longest time after which a refused caller is told to return.
 constexpr Duration kShortestReturn{150};
 constexpr Duration kLongestReturn{2'000};
-// Costs that differ by less, in ms, are equal.
-constexpr double kSameCostMs = 8;
 // What an answer needs from the server to the caller, in ms.
 constexpr double kAnswerMargin = 10;
 
@@ -88,7 +59,7 @@
 std::vector<LoadSheet::Demand> Placer::OwnDemands(Instant now) const {
   std::vector<LoadSheet::Demand> out;
   for (const auto& [id, service] : services_)
-    out.push_back({ServiceKey(id), service.demand.Slots(now)});
+    out.push_back({service.key, service.demand.Slots(now)});
   return out;
 }
 
@@ -132,177 +103,10 @@
   }
   service.view = std::make_unique<ServiceView>(std::move(servers));
   service.version = registry_.version();
+  service.key = ServiceKey(id);
   return service;
 }
 
-double Placer::KeptShare(const ServiceId& id,
-                         const Service& service,
-                         ServiceView::Nearness within,
-                         Instant now) const {
-  const FleetDemand::Slots asked =
-      fleet_demand_.Of(ServiceKey(id), service.demand.Slots(now));
-  const ServiceView& view = *service.view;
-  const double slots = view.SlotsWithin(within);
-  const double here =
-      within == ServiceView::Nearness::kZone ? asked.zone : asked.region;
-  if (here <= 0 || slots <= 0)
-    return slots > 0 ? 1 : 0;
-  const double fill =
-      std::max(kPlaceFill, kFairFill * asked.all / view.slots());
-  return fill * slots / here;
-}
-
-ServiceView::Order Placer::OrderFor(Service& service,
-                                    const Waiting& waiting,
-                                    Instant now) const {
-  using enum ServiceView::Nearness;
-  const uint64_t object = waiting.item.object;
-  const ServiceId& id = waiting.item.service;
-  if (object != 0) {
-    const bool here = UnitOf(object) < KeptShare(id, service, kRegion, now);
-    return service.view->OrderOf(object, here);
-  }
-  ServiceView::Nearness within = kElsewhere;
-  if (KeptShare(id, service, kZone, now) >= 1)
-    within = kZone;
-  else if (KeptShare(id, service, kRegion, now) >= 1)
-    within = kRegion;
-  return service.view->Sample(waiting.order + sample_seed_, within);
-}
-
-std::vector<Placer::Candidate> Placer::Candidates(const Waiting& waiting,
-                                                  double& filled,
-                                                  Instant now) {
-  const PlaceItem& item = waiting.item;
-  Service& service = ServiceOf(item.service);
-  ServiceView& view = *service.view;
-  filled =
-      view.Filled([&](const ServerLoad& load) { return Busy(load, now); }, now);
-  const bool crowded = filled > kCrowded;
-  if (filled > kNearlyCrowded)
-    crowded_until_ = now + kCrowdedMemory;
-  std::vector<Candidate> out;
-  const auto add = [&](int index, int rank) {
-    const ServiceView::Server& server = view.servers()[index];
-    if (MayTake(waiting, server, now))
-      out.push_back({&server, rank, static_cast<int>(out.size())});
-  };
-  const ServiceView::Order order = OrderFor(service, waiting, now);
-  const int kept = static_cast<int>(kFetchChance.size());
-  int rank = 0;
-  for (size_t i = 0; i < order.size() && order[i] >= 0; ++i) {
-    // Servers that cannot take it leave their place to the next ones.
-    const size_t before = out.size();
-    const bool at_hand =
-        view.servers()[order[i]].load->IsWarm(item.object, now);
-    if (rank < kept || !crowded || at_hand || item.object == 0)
-      add(order[i], std::min(rank, kept));
-    rank += out.size() > before ? 1 : 0;
-  }
-  for (const ServerId& id : fetched_.ServersOf(item.object)) {
-    const int index = view.IndexOf(id);
-    const bool listed =
-        std::any_of(out.begin(), out.end(), [&](const Candidate& c) {
-          return c.server == &view.servers()[std::max(index, 0)];
-        });
-    if (index >= 0 && !listed &&
-        view.servers()[index].load->IsWarm(item.object, now))
-      add(index, kept);
-  }
-  for (const int it : view.joined()) {
-    if (IsToBeTried(view.servers()[it], now))
-      add(it, kept);
-  }
-  if (out.empty()) {
-    for (size_t i = 0; i < view.servers().size(); ++i)
-      add(static_cast<int>(i), kept);
-  }
-  return out;
-}
-
-bool Placer::MayTake(const Waiting& waiting,
-                     const ServiceView::Server& server,
-                     Instant now) const {
-  const std::vector<ServerId>& avoid = waiting.item.avoid;
-  const std::vector<RegionId>& allowed = waiting.allowed_regions;
-  if (std::find(avoid.begin(), avoid.end(), server.entry->entry.id) !=
-      avoid.end()) {
-    return false;
-  }
-  if (!allowed.empty() && std::find(allowed.begin(), allowed.end(),
-                                    server.region) == allowed.end()) {
-    return false;
-  }
-  return !server.load->IsSuspended(now);
-}
-
-bool Placer::IsToBeTried(const ServiceView::Server& server, Instant now) const {
-  return server.nearness != ServiceView::Nearness::kElsewhere &&
-         now - server.entry->appeared_at < kJoinedLately &&
-         now >= server.entry->cold_until &&
-         server.load->last_sent() == Instant() &&
-         server.entry->appeared_at - started_at_ > kJoinedLately;
-}
-
-void Placer::Assess(const Waiting& waiting,
-                    const WorkTimes& times,
-                    Candidate& c,
-                    Instant now) {
-  const ServerRegistry::Server& server = *c.server->entry;
-  const ServerLoad& load = *c.server->load;
-  const double slots = server.entry.slots;
-  const double slowness = load.Slowness(now);
-  c.busy = Busy(load, now);
-  c.full = c.busy >= slots + kAhead;
-  c.cold = now < server.cold_until;
-  const uint64_t object = waiting.item.object;
-  c.warm = object == 0 || load.IsWarm(object, now);
-  const double fetch = times.cold() - times.warm();
-  const double wait = std::max(0.0, c.busy - slots + 1) / slots * times.mean();
-  const auto rank = static_cast<size_t>(c.rank);
-  const double chance = c.warm                       ? 0
-                        : rank < kFetchChance.size() ? kFetchChance[rank]
-                                                     : 1;
-  c.expected_ms =
-      (times.warm() + chance * fetch + wait) * slowness + c.server->rtt;
-  c.cost = c.expected_ms + load.FailureRate(now) * kFailureCost * times.mean();
-  // What is fetched at one more server takes slots from others.
-  if (!c.warm && c.rank > 0)
-    c.cost += fetch * kSpreadCost;
-  if (c.full)
-    c.cost += fetch * kFullCost;
-  if (IsToBeTried(*c.server, now))
-    c.cost -= times.cold();
-}
-
-bool Placer::Choice::crowded() const {
-  return filled > kCrowded;
-}
-
-Placer::Choice Placer::Choose(const Waiting& waiting, Instant now) {
-  const WorkTimes& times = times_.at(waiting.route_name);
-  Choice choice;
-  std::vector<Candidate> candidates = Candidates(waiting, choice.filled, now);
-  choice.any = !candidates.empty();
-  Candidate& best = choice.best;
-  std::tuple<double, int> best_key;
-  for (Candidate& it : candidates) {
-    Assess(waiting, times, it, now);
-    if (it.cold && !it.server->load->MayTakeCold(
-                       ColdRate(waiting.item.service, *it.server), now)) {
-      continue;
-    }
-    // Costs within a few milliseconds are equal; the object's order decides.
-    const std::tuple<double, int> key(std::floor(it.cost / kSameCostMs),
-                                      it.order);
-    if (best.server == nullptr || key < best_key) {
-      best = it;
-      best_key = key;
-    }
-  }
-  return choice;
-}
-
 double Placer::QueueWait(const Waiting& waiting, double service_ms) const {
   const auto it = services_.find(waiting.item.service);
   const int running = it == services_.end() ? 0 : it->second.in_flight;
