placing: a region keeps less than its slots' part, so that its peaks fit

It kept what fills its slots 1.15 times as far as all callers fill all slots. Averages over 12 s lag behind the wave of a region's load, and the small region sends objects there as well, so that what was left of it was over its slots. Change: 0.85 times. Ruled out: objects of others as the cause.

--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -364,8 +364,22 @@
   }
 }
 
+void FleetModel::Leave() {
+  int left =
+      static_cast<int>(setup_.servers[setup_.leave_region] * setup_.leave_part);
+  for (const auto& it : servers_) {
+    if (it->region != setup_.leave_region || left-- <= 0)
+      continue;
+    it->entry.leaving = true;
+    for (const auto& host : hosts_)
+      host->registry.OnEntry(it->entry, Now());
+  }
+}
+
 void FleetModel::Tick() {
   const int64_t since = now_ - kStart;
+  if (since > 0 && since == setup_.leave_from.ms())
+    Leave();
   if (since % 100 == 0) {
     for (const auto& from : hosts_) {
       // As the hosts' exchange of sheets does.
--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -55,6 +55,10 @@
   Duration burst_from{0};
   Duration burst_to{0};
   double burst_by = 1;
+  // From then on a part of one region's servers takes nothing new.
+  Duration leave_from{0};
+  size_t leave_region = 0;
+  double leave_part = 0;
   // The part of the sheets between hosts that is lost.
   double sheet_loss = 0;
   uint64_t seed = 1;
@@ -141,6 +145,7 @@
   void Refused(const RequestPtr& request, Duration retry_after);
   void Advance(Host& host);
   void Tick();
+  void Leave();
   void CountRegion(const Request& request, size_t ran_in);
   Instant Now() const { return Instant(now_); }
 
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -25,10 +25,10 @@
 constexpr double kNearlyCrowded = 0.6;
 // The part of a zone's or region's slots that its own callers may fill on
 // average, however empty the others are, and the part in times of what all
-// callers fill of all slots. What is over goes to other regions: a region with
-// few servers has no peak that others could not share.
+// callers fill of all slots. What is over goes to other regions. The second is
+// below 1, since averages lag behind a region's peak and others send there too.
 constexpr double kPlaceFill = 0.22;
-constexpr double kFairFill = 1.15;
+constexpr double kFairFill = 0.85;
 // What a certain failure counts, in times of the usual work.
 constexpr double kFailureCost = 4;
 // The part of the time to fetch an object that counts against a server beyond
--- a/tests/placing/fleet_demand_test.cc
+++ b/tests/placing/fleet_demand_test.cc
@@ -2,6 +2,7 @@
 
 #include "include/placing/fleet_demand.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
 
@@ -33,6 +34,21 @@
     Seat(1, "r", "r-a", 5), Seat(2, "r", "r-a", 1), Seat(3, "r", "r-b", 2),
     Seat(4, "q", "q-a", 8)};
 
+// Plays `setup`, and checks that no region's callers fall behind.
+void CheckRegionsAlike(const ModelSetup& setup) {
+  const ModelOutcome out = FleetModel(setup).Run();
+  double least = 1;
+  double most = 0;
+  for (const ModelResult& it : out.regions) {
+    UNSCOPED_INFO("in target " << it.InTarget());
+    least = std::min(least, it.InTarget());
+    most = std::max(most, it.InTarget());
+  }
+  UNSCOPED_INFO("fetches " << out.fetches << " of " << out.sends);
+  CHECK(least > 0.85);
+  CHECK(most - least < 0.06);
+}
+
 }  // namespace
 
 TEST_CASE("a host that hears nobody goes by its part of the capacity") {
@@ -97,17 +113,22 @@
   setup.servers = {8, 40, 48};
   setup.hosts_per_region = 5;
   setup.host_weights = {5, 5, 1, 1, 1};
-  const ModelOutcome out = FleetModel(setup).Run();
-  double least = 1;
-  double most = 0;
-  for (const ModelResult& it : out.regions) {
-    UNSCOPED_INFO("in target " << it.InTarget());
-    least = std::min(least, it.InTarget());
-    most = std::max(most, it.InTarget());
-  }
-  UNSCOPED_INFO("fetches " << out.fetches << " of " << out.sends);
-  CHECK(least > 0.85);
-  CHECK(most - least < 0.06);
+  CheckRegionsAlike(setup);
+}
+
+TEST_CASE("a region that loses half of its servers gives more away") {
+  // haufiku-track-grown trouble-3: a zone of the largest region is evacuated at
+  // a high load. What was left of it kept nearly all objects of its callers.
+  ModelSetup setup = TrackerSetup(5);
+  for (ModelRoute& it : setup.routes)
+    it.objects *= 4;
+  setup.servers = {10, 40, 48};
+  setup.hosts_per_region = 5;
+  setup.host_weights = {5, 5, 1, 1, 1};
+  setup.leave_from = Duration(10'000);
+  setup.leave_region = 2;
+  setup.leave_part = 0.5;
+  CheckRegionsAlike(setup);
 }
 
 }  // namespace toucanknot
