peer: a stopped host's listener is closed before its loop ends

Cause: FleetLink::Disconnect() dispatched the closing of the listener to the transport's strand and then waited for a handler posted to the loop. While the strand handled a message, the closing was queued behind it and the loop was stopped first; the listener stayed open as long as a coroutine of that loop was not destroyed, and the next host on the address failed with 'address in use'.

Change: PeerTransport::Stop() reports when everything is closed, and Disconnect() waits for that.

Test: 'a stop is reported once the address is free again'.

--- a/include/peer/peer_transport.h
+++ b/include/peer/peer_transport.h
@@ -75,9 +75,11 @@
   // boost::system::system_error when the address is not available. The bound
   // address is listen_address().
   void Start(MessageHook on_message);
-  // Closes all connections; queued messages are lost. No hook is called once
-  // the currently running handlers have returned.
-  void Stop();
+  // Closes the listener and all connections; queued messages are lost. No hook
+  // is called once the currently running handlers have returned. `on_stopped`
+  // is called from the context's threads when everything is closed; the context
+  // must run until then.
+  void Stop(std::function<void()> on_stopped = {});
 
   Endpoint listen_address() const;
 
--- a/src/daemon/fleet_link.cc
+++ b/src/daemon/fleet_link.cc
@@ -92,10 +92,9 @@
 }
 
 void FleetLink::Disconnect() {
-  transport_.Stop();
-  std::promise<void> done;
-  boost::asio::post(workers_.loop(0), [&done] { done.set_value(); });
-  done.get_future().wait();
+  std::promise<void> stopped;
+  transport_.Stop([&stopped] { stopped.set_value(); });
+  stopped.get_future().wait();
 }
 
 template <typename Fn>
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -48,8 +48,9 @@
     asio::post(strand_, [self = shared_from_this()] { self->Accept(); });
   }
 
-  void Stop() {
-    asio::dispatch(strand_, [self = shared_from_this()] {
+  void Stop(std::function<void()> on_stopped) {
+    asio::dispatch(strand_, [self = shared_from_this(),
+                             on_stopped = std::move(on_stopped)] {
       self->stopped_ = true;
       boost::system::error_code ec;
       self->acceptor_.close(ec);
@@ -59,6 +60,8 @@
       self->links_.clear();
       for (const auto& it : self->sessions_)
         it->Close();
+      if (on_stopped)
+        on_stopped();
     });
   }
 
@@ -168,15 +171,15 @@
     : impl_(std::make_shared<Impl>(context, std::move(options))) {}
 
 PeerTransport::~PeerTransport() {
-  impl_->Stop();
+  impl_->Stop({});
 }
 
 void PeerTransport::Start(MessageHook on_message) {
   impl_->Start(std::move(on_message));
 }
 
-void PeerTransport::Stop() {
-  impl_->Stop();
+void PeerTransport::Stop(std::function<void()> on_stopped) {
+  impl_->Stop(std::move(on_stopped));
 }
 
 Endpoint PeerTransport::listen_address() const {
--- a/tests/peer/peer_transport_test.cc
+++ b/tests/peer/peer_transport_test.cc
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <functional>
+#include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "include/peer/frame_codec.h"
@@ -120,6 +122,41 @@
   CHECK(pair.RunUntil([&] { return pair.got.size() == 2; }));
 }
 
+TEST_CASE("a stop is reported once the address is free again") {
+  // A host that was stopped while it handled a message kept its listener: the
+  // closing was queued behind that message, and its loop ended before.
+  boost::asio::io_context context;
+  std::promise<void> entered;
+  std::promise<void> release;
+  PeerTransport a(context, Options("a", "the fleet's secret"));
+  PeerTransport b(context, Options("b", "the fleet's secret"));
+  a.Start([&](const PeerSender&, const PeerMessage&) {
+    entered.set_value();
+    release.get_future().wait();
+  });
+  b.Start([](const PeerSender&, const PeerMessage&) {});
+  b.SetPeers({{HostId("a"), a.listen_address()}});
+  b.Send({{HostId("a")}, PartAsk{"x"}});
+  std::thread loop([&] { context.run_for(kTestTimeout); });
+  entered.get_future().wait();
+  std::promise<bool> address_free;
+  a.Stop([&] {
+    boost::system::error_code ec;
+    boost::asio::ip::tcp::acceptor acceptor(context);
+    const boost::asio::ip::tcp::endpoint address(
+        boost::asio::ip::make_address(a.listen_address().ip),
+        a.listen_address().port);
+    acceptor.open(address.protocol());
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor.bind(address, ec);
+    address_free.set_value(!ec);
+  });
+  release.set_value();
+  CHECK(address_free.get_future().get());
+  context.stop();
+  loop.join();
+}
+
 TEST_CASE("the oldest messages of a full queue are dropped") {
   boost::asio::io_context context;
   PeerTransportOptions options = Options("b", "the fleet's secret");
