entry: first attempts with budgets of their own are no returns

Cause: a caller that stated less time than the longest budget seen on its route was taken for one that returns after a refusal. At the Association's deployment budgets differ by up to a sixth, so nine of ten first attempts were: their target was counted from too early, and no retry reserve was left to them.

Change: CallerBudget takes a caller for a returning one only below the range of first budgets, found from the median and the longest.

--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -29,13 +29,9 @@
 // A connection whose server acknowledges no bytes for this long is treated as
 // broken: several round trips between regions.
 constexpr Duration kSilentAfter{800};
-// Minimum time that a retrying caller must have spent waiting.
-constexpr Duration kMinReturnDelay{30};
 // Maximum number of servers that a request is sent to while none runs it. The
 // retry budget of the service limits them too.
 constexpr int kMaxSends = 6;
-// Longer waiting times stated by callers are capped to this.
-constexpr Duration kMaxCallerWait{600'000};
 // Larger responses are aborted.
 constexpr uint64_t kMaxResponseBytes = 64 << 20;
 // Fraction of the allowed retries that this host uses, since the limit holds
@@ -147,8 +143,8 @@
   Duration spent;
   if (const auto ms = ParseInteger(fields.Get(parts_.names.deadline_ms))) {
     run.deadline = std::min(run.deadline, began + Duration(*ms));
-    spent = TimeSpent(run.route, Duration(*ms));
-    run.caller_retried = spent >= kMinReturnDelay;
+    spent = caller_budgets_[run.route.name].TimeSpent(Duration(*ms));
+    run.caller_retried = spent > Duration(0);
   }
   run.fingerprint = FingerprintOf(run.request);
   if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow())) {
@@ -242,12 +238,6 @@
   return boost::json::serialize(out);
 }
 
-Duration RequestRunner::TimeSpent(const Route& route, Duration left) {
-  Duration& longest = longest_waits_[route.name];
-  longest = std::max(longest, std::min(left, kMaxCallerWait));
-  return std::max(longest - left, Duration(0));
-}
-
 HttpRequest RequestRunner::ForServer(const Run& run,
                                      const ServerId& server) const {
   HttpRequest out;
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -17,6 +17,7 @@
 #include "include/limits/retry_reserve.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
+#include "src/entry/caller_budget.h"
 #include "src/entry/entry_metrics.h"
 #include "src/entry/placement_queue.h"
 #include "src/forward/connection_pool.h"
@@ -104,10 +105,6 @@
                                         const ServiceId& service,
                                         std::string_view object,
                                         Instant began) const;
-  // Estimates how long the caller has already waited in earlier attempts: the
-  // difference between the time `left` that it states and the longest time that
-  // callers of the route have had.
-  Duration TimeSpent(const Route& route, Duration left);
   HttpRequest ForServer(const Run& run, const ServerId& server) const;
   // Classifies the result of an exchange.
   ServerAttemptEnd Classify(const ExchangeResult& exchange) const;
@@ -135,8 +132,8 @@
   int in_flight_ = 0;
   int host_count_ = 1;
   std::map<ServiceId, Retries> retries_;
-  // Longest time that callers of each route had, by the route's name.
-  std::map<std::string, Duration> longest_waits_;
+  // By the route's name.
+  std::map<std::string, CallerBudget> caller_budgets_;
   std::minstd_rand random_;
 };
 
