placing: a guess of the service time refuses no request

Ruled out: the guess in the wait behind others.

Change: as long as a route's times are guessed, no request counts as late or too late for them.

Test: 'a new route is served under an overload', failed first.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -265,6 +265,10 @@
                    PlacementRefusal refusal,
                    Duration wait,
                    const Choice& choice);
+  // Service time in ms at a server that has the object cached; 0 as long as it
+  // is only guessed: if guesses refused requests or held them back, a new route
+  // would never get the samples that correct its guess.
+  double KnownServiceMs(const QueuedRequest& waiting) const;
   // Whether a response can no longer arrive within the target.
   bool IsLate(const QueuedRequest& waiting, Instant now) const;
   QueueRank RankOf(const QueuedRequest& waiting, Instant now) const;
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -114,9 +114,13 @@
   return distances_.RttMs(zone, fallback_ms);
 }
 
+double Placer::KnownServiceMs(const QueuedRequest& waiting) const {
+  const WorkTimes& times = times_.at(waiting.route_name);
+  return times.known() ? times.warm() : 0;
+}
+
 bool Placer::IsLate(const QueuedRequest& waiting, Instant now) const {
-  return Millis(waiting.request.target - now) <
-         times_.at(waiting.route_name).warm();
+  return Millis(waiting.request.target - now) < KnownServiceMs(waiting);
 }
 
 QueueRank Placer::RankOf(const QueuedRequest& waiting, Instant now) const {
@@ -208,7 +212,6 @@
   if (!choice.any)
     return Refuse(waiting, PlacementRefusal::kNoServer, kNoServerRetryAfter,
                   choice);
-  const double service = times.known() ? times.warm() : 0;
   const bool late = IsLate(waiting, now);
   const bool yields =
       best.server != nullptr && choice.crowded() &&
@@ -218,7 +221,9 @@
     // While slots are scarce, requests that would end too late are refused.
     // With free slots, only those that cannot end in time even at normal speed
     // are refused, since a server that was slow may have recovered.
-    const double needed = choice.crowded() ? best.expected_ms : service;
+    const double needed = choice.crowded() && times.known()
+                              ? best.expected_ms
+                              : KnownServiceMs(waiting);
     if (needed <= left && left > 0)
       return Send(waiting, choice, now);
     return Refuse(waiting, PlacementRefusal::kTooLate, kNoServerRetryAfter,
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -28,12 +28,12 @@
 // excess goes to other regions. kFairFillRatio is below 1, since averages lag
 // behind a region's peak and other regions send requests there too.
 constexpr double kMinLocalFill = 0.22;
-constexpr double kFairFillRatio = 0.8;
+constexpr double kFairFillRatio = 0.7;
 // Cost of a certain failure, as a multiple of the mean service time.
 constexpr double kFailureCost = 4;
 // Fraction of the time to fetch an object that is added to the cost of a server
 // beyond the first of its order, and of a full server.
-constexpr double kExtraServerCost = 0.9;
+constexpr double kExtraServerCost = 0.8;
 constexpr double kFullServerCost = 0.5;
 // A server that joined recently is tried once by each host of its region, even
 // if other servers have the objects cached.
