trace: a command that counts failures by cause and time

`toucanknot causes` reads the logs of hosts and counts the requests without success by cause and by window, each with its earliest id for `toucanknot trace`.

Reading and interpreting log lines moved from LogTimeline to log_line.h, since both use it; no behaviour of `trace` changed.

--- a/include/trace/log_timeline.h
+++ b/include/trace/log_timeline.h
@@ -9,18 +9,10 @@
 #include <vector>
 
 #include "include/base/clock.h"
+#include "include/trace/log_line.h"
 
 namespace toucanknot {
 
-// One log line of an entry host.
-struct LogLine {
-  int64_t unix_ms = 0;
-  std::string host;
-  std::string event;
-  // The remaining fields.
-  boost::json::object fields;
-};
-
 // Merges the log lines of several hosts and extracts the timeline of one
 // request or one backend server. Does no I/O except reading streams.
 class LogTimeline {
@@ -32,9 +24,8 @@
   // later.
   static constexpr Duration kAfter{4'500};
 
-  // Adds the lines of a stream. Text before the JSON object of a line is
-  // skipped; truncated lines and lines that are not log lines are counted in
-  // unreadable().
+  // Adds the lines of a stream; those that are truncated or no log lines are
+  // counted in unreadable().
   void Read(std::istream& in);
   size_t lines() const { return lines_.size(); }
   size_t unreadable() const { return unreadable_; }
--- a/src/cli/trace_command.h
+++ b/src/cli/trace_command.h
@@ -7,14 +7,15 @@
 
 namespace toucanknot {
 
-// The command that shows the timeline of a request or a backend server from the
-// logs of entry hosts.
+// The commands that read the logs of entry hosts: the timeline of a request or
+// a backend server, and what requests without success failed of.
 class TraceCommand {
  public:
   static std::vector<CliCommand> All();
 
  private:
   static ExitCode Trace(const CliContext& context);
+  static ExitCode Causes(const CliContext& context);
 };
 
 }  // namespace toucanknot
--- a/tests/cli/trace_command_test.cc
+++ b/tests/cli/trace_command_test.cc
@@ -44,4 +44,30 @@
   CHECK(it.RunBare({"trace"}) == 2);
 }
 
+TEST_CASE("causes of requests without success") {
+  CliFixture it;
+  const TempFile log(std::string(kLog) + "cut {\"unix_");
+  CHECK(it.RunBare({"causes", log.path()}) == 0);
+  CHECK(it.Prints("1  refused: no-server  (first a1)"));
+  CHECK(it.Prints("1  from +0 s"));
+  CHECK(it.Prints("1 lines are malformed or truncated"));
+}
+
+TEST_CASE("causes as JSON, with windows of another length") {
+  CliFixture it;
+  const TempFile log(kLog);
+  CHECK(it.RunBare({"causes", log.path(), "--seconds", "5", "--json"}) == 0);
+  const boost::json::value out = boost::json::parse(it.out());
+  CHECK(out.at("first_window_unix_ms") == 5'000);
+  CHECK(out.at("causes").at(0).at("requests") == 1);
+}
+
+TEST_CASE("causes with an invalid window") {
+  CliFixture it;
+  const TempFile log(kLog);
+  CHECK(it.RunBare({"causes", log.path(), "--seconds", "0"}) == 2);
+  CHECK(it.RunBare({"causes", log.path(), "--seconds", "x"}) == 2);
+  CHECK(it.RunBare({"causes", "/nonexistent"}) == 2);
+}
+
 }  // namespace toucanknot
