--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -256,6 +256,9 @@
   bool NeedsTrial(const ServiceView::Server& server, Instant now) const;
   // Builds the queue entry for `request`.
   QueuedRequest MakeQueuedRequest(const PlacementRequest& request);
+  // Whether a request waits although the chosen server could take it, since it
+  // is `late`, slots are scarce and others can still be in time.
+  static bool YieldsSlot(const Choice& choice, bool late);
   // Decides on a request with `ahead` more urgent ones queued for its service.
   Placement Decide(const QueuedRequest& waiting, int ahead, Instant now);
   Placement Send(const QueuedRequest& waiting,
@@ -309,8 +312,8 @@
     // Attempts in flight.
     int in_flight = 0;
     ReturnedServed returned_served;
-    // Requests of priority `scarce_for` found no slot; less urgent ones leave
-    // them room until `scarce_until`.
+    // Until `scarce_until`, requests less urgent than the priority `scarce_for`
+    // leave room at full servers, since a request of that priority found none.
     int scarce_for = 0;
     Instant scarce_until;
   };
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -201,6 +201,15 @@
   return out;
 }
 
+bool Placer::YieldsSlot(const Choice& choice, bool late) {
+  const Candidate& best = choice.best;
+  if (best.server == nullptr || !choice.crowded())
+    return false;
+  const double slots = best.server->entry->entry.slots;
+  return best.busy >= MaxAtServer(slots, late, false) ||
+         !MayFetch(best.warm, best.rank, late, choice.crowded());
+}
+
 Placement Placer::Decide(const QueuedRequest& waiting, int ahead, Instant now) {
   const Choice choice = Choose(waiting, now);
   const Candidate& best = choice.best;
@@ -212,11 +221,7 @@
   if (!choice.any)
     return Refuse(waiting, PlacementRefusal::kNoServer, kNoServerRetryAfter,
                   choice);
-  const bool late = IsLate(waiting, now);
-  const bool yields =
-      best.server != nullptr && choice.crowded() &&
-      (!MayFetch(best.warm, best.rank, late, choice.crowded()) ||
-       best.busy >= MaxAtServer(best.server->entry->entry.slots, late, false));
+  const bool yields = YieldsSlot(choice, IsLate(waiting, now));
   if (best.server != nullptr && !best.full && !yields) {
     // While slots are scarce, requests that would end too late are refused.
     // With free slots, only those that cannot end in time even at normal speed
@@ -232,13 +237,12 @@
   const double wait = QueueWait(waiting, ahead);
   const Duration after_queue(static_cast<int64_t>(wait));
   const double needed = times.warm() + wait;
-  Service& service_state = services_[waiting.request.service];
-  if (now >= service_state.scarce_until ||
-      waiting.priority <= service_state.scarce_for) {
-    service_state.scarce_for = waiting.priority;
-    service_state.scarce_until = now + kCrowdedMemory;
+  Service& service = services_[waiting.request.service];
+  if (now >= service.scarce_until || waiting.priority <= service.scarce_for) {
+    service.scarce_for = waiting.priority;
+    service.scarce_until = now + kCrowdedMemory;
   }
-  ReturnedServed& returned_served = service_state.returned_served;
+  ReturnedServed& returned_served = service.returned_served;
   const bool past_target =
       waiting.request.returned && returned_served.IsLikely();
   if (needed > UsefulTimeLeft(to_target, left, choice.crowded(), past_target)) {
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -165,9 +165,9 @@
   const double slowness = load.Slowness(now);
   c.busy = Busy(load, now);
   const Service& service = services_.at(waiting.request.service);
-  c.full = c.busy >= MaxAtServer(slots, false,
-                                 now < service.scarce_until &&
-                                     waiting.priority > service.scarce_for);
+  const bool less_urgent =
+      now < service.scarce_until && waiting.priority > service.scarce_for;
+  c.full = c.busy >= MaxAtServer(slots, false, less_urgent);
   c.cold = now < server.cold_until;
   const uint64_t object = waiting.request.object;
   c.warm = object == 0 || load.IsWarm(object, now);
