--- a/include/health/crash_tracker.h
+++ b/include/health/crash_tracker.h
@@ -39,7 +39,8 @@
   };
 
   // A connection that carried the request broke at `server` without a response.
-  void OnBroken(uint64_t fingerprint, uint32_t server, Instant now);
+  // Returns whether a crash was recorded.
+  bool OnBroken(uint64_t fingerprint, uint32_t server, Instant now);
   // Records a crash that another host reported.
   void RecordCrash(uint64_t fingerprint, uint32_t server, Instant now);
   // The crashes that this host has seen since `since`, at most the newest
@@ -49,6 +50,8 @@
   void OnCompleted(uint64_t fingerprint) { records_.erase(fingerprint); }
 
   bool IsCrasher(uint64_t fingerprint, Instant now);
+  // Number of servers that crashed under the request so far.
+  size_t CrashedServers(uint64_t fingerprint) const;
   size_t size() const { return records_.size(); }
 
  private:
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -308,14 +308,25 @@
   run.may_have_run = run.may_have_run || !did_not_run;
   if (attempt.end == ServerAttemptEnd::kBroken && !exchange.response_started &&
       exchange.end == AttemptEnd::kBroken) {
-    parts_.crashes.OnBroken(run.fingerprint, ServerKey(placement.server),
-                            SteadyNow());
+    RecordCrash(run, placement.server);
   }
   attempt.connect_took = exchange.connect_took;
   Report(run, placement, attempt, SteadyNow() - start);
   co_return attempt;
 }
 
+void RequestRunner::RecordCrash(const Run& run, const ServerId& server) {
+  const bool recorded =
+      parts_.crashes.OnBroken(run.fingerprint, ServerKey(server), SteadyNow());
+  LogChange("crash",
+            {{"id", run.id},
+             {"caller", run.request.remote_ip},
+             {"fingerprint", fmt::format("{:016x}", run.fingerprint)},
+             {"server", server.str()},
+             {"recorded", recorded},
+             {"servers", parts_.crashes.CrashedServers(run.fingerprint)}});
+}
+
 ServerAttemptEnd RequestRunner::Classify(const ExchangeResult& exchange) const {
   switch (exchange.end) {
     case AttemptEnd::kNotSent:
@@ -438,6 +449,7 @@
   LogRequest(response.status < 300,
              {{"id", run.id},
               {"target", run.request.target},
+              {"caller", run.request.remote_ip},
               {"route", run.route.name},
               {"service", run.service.str()},
               {"config", parts_.routes.version()},
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -108,6 +108,9 @@
                                         std::string_view object,
                                         Instant began) const;
   HttpRequest ForServer(const Run& run, const ServerId& server) const;
+  // Records and logs that a connection to `server` broke while it carried the
+  // request.
+  void RecordCrash(const Run& run, const ServerId& server);
   // Classifies the result of an exchange.
   ServerAttemptEnd Classify(const ExchangeResult& exchange) const;
   void Report(Run& run,
--- a/src/health/crash_tracker.cc
+++ b/src/health/crash_tracker.cc
@@ -14,15 +14,21 @@
   return servers.size() >= kMassBreakServers;
 }
 
-void CrashTracker::OnBroken(uint64_t fingerprint,
+bool CrashTracker::OnBroken(uint64_t fingerprint,
                             uint32_t server,
                             Instant now) {
   if (IsMassBreak(server, now))
-    return;
+    return false;
   RecordCrash(fingerprint, server, now);
   own_crashes_.push_back({fingerprint, server, now});
   if (own_crashes_.size() > kMaxOwnReports)
     own_crashes_.pop_front();
+  return true;
+}
+
+size_t CrashTracker::CrashedServers(uint64_t fingerprint) const {
+  const auto it = records_.find(fingerprint);
+  return it == records_.end() ? 0 : it->second.servers.size();
 }
 
 std::vector<CrashTracker::CrashReport> CrashTracker::OwnCrashesSince(
