entry: a failing test of requests that crash servers, from several addresses

Three callers send the same request; it crashes the server of the first and of the second. The third one is sent to a server again: 200, 503 expected.

--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -132,10 +132,14 @@
     store->Run([&] { store->listener.server(entry); });
   }
 
-  // Sends `bytes` on a new connection and returns everything received.
-  static std::string Send(const Endpoint& to, const std::string& bytes) {
+  // Sends `bytes` on a new connection from the address `from` and returns
+  // everything received.
+  static std::string Send(const Endpoint& to,
+                          const std::string& bytes,
+                          const std::string& from = "127.0.0.1") {
     boost::asio::io_context io;
-    boost::asio::ip::tcp::socket socket(io);
+    boost::asio::ip::tcp::socket socket(io, boost::asio::ip::tcp::v4());
+    socket.bind({boost::asio::ip::make_address(from), 0});
     socket.connect({boost::asio::ip::make_address(to.ip), to.port});
     boost::system::error_code ec;
     boost::asio::write(socket, boost::asio::buffer(bytes), ec);
