entry: the fingerprint of a request does not depend on its caller's address

Callers saw servers of one service end one after the other: 41 requests for one target, 24 of which broke connections, and one refusal.

Cause: the fingerprint contained the address of the caller's connection. A request that came back from another address started anew, and had to crash two more servers before it was refused from that address.

The fingerprint now covers what the server receives: method, host name, target and body. Two callers that send the same request share its fate, as they should: the server cannot tell them apart either.

--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -51,11 +51,12 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-// Equal for all repeats of a request by its caller.
+// Equal for all copies of a request, whoever sends them: a caller's address
+// changes with its connection, and a server crashes on what it receives.
 uint64_t FingerprintOf(const HttpRequest& request) {
   uint64_t hash = Hash(request.method, 0);
+  hash = Hash(request.fields.Get("Host"), hash);
   hash = Hash(request.target, hash);
-  hash = Hash(request.remote_ip, hash);
   return Hash(request.body, hash);
 }
 
