health: crashes count although servers crash at the same time

Callers saw a request crash one server after the other while others crashed too.

Cause: when connections to three servers broke within a second, the network was blamed and nothing was recorded, so that a storm of crashes hid the requests behind it.

Every crash is recorded now. One amid others has an excuse, as has one of a request that completed within ten seconds before; a request with an excused crash is refused after three servers, any other after two as before. What an outage breaks runs at no third server, since callers and hosts retry less often than that, and a complete response forgets all crashes before it.

For that, reports carry their age: each is repeated for ten seconds, and the repeats used to bring back crashes that a complete response had cleared (the former tracker refuses a request after its completion and two repeats). A failure that a server reports clears nothing, since it may not have run it.

A request is refused for 300 s instead of 60 s after its last crash, as by toucanknotd's quarantine; after that, one crash has it refused again.

--- a/include/health/crash_tracker.h
+++ b/include/health/crash_tracker.h
@@ -5,59 +5,78 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "include/base/clock.h"
+#include "include/health/known_good_set.h"
 
 namespace toucanknot {
 
-// Detects requests that crash the backend servers that run them, from the
-// crashes that all hosts have reported: a fingerprint is rejected once its
-// connection broke at kMinCrashedServers servers without a complete response in
-// between. A host reports its crashes to the others. Servers are identified by
-// a hash. When connections to several servers break at about the same time, the
-// network or an outage is the likely cause, and nothing is recorded. Does no
-// I/O.
+// Detects requests that crash the backend servers that run them, from what all
+// hosts have seen: a fingerprint is refused once its connection broke at
+// kMinCrashedServers servers without a complete response since. One more server
+// is required if a crash has an excuse: connections to several servers broke at
+// about the same time, so that the network or an outage may be the cause, or
+// the request had completed shortly before. Servers are identified by a hash of
+// their id and incarnation. Does no I/O. Not thread-safe.
 class CrashTracker {
  public:
   static constexpr size_t kMinCrashedServers = 2;
   // How long a recorded crash counts.
   static constexpr Duration kCrashLifetime{60'000};
+  // How long a fingerprint is refused. For the same time after that, a single
+  // further crash has it refused again.
+  static constexpr Duration kRefuseFor{300'000};
   static constexpr Duration kMassBreakWindow{1'000};
   static constexpr size_t kMassBreakServers = 3;
-  // Fingerprints remembered; the one without a crash for longest is evicted
-  // first.
+  // Fingerprints remembered, of either kind; the one without a crash for
+  // longest is evicted first.
   static constexpr size_t kMaxRecords = 4'096;
   static constexpr size_t kMaxOwnReports = 32;
 
-  // A crash seen by this host, to be reported to the others.
-  struct CrashReport {
+  // A connection broke at `server` while it carried the request.
+  struct Crash {
     uint64_t fingerprint = 0;
     uint32_t server = 0;
     Instant at;
+    bool excused = false;
   };
 
   // A connection that carried the request broke at `server` without a response.
-  // Returns whether a crash was recorded.
-  bool OnBroken(uint64_t fingerprint, uint32_t server, Instant now);
-  // Records a crash that another host reported.
-  void RecordCrash(uint64_t fingerprint, uint32_t server, Instant now);
-  // The crashes that this host has seen since `since`, at most the newest
-  // kMaxOwnReports of them.
-  std::vector<CrashReport> OwnCrashesSince(Instant since) const;
-  // The request completed with a whole response: forgets its crashes.
-  void OnCompleted(uint64_t fingerprint) { records_.erase(fingerprint); }
+  // Returns the recorded crash.
+  Crash OnBroken(uint64_t fingerprint, uint32_t server, Instant now);
+  // The request completed with a whole response: its crashes up to now do not
+  // count, and it is no longer refused.
+  void OnCompleted(uint64_t fingerprint, Instant now);
+
+  // Records what another host reported. Repeats and late reports change
+  // nothing.
+  void RecordCrash(const Crash& crash, Instant now);
 
-  bool IsCrasher(uint64_t fingerprint, Instant now);
+  // Whether the request is refused now.
+  bool IsCrasher(uint64_t fingerprint, Instant now) const;
+  // How long the request is still refused.
+  Duration RefusedFor(uint64_t fingerprint, Instant now) const;
   // Number of servers that crashed under the request so far.
   size_t CrashedServers(uint64_t fingerprint) const;
-  size_t size() const { return records_.size(); }
+
+  // The crashes that this host has seen since `since`, at most the newest
+  // kMaxOwnReports of them, to be reported to the others.
+  std::vector<Crash> OwnCrashesSince(Instant since) const;
+
+  size_t size() const { return suspects_.size() + refused_.size(); }
 
  private:
-  struct Record {
-    std::set<uint32_t> servers;
+  struct ServerCrash {
+    Instant at;
+    bool excused = false;
+  };
+  struct Suspect {
+    // By server.
+    std::map<uint32_t, ServerCrash> crashes;
     Instant last;
+    // Crashes up to then do not count.
+    Instant completed_at;
   };
   struct BrokenConnection {
     uint32_t server = 0;
@@ -65,10 +84,15 @@
   };
 
   bool IsMassBreak(uint32_t server, Instant now);
+  Suspect& SuspectOf(uint64_t fingerprint);
+  void Refuse(uint64_t fingerprint, Instant since);
 
-  std::map<uint64_t, Record> records_;
+  std::map<uint64_t, Suspect> suspects_;
+  // Refused fingerprints, with the time when that began.
+  std::map<uint64_t, Instant> refused_;
+  KnownGoodSet known_good_;
   std::deque<BrokenConnection> broken_;
-  std::deque<CrashReport> own_crashes_;
+  std::deque<Crash> own_crashes_;
 };
 
 }  // namespace toucanknot
--- a/include/health/known_good_set.h
+++ b/include/health/known_good_set.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -32,6 +33,13 @@
     const Slot& slot = slots_[fingerprint % kSlots];
     return slot.fingerprint == fingerprint && now < slot.end;
   }
+  // When the request completed last, as long as that is remembered.
+  std::optional<Instant> CompletedAt(uint64_t fingerprint) const {
+    const Slot& slot = slots_[fingerprint % kSlots];
+    if (slot.fingerprint != fingerprint || slot.end == Instant())
+      return std::nullopt;
+    return slot.end - kLifetime;
+  }
 
  private:
   struct Slot {
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -22,7 +22,12 @@
   // A connection to a server broke while it carried a request.
   struct Crash {
     uint64_t fingerprint = 0;
+    // Hash of its id and incarnation.
     uint32_t server = 0;
+    // How long ago, when the sheet was sent.
+    Duration age;
+    // As in CrashTracker.
+    bool excused = false;
 
     bool operator==(const Crash&) const = default;
   };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -43,6 +43,10 @@
 // Crashes are repeated in sheets for this long, so that even the farthest of
 // 300 hosts gets each at least once.
 constexpr Duration kRepeatCrashesFor{10'000};
+// Reports of other hosts are dated back by the longest time that they spend on
+// the way, so that a request that completes meanwhile counts as completed
+// later.
+constexpr Duration kReportTransit{100};
 // Idle connections are closed only after this percentage of the limit, so that
 // the caller's next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
@@ -280,17 +284,23 @@
                     placer_.OwnServerLoads(),
                     {},
                     placer_.OwnDemands(SteadyNow())};
-    for (const CrashTracker::CrashReport& it :
-         crashes_.OwnCrashesSince(SteadyNow() - kRepeatCrashesFor)) {
-      sheet.crashes.push_back({it.fingerprint, it.server});
+    const Instant now = SteadyNow();
+    for (const CrashTracker::Crash& it :
+         crashes_.OwnCrashesSince(now - kRepeatCrashesFor)) {
+      sheet.crashes.push_back(
+          {it.fingerprint, it.server, now - it.at, it.excused});
     }
     return sheet;
   };
   hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
-    placer_.OnPeerLoadSheet(sheet, SteadyNow());
-    for (const LoadSheet::Crash& it : sheet.crashes)
-      crashes_.RecordCrash(it.fingerprint, it.server, SteadyNow());
+    const Instant now = SteadyNow();
+    placer_.OnPeerLoadSheet(sheet, now);
+    for (const LoadSheet::Crash& it : sheet.crashes) {
+      crashes_.RecordCrash({it.fingerprint, it.server,
+                            now - it.age - kReportTransit, it.excused},
+                           now);
+    }
   };
   hooks.peers = [this](bool near) {
     std::vector<Endpoint> peers = roster_.PeerAddresses(settings_.region, near);
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -31,6 +31,18 @@
 // Demands are sent in tenths of a slot; higher values are clamped.
 constexpr double kTenthsPerSlot = 10;
 constexpr double kMaxDemand = 1e6;
+// Ages of reports; higher values are clamped.
+constexpr Duration kMaxAge{3'600'000};
+
+int32_t EncodeAge(Duration age) {
+  return static_cast<int32_t>(std::clamp(age, Duration(0), kMaxAge).ms());
+}
+
+// A host of an earlier version sends no ages.
+Duration DecodeAge(const std::vector<int32_t>& ages, size_t i) {
+  return std::clamp(Duration(i < ages.size() ? ages[i] : 0), Duration(0),
+                    kMaxAge);
+}
 
 }  // namespace
 
@@ -53,10 +65,16 @@
   if (!sheet.crashes.empty()) {
     std::vector<int64_t> fingerprints;
     std::vector<int32_t> crashed_servers;
+    std::vector<int32_t> ages;
+    std::vector<bool> excused;
     for (const LoadSheet::Crash& it : sheet.crashes) {
       fingerprints.push_back(static_cast<int64_t>(it.fingerprint));
       crashed_servers.push_back(static_cast<int32_t>(it.server));
+      ages.push_back(EncodeAge(it.age));
+      excused.push_back(it.excused);
     }
+    out.__set_crash_ages_ms(ages);
+    out.__set_crash_excused(excused);
     out.__set_crash_requests(fingerprints);
     out.__set_crash_servers(crashed_servers);
   }
@@ -105,8 +123,11 @@
                           std::max<int>(in.requests[i], 0)});
   }
   for (size_t i = 0; i < in.crash_requests.size(); ++i) {
-    sheet.crashes.push_back({static_cast<uint64_t>(in.crash_requests[i]),
-                             static_cast<uint32_t>(in.crash_servers[i])});
+    sheet.crashes.push_back(
+        {static_cast<uint64_t>(in.crash_requests[i]),
+         static_cast<uint32_t>(in.crash_servers[i]),
+         DecodeAge(in.crash_ages_ms, i),
+         i < in.crash_excused.size() && in.crash_excused[i]});
   }
   for (size_t i = 0; i < in.services.size(); ++i) {
     sheet.demands.push_back({static_cast<uint32_t>(in.services[i]),
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -148,10 +148,12 @@
     run.caller_retried = spent > Duration(0);
   }
   run.fingerprint = FingerprintOf(run.request);
-  if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow())) {
+  const Duration refused_for =
+      parts_.crashes.RefusedFor(run.fingerprint, SteadyNow());
+  if (refused_for > Duration(0)) {
     run.attempt_summary = "crashes servers";
     co_return Refuse(run, 503, "requests like this crash backend servers",
-                     run.route.timeout);
+                     refused_for);
   }
   run.placement_request = MakePlacementRequest(
       run.route, run.service, fields.Get(parts_.names.object), began - spent);
@@ -281,6 +283,8 @@
         [cancel] { cancel->emit(asio::cancellation_type::terminal); });
   }
   ++run.sent;
+  // The entry may change while the request runs.
+  const Incarnation incarnation = server->entry.incarnation;
   const Instant start = SteadyNow();
   ExchangeResult exchange;
   if (!caller || !caller->left()) {
@@ -309,23 +313,27 @@
   run.may_have_run = run.may_have_run || !did_not_run;
   if (attempt.end == ServerAttemptEnd::kBroken && !exchange.response_started &&
       exchange.end == AttemptEnd::kBroken) {
-    RecordCrash(run, placement.server);
+    RecordCrash(run, placement.server, incarnation);
   }
   attempt.connect_took = exchange.connect_took;
   Report(run, placement, attempt, SteadyNow() - start);
   co_return attempt;
 }
 
-void RequestRunner::RecordCrash(const Run& run, const ServerId& server) {
-  const bool recorded =
-      parts_.crashes.OnBroken(run.fingerprint, ServerKey(server), SteadyNow());
+void RequestRunner::RecordCrash(const Run& run,
+                                const ServerId& server,
+                                Incarnation incarnation) {
+  const uint64_t key = Hash(server.str(), incarnation);
+  const CrashTracker::Crash crash = parts_.crashes.OnBroken(
+      run.fingerprint, static_cast<uint32_t>(key), SteadyNow());
   LogChange("crash",
             {{"id", run.id},
              {"caller", run.request.remote_ip},
              {"fingerprint", fmt::format("{:016x}", run.fingerprint)},
              {"server", server.str()},
-             {"recorded", recorded},
-             {"servers", parts_.crashes.CrashedServers(run.fingerprint)}});
+             {"excused", crash.excused},
+             {"servers", parts_.crashes.CrashedServers(run.fingerprint)},
+             {"refused", parts_.crashes.IsCrasher(run.fingerprint, crash.at)}});
 }
 
 ServerAttemptEnd RequestRunner::Classify(const ExchangeResult& exchange) const {
@@ -367,9 +375,9 @@
   parts_.metrics.CountAttempt(run.service, attempt.end, took);
   RetriesOf(run.service)
       .reserve.OnAttempt(attempt.end == ServerAttemptEnd::kRefused);
-  if (attempt.end == ServerAttemptEnd::kAnswered ||
-      attempt.end == ServerAttemptEnd::kFailed)
-    parts_.crashes.OnCompleted(run.fingerprint);
+  // A server may report a failure without having run the request.
+  if (attempt.end == ServerAttemptEnd::kAnswered)
+    parts_.crashes.OnCompleted(run.fingerprint, SteadyNow());
   run.attempt_summary += fmt::format(
       " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{} "
       "entry-age:{}ms heard:{}/{}",
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -110,7 +110,9 @@
   HttpRequest ForServer(const Run& run, const ServerId& server) const;
   // Records and logs that a connection to `server` broke while it carried the
   // request.
-  void RecordCrash(const Run& run, const ServerId& server);
+  void RecordCrash(const Run& run,
+                   const ServerId& server,
+                   Incarnation incarnation);
   // Classifies the result of an exchange.
   ServerAttemptEnd Classify(const ExchangeResult& exchange) const;
   void Report(Run& run,
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3450,6 +3450,16 @@
   this->slot_tenths = val;
 __isset.slot_tenths = true;
 }
+
+void LoadSheet::__set_crash_ages_ms(const std::vector<int32_t> & val) {
+  this->crash_ages_ms = val;
+__isset.crash_ages_ms = true;
+}
+
+void LoadSheet::__set_crash_excused(const std::vector<bool> & val) {
+  this->crash_excused = val;
+__isset.crash_excused = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3622,6 +3632,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crash_ages_ms.clear();
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->crash_ages_ms.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
+            {
+              xfer += iprot->readI32(this->crash_ages_ms[_i174]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crash_ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crash_excused.clear();
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->crash_excused.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
+            {
+              xfer += iprot->readBool(this->crash_excused[_i179]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crash_excused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3658,10 +3708,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter170;
-      for (_iter170 = this->servers.begin(); _iter170 != this->servers.end(); ++_iter170)
+      std::vector<int32_t> ::const_iterator _iter180;
+      for (_iter180 = this->servers.begin(); _iter180 != this->servers.end(); ++_iter180)
       {
-        xfer += oprot->writeI32((*_iter170));
+        xfer += oprot->writeI32((*_iter180));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3671,10 +3721,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter171;
-      for (_iter171 = this->requests.begin(); _iter171 != this->requests.end(); ++_iter171)
+      std::vector<int16_t> ::const_iterator _iter181;
+      for (_iter181 = this->requests.begin(); _iter181 != this->requests.end(); ++_iter181)
       {
-        xfer += oprot->writeI16((*_iter171));
+        xfer += oprot->writeI16((*_iter181));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3684,10 +3734,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter172;
-      for (_iter172 = this->crash_requests.begin(); _iter172 != this->crash_requests.end(); ++_iter172)
+      std::vector<int64_t> ::const_iterator _iter182;
+      for (_iter182 = this->crash_requests.begin(); _iter182 != this->crash_requests.end(); ++_iter182)
       {
-        xfer += oprot->writeI64((*_iter172));
+        xfer += oprot->writeI64((*_iter182));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3697,10 +3747,10 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter173;
-      for (_iter173 = this->crash_servers.begin(); _iter173 != this->crash_servers.end(); ++_iter173)
+      std::vector<int32_t> ::const_iterator _iter183;
+      for (_iter183 = this->crash_servers.begin(); _iter183 != this->crash_servers.end(); ++_iter183)
       {
-        xfer += oprot->writeI32((*_iter173));
+        xfer += oprot->writeI32((*_iter183));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3710,10 +3760,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
-      std::vector<int32_t> ::const_iterator _iter174;
-      for (_iter174 = this->services.begin(); _iter174 != this->services.end(); ++_iter174)
+      std::vector<int32_t> ::const_iterator _iter184;
+      for (_iter184 = this->services.begin(); _iter184 != this->services.end(); ++_iter184)
       {
-        xfer += oprot->writeI32((*_iter174));
+        xfer += oprot->writeI32((*_iter184));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3723,10 +3773,36 @@
     xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
-      std::vector<int32_t> ::const_iterator _iter175;
-      for (_iter175 = this->slot_tenths.begin(); _iter175 != this->slot_tenths.end(); ++_iter175)
+      std::vector<int32_t> ::const_iterator _iter185;
+      for (_iter185 = this->slot_tenths.begin(); _iter185 != this->slot_tenths.end(); ++_iter185)
+      {
+        xfer += oprot->writeI32((*_iter185));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_ages_ms) {
+    xfer += oprot->writeFieldBegin("crash_ages_ms", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_ages_ms.size()));
+      std::vector<int32_t> ::const_iterator _iter186;
+      for (_iter186 = this->crash_ages_ms.begin(); _iter186 != this->crash_ages_ms.end(); ++_iter186)
+      {
+        xfer += oprot->writeI32((*_iter186));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_excused) {
+    xfer += oprot->writeFieldBegin("crash_excused", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->crash_excused.size()));
+      std::vector<bool> ::const_iterator _iter187;
+      for (_iter187 = this->crash_excused.begin(); _iter187 != this->crash_excused.end(); ++_iter187)
       {
-        xfer += oprot->writeI32((*_iter175));
+        xfer += oprot->writeBool((*_iter187));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3748,57 +3824,67 @@
   swap(a.crash_servers, b.crash_servers);
   swap(a.services, b.services);
   swap(a.slot_tenths, b.slot_tenths);
+  swap(a.crash_ages_ms, b.crash_ages_ms);
+  swap(a.crash_excused, b.crash_excused);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other176) {
-  host = other176.host;
-  incarnation = other176.incarnation;
-  sequence = other176.sequence;
-  servers = other176.servers;
-  requests = other176.requests;
-  crash_requests = other176.crash_requests;
-  crash_servers = other176.crash_servers;
-  services = other176.services;
-  slot_tenths = other176.slot_tenths;
-  __isset = other176.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other177) noexcept {
-  host = other177.host;
-  incarnation = other177.incarnation;
-  sequence = other177.sequence;
-  servers = std::move(other177.servers);
-  requests = std::move(other177.requests);
-  crash_requests = std::move(other177.crash_requests);
-  crash_servers = std::move(other177.crash_servers);
-  services = std::move(other177.services);
-  slot_tenths = std::move(other177.slot_tenths);
-  __isset = other177.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other178) {
-  host = other178.host;
-  incarnation = other178.incarnation;
-  sequence = other178.sequence;
-  servers = other178.servers;
-  requests = other178.requests;
-  crash_requests = other178.crash_requests;
-  crash_servers = other178.crash_servers;
-  services = other178.services;
-  slot_tenths = other178.slot_tenths;
-  __isset = other178.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other188) {
+  host = other188.host;
+  incarnation = other188.incarnation;
+  sequence = other188.sequence;
+  servers = other188.servers;
+  requests = other188.requests;
+  crash_requests = other188.crash_requests;
+  crash_servers = other188.crash_servers;
+  services = other188.services;
+  slot_tenths = other188.slot_tenths;
+  crash_ages_ms = other188.crash_ages_ms;
+  crash_excused = other188.crash_excused;
+  __isset = other188.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other189) noexcept {
+  host = other189.host;
+  incarnation = other189.incarnation;
+  sequence = other189.sequence;
+  servers = std::move(other189.servers);
+  requests = std::move(other189.requests);
+  crash_requests = std::move(other189.crash_requests);
+  crash_servers = std::move(other189.crash_servers);
+  services = std::move(other189.services);
+  slot_tenths = std::move(other189.slot_tenths);
+  crash_ages_ms = std::move(other189.crash_ages_ms);
+  crash_excused = std::move(other189.crash_excused);
+  __isset = other189.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other190) {
+  host = other190.host;
+  incarnation = other190.incarnation;
+  sequence = other190.sequence;
+  servers = other190.servers;
+  requests = other190.requests;
+  crash_requests = other190.crash_requests;
+  crash_servers = other190.crash_servers;
+  services = other190.services;
+  slot_tenths = other190.slot_tenths;
+  crash_ages_ms = other190.crash_ages_ms;
+  crash_excused = other190.crash_excused;
+  __isset = other190.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other179) noexcept {
-  host = other179.host;
-  incarnation = other179.incarnation;
-  sequence = other179.sequence;
-  servers = std::move(other179.servers);
-  requests = std::move(other179.requests);
-  crash_requests = std::move(other179.crash_requests);
-  crash_servers = std::move(other179.crash_servers);
-  services = std::move(other179.services);
-  slot_tenths = std::move(other179.slot_tenths);
-  __isset = other179.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other191) noexcept {
+  host = other191.host;
+  incarnation = other191.incarnation;
+  sequence = other191.sequence;
+  servers = std::move(other191.servers);
+  requests = std::move(other191.requests);
+  crash_requests = std::move(other191.crash_requests);
+  crash_servers = std::move(other191.crash_servers);
+  services = std::move(other191.services);
+  slot_tenths = std::move(other191.slot_tenths);
+  crash_ages_ms = std::move(other191.crash_ages_ms);
+  crash_excused = std::move(other191.crash_excused);
+  __isset = other191.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -3813,6 +3899,8 @@
   out << ", " << "crash_servers="; (__isset.crash_servers ? (out << to_string(crash_servers)) : (out << "<null>"));
   out << ", " << "services="; (__isset.services ? (out << to_string(services)) : (out << "<null>"));
   out << ", " << "slot_tenths="; (__isset.slot_tenths ? (out << to_string(slot_tenths)) : (out << "<null>"));
+  out << ", " << "crash_ages_ms="; (__isset.crash_ages_ms ? (out << to_string(crash_ages_ms)) : (out << "<null>"));
+  out << ", " << "crash_excused="; (__isset.crash_excused ? (out << to_string(crash_excused)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1410,6 +1410,8 @@
   bool crash_servers :1;
   bool services :1;
   bool slot_tenths :1;
+  bool crash_ages_ms :1;
+  bool crash_excused :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1435,6 +1437,8 @@
   std::vector<int32_t>  crash_servers;
   std::vector<int32_t>  services;
   std::vector<int32_t>  slot_tenths;
+  std::vector<int32_t>  crash_ages_ms;
+  std::vector<bool>  crash_excused;
 
   _LoadSheet__isset __isset;
 
@@ -1456,6 +1460,10 @@
 
   void __set_slot_tenths(const std::vector<int32_t> & val);
 
+  void __set_crash_ages_ms(const std::vector<int32_t> & val);
+
+  void __set_crash_excused(const std::vector<bool> & val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1494,6 +1502,14 @@
       return false;
     else if (__isset.slot_tenths && !(slot_tenths == rhs.slot_tenths))
       return false;
+    if (__isset.crash_ages_ms != rhs.__isset.crash_ages_ms)
+      return false;
+    else if (__isset.crash_ages_ms && !(crash_ages_ms == rhs.crash_ages_ms))
+      return false;
+    if (__isset.crash_excused != rhs.__isset.crash_excused)
+      return false;
+    else if (__isset.crash_excused && !(crash_excused == rhs.crash_excused))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -145,4 +145,8 @@
   // (hashes of the service ids).
   8: optional list<i32> services
   9: optional list<i32> slot_tenths
+  // How long ago each of those connections broke, and whether that has an
+  // excuse (see CrashTracker).
+  10: optional list<i32> crash_ages_ms
+  11: optional list<bool> crash_excused
 }
