entry: refused requests are known to all hosts, also to those that start later

Callers saw servers crash at a host that had started after the crash.

Cause: a host passed on the crashes that it had seen itself, for ten seconds; one that started later began without them and let the request crash two more servers. At many hosts, sheets are rationed, so that a crash could take seconds to reach the farthest.

Hosts now pass on which requests are refused, whoever found that, four in each sheet in turn; and completions of suspected requests, so that a refusal that was wrong ends everywhere. A crash, a new refusal and such a completion go to all hosts at once, in a datagram without loads, every 300 ms at most.

--- a/include/health/crash_tracker.h
+++ b/include/health/crash_tracker.h
@@ -41,6 +41,11 @@
     Instant at;
     bool excused = false;
   };
+  // The request completed at that time, or has been refused since then.
+  struct Verdict {
+    uint64_t fingerprint = 0;
+    Instant at;
+  };
 
   // A connection that carried the request broke at `server` without a response.
   // Returns the recorded crash.
@@ -49,9 +54,10 @@
   // count, and it is no longer refused.
   void OnCompleted(uint64_t fingerprint, Instant now);
 
-  // Records what another host reported. Repeats and late reports change
-  // nothing.
+  // Record what another host reported. Repeats and late reports change nothing.
   void RecordCrash(const Crash& crash, Instant now);
+  void RecordCompleted(const Verdict& completed);
+  void RecordRefused(const Verdict& refused, Instant now);
 
   // Whether the request is refused now.
   bool IsCrasher(uint64_t fingerprint, Instant now) const;
@@ -60,9 +66,17 @@
   // Number of servers that crashed under the request so far.
   size_t CrashedServers(uint64_t fingerprint) const;
 
-  // The crashes that this host has seen since `since`, at most the newest
-  // kMaxOwnReports of them, to be reported to the others.
+  // What this host has seen itself since `since`, at most the newest
+  // kMaxOwnReports of each kind, to be reported to the others. Completed
+  // requests are reported only if they were suspected.
   std::vector<Crash> OwnCrashesSince(Instant since) const;
+  std::vector<Verdict> OwnCompletedSince(Instant since) const;
+  // Up to `n` of the refused fingerprints, others at each call, whichever host
+  // found them: a host that has just started knows none.
+  std::vector<Verdict> NextRefused(size_t n, Instant now);
+  // Whether this host found something since the last call that the others
+  // should learn at once.
+  bool TakeNews();
 
   size_t size() const { return suspects_.size() + refused_.size(); }
 
@@ -86,6 +100,9 @@
   bool IsMassBreak(uint32_t server, Instant now);
   Suspect& SuspectOf(uint64_t fingerprint);
   void Refuse(uint64_t fingerprint, Instant since);
+  // Reports to the other hosts that the request completed, unless they were
+  // told of a completion after `crashed_at`.
+  void ReportCompleted(const Verdict& completed, Instant crashed_at);
 
   std::map<uint64_t, Suspect> suspects_;
   // Refused fingerprints, with the time when that began.
@@ -93,6 +110,10 @@
   KnownGoodSet known_good_;
   std::deque<BrokenConnection> broken_;
   std::deque<Crash> own_crashes_;
+  std::deque<Verdict> own_completed_;
+  // The last fingerprint that NextRefused() returned.
+  uint64_t last_reported_ = 0;
+  bool news_ = false;
 };
 
 }  // namespace toucanknot
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -12,6 +12,8 @@
 
 // Number of requests that one host has in flight at each backend server.
 struct LoadSheet {
+  static constexpr uint64_t kNoticeSequence = 0;
+
   struct Row {
     // ServerKey() of its id.
     uint32_t server = 0;
@@ -31,6 +33,14 @@
 
     bool operator==(const Crash&) const = default;
   };
+  // A request that completed, or that has been refused since then.
+  struct RequestReport {
+    uint64_t fingerprint = 0;
+    // How long ago, when the sheet was sent.
+    Duration age;
+
+    bool operator==(const RequestReport&) const = default;
+  };
   // Slots of a service (its ServiceKey()) that the host's own callers need on
   // average.
   struct Demand {
@@ -41,7 +51,7 @@
   };
 
   // Hash of the host's id, its incarnation, and the sequence number of the
-  // sheet.
+  // sheet. A sheet with kNoticeSequence has no loads, only what is urgent.
   uint64_t host = 0;
   Incarnation incarnation = 0;
   uint64_t sequence = 0;
@@ -49,6 +59,9 @@
   // Crashes of the last seconds: repeated, so that a lost datagram loses none.
   std::vector<Crash> crashes;
   std::vector<Demand> demands;
+  // Suspected requests that completed, and refused ones.
+  std::vector<RequestReport> completed;
+  std::vector<RequestReport> refused;
 
   bool operator==(const LoadSheet&) const = default;
 };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -43,6 +43,10 @@
 // Crashes are repeated in sheets for this long, so that even the farthest of
 // 300 hosts gets each at least once.
 constexpr Duration kRepeatCrashesFor{10'000};
+// A notice repeats those of the time since the one before.
+constexpr Duration kNoticeCrashesFor{1'000};
+// Refused requests in one sheet; the next sheet has others.
+constexpr size_t kRefusedPerSheet = 4;
 // Reports of other hosts are dated back by the longest time that they spend on
 // the way, so that a request that completes meanwhile counts as completed
 // later.
@@ -91,6 +95,10 @@
   }
   FleetStoreListener MakeListener();
   LoadExchange::Hooks ExchangeHooks();
+  // Adds to `sheet` what this host knows about requests that crash servers:
+  // what it saw since `since`, and some of the refused requests.
+  void AddCrashReports(LoadSheet& sheet, Instant since, Instant now);
+  void OnCrashReports(const LoadSheet& sheet, Instant now);
   void OnConfig(const RouteConfigPtr& config);
   void OnEvacuations(const std::set<ZoneId>& zones);
   void OnServerChange(ServerChange change,
@@ -278,29 +286,28 @@
 LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
   LoadExchange::Hooks hooks;
   hooks.own_sheet = [this] {
-    LoadSheet sheet{HostKey(settings_.host),
-                    incarnation_,
-                    ++sheets_sent_,
-                    placer_.OwnServerLoads(),
-                    {},
-                    placer_.OwnDemands(SteadyNow())};
     const Instant now = SteadyNow();
-    for (const CrashTracker::Crash& it :
-         crashes_.OwnCrashesSince(now - kRepeatCrashesFor)) {
-      sheet.crashes.push_back(
-          {it.fingerprint, it.server, now - it.at, it.excused});
-    }
+    LoadSheet sheet{
+        HostKey(settings_.host),  incarnation_, ++sheets_sent_,
+        placer_.OwnServerLoads(), {},           placer_.OwnDemands(now)};
+    AddCrashReports(sheet, now - kRepeatCrashesFor, now);
+    return sheet;
+  };
+  hooks.notice = [this]() -> std::optional<LoadSheet> {
+    if (!crashes_.TakeNews())
+      return std::nullopt;
+    const Instant now = SteadyNow();
+    LoadSheet sheet{HostKey(settings_.host), incarnation_,
+                    LoadSheet::kNoticeSequence};
+    AddCrashReports(sheet, now - kNoticeCrashesFor, now);
     return sheet;
   };
   hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
     const Instant now = SteadyNow();
-    placer_.OnPeerLoadSheet(sheet, now);
-    for (const LoadSheet::Crash& it : sheet.crashes) {
-      crashes_.RecordCrash({it.fingerprint, it.server,
-                            now - it.age - kReportTransit, it.excused},
-                           now);
-    }
+    if (sheet.sequence != LoadSheet::kNoticeSequence)
+      placer_.OnPeerLoadSheet(sheet, now);
+    OnCrashReports(sheet, now);
   };
   hooks.peers = [this](bool near) {
     std::vector<Endpoint> peers = roster_.PeerAddresses(settings_.region, near);
@@ -311,6 +318,35 @@
   return hooks;
 }
 
+void EntryDaemon::Impl::AddCrashReports(LoadSheet& sheet,
+                                        Instant since,
+                                        Instant now) {
+  for (const CrashTracker::Crash& it : crashes_.OwnCrashesSince(since)) {
+    sheet.crashes.push_back(
+        {it.fingerprint, it.server, now - it.at, it.excused});
+  }
+  for (const CrashTracker::Verdict& it : crashes_.OwnCompletedSince(since))
+    sheet.completed.push_back({it.fingerprint, now - it.at});
+  for (const CrashTracker::Verdict& it :
+       crashes_.NextRefused(kRefusedPerSheet, now)) {
+    sheet.refused.push_back({it.fingerprint, now - it.at});
+  }
+}
+
+void EntryDaemon::Impl::OnCrashReports(const LoadSheet& sheet, Instant now) {
+  for (const LoadSheet::RequestReport& it : sheet.completed)
+    crashes_.RecordCompleted({it.fingerprint, now - it.age});
+  for (const LoadSheet::Crash& it : sheet.crashes) {
+    crashes_.RecordCrash(
+        {it.fingerprint, it.server, now - it.age - kReportTransit, it.excused},
+        now);
+  }
+  for (const LoadSheet::RequestReport& it : sheet.refused) {
+    crashes_.RecordRefused({it.fingerprint, now - it.age - kReportTransit},
+                           now);
+  }
+}
+
 void EntryDaemon::Impl::OnConfig(const RouteConfigPtr& config) {
   const uint64_t before = routes_.version();
   if (!routes_.Apply(config))
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -44,6 +44,25 @@
                     kMaxAge);
 }
 
+void EncodeReports(const std::vector<LoadSheet::RequestReport>& reports,
+                   std::vector<int64_t>& fingerprints,
+                   std::vector<int32_t>& ages) {
+  for (const LoadSheet::RequestReport& it : reports) {
+    fingerprints.push_back(static_cast<int64_t>(it.fingerprint));
+    ages.push_back(EncodeAge(it.age));
+  }
+}
+
+std::vector<LoadSheet::RequestReport> DecodeReports(
+    const std::vector<int64_t>& fingerprints,
+    const std::vector<int32_t>& ages) {
+  std::vector<LoadSheet::RequestReport> out;
+  for (size_t i = 0; i < fingerprints.size(); ++i) {
+    out.push_back({static_cast<uint64_t>(fingerprints[i]), DecodeAge(ages, i)});
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string EncodeSheet(const LoadSheet& sheet) {
@@ -78,6 +97,15 @@
     out.__set_crash_requests(fingerprints);
     out.__set_crash_servers(crashed_servers);
   }
+  if (!sheet.completed.empty()) {
+    EncodeReports(sheet.completed, out.completed_requests,
+                  out.completed_ages_ms);
+    out.__isset.completed_requests = out.__isset.completed_ages_ms = true;
+  }
+  if (!sheet.refused.empty()) {
+    EncodeReports(sheet.refused, out.refused_requests, out.refused_ages_ms);
+    out.__isset.refused_requests = out.__isset.refused_ages_ms = true;
+  }
   if (!sheet.demands.empty()) {
     std::vector<int32_t> services;
     std::vector<int32_t> tenths;
@@ -129,6 +157,8 @@
          DecodeAge(in.crash_ages_ms, i),
          i < in.crash_excused.size() && in.crash_excused[i]});
   }
+  sheet.completed = DecodeReports(in.completed_requests, in.completed_ages_ms);
+  sheet.refused = DecodeReports(in.refused_requests, in.refused_ages_ms);
   for (size_t i = 0; i < in.services.size(); ++i) {
     sheet.demands.push_back({static_cast<uint32_t>(in.services[i]),
                              std::max(in.slot_tenths[i], 0) / kTenthsPerSlot});
@@ -171,8 +201,17 @@
   std::vector<LoadSheet::Row> last_rows;
   int near = 0;
   int far = 0;
+  int rounds_since_notice = kNoticeRounds;
   for (;;) {
     co_await SleepFor(kRound);
+    if (++rounds_since_notice >= kNoticeRounds) {
+      if (const std::optional<LoadSheet> notice = hooks_.notice()) {
+        rounds_since_notice = 0;
+        const std::string bytes = EncodeSheet(*notice);
+        SendTo(hooks_.peers(true), bytes);
+        SendTo(hooks_.peers(false), bytes);
+      }
+    }
     const bool crowded = hooks_.crowded();
     const bool far_due = ++far >= (crowded ? kFarRoundsCrowded : kFarRounds);
     const bool near_due =
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -36,6 +36,8 @@
   static constexpr int kFarRounds = 6;
   static constexpr int kNearRoundsCrowded = 1;
   static constexpr int kFarRoundsCrowded = 2;
+  // Notices go to all hosts outside of these limits, no more often than this.
+  static constexpr int kNoticeRounds = 3;
   // Bandwidth for sheets, out of a host's 15 kB a second for control traffic.
   // It is multiplied by kCrowdedFactor while slots are scarce, since outdated
   // figures cost more then. Above the limit, each host gets sheets less often.
@@ -45,6 +47,8 @@
 
   struct Hooks {
     std::function<LoadSheet()> own_sheet;
+    // What all hosts should learn at once, if there is anything.
+    std::function<std::optional<LoadSheet>()> notice;
     // Whether slots are scarce.
     std::function<bool()> crowded;
     std::function<void(const LoadSheet&)> on_sheet;
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3460,6 +3460,26 @@
   this->crash_excused = val;
 __isset.crash_excused = true;
 }
+
+void LoadSheet::__set_completed_requests(const std::vector<int64_t> & val) {
+  this->completed_requests = val;
+__isset.completed_requests = true;
+}
+
+void LoadSheet::__set_completed_ages_ms(const std::vector<int32_t> & val) {
+  this->completed_ages_ms = val;
+__isset.completed_ages_ms = true;
+}
+
+void LoadSheet::__set_refused_requests(const std::vector<int64_t> & val) {
+  this->refused_requests = val;
+__isset.refused_requests = true;
+}
+
+void LoadSheet::__set_refused_ages_ms(const std::vector<int32_t> & val) {
+  this->refused_ages_ms = val;
+__isset.refused_ages_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3672,6 +3692,86 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->completed_requests.clear();
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->completed_requests.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
+            {
+              xfer += iprot->readI64(this->completed_requests[_i184]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.completed_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->completed_ages_ms.clear();
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->completed_ages_ms.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
+              xfer += iprot->readI32(this->completed_ages_ms[_i189]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.completed_ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused_requests.clear();
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->refused_requests.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
+            {
+              xfer += iprot->readI64(this->refused_requests[_i194]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused_ages_ms.clear();
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->refused_ages_ms.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
+            {
+              xfer += iprot->readI32(this->refused_ages_ms[_i199]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused_ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3708,10 +3808,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter180;
-      for (_iter180 = this->servers.begin(); _iter180 != this->servers.end(); ++_iter180)
+      std::vector<int32_t> ::const_iterator _iter200;
+      for (_iter200 = this->servers.begin(); _iter200 != this->servers.end(); ++_iter200)
       {
-        xfer += oprot->writeI32((*_iter180));
+        xfer += oprot->writeI32((*_iter200));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3721,10 +3821,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter181;
-      for (_iter181 = this->requests.begin(); _iter181 != this->requests.end(); ++_iter181)
+      std::vector<int16_t> ::const_iterator _iter201;
+      for (_iter201 = this->requests.begin(); _iter201 != this->requests.end(); ++_iter201)
       {
-        xfer += oprot->writeI16((*_iter181));
+        xfer += oprot->writeI16((*_iter201));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3734,10 +3834,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter182;
-      for (_iter182 = this->crash_requests.begin(); _iter182 != this->crash_requests.end(); ++_iter182)
+      std::vector<int64_t> ::const_iterator _iter202;
+      for (_iter202 = this->crash_requests.begin(); _iter202 != this->crash_requests.end(); ++_iter202)
       {
-        xfer += oprot->writeI64((*_iter182));
+        xfer += oprot->writeI64((*_iter202));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3747,10 +3847,10 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter183;
-      for (_iter183 = this->crash_servers.begin(); _iter183 != this->crash_servers.end(); ++_iter183)
+      std::vector<int32_t> ::const_iterator _iter203;
+      for (_iter203 = this->crash_servers.begin(); _iter203 != this->crash_servers.end(); ++_iter203)
       {
-        xfer += oprot->writeI32((*_iter183));
+        xfer += oprot->writeI32((*_iter203));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3760,10 +3860,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
-      std::vector<int32_t> ::const_iterator _iter184;
-      for (_iter184 = this->services.begin(); _iter184 != this->services.end(); ++_iter184)
+      std::vector<int32_t> ::const_iterator _iter204;
+      for (_iter204 = this->services.begin(); _iter204 != this->services.end(); ++_iter204)
       {
-        xfer += oprot->writeI32((*_iter184));
+        xfer += oprot->writeI32((*_iter204));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3773,10 +3873,10 @@
     xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
-      std::vector<int32_t> ::const_iterator _iter185;
-      for (_iter185 = this->slot_tenths.begin(); _iter185 != this->slot_tenths.end(); ++_iter185)
+      std::vector<int32_t> ::const_iterator _iter205;
+      for (_iter205 = this->slot_tenths.begin(); _iter205 != this->slot_tenths.end(); ++_iter205)
       {
-        xfer += oprot->writeI32((*_iter185));
+        xfer += oprot->writeI32((*_iter205));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3786,10 +3886,10 @@
     xfer += oprot->writeFieldBegin("crash_ages_ms", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter186;
-      for (_iter186 = this->crash_ages_ms.begin(); _iter186 != this->crash_ages_ms.end(); ++_iter186)
+      std::vector<int32_t> ::const_iterator _iter206;
+      for (_iter206 = this->crash_ages_ms.begin(); _iter206 != this->crash_ages_ms.end(); ++_iter206)
       {
-        xfer += oprot->writeI32((*_iter186));
+        xfer += oprot->writeI32((*_iter206));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3799,10 +3899,62 @@
     xfer += oprot->writeFieldBegin("crash_excused", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->crash_excused.size()));
-      std::vector<bool> ::const_iterator _iter187;
-      for (_iter187 = this->crash_excused.begin(); _iter187 != this->crash_excused.end(); ++_iter187)
+      std::vector<bool> ::const_iterator _iter207;
+      for (_iter207 = this->crash_excused.begin(); _iter207 != this->crash_excused.end(); ++_iter207)
+      {
+        xfer += oprot->writeBool((*_iter207));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.completed_requests) {
+    xfer += oprot->writeFieldBegin("completed_requests", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->completed_requests.size()));
+      std::vector<int64_t> ::const_iterator _iter208;
+      for (_iter208 = this->completed_requests.begin(); _iter208 != this->completed_requests.end(); ++_iter208)
+      {
+        xfer += oprot->writeI64((*_iter208));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.completed_ages_ms) {
+    xfer += oprot->writeFieldBegin("completed_ages_ms", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->completed_ages_ms.size()));
+      std::vector<int32_t> ::const_iterator _iter209;
+      for (_iter209 = this->completed_ages_ms.begin(); _iter209 != this->completed_ages_ms.end(); ++_iter209)
+      {
+        xfer += oprot->writeI32((*_iter209));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused_requests) {
+    xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused_requests.size()));
+      std::vector<int64_t> ::const_iterator _iter210;
+      for (_iter210 = this->refused_requests.begin(); _iter210 != this->refused_requests.end(); ++_iter210)
+      {
+        xfer += oprot->writeI64((*_iter210));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused_ages_ms) {
+    xfer += oprot->writeFieldBegin("refused_ages_ms", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused_ages_ms.size()));
+      std::vector<int32_t> ::const_iterator _iter211;
+      for (_iter211 = this->refused_ages_ms.begin(); _iter211 != this->refused_ages_ms.end(); ++_iter211)
       {
-        xfer += oprot->writeBool((*_iter187));
+        xfer += oprot->writeI32((*_iter211));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3826,65 +3978,85 @@
   swap(a.slot_tenths, b.slot_tenths);
   swap(a.crash_ages_ms, b.crash_ages_ms);
   swap(a.crash_excused, b.crash_excused);
+  swap(a.completed_requests, b.completed_requests);
+  swap(a.completed_ages_ms, b.completed_ages_ms);
+  swap(a.refused_requests, b.refused_requests);
+  swap(a.refused_ages_ms, b.refused_ages_ms);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other188) {
-  host = other188.host;
-  incarnation = other188.incarnation;
-  sequence = other188.sequence;
-  servers = other188.servers;
-  requests = other188.requests;
-  crash_requests = other188.crash_requests;
-  crash_servers = other188.crash_servers;
-  services = other188.services;
-  slot_tenths = other188.slot_tenths;
-  crash_ages_ms = other188.crash_ages_ms;
-  crash_excused = other188.crash_excused;
-  __isset = other188.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other189) noexcept {
-  host = other189.host;
-  incarnation = other189.incarnation;
-  sequence = other189.sequence;
-  servers = std::move(other189.servers);
-  requests = std::move(other189.requests);
-  crash_requests = std::move(other189.crash_requests);
-  crash_servers = std::move(other189.crash_servers);
-  services = std::move(other189.services);
-  slot_tenths = std::move(other189.slot_tenths);
-  crash_ages_ms = std::move(other189.crash_ages_ms);
-  crash_excused = std::move(other189.crash_excused);
-  __isset = other189.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other190) {
-  host = other190.host;
-  incarnation = other190.incarnation;
-  sequence = other190.sequence;
-  servers = other190.servers;
-  requests = other190.requests;
-  crash_requests = other190.crash_requests;
-  crash_servers = other190.crash_servers;
-  services = other190.services;
-  slot_tenths = other190.slot_tenths;
-  crash_ages_ms = other190.crash_ages_ms;
-  crash_excused = other190.crash_excused;
-  __isset = other190.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other212) {
+  host = other212.host;
+  incarnation = other212.incarnation;
+  sequence = other212.sequence;
+  servers = other212.servers;
+  requests = other212.requests;
+  crash_requests = other212.crash_requests;
+  crash_servers = other212.crash_servers;
+  services = other212.services;
+  slot_tenths = other212.slot_tenths;
+  crash_ages_ms = other212.crash_ages_ms;
+  crash_excused = other212.crash_excused;
+  completed_requests = other212.completed_requests;
+  completed_ages_ms = other212.completed_ages_ms;
+  refused_requests = other212.refused_requests;
+  refused_ages_ms = other212.refused_ages_ms;
+  __isset = other212.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other213) noexcept {
+  host = other213.host;
+  incarnation = other213.incarnation;
+  sequence = other213.sequence;
+  servers = std::move(other213.servers);
+  requests = std::move(other213.requests);
+  crash_requests = std::move(other213.crash_requests);
+  crash_servers = std::move(other213.crash_servers);
+  services = std::move(other213.services);
+  slot_tenths = std::move(other213.slot_tenths);
+  crash_ages_ms = std::move(other213.crash_ages_ms);
+  crash_excused = std::move(other213.crash_excused);
+  completed_requests = std::move(other213.completed_requests);
+  completed_ages_ms = std::move(other213.completed_ages_ms);
+  refused_requests = std::move(other213.refused_requests);
+  refused_ages_ms = std::move(other213.refused_ages_ms);
+  __isset = other213.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other214) {
+  host = other214.host;
+  incarnation = other214.incarnation;
+  sequence = other214.sequence;
+  servers = other214.servers;
+  requests = other214.requests;
+  crash_requests = other214.crash_requests;
+  crash_servers = other214.crash_servers;
+  services = other214.services;
+  slot_tenths = other214.slot_tenths;
+  crash_ages_ms = other214.crash_ages_ms;
+  crash_excused = other214.crash_excused;
+  completed_requests = other214.completed_requests;
+  completed_ages_ms = other214.completed_ages_ms;
+  refused_requests = other214.refused_requests;
+  refused_ages_ms = other214.refused_ages_ms;
+  __isset = other214.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other191) noexcept {
-  host = other191.host;
-  incarnation = other191.incarnation;
-  sequence = other191.sequence;
-  servers = std::move(other191.servers);
-  requests = std::move(other191.requests);
-  crash_requests = std::move(other191.crash_requests);
-  crash_servers = std::move(other191.crash_servers);
-  services = std::move(other191.services);
-  slot_tenths = std::move(other191.slot_tenths);
-  crash_ages_ms = std::move(other191.crash_ages_ms);
-  crash_excused = std::move(other191.crash_excused);
-  __isset = other191.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other215) noexcept {
+  host = other215.host;
+  incarnation = other215.incarnation;
+  sequence = other215.sequence;
+  servers = std::move(other215.servers);
+  requests = std::move(other215.requests);
+  crash_requests = std::move(other215.crash_requests);
+  crash_servers = std::move(other215.crash_servers);
+  services = std::move(other215.services);
+  slot_tenths = std::move(other215.slot_tenths);
+  crash_ages_ms = std::move(other215.crash_ages_ms);
+  crash_excused = std::move(other215.crash_excused);
+  completed_requests = std::move(other215.completed_requests);
+  completed_ages_ms = std::move(other215.completed_ages_ms);
+  refused_requests = std::move(other215.refused_requests);
+  refused_ages_ms = std::move(other215.refused_ages_ms);
+  __isset = other215.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -3901,6 +4073,10 @@
   out << ", " << "slot_tenths="; (__isset.slot_tenths ? (out << to_string(slot_tenths)) : (out << "<null>"));
   out << ", " << "crash_ages_ms="; (__isset.crash_ages_ms ? (out << to_string(crash_ages_ms)) : (out << "<null>"));
   out << ", " << "crash_excused="; (__isset.crash_excused ? (out << to_string(crash_excused)) : (out << "<null>"));
+  out << ", " << "completed_requests="; (__isset.completed_requests ? (out << to_string(completed_requests)) : (out << "<null>"));
+  out << ", " << "completed_ages_ms="; (__isset.completed_ages_ms ? (out << to_string(completed_ages_ms)) : (out << "<null>"));
+  out << ", " << "refused_requests="; (__isset.refused_requests ? (out << to_string(refused_requests)) : (out << "<null>"));
+  out << ", " << "refused_ages_ms="; (__isset.refused_ages_ms ? (out << to_string(refused_ages_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1412,6 +1412,10 @@
   bool slot_tenths :1;
   bool crash_ages_ms :1;
   bool crash_excused :1;
+  bool completed_requests :1;
+  bool completed_ages_ms :1;
+  bool refused_requests :1;
+  bool refused_ages_ms :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1439,6 +1443,10 @@
   std::vector<int32_t>  slot_tenths;
   std::vector<int32_t>  crash_ages_ms;
   std::vector<bool>  crash_excused;
+  std::vector<int64_t>  completed_requests;
+  std::vector<int32_t>  completed_ages_ms;
+  std::vector<int64_t>  refused_requests;
+  std::vector<int32_t>  refused_ages_ms;
 
   _LoadSheet__isset __isset;
 
@@ -1464,6 +1472,14 @@
 
   void __set_crash_excused(const std::vector<bool> & val);
 
+  void __set_completed_requests(const std::vector<int64_t> & val);
+
+  void __set_completed_ages_ms(const std::vector<int32_t> & val);
+
+  void __set_refused_requests(const std::vector<int64_t> & val);
+
+  void __set_refused_ages_ms(const std::vector<int32_t> & val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1510,6 +1526,22 @@
       return false;
     else if (__isset.crash_excused && !(crash_excused == rhs.crash_excused))
       return false;
+    if (__isset.completed_requests != rhs.__isset.completed_requests)
+      return false;
+    else if (__isset.completed_requests && !(completed_requests == rhs.completed_requests))
+      return false;
+    if (__isset.completed_ages_ms != rhs.__isset.completed_ages_ms)
+      return false;
+    else if (__isset.completed_ages_ms && !(completed_ages_ms == rhs.completed_ages_ms))
+      return false;
+    if (__isset.refused_requests != rhs.__isset.refused_requests)
+      return false;
+    else if (__isset.refused_requests && !(refused_requests == rhs.refused_requests))
+      return false;
+    if (__isset.refused_ages_ms != rhs.__isset.refused_ages_ms)
+      return false;
+    else if (__isset.refused_ages_ms && !(refused_ages_ms == rhs.refused_ages_ms))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -149,4 +149,10 @@
   // excuse (see CrashTracker).
   10: optional list<i32> crash_ages_ms
   11: optional list<bool> crash_excused
+  // Requests that completed although they were suspected of crashing servers,
+  // and requests that are refused for that; how long ago that was, or began.
+  12: optional list<i64> completed_requests
+  13: optional list<i32> completed_ages_ms
+  14: optional list<i64> refused_requests
+  15: optional list<i32> refused_ages_ms
 }
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -144,8 +144,11 @@
                         1'780'472'036'029,
                         12,
                         {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
-                        {{0xfedcba9876543210, 9}},
-                        {{3, 12.5}, {4, 0}}};
+                        {{0xfedcba9876543210, 9, Duration(1'500), true},
+                         {0x0123456789abcdef, 8, Duration(0), false}},
+                        {{3, 12.5}, {4, 0}},
+                        {{5, Duration(10)}},
+                        {{0xfedcba9876543211, Duration(299'000)}}};
   const std::string bytes = EncodeSheet(sheet);
   const auto back = DecodeSheet(bytes);
   REQUIRE(back);
@@ -154,6 +157,8 @@
   CHECK(back->sequence == 12);
   CHECK(back->crashes == sheet.crashes);
   CHECK(back->demands == sheet.demands);
+  CHECK(back->completed == sheet.completed);
+  CHECK(back->refused == sheet.refused);
   CHECK_FALSE(DecodeSheet(""));
   std::mt19937_64 random(7);
   for (int i = 0; i < 3'000; ++i) {
