health: the quarantine of toucanknotd counts crashes amid others too

Such crashes are excused now instead of dropped: a request becomes a suspect with the second server that breaks under it, and is not excused again. It then runs alone, which frees an innocent one. The new test failed before: the request was free (kFree) after the second server.

--- a/include/health/quarantine.h
+++ b/include/health/quarantine.h
@@ -80,7 +80,8 @@
 //
 // When connections to kMassBreakServers or more servers break within
 // kMassBreakWindow, the network is the likely cause, and the crashes that this
-// host recorded in that time are dropped.
+// host recorded in that time are excused: a request becomes a suspect only with
+// the second server that breaks under it.
 class Quarantine {
  public:
   struct Options {
@@ -180,6 +181,10 @@
     ServerId server;
     Instant at;
   };
+  struct ExcusedCrash {
+    ServerId server;
+    Instant end;
+  };
   using InFlightMap =
       boost::unordered_flat_map<uint64_t, std::vector<ServerId>>;
 
@@ -192,7 +197,11 @@
   // Records a broken connection; true when too many broke at once to blame
   // requests.
   bool IsMassBreak(const ServerId& server, Instant now);
-  void DropRecentCrashes(Instant now);
+  // Excuses the crashes that this host recorded within kMassBreakWindow.
+  void ExcuseRecentCrashes(Instant now);
+  // Records an excused crash. Returns whether the request broke at another
+  // server before.
+  bool AddExcused(uint64_t fingerprint, const ServerId& server, Instant now);
   void RemoveInFlight(uint64_t fingerprint, const ServerId& server);
   Reservation* ReservationOf(uint64_t fingerprint, Instant now);
   void OnReserve(const CrashNotice& notice, Instant now);
@@ -212,6 +221,8 @@
   KnownGoodSet known_good_;
   std::vector<Reservation> reservations_;
   std::deque<BrokenConnection> broken_;
+  // The last excused crash of each fingerprint.
+  boost::unordered_flat_map<uint64_t, ExcusedCrash> excused_;
   std::vector<CrashNotice> notices_;
 };
 
--- a/src/health/quarantine.cc
+++ b/src/health/quarantine.cc
@@ -121,8 +121,10 @@
                          bool answered,
                          Instant now) {
   RemoveInFlight(fingerprint, server);
-  if (answered)
+  if (answered) {
     known_good_.Add(fingerprint, now);
+    excused_.erase(fingerprint);
+  }
   const Record* record = Find(fingerprint, now);
   if (!record || record->quarantined)
     return;
@@ -148,10 +150,15 @@
     DropReservations(fingerprint, host_);
   const bool mass = IsMassBreak(server, now);
   if (mass)
-    DropRecentCrashes(now);
-  if (!mass || alone)
+    ExcuseRecentCrashes(now);
+  const bool excused = mass && !alone;
+  const bool repeated = excused && AddExcused(fingerprint, server, now);
+  if (!excused || repeated)
     RecordCrash(fingerprint, server, now);
   Record* record = Find(fingerprint, now);
+  // Further broken connections do not excuse it again.
+  if (record && repeated)
+    record->own_crash = false;
   if (record && alone && !record->quarantined)
     QuarantineFingerprint(fingerprint, record, now);
 }
@@ -210,7 +217,7 @@
   return servers.size() >= kMassBreakServers;
 }
 
-void Quarantine::DropRecentCrashes(Instant now) {
+void Quarantine::ExcuseRecentCrashes(Instant now) {
   std::vector<uint64_t> dropped;
   for (const auto& [fingerprint, it] : records_) {
     if (!it.quarantined && it.own_crash && it.servers.size() == 1 &&
@@ -220,12 +227,28 @@
   // Sorted so that the result does not depend on the order of the hash table.
   std::sort(dropped.begin(), dropped.end());
   for (const uint64_t it : dropped) {
+    AddExcused(it, records_.at(it).servers.front(), now);
     records_.erase(it);
     DropReservations(it, host_);
     QueueNotice(CrashNoticeKind::kCleared, it, {}, false, Duration());
   }
 }
 
+bool Quarantine::AddExcused(uint64_t fingerprint,
+                            const ServerId& server,
+                            Instant now) {
+  if (excused_.size() >= options_.max_records)
+    erase_if(excused_, [&](const auto& it) { return now >= it.second.end; });
+  if (excused_.size() >= options_.max_records)
+    excused_.clear();
+  const ExcusedCrash crash{server, now + options_.suspect_for};
+  const auto [it, added] = excused_.try_emplace(fingerprint, crash);
+  const bool other_before =
+      !added && now < it->second.end && it->second.server != server;
+  it->second = crash;
+  return other_before;
+}
+
 void Quarantine::OnNotice(const CrashNotice& notice, Instant now) {
   if (notice.sender == host_)
     return;
--- a/tests/health/quarantine_test.cc
+++ b/tests/health/quarantine_test.cc
@@ -184,6 +184,29 @@
   CHECK(quarantine.ModeOf(7, Instant(30)) == RunMode::kAlone);
 }
 
+TEST_CASE("a request that breaks at two of many servers becomes a suspect") {
+  Quarantine quarantine = SingleHost();
+  Instant now(1'000);
+  const auto crash = [&](uint64_t fingerprint, const std::string& server) {
+    now = now + Duration(50);
+    quarantine.OnSent(fingerprint, ServerId(server), now);
+    quarantine.OnBroken(fingerprint, ServerId(server), now);
+  };
+  crash(1, "a");
+  crash(2, "b");
+  crash(3, "c");
+  CHECK(quarantine.ModeOf(1, now) == RunMode::kFree);
+  crash(1, "d");
+  CHECK(quarantine.ModeOf(1, now) == RunMode::kAlone);
+  crash(4, "e");
+  CHECK(quarantine.ModeOf(1, now) == RunMode::kAlone);
+  CHECK(quarantine.ModeOf(2, now) == RunMode::kFree);
+  CHECK(quarantine.ModeOf(4, now) == RunMode::kFree);
+  SendAlone(&quarantine, 1, ServerId("f"), now);
+  quarantine.OnBroken(1, ServerId("f"), now + Quarantine::kReserveWait);
+  CHECK(quarantine.ModeOf(1, now + Duration(1'000)) == RunMode::kRefuse);
+}
+
 TEST_CASE("of two hosts that reserve at once, one releases") {
   const auto none = [](const ServerId&, Instant) { return 0; };
   Quarantine a(HostId("a"), {}, none);
