platform: what servers state about leaving, pauses and limits is decoded

The three fields reach the placer with the result of an attempt; nothing is decided on them yet. Values that are not valid (negative, not a number, in exponent notation) state nothing; a limit that is not valid is told from one that is absent, since only the latter ends a limit.

--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -7,6 +7,7 @@
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
+#include "include/placing/server_notice.h"
 
 namespace toucanknot {
 
@@ -28,6 +29,9 @@
   std::string not_run;
   // Running requests, queued requests and slots, separated by commas.
   std::string load;
+  // Decodes what the server states in a response with that status. If null, it
+  // states nothing.
+  std::function<ServerNotice(int status, const FieldReader& field)> read_notice;
   // Path of the directory.
   std::string lookup_path;
   // Query parameters with the region and the availability zone of the caller.
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "include/placing/peer_loads.h"
 #include "include/placing/queue_policy.h"
 #include "include/placing/server_load.h"
+#include "include/placing/server_notice.h"
 #include "include/placing/server_registry.h"
 #include "include/placing/service_view.h"
 #include "include/placing/work_times.h"
@@ -120,6 +122,8 @@
   bool reported = false;
   int running = 0;
   int waiting = 0;
+  // What the server stated; none if it sent no response of its own.
+  std::optional<ServerNotice> notice;
 };
 
 // Chooses a backend server for each request of one host, or queues the request,
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -371,6 +371,7 @@
   result.took = took;
   result.connect_took = attempt.connect_took;
   ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
+  result.notice = NoticeOf(attempt);
   parts_.placements.Finish(result);
   parts_.metrics.CountAttempt(run.service, attempt.end, took);
   RetriesOf(run.service)
@@ -387,6 +388,19 @@
       placement.other_hosts);
 }
 
+std::optional<ServerNotice> RequestRunner::NoticeOf(
+    const Attempt& attempt) const {
+  const bool own_response = attempt.end == ServerAttemptEnd::kAnswered ||
+                            attempt.end == ServerAttemptEnd::kFailed ||
+                            attempt.end == ServerAttemptEnd::kRefused;
+  if (!own_response || !parts_.names.read_notice)
+    return std::nullopt;
+  const HttpResponse& response = attempt.response;
+  return parts_.names.read_notice(
+      response.status,
+      [&response](std::string_view name) { return response.fields.Get(name); });
+}
+
 void RequestRunner::Avoid(Run& run,
                           const ServerId& server,
                           ServerAttemptEnd end) {
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -119,6 +119,8 @@
               const Placement& placement,
               const Attempt& attempt,
               Duration took);
+  // What the server stated in its response, if it sent one.
+  std::optional<ServerNotice> NoticeOf(const Attempt& attempt) const;
   // Excludes a server from further attempts, depending on how the attempt
   // ended.
   static void Avoid(Run& run, const ServerId& server, ServerAttemptEnd end);
--- a/tests/platform/wire_decoder_test.cc
+++ b/tests/platform/wire_decoder_test.cc
@@ -1,6 +1,7 @@
 #include "platform/wire_decoder.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
 #include <string>
 
@@ -110,6 +111,34 @@
   CHECK_THROWS_AS(DecodeListing(R"({"items":{},"store_revision":1})"), Error);
 }
 
+TEST_CASE("a server's notices are decoded, values that are not valid ignored") {
+  const auto decode = [](int status,
+                         std::map<std::string_view, std::string_view> fields) {
+    return DecodeNotice(status, [&](std::string_view name) {
+      return fields.contains(name) ? fields.at(name) : std::string_view();
+    });
+  };
+  CHECK(decode(200, {}) == ServerNotice());
+  CHECK(decode(200, {{"Server-Leaving", "1"}}).leaving);
+  for (const char* it : {"0", "-1", "", "yes", "11", "1e0"})
+    CHECK_FALSE(decode(200, {{"Server-Leaving", it}}).leaving);
+  CHECK(decode(503, {{"Retry-After", "2.5"}}).pause == Duration(2'500));
+  CHECK(decode(503, {{"Retry-After", "9999999999999"}}).pause ==
+        Duration(600'000));
+  CHECK_FALSE(decode(200, {{"Retry-After", "2"}}).pause);
+  for (const char* it : {"0", "-3", "nan", "inf", "soon", "1e3", "2s", " 2"})
+    CHECK_FALSE(decode(503, {{"Retry-After", it}}).pause);
+  CHECK(decode(200, {{"Server-Limit", "2.6"}}).limit == 2.6);
+  CHECK(decode(500, {{"Server-Limit", "0"}}).limit == 0);
+  CHECK(decode(200, {{"Server-Limit", "99999999999999"}}).limit == 1e6);
+  for (const char* it : {"-1", "nan", "inf", "many", "1e3", "2/s"}) {
+    const ServerNotice notice = decode(200, {{"Server-Limit", it}});
+    CHECK_FALSE(notice.limit);
+    CHECK(notice.limit_malformed);
+  }
+  CHECK_FALSE(decode(200, {}).limit_malformed);
+}
+
 TEST_CASE("mutated texts are decoded or rejected with Error") {
   std::mt19937_64 random(20261204);
   for (int i = 0; i < 2'000; ++i) {
