placing: a failing test of servers that name a limit

45 of 50 variants (1 to 100 hosts, limits from 0 to 20 a second) get more than allowed, up to 2000 requests in 4 s where 125 are.

--- /dev/null
+++ b/tests/placing/server_limit_test.cc
@@ -0,0 +1,211 @@
+// Backend servers that name a limit on the requests a second that they accept
+// from all hosts together.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "include/placing/placer.h"
+
+namespace toucanknot {
+namespace {
+
+constexpr int64_t kStart = 1'000'000;
+constexpr int64_t kStepMs = 20;
+constexpr int64_t kWindowMs = 4'000;
+// A limit is in force this long after it was named.
+constexpr int64_t kSettledMs = 3'000;
+constexpr int kServers = 6;
+
+// Hosts that send requests to servers of one service, the first of which names
+// a limit in its responses.
+class Fleet {
+ public:
+  struct Options {
+    int hosts = 7;
+    double limit = 2;
+    // Requests a second at each host.
+    double requests = 20;
+    // Distinct objects of the requests; 0 for requests without one.
+    int objects = 20;
+    // Only this host gets requests, if any is named.
+    int busy_host = -1;
+  };
+
+  explicit Fleet(Options options) : options_(options) {
+    route_.name = "r";
+    route_.sticky = options.objects > 0;
+    route_.target_latency = Duration(400);
+    route_.timeout = Duration(1'500);
+    route_.targets = {{ServiceId("s"), 1}};
+    auto config = std::make_shared<RouteConfig>();
+    config->version = 1;
+    config->routes = {route_};
+    config->services[ServiceId("s")] = {};
+    for (int i = 0; i < options.hosts; ++i) {
+      hosts_.push_back(std::make_unique<Host>(i));
+      hosts_.back()->placer.OnConfig(config);
+      for (int server = 0; server < kServers; ++server)
+        hosts_.back()->registry.OnEntry(EntryOf(server), Instant(kStart));
+    }
+    Introduce(0, hosts_.size());
+  }
+
+  // Tells each host in [from, to) about the hosts in that range.
+  void Introduce(size_t from, size_t to) {
+    std::vector<FleetHost> peers;
+    for (size_t i = from; i < to; ++i) {
+      peers.push_back({HostKey(hosts_[i]->id), RegionId("r0"), ZoneId("z"), 1});
+    }
+    for (size_t i = from; i < to; ++i) {
+      hosts_[i]->placer.SetHostCount(static_cast<int>(peers.size()));
+      hosts_[i]->placer.SetHosts(peers);
+    }
+  }
+
+  // What the limited server states in its responses from now on.
+  void SetNotice(const ServerNotice& notice) { notice_ = notice; }
+
+  void Run(Duration length) {
+    const Instant end = now_ + length;
+    for (; now_ < end; now_ = now_ + Duration(kStepMs)) {
+      for (size_t i = 0; i < hosts_.size(); ++i) {
+        if (options_.busy_host >= 0 &&
+            i != static_cast<size_t>(options_.busy_host)) {
+          continue;
+        }
+        due_ += options_.requests * kStepMs / 1'000;
+        for (; due_ >= 1; due_ -= 1)
+          Send(*hosts_[i]);
+      }
+      EndRequests();
+    }
+  }
+
+  Instant now() const { return now_; }
+  // Arrivals at the limited server in [from, to).
+  int Arrived(Instant from, Instant to) const {
+    return static_cast<int>(
+        std::count_if(arrivals_.begin(), arrivals_.end(),
+                      [&](Instant it) { return it >= from && it < to; }));
+  }
+  // The most arrivals at the limited server within kWindowMs from `from` on.
+  int MostArrived(Instant from) const {
+    int most = 0;
+    for (const Instant it : arrivals_) {
+      if (it >= from)
+        most = std::max(most, Arrived(it, it + Duration(kWindowMs)));
+    }
+    return most;
+  }
+  int refused() const { return refused_; }
+  static double MaxAllowed(double limit) {
+    return 1.5 * limit * kWindowMs / 1'000 + 5;
+  }
+
+ private:
+  struct Host {
+    explicit Host(int i)
+        : id("h" + std::to_string(i)),
+          registry([](ServerChange, const ServerRegistry::Server&) {}),
+          placer({id,
+                  ZoneId("z"),
+                  RegionId("r0"),
+                  {{ZoneId("z"), RegionId("r0")}}},
+                 registry,
+                 Instant(kStart)) {}
+
+    HostId id;
+    ServerRegistry registry;
+    Placer placer;
+  };
+  struct Running {
+    Host* host = nullptr;
+    PlacedAttemptResult result;
+    Instant ends_at;
+  };
+
+  static ServerEntry EntryOf(int server) {
+    ServerEntry entry;
+    entry.id = ServerId("i-" + std::to_string(server));
+    entry.service = ServiceId("s");
+    entry.zone = ZoneId("z");
+    entry.slots = 200;
+    entry.incarnation = 1;
+    return entry;
+  }
+
+  void Send(Host& host) {
+    PlacementRequest request;
+    request.id = ++last_id_;
+    request.route = &route_;
+    request.service = ServiceId("s");
+    if (options_.objects > 0)
+      request.object = 1 + last_id_ % options_.objects;
+    request.target = now_ + Duration(400);
+    request.deadline = now_ + Duration(1'500);
+    const Placement out = host.placer.Offer(request, now_);
+    if (out.step == PlacementStep::kWait)
+      host.placer.Withdraw(request.id);
+    if (out.step != PlacementStep::kSend) {
+      ++refused_;
+      return;
+    }
+    PlacedAttemptResult result;
+    result.request_id = request.id;
+    result.server = out.server;
+    result.took = Duration(100);
+    result.notice = ServerNotice();
+    if (out.server == ServerId("i-0")) {
+      arrivals_.push_back(now_);
+      result.notice = notice_;
+    }
+    running_.push_back({&host, result, now_ + result.took});
+  }
+
+  void EndRequests() {
+    std::erase_if(running_, [&](const Running& it) {
+      if (it.ends_at > now_)
+        return false;
+      it.host->placer.Finish(it.result, now_);
+      return true;
+    });
+  }
+
+  const Options options_;
+  Route route_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  Instant now_{kStart};
+  ServerNotice notice_;
+  double due_ = 0;
+  uint64_t last_id_ = 0;
+  int refused_ = 0;
+  std::vector<Instant> arrivals_;
+  std::vector<Running> running_;
+};
+
+}  // namespace
+
+TEST_CASE("a server that names a limit gets no more from all hosts together") {
+  Fleet::Options options;
+  options.hosts = GENERATE(1, 2, 7, 24, 100);
+  options.limit = GENERATE(0.0, 0.5, 2.0, 2.6, 20.0);
+  options.objects = GENERATE(0, 20);
+  Fleet fleet(options);
+  fleet.Run(Duration(3'000));
+  CHECK(fleet.Arrived(Instant(kStart), fleet.now()) > 0);
+  const Instant named_at = fleet.now();
+  ServerNotice notice;
+  notice.limit = options.limit;
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(20'000));
+  INFO(options.hosts << " hosts, limit " << options.limit);
+  CHECK(fleet.MostArrived(named_at + Duration(kSettledMs)) <=
+        Fleet::MaxAllowed(options.limit));
+}
+
+}  // namespace toucanknot
