--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -3,6 +3,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -24,7 +25,7 @@
   // A connection to a server broke while it carried a request.
   struct Crash {
     uint64_t fingerprint = 0;
-    // Hash of its id and incarnation.
+    // Its ServerRunKey().
     uint32_t server = 0;
     // How long ago, when the sheet was sent.
     Duration age;
@@ -41,6 +42,15 @@
 
     bool operator==(const RequestReport&) const = default;
   };
+  // A server (its ServerRunKey()) named a limit, or none any more.
+  struct Limit {
+    uint32_t server = 0;
+    std::optional<double> limit;
+    // How long ago, when the sheet was sent.
+    Duration age;
+
+    bool operator==(const Limit&) const = default;
+  };
   // Slots of a service (its ServiceKey()) that the host's own callers need on
   // average.
   struct Demand {
@@ -62,6 +72,7 @@
   // Suspected requests that completed, and refused ones.
   std::vector<RequestReport> completed;
   std::vector<RequestReport> refused;
+  std::vector<Limit> limits;
 
   bool operator==(const LoadSheet&) const = default;
 };
@@ -69,6 +80,8 @@
 // Compact key of a server in load sheets. Two servers may collide; the counts
 // of both then apply to each.
 uint32_t ServerKey(const ServerId& id);
+// As ServerKey(), but different for each incarnation.
+uint32_t ServerRunKey(const ServerId& id, Incarnation incarnation);
 uint64_t HostKey(const HostId& id);
 // Compact key of a service in load sheets.
 uint32_t ServiceKey(const ServiceId& id);
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -12,12 +12,13 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
-#include "include/placing/cold_owners.h"
 #include "include/placing/demand.h"
 #include "include/placing/fleet_demand.h"
 #include "include/placing/object_affinity_cache.h"
 #include "include/placing/peer_loads.h"
 #include "include/placing/queue_policy.h"
+#include "include/placing/rate_owners.h"
+#include "include/placing/server_limits.h"
 #include "include/placing/server_load.h"
 #include "include/placing/server_notice.h"
 #include "include/placing/server_registry.h"
@@ -168,6 +169,14 @@
     peers_.OnLoadSheet(sheet, now);
     fleet_demand_.OnLoadSheet(sheet, now);
   }
+  // Handles the limits of servers in a load sheet or notice of another host.
+  void OnPeerLimits(const LoadSheet& sheet, Instant now);
+  // The limits that servers named to this host, for the other hosts.
+  std::vector<LoadSheet::Limit> OwnLimits(Instant now) const;
+  // Whether servers changed their limits since the last call.
+  bool TakeLimitNews() { return limits_.TakeNews(); }
+  // The limit that the server names, in requests a second from all hosts.
+  std::optional<double> LimitOf(const ServerId& server) const;
   // This host's requests in flight, by server.
   std::vector<LoadSheet::Row> OwnServerLoads() const;
   // The demand of this host's own callers, by service.
@@ -184,7 +193,7 @@
   void SetHostCount(int n) { host_count_ = n; }
   // Sets the hosts that the store lists.
   void SetHosts(const std::vector<FleetHost>& hosts) {
-    cold_owners_.SetHosts(hosts);
+    rate_owners_.SetHosts(hosts);
     fleet_demand_.SetHosts(hosts);
   }
 
@@ -210,6 +219,8 @@
     std::shared_ptr<ServerLoad> load;
     ServiceId service;
     ZoneId zone;
+    // The server's ServerRunKey().
+    uint32_t run_key = 0;
     std::string route_name;
     bool was_warm = false;
     bool was_full = false;
@@ -236,6 +247,10 @@
     Candidate best;
     // Whether any server accepts requests at all.
     bool any = false;
+    // If there is none: when the first of the servers whose rate is limited
+    // accepts another one, and their rates together.
+    Instant paced_until = Instant::Never();
+    double paced_rate = 0;
     // Fraction of the service's slots in use.
     double utilization = 0;
     bool crowded() const;
@@ -283,13 +298,25 @@
   int QueuedAhead(const QueuedRequest& waiting, Instant now) const;
   // Estimated time in ms that a request would wait here behind `ahead` others.
   double QueueWait(const QueuedRequest& waiting, int ahead) const;
+  // Estimated time in ms until a server whose rate is limited accepts a request
+  // behind `ahead` others; 0 unless all servers are of that kind.
+  static double PacedWait(const Choice& choice, int ahead, Instant now);
   std::shared_ptr<ServerLoad> LoadOf(const ServerId& id);
   WorkTimes& TimesOf(const Route& route);
   // Requests of all hosts at a server.
   double Busy(const ServerLoad& load, Instant now) const;
+  // Requests a second that this host may send to the server, if that is
+  // limited: while it is cold, and while it names a limit.
+  std::optional<double> MaxRate(const ServiceId& service,
+                                const ServiceView::Server& server,
+                                Instant now) const;
   // Requests a second that this host may send to a cold server.
   double ColdRate(const ServiceId& service,
                   const ServiceView::Server& server) const;
+  // This host's share of the limit that the server names.
+  double LimitShare(const ServiceView::Server& server,
+                    double limit,
+                    Instant now) const;
 
   const Options options_;
   const ServerRegistry& registry_;
@@ -299,7 +326,8 @@
   // Makes hosts draw different samples of servers.
   const uint64_t sample_seed_;
   FleetDemand fleet_demand_;
-  ColdOwners cold_owners_;
+  RateOwners rate_owners_;
+  ServerLimits limits_;
   uint64_t next_order_ = 0;
   std::map<ServerId, std::shared_ptr<ServerLoad>> loads_;
   PeerLoads peers_;
--- a/include/placing/cold_owners.h
+++ b/include/placing/rate_owners.h
@@ -1,5 +1,5 @@
-#ifndef INCLUDE_PLACING_COLD_OWNERS_H_
-#define INCLUDE_PLACING_COLD_OWNERS_H_
+#ifndef INCLUDE_PLACING_RATE_OWNERS_H_
+#define INCLUDE_PLACING_RATE_OWNERS_H_
 
 #include <cstdint>
 #include <vector>
@@ -9,16 +9,17 @@
 
 namespace toucanknot {
 
-// Selects the hosts that may send requests to a backend server while it is
-// cold. A cold server can handle only a few requests a second from all hosts
-// together; one from each host is too many in a large fleet. So a few hosts own
-// it, chosen by rendezvous hashing over the hosts listed in the store, and
-// share its rate. If hosts disagree about the list, a server receives at most
-// twice its rate for two different views. Does no I/O. Not thread-safe.
-class ColdOwners {
+// Selects the hosts that may send requests to a backend server that accepts
+// only a few requests a second from all hosts together, because it is cold or
+// names a limit. One from each host is too many in a large fleet. So a few
+// hosts own it, chosen by rendezvous hashing over the hosts listed in the
+// store, and share its rate. If hosts disagree about the list, a server
+// receives at most twice its rate for two different views. Does no I/O. Not
+// thread-safe.
+class RateOwners {
  public:
   // `self` is the key of this host.
-  explicit ColdOwners(uint64_t self) : self_(self) {}
+  explicit RateOwners(uint64_t self) : self_(self) {}
 
   void SetHosts(std::vector<FleetHost> hosts) { hosts_ = std::move(hosts); }
 
@@ -35,4 +36,4 @@
 
 }  // namespace toucanknot
 
-#endif  // INCLUDE_PLACING_COLD_OWNERS_H_
+#endif  // INCLUDE_PLACING_RATE_OWNERS_H_
--- a/include/placing/server_load.h
+++ b/include/placing/server_load.h
@@ -53,10 +53,11 @@
   bool IsWarm(uint64_t object, Instant now) const;
   void SetWarm(uint64_t object, Instant now);
 
-  // Reserves one request to a cold server, if `rate` requests a second allow
-  // it; MaySendCold() only checks.
-  bool TryReserveColdSend(double rate, Instant now);
-  bool MaySendCold(double rate, Instant now) const;
+  // Reserves one request to a server that this host sends at most `rate`
+  // requests a second, if that allows it now.
+  bool TryReservePacedSend(double rate, Instant now);
+  // When the next request is allowed at that rate.
+  Instant NextPacedSend(double rate) const;
 
   Instant last_sent() const { return last_sent_; }
 
@@ -75,7 +76,7 @@
   int broken_connections_ = 0;
   Instant suspended_until_;
   Instant last_sent_;
-  Instant last_cold_send_;
+  Instant last_paced_send_;
   boost::unordered_flat_map<uint64_t, Instant> warm_;
 };
 
--- a/include/placing/service_view.h
+++ b/include/placing/service_view.h
@@ -27,6 +27,8 @@
     // Valid until the registry changes.
     const ServerRegistry::Server* entry = nullptr;
     std::shared_ptr<ServerLoad> load;
+    // Its ServerRunKey().
+    uint32_t run_key = 0;
     ZoneId zone;
     RegionId region;
     Nearness nearness = Nearness::kElsewhere;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -291,15 +291,18 @@
         HostKey(settings_.host),  incarnation_, ++sheets_sent_,
         placer_.OwnServerLoads(), {},           placer_.OwnDemands(now)};
     AddCrashReports(sheet, now - kRepeatCrashesFor, now);
+    sheet.limits = placer_.OwnLimits(now);
     return sheet;
   };
   hooks.notice = [this]() -> std::optional<LoadSheet> {
-    if (!crashes_.TakeNews())
+    const bool crash_news = crashes_.TakeNews();
+    if (!placer_.TakeLimitNews() && !crash_news)
       return std::nullopt;
     const Instant now = SteadyNow();
     LoadSheet sheet{HostKey(settings_.host), incarnation_,
                     LoadSheet::kNoticeSequence};
     AddCrashReports(sheet, now - kNoticeCrashesFor, now);
+    sheet.limits = placer_.OwnLimits(now);
     return sheet;
   };
   hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
@@ -307,6 +310,7 @@
     const Instant now = SteadyNow();
     if (sheet.sequence != LoadSheet::kNoticeSequence)
       placer_.OnPeerLoadSheet(sheet, now);
+    placer_.OnPeerLimits(sheet, now);
     OnCrashReports(sheet, now);
   };
   hooks.peers = [this](bool near) {
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -31,6 +31,11 @@
 // Demands are sent in tenths of a slot; higher values are clamped.
 constexpr double kTenthsPerSlot = 10;
 constexpr double kMaxDemand = 1e6;
+// Limits are sent in thousandths of a request a second; higher values are
+// clamped.
+constexpr double kThousandths = 1'000;
+constexpr double kMaxLimit = 1e9;
+constexpr int32_t kNoLimit = -1;
 // Ages of reports; higher values are clamped.
 constexpr Duration kMaxAge{3'600'000};
 
@@ -44,6 +49,20 @@
                     kMaxAge);
 }
 
+// Rounds down, so that no host assumes a higher limit than the server's.
+int32_t EncodeLimit(std::optional<double> limit) {
+  if (!limit)
+    return kNoLimit;
+  return static_cast<int32_t>(
+      std::clamp(*limit * kThousandths, 0.0, kMaxLimit));
+}
+
+std::optional<double> DecodeLimit(int32_t thousandths) {
+  if (thousandths < 0)
+    return std::nullopt;
+  return thousandths / kThousandths;
+}
+
 void EncodeReports(const std::vector<LoadSheet::RequestReport>& reports,
                    std::vector<int64_t>& fingerprints,
                    std::vector<int32_t>& ages) {
@@ -106,6 +125,19 @@
     EncodeReports(sheet.refused, out.refused_requests, out.refused_ages_ms);
     out.__isset.refused_requests = out.__isset.refused_ages_ms = true;
   }
+  if (!sheet.limits.empty()) {
+    std::vector<int32_t> limited_servers;
+    std::vector<int32_t> thousandths;
+    std::vector<int32_t> ages;
+    for (const LoadSheet::Limit& it : sheet.limits) {
+      limited_servers.push_back(static_cast<int32_t>(it.server));
+      thousandths.push_back(EncodeLimit(it.limit));
+      ages.push_back(EncodeAge(it.age));
+    }
+    out.__set_limited_servers(limited_servers);
+    out.__set_limit_thousandths(thousandths);
+    out.__set_limit_ages_ms(ages);
+  }
   if (!sheet.demands.empty()) {
     std::vector<int32_t> services;
     std::vector<int32_t> tenths;
@@ -139,6 +171,7 @@
   }
   if (!in.__isset.host || in.servers.size() != in.requests.size() ||
       in.crash_requests.size() != in.crash_servers.size() ||
+      in.limited_servers.size() != in.limit_thousandths.size() ||
       in.services.size() != in.slot_tenths.size()) {
     return std::nullopt;
   }
@@ -157,6 +190,11 @@
          DecodeAge(in.crash_ages_ms, i),
          i < in.crash_excused.size() && in.crash_excused[i]});
   }
+  for (size_t i = 0; i < in.limited_servers.size(); ++i) {
+    sheet.limits.push_back({static_cast<uint32_t>(in.limited_servers[i]),
+                            DecodeLimit(in.limit_thousandths[i]),
+                            DecodeAge(in.limit_ages_ms, i)});
+  }
   sheet.completed = DecodeReports(in.completed_requests, in.completed_ages_ms);
   sheet.refused = DecodeReports(in.refused_requests, in.refused_ages_ms);
   for (size_t i = 0; i < in.services.size(); ++i) {
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -323,9 +323,8 @@
 void RequestRunner::RecordCrash(const Run& run,
                                 const ServerId& server,
                                 Incarnation incarnation) {
-  const uint64_t key = Hash(server.str(), incarnation);
   const CrashTracker::Crash crash = parts_.crashes.OnBroken(
-      run.fingerprint, static_cast<uint32_t>(key), SteadyNow());
+      run.fingerprint, ServerRunKey(server, incarnation), SteadyNow());
   LogChange("crash",
             {{"id", run.id},
              {"caller", run.request.remote_ip},
@@ -372,7 +371,9 @@
   result.connect_took = attempt.connect_took;
   ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
   result.notice = NoticeOf(attempt);
+  const std::optional<double> limit = parts_.placer.LimitOf(placement.server);
   parts_.placements.Finish(result);
+  LogLimitChange(placement.server, limit);
   parts_.metrics.CountAttempt(run.service, attempt.end, took);
   RetriesOf(run.service)
       .reserve.OnAttempt(attempt.end == ServerAttemptEnd::kRefused);
@@ -388,6 +389,17 @@
       placement.other_hosts);
 }
 
+void RequestRunner::LogLimitChange(const ServerId& server,
+                                   std::optional<double> before) const {
+  const std::optional<double> limit = parts_.placer.LimitOf(server);
+  if (limit == before)
+    return;
+  boost::json::value named;
+  if (limit)
+    named = *limit;
+  LogChange("server_limit", {{"server", server.str()}, {"limit", named}});
+}
+
 std::optional<ServerNotice> RequestRunner::NoticeOf(
     const Attempt& attempt) const {
   const bool own_response = attempt.end == ServerAttemptEnd::kAnswered ||
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -119,6 +119,9 @@
               const Placement& placement,
               const Attempt& attempt,
               Duration took);
+  // Logs the limit that the server names if it is not `before`.
+  void LogLimitChange(const ServerId& server,
+                      std::optional<double> before) const;
   // What the server stated in its response, if it sent one.
   std::optional<ServerNotice> NoticeOf(const Attempt& attempt) const;
   // Excludes a server from further attempts, depending on how the attempt
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3480,6 +3480,21 @@
   this->refused_ages_ms = val;
 __isset.refused_ages_ms = true;
 }
+
+void LoadSheet::__set_limited_servers(const std::vector<int32_t> & val) {
+  this->limited_servers = val;
+__isset.limited_servers = true;
+}
+
+void LoadSheet::__set_limit_thousandths(const std::vector<int32_t> & val) {
+  this->limit_thousandths = val;
+__isset.limit_thousandths = true;
+}
+
+void LoadSheet::__set_limit_ages_ms(const std::vector<int32_t> & val) {
+  this->limit_ages_ms = val;
+__isset.limit_ages_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3772,6 +3787,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limited_servers.clear();
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->limited_servers.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
+            {
+              xfer += iprot->readI32(this->limited_servers[_i204]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limited_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limit_thousandths.clear();
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->limit_thousandths.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
+            {
+              xfer += iprot->readI32(this->limit_thousandths[_i209]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limit_thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limit_ages_ms.clear();
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->limit_ages_ms.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
+            {
+              xfer += iprot->readI32(this->limit_ages_ms[_i214]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limit_ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3808,10 +3883,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter200;
-      for (_iter200 = this->servers.begin(); _iter200 != this->servers.end(); ++_iter200)
+      std::vector<int32_t> ::const_iterator _iter215;
+      for (_iter215 = this->servers.begin(); _iter215 != this->servers.end(); ++_iter215)
       {
-        xfer += oprot->writeI32((*_iter200));
+        xfer += oprot->writeI32((*_iter215));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3821,10 +3896,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter201;
-      for (_iter201 = this->requests.begin(); _iter201 != this->requests.end(); ++_iter201)
+      std::vector<int16_t> ::const_iterator _iter216;
+      for (_iter216 = this->requests.begin(); _iter216 != this->requests.end(); ++_iter216)
       {
-        xfer += oprot->writeI16((*_iter201));
+        xfer += oprot->writeI16((*_iter216));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3834,10 +3909,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter202;
-      for (_iter202 = this->crash_requests.begin(); _iter202 != this->crash_requests.end(); ++_iter202)
+      std::vector<int64_t> ::const_iterator _iter217;
+      for (_iter217 = this->crash_requests.begin(); _iter217 != this->crash_requests.end(); ++_iter217)
       {
-        xfer += oprot->writeI64((*_iter202));
+        xfer += oprot->writeI64((*_iter217));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3847,10 +3922,10 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter203;
-      for (_iter203 = this->crash_servers.begin(); _iter203 != this->crash_servers.end(); ++_iter203)
+      std::vector<int32_t> ::const_iterator _iter218;
+      for (_iter218 = this->crash_servers.begin(); _iter218 != this->crash_servers.end(); ++_iter218)
       {
-        xfer += oprot->writeI32((*_iter203));
+        xfer += oprot->writeI32((*_iter218));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3860,10 +3935,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
-      std::vector<int32_t> ::const_iterator _iter204;
-      for (_iter204 = this->services.begin(); _iter204 != this->services.end(); ++_iter204)
+      std::vector<int32_t> ::const_iterator _iter219;
+      for (_iter219 = this->services.begin(); _iter219 != this->services.end(); ++_iter219)
       {
-        xfer += oprot->writeI32((*_iter204));
+        xfer += oprot->writeI32((*_iter219));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3873,10 +3948,10 @@
     xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
-      std::vector<int32_t> ::const_iterator _iter205;
-      for (_iter205 = this->slot_tenths.begin(); _iter205 != this->slot_tenths.end(); ++_iter205)
+      std::vector<int32_t> ::const_iterator _iter220;
+      for (_iter220 = this->slot_tenths.begin(); _iter220 != this->slot_tenths.end(); ++_iter220)
       {
-        xfer += oprot->writeI32((*_iter205));
+        xfer += oprot->writeI32((*_iter220));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3886,10 +3961,10 @@
     xfer += oprot->writeFieldBegin("crash_ages_ms", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter206;
-      for (_iter206 = this->crash_ages_ms.begin(); _iter206 != this->crash_ages_ms.end(); ++_iter206)
+      std::vector<int32_t> ::const_iterator _iter221;
+      for (_iter221 = this->crash_ages_ms.begin(); _iter221 != this->crash_ages_ms.end(); ++_iter221)
       {
-        xfer += oprot->writeI32((*_iter206));
+        xfer += oprot->writeI32((*_iter221));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3899,10 +3974,10 @@
     xfer += oprot->writeFieldBegin("crash_excused", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->crash_excused.size()));
-      std::vector<bool> ::const_iterator _iter207;
-      for (_iter207 = this->crash_excused.begin(); _iter207 != this->crash_excused.end(); ++_iter207)
+      std::vector<bool> ::const_iterator _iter222;
+      for (_iter222 = this->crash_excused.begin(); _iter222 != this->crash_excused.end(); ++_iter222)
       {
-        xfer += oprot->writeBool((*_iter207));
+        xfer += oprot->writeBool((*_iter222));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3912,10 +3987,10 @@
     xfer += oprot->writeFieldBegin("completed_requests", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->completed_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter208;
-      for (_iter208 = this->completed_requests.begin(); _iter208 != this->completed_requests.end(); ++_iter208)
+      std::vector<int64_t> ::const_iterator _iter223;
+      for (_iter223 = this->completed_requests.begin(); _iter223 != this->completed_requests.end(); ++_iter223)
       {
-        xfer += oprot->writeI64((*_iter208));
+        xfer += oprot->writeI64((*_iter223));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3925,10 +4000,10 @@
     xfer += oprot->writeFieldBegin("completed_ages_ms", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->completed_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter209;
-      for (_iter209 = this->completed_ages_ms.begin(); _iter209 != this->completed_ages_ms.end(); ++_iter209)
+      std::vector<int32_t> ::const_iterator _iter224;
+      for (_iter224 = this->completed_ages_ms.begin(); _iter224 != this->completed_ages_ms.end(); ++_iter224)
       {
-        xfer += oprot->writeI32((*_iter209));
+        xfer += oprot->writeI32((*_iter224));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3938,10 +4013,10 @@
     xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter210;
-      for (_iter210 = this->refused_requests.begin(); _iter210 != this->refused_requests.end(); ++_iter210)
+      std::vector<int64_t> ::const_iterator _iter225;
+      for (_iter225 = this->refused_requests.begin(); _iter225 != this->refused_requests.end(); ++_iter225)
       {
-        xfer += oprot->writeI64((*_iter210));
+        xfer += oprot->writeI64((*_iter225));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3951,10 +4026,49 @@
     xfer += oprot->writeFieldBegin("refused_ages_ms", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter211;
-      for (_iter211 = this->refused_ages_ms.begin(); _iter211 != this->refused_ages_ms.end(); ++_iter211)
+      std::vector<int32_t> ::const_iterator _iter226;
+      for (_iter226 = this->refused_ages_ms.begin(); _iter226 != this->refused_ages_ms.end(); ++_iter226)
+      {
+        xfer += oprot->writeI32((*_iter226));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limited_servers) {
+    xfer += oprot->writeFieldBegin("limited_servers", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limited_servers.size()));
+      std::vector<int32_t> ::const_iterator _iter227;
+      for (_iter227 = this->limited_servers.begin(); _iter227 != this->limited_servers.end(); ++_iter227)
+      {
+        xfer += oprot->writeI32((*_iter227));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limit_thousandths) {
+    xfer += oprot->writeFieldBegin("limit_thousandths", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_thousandths.size()));
+      std::vector<int32_t> ::const_iterator _iter228;
+      for (_iter228 = this->limit_thousandths.begin(); _iter228 != this->limit_thousandths.end(); ++_iter228)
+      {
+        xfer += oprot->writeI32((*_iter228));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limit_ages_ms) {
+    xfer += oprot->writeFieldBegin("limit_ages_ms", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_ages_ms.size()));
+      std::vector<int32_t> ::const_iterator _iter229;
+      for (_iter229 = this->limit_ages_ms.begin(); _iter229 != this->limit_ages_ms.end(); ++_iter229)
       {
-        xfer += oprot->writeI32((*_iter211));
+        xfer += oprot->writeI32((*_iter229));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3982,81 +4096,96 @@
   swap(a.completed_ages_ms, b.completed_ages_ms);
   swap(a.refused_requests, b.refused_requests);
   swap(a.refused_ages_ms, b.refused_ages_ms);
+  swap(a.limited_servers, b.limited_servers);
+  swap(a.limit_thousandths, b.limit_thousandths);
+  swap(a.limit_ages_ms, b.limit_ages_ms);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other212) {
-  host = other212.host;
-  incarnation = other212.incarnation;
-  sequence = other212.sequence;
-  servers = other212.servers;
-  requests = other212.requests;
-  crash_requests = other212.crash_requests;
-  crash_servers = other212.crash_servers;
-  services = other212.services;
-  slot_tenths = other212.slot_tenths;
-  crash_ages_ms = other212.crash_ages_ms;
-  crash_excused = other212.crash_excused;
-  completed_requests = other212.completed_requests;
-  completed_ages_ms = other212.completed_ages_ms;
-  refused_requests = other212.refused_requests;
-  refused_ages_ms = other212.refused_ages_ms;
-  __isset = other212.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other213) noexcept {
-  host = other213.host;
-  incarnation = other213.incarnation;
-  sequence = other213.sequence;
-  servers = std::move(other213.servers);
-  requests = std::move(other213.requests);
-  crash_requests = std::move(other213.crash_requests);
-  crash_servers = std::move(other213.crash_servers);
-  services = std::move(other213.services);
-  slot_tenths = std::move(other213.slot_tenths);
-  crash_ages_ms = std::move(other213.crash_ages_ms);
-  crash_excused = std::move(other213.crash_excused);
-  completed_requests = std::move(other213.completed_requests);
-  completed_ages_ms = std::move(other213.completed_ages_ms);
-  refused_requests = std::move(other213.refused_requests);
-  refused_ages_ms = std::move(other213.refused_ages_ms);
-  __isset = other213.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other214) {
-  host = other214.host;
-  incarnation = other214.incarnation;
-  sequence = other214.sequence;
-  servers = other214.servers;
-  requests = other214.requests;
-  crash_requests = other214.crash_requests;
-  crash_servers = other214.crash_servers;
-  services = other214.services;
-  slot_tenths = other214.slot_tenths;
-  crash_ages_ms = other214.crash_ages_ms;
-  crash_excused = other214.crash_excused;
-  completed_requests = other214.completed_requests;
-  completed_ages_ms = other214.completed_ages_ms;
-  refused_requests = other214.refused_requests;
-  refused_ages_ms = other214.refused_ages_ms;
-  __isset = other214.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other230) {
+  host = other230.host;
+  incarnation = other230.incarnation;
+  sequence = other230.sequence;
+  servers = other230.servers;
+  requests = other230.requests;
+  crash_requests = other230.crash_requests;
+  crash_servers = other230.crash_servers;
+  services = other230.services;
+  slot_tenths = other230.slot_tenths;
+  crash_ages_ms = other230.crash_ages_ms;
+  crash_excused = other230.crash_excused;
+  completed_requests = other230.completed_requests;
+  completed_ages_ms = other230.completed_ages_ms;
+  refused_requests = other230.refused_requests;
+  refused_ages_ms = other230.refused_ages_ms;
+  limited_servers = other230.limited_servers;
+  limit_thousandths = other230.limit_thousandths;
+  limit_ages_ms = other230.limit_ages_ms;
+  __isset = other230.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other231) noexcept {
+  host = other231.host;
+  incarnation = other231.incarnation;
+  sequence = other231.sequence;
+  servers = std::move(other231.servers);
+  requests = std::move(other231.requests);
+  crash_requests = std::move(other231.crash_requests);
+  crash_servers = std::move(other231.crash_servers);
+  services = std::move(other231.services);
+  slot_tenths = std::move(other231.slot_tenths);
+  crash_ages_ms = std::move(other231.crash_ages_ms);
+  crash_excused = std::move(other231.crash_excused);
+  completed_requests = std::move(other231.completed_requests);
+  completed_ages_ms = std::move(other231.completed_ages_ms);
+  refused_requests = std::move(other231.refused_requests);
+  refused_ages_ms = std::move(other231.refused_ages_ms);
+  limited_servers = std::move(other231.limited_servers);
+  limit_thousandths = std::move(other231.limit_thousandths);
+  limit_ages_ms = std::move(other231.limit_ages_ms);
+  __isset = other231.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other232) {
+  host = other232.host;
+  incarnation = other232.incarnation;
+  sequence = other232.sequence;
+  servers = other232.servers;
+  requests = other232.requests;
+  crash_requests = other232.crash_requests;
+  crash_servers = other232.crash_servers;
+  services = other232.services;
+  slot_tenths = other232.slot_tenths;
+  crash_ages_ms = other232.crash_ages_ms;
+  crash_excused = other232.crash_excused;
+  completed_requests = other232.completed_requests;
+  completed_ages_ms = other232.completed_ages_ms;
+  refused_requests = other232.refused_requests;
+  refused_ages_ms = other232.refused_ages_ms;
+  limited_servers = other232.limited_servers;
+  limit_thousandths = other232.limit_thousandths;
+  limit_ages_ms = other232.limit_ages_ms;
+  __isset = other232.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other215) noexcept {
-  host = other215.host;
-  incarnation = other215.incarnation;
-  sequence = other215.sequence;
-  servers = std::move(other215.servers);
-  requests = std::move(other215.requests);
-  crash_requests = std::move(other215.crash_requests);
-  crash_servers = std::move(other215.crash_servers);
-  services = std::move(other215.services);
-  slot_tenths = std::move(other215.slot_tenths);
-  crash_ages_ms = std::move(other215.crash_ages_ms);
-  crash_excused = std::move(other215.crash_excused);
-  completed_requests = std::move(other215.completed_requests);
-  completed_ages_ms = std::move(other215.completed_ages_ms);
-  refused_requests = std::move(other215.refused_requests);
-  refused_ages_ms = std::move(other215.refused_ages_ms);
-  __isset = other215.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other233) noexcept {
+  host = other233.host;
+  incarnation = other233.incarnation;
+  sequence = other233.sequence;
+  servers = std::move(other233.servers);
+  requests = std::move(other233.requests);
+  crash_requests = std::move(other233.crash_requests);
+  crash_servers = std::move(other233.crash_servers);
+  services = std::move(other233.services);
+  slot_tenths = std::move(other233.slot_tenths);
+  crash_ages_ms = std::move(other233.crash_ages_ms);
+  crash_excused = std::move(other233.crash_excused);
+  completed_requests = std::move(other233.completed_requests);
+  completed_ages_ms = std::move(other233.completed_ages_ms);
+  refused_requests = std::move(other233.refused_requests);
+  refused_ages_ms = std::move(other233.refused_ages_ms);
+  limited_servers = std::move(other233.limited_servers);
+  limit_thousandths = std::move(other233.limit_thousandths);
+  limit_ages_ms = std::move(other233.limit_ages_ms);
+  __isset = other233.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -4077,6 +4206,9 @@
   out << ", " << "completed_ages_ms="; (__isset.completed_ages_ms ? (out << to_string(completed_ages_ms)) : (out << "<null>"));
   out << ", " << "refused_requests="; (__isset.refused_requests ? (out << to_string(refused_requests)) : (out << "<null>"));
   out << ", " << "refused_ages_ms="; (__isset.refused_ages_ms ? (out << to_string(refused_ages_ms)) : (out << "<null>"));
+  out << ", " << "limited_servers="; (__isset.limited_servers ? (out << to_string(limited_servers)) : (out << "<null>"));
+  out << ", " << "limit_thousandths="; (__isset.limit_thousandths ? (out << to_string(limit_thousandths)) : (out << "<null>"));
+  out << ", " << "limit_ages_ms="; (__isset.limit_ages_ms ? (out << to_string(limit_ages_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false), limited_servers(false), limit_thousandths(false), limit_ages_ms(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1416,6 +1416,9 @@
   bool completed_ages_ms :1;
   bool refused_requests :1;
   bool refused_ages_ms :1;
+  bool limited_servers :1;
+  bool limit_thousandths :1;
+  bool limit_ages_ms :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1447,6 +1450,9 @@
   std::vector<int32_t>  completed_ages_ms;
   std::vector<int64_t>  refused_requests;
   std::vector<int32_t>  refused_ages_ms;
+  std::vector<int32_t>  limited_servers;
+  std::vector<int32_t>  limit_thousandths;
+  std::vector<int32_t>  limit_ages_ms;
 
   _LoadSheet__isset __isset;
 
@@ -1480,6 +1486,12 @@
 
   void __set_refused_ages_ms(const std::vector<int32_t> & val);
 
+  void __set_limited_servers(const std::vector<int32_t> & val);
+
+  void __set_limit_thousandths(const std::vector<int32_t> & val);
+
+  void __set_limit_ages_ms(const std::vector<int32_t> & val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1542,6 +1554,18 @@
       return false;
     else if (__isset.refused_ages_ms && !(refused_ages_ms == rhs.refused_ages_ms))
       return false;
+    if (__isset.limited_servers != rhs.__isset.limited_servers)
+      return false;
+    else if (__isset.limited_servers && !(limited_servers == rhs.limited_servers))
+      return false;
+    if (__isset.limit_thousandths != rhs.__isset.limit_thousandths)
+      return false;
+    else if (__isset.limit_thousandths && !(limit_thousandths == rhs.limit_thousandths))
+      return false;
+    if (__isset.limit_ages_ms != rhs.__isset.limit_ages_ms)
+      return false;
+    else if (__isset.limit_ages_ms && !(limit_ages_ms == rhs.limit_ages_ms))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -155,4 +155,9 @@
   13: optional list<i32> completed_ages_ms
   14: optional list<i64> refused_requests
   15: optional list<i32> refused_ages_ms
+  // Limits that servers (hashes of their ids and incarnations) named to this
+  // host, in thousandths of a request a second; -1: none any more.
+  16: optional list<i32> limited_servers
+  17: optional list<i32> limit_thousandths
+  18: optional list<i32> limit_ages_ms
 }
--- a/src/placing/peer_loads.cc
+++ b/src/placing/peer_loads.cc
@@ -8,6 +8,11 @@
   return static_cast<uint32_t>(XXH3_64bits(id.str().data(), id.str().size()));
 }
 
+uint32_t ServerRunKey(const ServerId& id, Incarnation incarnation) {
+  return static_cast<uint32_t>(
+      XXH3_64bits_withSeed(id.str().data(), id.str().size(), incarnation));
+}
+
 uint64_t HostKey(const HostId& id) {
   return XXH3_64bits(id.str().data(), id.str().size());
 }
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -16,6 +16,11 @@
 constexpr Duration kMaxRetryAfter{2'000};
 // Time reserved for the response to reach the caller, in ms.
 constexpr double kResponseMarginMs = 10;
+constexpr double kMsPerSecond = 1'000;
+constexpr double kMinPacedRate = 0.001;
+// Limits that other hosts report are dated back by the time that reports spend
+// on the way, so that what this host hears meanwhile counts as newer.
+constexpr Duration kReportTransit{100};
 
 double Millis(Duration d) {
   return static_cast<double>(d.ms());
@@ -30,7 +35,7 @@
       sample_seed_(HostKey(options_.host)),
       fleet_demand_({HostKey(options_.host), options_.region, options_.zone,
                      options_.capacity}),
-      cold_owners_(HostKey(options_.host)) {}
+      rate_owners_(HostKey(options_.host)) {}
 
 std::shared_ptr<ServerLoad> Placer::LoadOf(const ServerId& id) {
   std::shared_ptr<ServerLoad>& load = loads_[id];
@@ -76,10 +81,59 @@
   const auto it = config_->services.find(service);
   if (it == config_->services.end())
     return 0;
-  return cold_owners_.RateFor(server.load->key(), server.region,
+  return rate_owners_.RateFor(server.load->key(), server.region,
                               it->second.cold_rate);
 }
 
+double Placer::LimitShare(const ServiceView::Server& server,
+                          double limit,
+                          Instant now) const {
+  const double share =
+      rate_owners_.RateFor(server.load->key(), server.region, limit);
+  // The hosts that own the limit may have no requests for the server. The
+  // others then ask it again, in turn.
+  const Duration heard_ago = now - *limits_.HeardAt(server.run_key);
+  const auto turns =
+      std::max<int64_t>(host_count_, ServerLimits::kStaleAfter.ms() / 1'000);
+  const Duration turn = Duration::Seconds(
+      static_cast<int64_t>(sample_seed_ % static_cast<uint64_t>(turns)));
+  if (heard_ago <= ServerLimits::kStaleAfter + turn)
+    return share;
+  return std::max(share, 1 / ServerLimits::kStaleAfter.seconds());
+}
+
+std::optional<double> Placer::MaxRate(const ServiceId& service,
+                                      const ServiceView::Server& server,
+                                      Instant now) const {
+  std::optional<double> rate;
+  if (now < server.entry->cold_until)
+    rate = ColdRate(service, server);
+  if (const auto limit = limits_.LimitOf(server.run_key)) {
+    const double share = LimitShare(server, *limit, now);
+    rate = std::min(rate.value_or(share), share);
+  }
+  return rate;
+}
+
+void Placer::OnPeerLimits(const LoadSheet& sheet, Instant now) {
+  for (const LoadSheet::Limit& it : sheet.limits)
+    limits_.OnReport({it.server, it.limit, now - it.age - kReportTransit});
+}
+
+std::vector<LoadSheet::Limit> Placer::OwnLimits(Instant now) const {
+  std::vector<LoadSheet::Limit> out;
+  for (const ServerLimits::Statement& it : limits_.OwnStatements(now))
+    out.push_back({it.server, it.limit, now - it.at});
+  return out;
+}
+
+std::optional<double> Placer::LimitOf(const ServerId& server) const {
+  const ServerRegistry::Server* it = registry_.Find(server);
+  if (it == nullptr)
+    return std::nullopt;
+  return limits_.LimitOf(ServerRunKey(server, it->entry.incarnation));
+}
+
 Placer::Service& Placer::ServiceOf(const ServiceId& id) {
   Service& service = services_[id];
   if (service.view && service.version == registry_.version())
@@ -89,6 +143,7 @@
     ServiceView::Server server;
     server.entry = it;
     server.load = LoadOf(it->entry.id);
+    server.run_key = ServerRunKey(it->entry.id, it->entry.incarnation);
     const auto region = options_.regions.find(it->entry.zone);
     if (region != options_.regions.end())
       server.region = region->second;
@@ -144,6 +199,13 @@
   return QueueWaitMs(ahead, in_flight, times_.at(waiting.route_name).mean());
 }
 
+double Placer::PacedWait(const Choice& choice, int ahead, Instant now) {
+  if (choice.best.server != nullptr || choice.paced_until == Instant::Never())
+    return 0;
+  return Millis(choice.paced_until - now) +
+         ahead * kMsPerSecond / std::max(choice.paced_rate, kMinPacedRate);
+}
+
 Placement Placer::Send(const QueuedRequest& waiting,
                        const Choice& choice,
                        Instant now) {
@@ -151,12 +213,13 @@
   const PlacementRequest& request = waiting.request;
   const ServerEntry& entry = best.server->entry->entry;
   const std::shared_ptr<ServerLoad>& load = best.server->load;
-  if (best.cold)
-    load->TryReserveColdSend(ColdRate(request.service, *best.server), now);
+  if (const auto rate = MaxRate(request.service, *best.server, now))
+    load->TryReservePacedSend(*rate, now);
   ActiveAttempt attempt;
   attempt.load = load;
   attempt.service = request.service;
   attempt.zone = entry.zone;
+  attempt.run_key = best.server->run_key;
   attempt.route_name = waiting.route_name;
   attempt.was_warm = best.warm;
   attempt.was_full = best.busy >= entry.slots;
@@ -234,7 +297,8 @@
     return Refuse(waiting, PlacementRefusal::kTooLate, kNoServerRetryAfter,
                   choice);
   }
-  const double wait = QueueWait(waiting, ahead);
+  const double wait =
+      std::max(QueueWait(waiting, ahead), PacedWait(choice, ahead, now));
   const Duration after_queue(static_cast<int64_t>(wait));
   const double needed = times.warm() + wait;
   Service& service = services_[waiting.request.service];
@@ -300,6 +364,9 @@
     distances_.OnConnected(attempt.zone, result.connect_took);
   if (result.reported)
     server_load.OnReport(result.running, result.waiting, now);
+  if (result.notice) {
+    limits_.OnNotice(attempt.run_key, *result.notice, now - result.took, now);
+  }
   WorkTimes& times = times_.at(attempt.route_name);
   const double took = Millis(result.took);
   switch (result.end) {
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -203,9 +203,13 @@
   std::tuple<double, int> best_key;
   for (Candidate& it : candidates) {
     EstimateCost(waiting, times, it, now);
-    if (it.cold && !it.server->load->MaySendCold(
-                       ColdRate(waiting.request.service, *it.server), now)) {
-      continue;
+    if (const auto rate = MaxRate(waiting.request.service, *it.server, now)) {
+      const Instant next = it.server->load->NextPacedSend(*rate);
+      if (next > now) {
+        choice.paced_until = std::min(choice.paced_until, next);
+        choice.paced_rate += *rate;
+        continue;
+      }
     }
     // Nearly equal costs compare equal; then the object's order decides.
     const std::tuple<double, int> key(std::floor(it.cost / kSameCostMs),
--- a/src/placing/cold_owners.cc
+++ b/src/placing/rate_owners.cc
@@ -1,4 +1,4 @@
-#include "include/placing/cold_owners.h"
+#include "include/placing/rate_owners.h"
 
 #include <xxhash.h>
 
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-double ColdOwners::RateFor(uint32_t server,
+double RateOwners::RateFor(uint32_t server,
                            const RegionId& region,
                            double rate) const {
   const auto self =
--- a/src/placing/server_load.cc
+++ b/src/placing/server_load.cc
@@ -21,6 +21,7 @@
 // An object that a server handled longer ago may have been evicted by others.
 constexpr Duration kWarmFor{30'000};
 constexpr size_t kMaxWarmObjects = 4'096;
+constexpr double kMsPerSecond = 1'000;
 
 double Fade(Duration age, double fade_ms) {
   return std::exp(-static_cast<double>(age.ms()) / fade_ms);
@@ -89,15 +90,19 @@
   warm_[object] = now;
 }
 
-bool ServerLoad::MaySendCold(double rate, Instant now) const {
-  return rate > 0 &&
-         static_cast<double>((now - last_cold_send_).ms()) * rate >= 1000;
+Instant ServerLoad::NextPacedSend(double rate) const {
+  if (rate <= 0)
+    return Instant::Never();
+  if (last_paced_send_ == Instant())
+    return last_paced_send_;
+  return last_paced_send_ +
+         Duration(static_cast<int64_t>(std::ceil(kMsPerSecond / rate)));
 }
 
-bool ServerLoad::TryReserveColdSend(double rate, Instant now) {
-  if (!MaySendCold(rate, now))
+bool ServerLoad::TryReservePacedSend(double rate, Instant now) {
+  if (NextPacedSend(rate) > now)
     return false;
-  last_cold_send_ = now;
+  last_paced_send_ = now;
   return true;
 }
 
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -140,15 +140,17 @@
 }
 
 TEST_CASE("sheets survive a round trip; other datagrams are rejected") {
-  const LoadSheet sheet{HostKey(HostId("h")),
-                        1'780'472'036'029,
-                        12,
-                        {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
-                        {{0xfedcba9876543210, 9, Duration(1'500), true},
-                         {0x0123456789abcdef, 8, Duration(0), false}},
-                        {{3, 12.5}, {4, 0}},
-                        {{5, Duration(10)}},
-                        {{0xfedcba9876543211, Duration(299'000)}}};
+  const LoadSheet sheet{
+      HostKey(HostId("h")),
+      1'780'472'036'029,
+      12,
+      {{ServerKey(ServerId("a")), 3}, {7, 40'000}},
+      {{0xfedcba9876543210, 9, Duration(1'500), true},
+       {0x0123456789abcdef, 8, Duration(0), false}},
+      {{3, 12.5}, {4, 0}},
+      {{5, Duration(10)}},
+      {{0xfedcba9876543211, Duration(299'000)}},
+      {{6, 2.6, Duration(40)}, {7, std::nullopt, Duration(50)}}};
   const std::string bytes = EncodeSheet(sheet);
   const auto back = DecodeSheet(bytes);
   REQUIRE(back);
@@ -159,6 +161,7 @@
   CHECK(back->demands == sheet.demands);
   CHECK(back->completed == sheet.completed);
   CHECK(back->refused == sheet.refused);
+  CHECK(back->limits == sheet.limits);
   CHECK_FALSE(DecodeSheet(""));
   std::mt19937_64 random(7);
   for (int i = 0; i < 3'000; ++i) {
--- a/tests/placing/server_limit_test.cc
+++ b/tests/placing/server_limit_test.cc
@@ -19,6 +19,7 @@
 constexpr int64_t kWindowMs = 4'000;
 // A limit is in force this long after it was named.
 constexpr int64_t kSettledMs = 3'000;
+constexpr int64_t kReportEveryMs = 600;
 constexpr int kServers = 6;
 
 // Hosts that send requests to servers of one service, the first of which names
@@ -34,6 +35,8 @@
     int objects = 20;
     // Only this host gets requests, if any is named.
     int busy_host = -1;
+    // Whether the hosts report to each other.
+    bool reports = true;
   };
 
   explicit Fleet(Options options) : options_(options) {
@@ -83,6 +86,9 @@
           Send(*hosts_[i]);
       }
       EndRequests();
+      const bool due = (now_ - Instant(kStart)).ms() % kReportEveryMs == 0;
+      if (options_.reports && due)
+        Exchange();
     }
   }
 
@@ -167,6 +173,17 @@
     running_.push_back({&host, result, now_ + result.took});
   }
 
+  void Exchange() {
+    for (const auto& from : hosts_) {
+      LoadSheet sheet;
+      sheet.limits = from->placer.OwnLimits(now_);
+      for (const auto& to : hosts_) {
+        if (to != from)
+          to->placer.OnPeerLimits(sheet, now_);
+      }
+    }
+  }
+
   void EndRequests() {
     std::erase_if(running_, [&](const Running& it) {
       if (it.ends_at > now_)
@@ -195,6 +212,7 @@
   options.hosts = GENERATE(1, 2, 7, 24, 100);
   options.limit = GENERATE(0.0, 0.5, 2.0, 2.6, 20.0);
   options.objects = GENERATE(0, 20);
+  options.reports = GENERATE(false, true);
   Fleet fleet(options);
   fleet.Run(Duration(3'000));
   CHECK(fleet.Arrived(Instant(kStart), fleet.now()) > 0);
@@ -208,4 +226,76 @@
         Fleet::MaxAllowed(options.limit));
 }
 
+TEST_CASE("hosts that know different lists of hosts keep a server's limit") {
+  Fleet::Options options;
+  options.hosts = 24;
+  options.limit = GENERATE(0.5, 2.0, 5.0);
+  Fleet fleet(options);
+  // One host in three is unknown to all but itself.
+  fleet.Introduce(0, 16);
+  ServerNotice notice;
+  notice.limit = options.limit;
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(20'000));
+  CHECK(fleet.MostArrived(Instant(kStart + kSettledMs)) <=
+        Fleet::MaxAllowed(options.limit));
+}
+
+TEST_CASE("a server is used again after it names no limit any more") {
+  Fleet::Options options;
+  options.limit = GENERATE(0.0, 2.0);
+  // Also if the hosts that own its limit have no requests.
+  options.busy_host = GENERATE(-1, 0, 3, 6);
+  options.requests = 60;
+  Fleet fleet(options);
+  ServerNotice notice;
+  notice.limit = options.limit;
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(10'000));
+  fleet.SetNotice({});
+  fleet.Run(Duration(25'000));
+  const Instant ended = fleet.now();
+  fleet.Run(Duration(4'000));
+  INFO("limit " << options.limit << ", busy " << options.busy_host);
+  CHECK(fleet.Arrived(ended, fleet.now()) > Fleet::MaxAllowed(options.limit));
+}
+
+TEST_CASE("a limit that is not valid changes nothing") {
+  Fleet::Options options;
+  Fleet fleet(options);
+  ServerNotice notice;
+  notice.limit = 2;
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(3'000));
+  ServerNotice malformed;
+  malformed.limit_malformed = true;
+  fleet.SetNotice(malformed);
+  fleet.Run(Duration(20'000));
+  CHECK(fleet.MostArrived(Instant(kStart + kSettledMs)) <=
+        Fleet::MaxAllowed(2));
+}
+
+TEST_CASE("a response that crossed one with a limit does not end the limit") {
+  ServerLimits limits;
+  ServerNotice named;
+  named.limit = 3;
+  limits.OnNotice(1, named, Instant(100), Instant(200));
+  CHECK(limits.TakeNews());
+  limits.OnNotice(1, {}, Instant(150), Instant(250));
+  CHECK(limits.LimitOf(1) == 3);
+  // An older report of another host changes nothing, a newer one does.
+  limits.OnReport({1, 9, Instant(190)});
+  CHECK(limits.LimitOf(1) == 3);
+  limits.OnReport({1, 4, Instant(210)});
+  CHECK(limits.LimitOf(1) == 4);
+  CHECK_FALSE(limits.TakeNews());
+  limits.OnNotice(1, {}, Instant(300), Instant(400));
+  CHECK_FALSE(limits.LimitOf(1));
+  REQUIRE(limits.OwnStatements(Instant(500)).size() == 1);
+  CHECK_FALSE(limits.OwnStatements(Instant(500)).front().limit);
+  // A report from before the end does not bring it back.
+  limits.OnReport({1, 4, Instant(390)});
+  CHECK_FALSE(limits.LimitOf(1));
+}
+
 }  // namespace toucanknot
