placing: a server that says in a response that it leaves gets nothing more

A server that leaves says so in all its responses; hosts heard of it from the store only, which is later, says nothing for some servers, and may be out of reach. The incarnation that says so is out of use at this host from then on, also while its entry still says ready, and when the entry lapses and comes back.

Tests: the registry with later heartbeats, a lapse and a new incarnation; a host on loopback whose only server leaves, then refuses until another one appears.

--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -48,6 +48,8 @@
   // shorter than the remaining two, less the jitter of heartbeats, cannot make
   // any expire.
   static constexpr double kSafeHeartbeats = 1.8;
+  // Leaving servers remembered; of more, those without an entry are forgotten.
+  static constexpr size_t kMaxLeaving = 4'096;
   // A reconnect this soon after the previous one belongs to the same outage.
   static constexpr Duration kFlapWindow{1'500};
 
@@ -77,6 +79,10 @@
   void OnRemoved(const ServerId& id, Instant now);
   // Handles a full read of the registry: servers not in `ids` have no entry.
   void OnListed(const std::set<ServerId>& ids, Instant now);
+  // Handles a response in which that incarnation of the server states that it
+  // leaves. This is final, whatever its entry says: the entry may be older, and
+  // some servers never announce there that they leave.
+  void OnLeavingResponse(const ServerId& id, Incarnation incarnation);
   // Sets how often a server writes its entry.
   void SetHeartbeat(Duration heartbeat) { heartbeat_ = heartbeat; }
   // Notes that the store became unreachable for this host, or reachable again.
@@ -114,8 +120,11 @@
 
  private:
   bool TakesWork(const Server& server) const {
-    return !server.entry.leaving && !evacuated_.contains(server.entry.zone);
+    return !server.entry.leaving && !evacuated_.contains(server.entry.zone) &&
+           !IsLeaving(server);
   }
+  // Whether the server stated in a response that it leaves.
+  bool IsLeaving(const Server& server) const;
   // Handles an entry that is no longer in the store.
   void OnMissing(Server& server, Instant now);
   void Remove(std::map<ServerId, Server>::iterator it);
@@ -124,6 +133,9 @@
   std::map<ServerId, Server> servers_;
   std::map<ServiceId, std::map<ServerId, const Server*>> by_service_;
   std::set<ZoneId> evacuated_;
+  // Incarnations that stated in a response that they leave. Kept while their
+  // entries are missing, since these may come back.
+  std::map<ServerId, Incarnation> leaving_;
   uint64_t version_ = 1;
   Duration heartbeat_{1'500};
   bool store_unreachable_ = false;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -266,7 +266,7 @@
   if (server == nullptr) {
     attempt.end = ServerAttemptEnd::kNotConnected;
     attempt.error = "the server is gone";
-    Report(run, placement, attempt, Duration(0));
+    Report(run, placement, Incarnation(), attempt, Duration(0));
     co_return attempt;
   }
   ExchangeOptions options;
@@ -316,7 +316,7 @@
     RecordCrash(run, placement.server, incarnation);
   }
   attempt.connect_took = exchange.connect_took;
-  Report(run, placement, attempt, SteadyNow() - start);
+  Report(run, placement, incarnation, attempt, SteadyNow() - start);
   co_return attempt;
 }
 
@@ -361,6 +361,7 @@
 
 void RequestRunner::Report(Run& run,
                            const Placement& placement,
+                           Incarnation incarnation,
                            const Attempt& attempt,
                            Duration took) {
   PlacedAttemptResult result;
@@ -371,6 +372,8 @@
   result.connect_took = attempt.connect_took;
   ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
   result.notice = NoticeOf(attempt);
+  if (result.notice && result.notice->leaving)
+    parts_.registry.OnLeavingResponse(placement.server, incarnation);
   const std::optional<double> limit = parts_.placer.LimitOf(placement.server);
   parts_.placements.Finish(result);
   LogLimitChange(placement.server, limit);
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -36,7 +36,7 @@
     const EntrySettings& settings;
     const EntryWire& names;
     RouteTable& routes;
-    const ServerRegistry& registry;
+    ServerRegistry& registry;
     PlacementQueue& placements;
     ConnectionPool& connections;
     CrashTracker& crashes;
@@ -117,6 +117,7 @@
   ServerAttemptEnd Classify(const ExchangeResult& exchange) const;
   void Report(Run& run,
               const Placement& placement,
+              Incarnation incarnation,
               const Attempt& attempt,
               Duration took);
   // Logs the limit that the server names if it is not `before`.
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -63,6 +63,29 @@
   Advance(now);
 }
 
+void ServerRegistry::OnLeavingResponse(const ServerId& id,
+                                       Incarnation incarnation) {
+  const auto known = leaving_.find(id);
+  if (known != leaving_.end() && known->second == incarnation)
+    return;
+  if (leaving_.size() >= kMaxLeaving) {
+    std::erase_if(leaving_,
+                  [&](const auto& it) { return !servers_.contains(it.first); });
+  }
+  leaving_[id] = incarnation;
+  ++version_;
+  const auto it = servers_.find(id);
+  if (it != servers_.end() && it->second.entry.incarnation == incarnation)
+    on_change_(ServerChange::kLeaving, it->second);
+}
+
+bool ServerRegistry::IsLeaving(const Server& server) const {
+  if (leaving_.empty())
+    return false;
+  const auto it = leaving_.find(server.entry.id);
+  return it != leaving_.end() && it->second == server.entry.incarnation;
+}
+
 void ServerRegistry::OnMissing(Server& server, Instant now) {
   if (server.drop_at)
     return;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -57,6 +57,13 @@
   names.stamp = "X-Stamp";
   names.not_run = "X-Not-Run";
   names.load = "X-Load";
+  names.read_notice = [](int status, const FieldReader& field) {
+    ServerNotice notice;
+    notice.leaving = field("X-Leaving") == "1";
+    if (status == 503 && !field("Retry-After").empty())
+      notice.pause = Duration(std::stoll(std::string(field("Retry-After"))));
+    return notice;
+  };
   names.lookup_path = "/hosts";
   names.lookup_region = "region";
   names.lookup_zone = "zone";
--- a/tests/entry/misbehaving_server_test.cc
+++ b/tests/entry/misbehaving_server_test.cc
@@ -73,4 +73,26 @@
   CHECK(first.arrivals + second.arrivals <= 4);
 }
 
+TEST_CASE("a server whose response says that it leaves gets no more requests") {
+  EntryFixture it;
+  it.Configure();
+  TestServer leaving([](const HttpRequest& request) {
+    HttpResponse response = TestServer::Ran(request, "last");
+    response.fields.Add("X-Leaving", "1");
+    return response;
+  });
+  it.AddServer("a", leaving.endpoint());
+  const std::string out = it.Fetch("/once/a");
+  CHECK(Status(out) == "200");
+  CHECK(out.find("X-Leaving: 1") != std::string::npos);
+  CHECK(Status(it.Fetch("/once/b")) == "503");
+  TestServer other([](const HttpRequest& request) {
+    return TestServer::Ran(request, "other");
+  });
+  it.AddServer("b", other.endpoint());
+  for (int i = 0; i < 5; ++i)
+    CHECK(Status(it.Fetch("/safe/" + std::to_string(i))) == "200");
+  CHECK(leaving.arrivals == 1);
+}
+
 }  // namespace toucanknot
--- a/tests/placing/server_registry_test.cc
+++ b/tests/placing/server_registry_test.cc
@@ -53,6 +53,31 @@
         std::vector<std::string>{"a appeared", "a leaving", "a gone"});
 }
 
+TEST_CASE("a server that responds that it leaves gets nothing any more") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  it.registry.OnEntry(MakeEntry("b"), At(0));
+  it.registry.OnLeavingResponse(ServerId("a"), 100);
+  CHECK(it.UsableCount() == 1);
+  CHECK_FALSE(it.registry.IsUsable(ServerId("a")));
+  // Its heartbeats still say that it is ready.
+  ServerEntry entry = MakeEntry("a");
+  entry.sequence = 6;
+  it.registry.OnEntry(entry, At(1'500));
+  CHECK(it.UsableCount() == 1);
+  // Its entry lapses and comes back.
+  it.registry.OnRemoved(ServerId("a"), At(2'000));
+  entry.sequence = 7;
+  it.registry.OnEntry(entry, At(3'000));
+  CHECK(it.UsableCount() == 1);
+  // A new incarnation under the same id is another server.
+  entry.incarnation = 200;
+  it.registry.OnEntry(entry, At(4'000));
+  CHECK(it.UsableCount() == 2);
+  it.registry.OnLeavingResponse(ServerId("unknown"), 1);
+  CHECK(it.UsableCount() == 2);
+}
+
 TEST_CASE("late entries of an earlier heartbeat or incarnation are ignored") {
   Fixture it;
   ServerEntry entry = MakeEntry("a");
