placing: a server that asks for a pause at 503 gets nothing until it ends

A server that rejects a request with 503 may say for how long it wants nothing from this host. Hosts knew only suspensions of their own after a broken connection, and sent a rejected request to the same server once more.

The pause belongs to the incarnation and outlasts a lapse of its entry; only time ends it. When all servers of a service pause, callers are refused at once and told when the first pause ends.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -270,6 +270,9 @@
   bool MayTake(const QueuedRequest& waiting,
                const ServiceView::Server& server,
                Instant now) const;
+  // The time until the first pause ends of servers that could take the request
+  // otherwise; 0 if there is none.
+  Duration ShortestPause(const QueuedRequest& waiting, Instant now);
   // Whether the server joined recently and has had no request from this host
   // yet.
   bool NeedsTrial(const ServiceView::Server& server, Instant now) const;
--- a/include/placing/server_limits.h
+++ b/include/placing/server_limits.h
@@ -12,7 +12,8 @@
 namespace toucanknot {
 
 // The limits that backend servers name, as known to one host from their
-// responses and from other hosts. Servers are identified by their
+// responses and from other hosts, and the pauses that they ask this host for.
+// Servers are identified by their
 // ServerRunKey(), so that a limit ends with the server's incarnation, but not
 // while its entry is missing. Does no I/O. Not thread-safe.
 class ServerLimits {
@@ -21,7 +22,8 @@
   static constexpr Duration kStaleAfter{10'000};
   // How long a host reports what it has heard itself.
   static constexpr Duration kReportFor{10'000};
-  // Servers remembered; the one heard of least recently is evicted first.
+  // Limits and pauses remembered; the limit heard of least recently, or the
+  // pause that ends first, is evicted first.
   static constexpr size_t kMaxServers = 4'096;
 
   // What a server stated at that time: a limit, or that there is none.
@@ -41,6 +43,9 @@
 
   // The server's limit in requests a second from all hosts together.
   std::optional<double> LimitOf(uint32_t server) const;
+  // When the pause that the server asked this host for ends; in the past if
+  // there is none.
+  Instant PausedUntil(uint32_t server) const;
   // When any host last heard the server name its limit.
   std::optional<Instant> HeardAt(uint32_t server) const;
   // What this host has heard itself within kReportFor.
@@ -57,8 +62,11 @@
   };
 
   void Evict();
+  void Pause(uint32_t server, Instant until);
 
   boost::unordered_flat_map<uint32_t, Record> records_;
+  // When the pause of each server ends.
+  boost::unordered_flat_map<uint32_t, Instant> pauses_;
   bool news_ = false;
 };
 
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -281,9 +281,12 @@
   const double to_target =
       Millis(waiting.request.target - now) - kResponseMarginMs;
   const WorkTimes& times = times_.at(waiting.route_name);
-  if (!choice.any)
-    return Refuse(waiting, PlacementRefusal::kNoServer, kNoServerRetryAfter,
-                  choice);
+  if (!choice.any) {
+    Placement out = Refuse(waiting, PlacementRefusal::kNoServer,
+                           kNoServerRetryAfter, choice);
+    out.retry_after = std::max(out.retry_after, ShortestPause(waiting, now));
+    return out;
+  }
   const bool yields = YieldsSlot(choice, IsLate(waiting, now));
   if (best.server != nullptr && !best.full && !yields) {
     // While slots are scarce, requests that would end too late are refused.
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -144,7 +144,19 @@
                                     server.region) == allowed.end()) {
     return false;
   }
-  return !server.load->IsSuspended(now);
+  return !server.load->IsSuspended(now) &&
+         now >= limits_.PausedUntil(server.run_key);
+}
+
+Duration Placer::ShortestPause(const QueuedRequest& waiting, Instant now) {
+  Instant first = Instant::Never();
+  for (const ServiceView::Server& it :
+       ServiceOf(waiting.request.service).view->servers()) {
+    const Instant until = limits_.PausedUntil(it.run_key);
+    if (until > now && MayTake(waiting, it, until))
+      first = std::min(first, until);
+  }
+  return first == Instant::Never() ? Duration(0) : first - now;
 }
 
 bool Placer::NeedsTrial(const ServiceView::Server& server, Instant now) const {
--- a/src/placing/server_limits.cc
+++ b/src/placing/server_limits.cc
@@ -9,6 +9,8 @@
                             const ServerNotice& notice,
                             Instant sent_at,
                             Instant now) {
+  if (notice.pause)
+    Pause(server, now + *notice.pause);
   const auto it = records_.find(server);
   if (notice.limit_malformed || (it == records_.end() && !notice.limit))
     return;
@@ -22,6 +24,21 @@
   record = {notice.limit, now, now};
 }
 
+void ServerLimits::Pause(uint32_t server, Instant until) {
+  if (pauses_.size() >= kMaxServers && !pauses_.contains(server)) {
+    pauses_.erase(std::min_element(
+        pauses_.begin(), pauses_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  Instant& paused_until = pauses_[server];
+  paused_until = std::max(paused_until, until);
+}
+
+Instant ServerLimits::PausedUntil(uint32_t server) const {
+  const auto it = pauses_.find(server);
+  return it == pauses_.end() ? Instant() : it->second;
+}
+
 void ServerLimits::OnReport(const Statement& statement) {
   const auto it = records_.find(statement.server);
   if (it == records_.end()) {
--- a/tests/placing/server_limit_test.cc
+++ b/tests/placing/server_limit_test.cc
@@ -298,4 +298,87 @@
   CHECK_FALSE(limits.LimitOf(1));
 }
 
+TEST_CASE("a server that asked for a pause gets nothing until it ends") {
+  ServerEntry entry;
+  entry.id = ServerId("i-0");
+  entry.service = ServiceId("s");
+  entry.zone = ZoneId("z");
+  entry.slots = 4;
+  entry.incarnation = 1;
+  ServerRegistry registry([](ServerChange, const ServerRegistry::Server&) {});
+  Placer placer({HostId("h"), ZoneId("z"), RegionId("r"), {}}, registry,
+                Instant(kStart));
+  Route route;
+  route.name = "r";
+  route.target_latency = Duration(400);
+  uint64_t last_id = 0;
+  const auto offer = [&](Instant now) {
+    PlacementRequest request;
+    request.id = ++last_id;
+    request.route = &route;
+    request.service = ServiceId("s");
+    request.target = now + Duration(400);
+    request.deadline = now + Duration(1'500);
+    return placer.Offer(request, now);
+  };
+  const auto finish = [&](std::optional<Duration> pause, Instant now) {
+    PlacedAttemptResult result;
+    result.request_id = last_id;
+    result.end =
+        pause ? ServerAttemptEnd::kRefused : ServerAttemptEnd::kAnswered;
+    result.notice = ServerNotice();
+    result.notice->pause = pause;
+    placer.Finish(result, now);
+  };
+  registry.OnEntry(entry, Instant(kStart));
+  const Instant begin(kStart + 1'000);
+  const PlacementStep send = PlacementStep::kSend;
+  REQUIRE(offer(begin).step == send);
+  const uint64_t in_flight = last_id;
+  REQUIRE(offer(begin).step == send);
+  finish(Duration(5'000), begin);
+  // A response to an earlier request does not end the pause, nor does a shorter
+  // one, nor an entry that lapses and comes back.
+  PlacedAttemptResult earlier;
+  earlier.request_id = in_flight;
+  earlier.notice = ServerNotice();
+  earlier.notice->pause = Duration(100);
+  placer.Finish(earlier, begin + Duration(10));
+  registry.OnRemoved(entry.id, begin + Duration(20));
+  placer.ForgetServer(entry.id);
+  registry.OnEntry(entry, begin + Duration(30));
+  for (int64_t ms = 50; ms < 5'000; ms += 50) {
+    const Placement out = offer(begin + Duration(ms));
+    CHECK(out.step == PlacementStep::kRefuse);
+    // The caller is told when the server accepts requests again.
+    CHECK(out.retry_after >= Duration(5'000 - ms));
+    CHECK(out.retry_after <= std::max(Duration(5'000 - ms), Duration(400)));
+  }
+  CHECK(offer(begin + Duration(5'000)).step == send);
+  finish(Duration(600'000), begin + Duration(5'000));
+  CHECK(offer(begin + Duration(6'000)).step == PlacementStep::kRefuse);
+  // Another incarnation knows nothing of the pause.
+  entry.incarnation = 2;
+  placer.ForgetServer(entry.id);
+  registry.OnEntry(entry, begin + Duration(6'500));
+  CHECK(offer(begin + Duration(7'000)).step == send);
+}
+
+TEST_CASE("a server that asked for a pause is left out, others are not") {
+  Fleet::Options options;
+  options.hosts = 7;
+  Fleet fleet(options);
+  fleet.Run(Duration(2'000));
+  ServerNotice notice;
+  notice.pause = Duration(4'000);
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(1'000));
+  // Each host hears of it for itself, and may have one request on the way.
+  const Instant heard = fleet.now();
+  const int before = fleet.refused();
+  fleet.Run(Duration(2'500));
+  CHECK(fleet.Arrived(heard, fleet.now()) == 0);
+  CHECK(fleet.refused() == before);
+}
+
 }  // namespace toucanknot
