forward: a refusal that a server repeats is not taken for a second one

Cause: a request that a server rejects is sent to the same server once more, on the connection that was kept, under the same id. A server that writes its earlier refusal again is then believed, although it runs the request: the id cannot tell the two responses apart. Evidence: the test, on real connections of a host on loopback, got 503 for a request that had run; 200 now.

A connection remembers the ids of its last 32 requests and is not used for another request with one of them, so a repeated response can only meet another id, and is dropped. This also covers callers that use an id twice. toucanknotd sends a request to each server once, apart from a transmission on a connection of its own.

--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -273,6 +273,7 @@
   options.deadline = run.deadline;
   options.silent_after = kSilentAfter;
   options.max_answer_bytes = kMaxResponseBytes;
+  options.id_hash = Hash(run.id, 0);
   options.is_own_response = [&run, this](const HttpResponse& response) {
     return response.fields.Get(parts_.names.request_id) == run.id;
   };
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -32,6 +32,8 @@
 // default of common servers, 5 s.
 constexpr Duration kDefaultIdle{4'000};
 constexpr int64_t kDefaultBufferedBytes = 1LL << 30;
+// Requests whose ids a connection remembers.
+constexpr size_t kMaxCarried = 32;
 // Maximum number of idle connections to one endpoint per worker.
 constexpr size_t kMaxIdlePerEndpoint = 8;
 
@@ -137,11 +139,15 @@
     // The peer may close the connection when it has been idle until then.
     Instant idle_until = Instant::Never();
     bool used = false;
+    // The `id_hash` of the last requests.
+    std::deque<uint64_t> carried;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
 
   // Returns a usable idle connection, or null.
-  ConnectionPtr AcquireIdle(const Endpoint& endpoint, Duration fresh_for);
+  ConnectionPtr AcquireIdle(const Endpoint& endpoint,
+                            const ExchangeOptions& options);
+  static bool HasCarried(const Connection& connection, uint64_t id_hash);
   // Whether the peer has closed the connection or sent unexpected bytes.
   bool IsUnusable(Connection& connection);
   asio::awaitable<ConnectionPtr> Open(const Endpoint& endpoint,
@@ -201,27 +207,36 @@
 
 ConnectionPool::Impl::ConnectionPtr ConnectionPool::Impl::AcquireIdle(
     const Endpoint& endpoint,
-    Duration fresh_for) {
+    const ExchangeOptions& options) {
   auto& list = idle_[endpoint];
   const Instant now = SteadyNow();
-  while (!list.empty()) {
-    // The most recently used connection is the most likely to be alive.
-    ConnectionPtr it = std::move(list.back());
-    list.pop_back();
-    if (now >= it->idle_until || IsUnusable(*it)) {
+  // The most recently used connection is the most likely to be alive.
+  for (size_t i = list.size(); i-- > 0;) {
+    const auto at = list.begin() + static_cast<ptrdiff_t>(i);
+    Connection& connection = **at;
+    if (now >= connection.idle_until || IsUnusable(connection)) {
       ++counts_.discarded;
+      list.erase(at);
       continue;
     }
-    if (now - it->last_used > fresh_for) {
-      // Too old for this request; the remaining ones are older still.
-      list.push_back(std::move(it));
+    // The remaining ones are older still.
+    if (now - connection.last_used > options.fresh_for)
       return nullptr;
-    }
+    if (options.id_hash != 0 && HasCarried(connection, options.id_hash))
+      continue;
+    ConnectionPtr it = std::move(*at);
+    list.erase(at);
     return it;
   }
   return nullptr;
 }
 
+bool ConnectionPool::Impl::HasCarried(const Connection& connection,
+                                      uint64_t id_hash) {
+  return std::find(connection.carried.begin(), connection.carried.end(),
+                   id_hash) != connection.carried.end();
+}
+
 bool ConnectionPool::Impl::IsUnusable(Connection& connection) {
   char byte = 0;
   const ssize_t n = ::recv(connection.stream.socket().native_handle(), &byte, 1,
@@ -390,7 +405,7 @@
   ExchangeResult result;
   ConnectionPtr connection;
   if (!options.new_connection)
-    connection = AcquireIdle(endpoint, options.fresh_for);
+    connection = AcquireIdle(endpoint, options);
   if (connection)
     ++counts_.reused;
   else
@@ -401,6 +416,11 @@
     result.end = AttemptEnd::kCancelled;
     co_return result;
   }
+  if (options.id_hash != 0) {
+    connection->carried.push_back(options.id_hash);
+    if (connection->carried.size() > kMaxCarried)
+      connection->carried.pop_front();
+  }
   result.reused = connection->used;
   const Instant start = SteadyNow();
   bool reusable = false;
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -23,6 +23,10 @@
   Duration fresh_for = Duration::Max();
   // Timeout of a connection attempt.
   Duration connect_limit{1'000};
+  // Hash of the id by which `is_own_response` knows the response; 0 if it has
+  // none. A connection that carried a request with this id is not used, since
+  // the peer may send its earlier response again.
+  uint64_t id_hash = 0;
   // Never use an idle connection.
   bool new_connection = false;
   // The connection is broken if the peer acknowledges no sent bytes for this
