--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -122,6 +122,38 @@
   CHECK(it.WaitUntil([&] { return it.store.counts().malformed_items == 5; }));
 }
 
+TEST_CASE("odd entries of another writer do not stop the host from following") {
+  Fixture it;
+  const std::string deep(50'000, '[');
+  const std::string entry(kServer);
+  const auto put_odd = [&](const std::string& name) {
+    it.standin.Put("servers/deep" + name, deep);
+    it.standin.Put("toucanknot/hosts/deep" + name, deep);
+    it.standin.Put("toucanknot/hosts/number" + name,
+                   R"({"host":"h","zone":"z","callers":"1.2.3.4:99999",)"
+                   R"("incarnation":1e400,"capacity":-1})");
+    it.standin.Put("servers/number" + name,
+                   std::string(entry).replace(entry.find("\"born\":7"), 8,
+                                              "\"born\":1e400"));
+    it.standin.Put("op/evacuate/", "");
+    it.standin.Put("servers/", "x");
+    it.standin.Put("a odd&key=%\r\n" + name, "\xff");
+  };
+  put_odd("-listed");
+  // Several pages, so that the reading goes on after odd keys.
+  it.standin.SetPageSize(1);
+  it.standin.Put("servers/a", kServer);
+  it.Start();
+  CHECK(it.WaitUntil([&] { return it.servers.contains(ServerId("a")); }));
+  put_odd("-watched");
+  it.standin.Put("servers/b", kServer);
+  CHECK(it.WaitUntil([&] { return it.servers.contains(ServerId("b")); }));
+  it.standin.Remove("servers/a");
+  CHECK(it.WaitUntil([&] { return !it.servers.contains(ServerId("a")); }));
+  CHECK(it.servers.size() == 1);
+  CHECK(it.hosts.empty());
+}
+
 TEST_CASE("changes in quick succession are read with few calls") {
   // Each watch that returns is billed. At a fleet of 24 hosts, whose servers'
   // entries change many times a second, these calls were the largest cost
