platform: numbers in servers' entries that are too large reject the entry

Such entries are rejected like other malformed ones, durations of more than a year everywhere. Deep nesting, fractions, exponents and ports out of range were rejected before; the test holds all of them now.

--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -19,6 +19,8 @@
 constexpr double kMaxLink = 1e7;
 constexpr double kMaxCores = 1'024;
 constexpr int64_t kMaxPort = 65'535;
+// A year; sums of a time and a duration below it do not overflow.
+constexpr double kMaxDurationMs = 365.0 * 24 * 3'600 * 1'000;
 
 Duration Time(ObjectReader& in, std::string_view key, Duration fallback) {
   const std::string text = in.Text(key, std::to_string(fallback.ms()) + "ms");
@@ -53,11 +55,10 @@
   double n = 0;
   const auto [end, ec] = std::from_chars(text.begin(), text.end(), n);
   const std::string_view unit(end, text.end() - end);
-  if (ec == std::errc() && std::isfinite(n) && n >= 0) {
-    if (unit == "ms")
-      return Duration(std::llround(n));
-    if (unit == "s")
-      return Duration(std::llround(n * 1000));
+  const double ms = unit == "s" ? n * 1'000 : n;
+  if (ec == std::errc() && (unit == "ms" || unit == "s") && ms >= 0 &&
+      ms <= kMaxDurationMs) {
+    return Duration(std::llround(ms));
   }
   throw Error("\"" + std::string(text) + "\" is not a duration");
 }
--- a/tests/platform/wire_decoder_test.cc
+++ b/tests/platform/wire_decoder_test.cc
@@ -1,9 +1,12 @@
 #include "platform/wire_decoder.h"
 
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "include/base/error.h"
 
@@ -139,6 +142,47 @@
   CHECK_FALSE(decode(200, {}).limit_malformed);
 }
 
+TEST_CASE("odd entries of another writer are rejected with Error") {
+  const auto with = [](const std::string& key, const std::string& value) {
+    boost::json::object entry = boost::json::parse(kServer).as_object();
+    std::string text = boost::json::serialize(entry);
+    const size_t at = text.find("\"" + key + "\":");
+    const size_t from = text.find(':', at) + 1;
+    const size_t to = text.find_first_of(",}", from);
+    return text.replace(from, to - from, value);
+  };
+  CHECK_NOTHROW(DecodeServer("i", with("sequence", "7")));
+  const std::string deep(100'000, '[');
+  const std::vector<std::pair<std::string, std::string>> odd = {
+      {"version", deep},
+      {"sequence", deep + std::string(100'000, ']')},
+      {"sequence", "1e400"},
+      {"sequence", "-1"},
+      {"sequence", "9007199254740993"},
+      {"sequence", "123456789012345678901234567890"},
+      {"slots", "1e9"},
+      {"slots", "99999999999"},
+      {"born", "99999999999999999999"},
+      {"born", "9223372036854775807"},
+      {"born", "1.5"},
+      {"cold_left", "\"1e300s\""},
+      {"cold_left", "\"99999999999s\""},
+      {"cold_left", "\"nans\""},
+      {"address", "\"10.0.0.1:99999\""},
+      {"address", "\"10.0.0.1:-1\""},
+      {"address", "\"10.0.0.1:0\""},
+      {"address", "\"10.0.0.999:80\""},
+      {"address", "{}"},
+      {"zone", "null"},
+  };
+  for (const auto& [key, value] : odd) {
+    INFO(key << ": " << value.substr(0, 40));
+    CHECK_THROWS_AS(DecodeServer("i", with(key, value)), Error);
+  }
+  CHECK_THROWS_AS(DecodeServer("i", deep), Error);
+  CHECK_THROWS_AS(DecodeServer("i", std::string("\0\xff\xfe{", 4)), Error);
+}
+
 TEST_CASE("mutated texts are decoded or rejected with Error") {
   std::mt19937_64 random(20261204);
   for (int i = 0; i < 2'000; ++i) {
