soak: servers that name limits, pause, crash on a request or repeat refusals; odd entries

Leaving servers say so in their responses.

Checked besides: limits over four seconds, requests in a pause, crashes of a request later than three seconds after its third.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <iterator>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "src/http/one_shot.h"
 
@@ -26,6 +28,10 @@
 constexpr Duration kStoreDelay{250};
 constexpr int64_t kSlowdownFactor = 6;
 constexpr double kFailureRate = 0.4;
+// Faults that take effect after some seconds last longer.
+constexpr int64_t kNoticeLengthFactor = 3;
+constexpr double kLimits[] = {0.5, 2, 5};
+constexpr Duration kCrashingInterval{120};
 
 // Faults of a link, in the order in which FaultKind lists them for each link.
 enum class LinkFault { kDelay, kReset, kCutOneWay, kSilence };
@@ -59,7 +65,9 @@
 }
 
 bool IsServerFault(FaultKind kind) {
-  return (kind >= FaultKind::kDelayServer &&
+  return (kind >= FaultKind::kLimitServer &&
+          kind <= FaultKind::kRepeatRefusals) ||
+         (kind >= FaultKind::kDelayServer &&
           kind <= FaultKind::kSilenceServer) ||
          (kind >= FaultKind::kCrashServer && kind <= FaultKind::kReplaceServer);
 }
@@ -81,6 +89,10 @@
     co_await InjectStoreLinkFault(host, fault);
   } else if (fault.kind <= FaultKind::kStoreExpiresServers) {
     co_await InjectStoreFault(fault);
+  } else if (fault.kind == FaultKind::kSendCrashingRequest) {
+    co_await SendCrashingRequests(fault);
+  } else if (fault.kind == FaultKind::kWriteOddEntries) {
+    co_await WriteOddEntries(fault);
   } else if (fault.kind == FaultKind::kChangeConfig) {
     fleet_.ChangeConfig();
   } else {
@@ -196,9 +208,23 @@
     server.fault_in_progress = false;
     co_return;
   }
+  if (fault.kind == FaultKind::kLimitServer) {
+    co_await LimitServer(server, fault.length * kNoticeLengthFactor);
+    server.fault_in_progress = false;
+    co_return;
+  }
+  if (fault.kind == FaultKind::kPauseServer) {
+    co_await PauseServer(server, fault.length);
+    server.fault_in_progress = false;
+    co_return;
+  }
   const ScopedFault span(fleet_.fault_history(),
                          {it.entry().id.str(), FaultHistory::kUnplanned});
-  if (fault.kind == FaultKind::kSlowServer) {
+  if (fault.kind == FaultKind::kRepeatRefusals) {
+    it.link().SetRepeatingRefusals(true);
+    co_await SleepFor(fault.length * kNoticeLengthFactor);
+    it.link().SetRepeatingRefusals(false);
+  } else if (fault.kind == FaultKind::kSlowServer) {
     it.SetSlowdown(kSlowdownFactor);
     co_await SleepFor(fault.length);
     it.SetSlowdown(1);
@@ -221,6 +247,59 @@
   server.fault_in_progress = false;
 }
 
+asio::awaitable<void> FaultInjector::LimitServer(SoakFleet::Server& server,
+                                                 Duration length) {
+  server.server->SetLimit(kLimits[length.ms() % std::size(kLimits)]);
+  server.limited_since = SteadyNow();
+  server.limited_arrivals.clear();
+  co_await SleepFor(length);
+  server.server->SetLimit(std::nullopt);
+  server.limited_since.reset();
+}
+
+asio::awaitable<void> FaultInjector::PauseServer(SoakFleet::Server& server,
+                                                 Duration length) {
+  server.paused_hosts.clear();
+  server.sent_in_pause.clear();
+  server.paused_until = SteadyNow() + length;
+  server.server->SetPausedUntil(server.paused_until);
+  co_await SleepFor(length);
+}
+
+asio::awaitable<void> FaultInjector::SendCrashingRequests(const Fault& fault) {
+  const std::string target =
+      "/lookup" + std::string(kCrashingTarget) + std::to_string(fault.subject);
+  const Instant end = SteadyNow() + fault.length * kNoticeLengthFactor;
+  const ScopedFault span(fleet_.fault_history(), {FaultHistory::kUnplanned});
+  for (size_t n = 0; SteadyNow() < end; ++n) {
+    auto& hosts = fleet_.hosts();
+    SoakFleet::Host& host = hosts[(fault.subject + n) % hosts.size()];
+    if (host.process->running() && !host.stop_requested && !host.paused) {
+      co_await fleet_.SendCrashingRequest(
+          host, target,
+          std::to_string(fault.subject) + "-" + std::to_string(n));
+    }
+    co_await SleepFor(kCrashingInterval);
+  }
+}
+
+asio::awaitable<void> FaultInjector::WriteOddEntries(const Fault& fault) {
+  const std::string number = std::to_string(fault.subject % 1'000);
+  const std::vector<std::pair<std::string, std::string>> entries = {
+      {"servers/deep-" + number, std::string(20'000, '[')},
+      {"servers/number-" + number,
+       R"({"service":"lookup","address":"127.0.0.1:99999","zone":"zone-0-0",)"
+       R"("version":"1","slots":4,"state":"ready","cold_left":"1e300s",)"
+       R"("sequence":1e400,"born":99999999999999999999})"},
+      {"servers/", "{}"},
+      {"a key&after=%0 \r\n" + number, "\xff\xfe"}};
+  for (const auto& [key, value] : entries)
+    fleet_.store().Put(key, value);
+  co_await SleepFor(fault.length);
+  for (const auto& [key, value] : entries)
+    fleet_.store().Remove(key);
+}
+
 asio::awaitable<void> FaultInjector::ReplaceServer(SoakFleet::Server& server,
                                                    Duration length) {
   SoakServer& it = *server.server;
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -28,6 +28,12 @@
   boost::asio::awaitable<void> InjectStoreFault(const Fault& fault);
   boost::asio::awaitable<void> InjectServerFault(SoakFleet::Server& server,
                                                  const Fault& fault);
+  boost::asio::awaitable<void> LimitServer(SoakFleet::Server& server,
+                                           Duration length);
+  boost::asio::awaitable<void> PauseServer(SoakFleet::Server& server,
+                                           Duration length);
+  boost::asio::awaitable<void> SendCrashingRequests(const Fault& fault);
+  boost::asio::awaitable<void> WriteOddEntries(const Fault& fault);
   boost::asio::awaitable<void> ReplaceServer(SoakFleet::Server& server,
                                              Duration length);
   boost::asio::awaitable<void> EvacuateZone(const ZoneId& zone,
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -20,6 +20,10 @@
 constexpr int64_t kMaxFaultMs = 6'000;
 // Mean time between planned changes, which are independent of the episodes.
 constexpr int64_t kMeanPlannedGapMs = 5'000;
+// The kinds that episodes consist of, and the mean time between faults of the
+// others.
+constexpr int64_t kEpisodeKinds = static_cast<int64_t>(FaultKind::kLimitServer);
+constexpr int64_t kMeanLateKindGapMs = 6'000;
 constexpr FaultKind kPlannedKinds[] = {
     FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
     FaultKind::kEvacuateZone, FaultKind::kReloadHost};
@@ -41,13 +45,18 @@
        at += draw(kMinEpisodeGapMs, kMaxEpisodeGapMs)) {
     for (int64_t n = draw(1, kMaxFaultsPerEpisode); n > 0; --n) {
       add(at + draw(0, kEpisodeLengthMs),
-          static_cast<FaultKind>(draw(0, kFaultKindCount - 1)));
+          static_cast<FaultKind>(draw(0, kEpisodeKinds - 1)));
     }
   }
   for (int64_t at = draw(0, kMeanPlannedGapMs); at < end;
        at += draw(1, 2 * kMeanPlannedGapMs)) {
     add(at, kPlannedKinds[draw(0, std::size(kPlannedKinds) - 1)]);
   }
+  // Drawn after all others, so that earlier seeds keep those.
+  for (int64_t at = draw(0, kMeanLateKindGapMs); at < end;
+       at += draw(1, 2 * kMeanLateKindGapMs)) {
+    add(at, static_cast<FaultKind>(draw(kEpisodeKinds, kFaultKindCount - 1)));
+  }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
   return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -53,9 +53,19 @@
   // The operator: changes the configuration*, evacuates a zone.
   kChangeConfig,
   kEvacuateZone,
+  // A server: names a limit on its requests a second, rejects requests and asks
+  // for a pause, writes each refusal once more on its connection.
+  kLimitServer,
+  kPauseServer,
+  kRepeatRefusals,
+  // A caller: sends a request that crashes the servers that run it, to one host
+  // after the other.
+  kSendCrashingRequest,
+  // Another writer: odd entries in the store, among those of servers and hosts.
+  kWriteOddEntries,
 };
 
-inline constexpr size_t kFaultKindCount = 29;
+inline constexpr size_t kFaultKindCount = 34;
 inline constexpr EnumNames<FaultKind, kFaultKindCount> kFaultKindNames{
     {"kill-host",           "pause-host",          "stop-host",
      "reload-host",         "delay-callers",       "reset-callers",
@@ -66,7 +76,9 @@
      "store-slow",          "store-loses-answers", "store-forgets",
      "store-drops-watches", "store-lapses",        "crash-server",
      "slow-server",         "fail-server",         "replace-server",
-     "change-config",       "evacuate-zone"}};
+     "change-config",       "evacuate-zone",       "limit-server",
+     "pause-server",        "repeat-refusals",     "send-crashing-request",
+     "write-odd-entries"}};
 
 struct Fault {
   // Begin of the fault, from the start of the plan.
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <string_view>
 #include <utility>
 
 #include "src/http/one_shot.h"
@@ -130,6 +131,14 @@
       Reset(*session);
       co_return;
     }
+    if (to_target && repeating_refusals_ && !session->refusal.empty()) {
+      // An error shows when the next response is relayed.
+      co_await asio::async_write(from, asio::buffer(session->refusal), kAwait);
+      session->refusal.clear();
+    }
+    const std::string_view bytes(buf.data(), n);
+    if (!to_target)
+      session->refusal = bytes.starts_with("HTTP/1.1 503") ? bytes : "";
     auto [write_ec, written] =
         co_await asio::async_write(to, asio::buffer(buf.data(), n), kAwait);
     if (write_ec) {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <set>
+#include <string>
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
@@ -38,6 +39,9 @@
   // Stops relaying on all open connections, in both directions; new connections
   // work.
   void SilenceOpenConnections();
+  // Whether each refusal (503) of the target is written once more when the next
+  // request follows on its connection.
+  void SetRepeatingRefusals(bool repeating) { repeating_refusals_ = repeating; }
   // Resets all connections and stops listening.
   void Close();
   // Listens again on the same port. Does nothing while it listens.
@@ -53,6 +57,8 @@
     Socket client;
     Socket target;
     bool silenced = false;
+    // The target's last refusal, if nothing followed it.
+    std::string refusal;
   };
   using SessionPtr = std::shared_ptr<Session>;
 
@@ -68,6 +74,7 @@
   const Endpoint target_;
   Endpoint endpoint_;
   LinkState state_;
+  bool repeating_refusals_ = false;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::set<SessionPtr> sessions_;
 };
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -41,12 +41,19 @@
   kHostExited,
   // The fleet didn't serve normally again after all faults had ended.
   kNotRecovered,
+  // A server got more requests than the limit that it had named.
+  kOverLimit,
+  // A server got requests from a host that it had asked for a pause.
+  kSentInPause,
+  // A request that crashes servers was sent to servers although that was known.
+  kCrashedTooMany,
 };
 
-inline constexpr EnumNames<InvariantViolation, 11> kInvariantViolationNames{
+inline constexpr EnumNames<InvariantViolation, 14> kInvariantViolationNames{
     {"ran-twice", "refused-and-ran", "wrong-answer", "unasked", "cut-by-stop",
      "sent-to-leaver", "sent-after-left", "old-config", "over-budget",
-     "host-ended", "not-recovered"}};
+     "host-ended", "not-recovered", "over-limit", "sent-in-pause",
+     "crashed-too-many"}};
 
 // Records every request of a run, what the caller sent and what response it
 // got, how often it reached a server and how often it ran, and finds violations
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -5,11 +5,14 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <utility>
 
 #include "include/base/error.h"
+#include "src/forward/connection_pool.h"
 #include "src/http/one_shot.h"
 #include "tests/platform/platform_texts.h"
 
@@ -25,6 +28,13 @@
 // What scheduling on a busy machine may add to the exit of a process.
 constexpr Duration kExitSlack{1'000};
 constexpr uint64_t kVersionStep = 3;
+// From the begin of a request that crashes its server to the crash, and from
+// there to the server's restart.
+constexpr Duration kCrashDelay{50};
+constexpr Duration kCrashedFor{1'500};
+constexpr Duration kCrashingTimeout{2'000};
+// After so many crashes it is known which request causes them.
+constexpr size_t kCrashesUntilKnown = 3;
 
 // Loopback addresses from 127.0.1.1 on, 200 for each value of the third octet.
 std::string HostIp(int i) {
@@ -94,6 +104,13 @@
            },
            std::move(server)),
        0, std::nullopt, false});
+  servers_.back().server->set_on_crashing_request(
+      [this, i](const std::string& target, const std::string& id) {
+        if (!CrashBriefly(servers_[static_cast<size_t>(i)]))
+          return false;
+        OnCrash(target, id);
+        return true;
+      });
 }
 
 void SoakFleet::AddHost(int i) {
@@ -203,6 +220,8 @@
       !fault_history_.FaultFreeSince(FaultHistory::kStore, now)) {
     return;
   }
+  CheckLimit(*it, host, now);
+  CheckPause(*it, host, now);
   const std::optional<Instant> disconnected_at = checker_.DisconnectedAt(id);
   if (disconnected_at && now - *disconnected_at > kDisconnectNoticeLimit)
     checker_.OnSentAfterDisconnect(id, now - *disconnected_at);
@@ -222,6 +241,106 @@
   }
 }
 
+bool SoakFleet::InTouch(const std::string& host, Instant now) const {
+  return fault_history_.FaultFreeSince(host, now) &&
+         fault_history_.FaultFreeSince(FaultHistory::kStore, now);
+}
+
+void SoakFleet::CheckLimit(Server& server,
+                           const std::string& host,
+                           Instant now) {
+  const std::optional<double> limit = server.server->limit();
+  if (!limit || !server.limited_since ||
+      now - *server.limited_since < kLimitNotice) {
+    return;
+  }
+  std::deque<Instant>& arrivals = server.limited_arrivals;
+  arrivals.push_back(now);
+  while (now - arrivals.front() > kLimitWindow)
+    arrivals.pop_front();
+  const double allowed =
+      kLimitRatio * *limit * kLimitWindow.seconds() + kLimitSlack;
+  if (static_cast<double>(arrivals.size()) <= allowed)
+    return;
+  checker_.Report(
+      InvariantViolation::kOverLimit,
+      fmt::format("{} got {} requests, {} allowed, the last from {}",
+                  server.server->entry().id.str(), arrivals.size(), allowed,
+                  host));
+  arrivals.clear();
+}
+
+void SoakFleet::CheckPause(Server& server,
+                           const std::string& host,
+                           Instant now) {
+  if (now >= server.paused_until)
+    return;
+  // The server rejects this request and asks its host for a pause.
+  const auto [it, first] = server.paused_hosts.try_emplace(host, now);
+  if (first || now - it->second <= kPauseNotice)
+    return;
+  if (++server.sent_in_pause[host] == kMaxSentInPause + 1) {
+    checker_.Report(InvariantViolation::kSentInPause,
+                    fmt::format("{} sent to {} {} ms after it had asked for a "
+                                "pause",
+                                host, server.server->entry().id.str(),
+                                (now - it->second).ms()));
+  }
+}
+
+bool SoakFleet::CrashBriefly(Server& server) {
+  if (server.fault_in_progress)
+    return false;
+  server.fault_in_progress = true;
+  asio::co_spawn(workers_.loop(0), RestartLater(server), asio::detached);
+  return true;
+}
+
+asio::awaitable<void> SoakFleet::RestartLater(Server& server) {
+  const std::string id = server.server->entry().id.str();
+  const ScopedFault span(fault_history_, {id, FaultHistory::kUnplanned});
+  co_await SleepFor(kCrashDelay);
+  server.server->Crash();
+  co_await SleepFor(kCrashedFor);
+  server.server->Restart(server.server->entry().id);
+  WriteServerEntry(server);
+  server.fault_in_progress = false;
+}
+
+asio::awaitable<void> SoakFleet::SendCrashingRequest(Host& host,
+                                                     std::string target,
+                                                     std::string id) {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = target;
+  request.fields.Add("Host", "soak.example");
+  request.fields.Add(names_.request_id, id);
+  checker_.OnSent(id, "lookup", true, host.id.str(),
+                  RequestDigest(request.method, target, {}), SteadyNow());
+  ConnectionPool connections(workers_.loop(0));
+  ExchangeOptions options;
+  options.deadline = SteadyNow() + kCrashingTimeout;
+  co_await connections.Exchange(host.caller_link->endpoint(),
+                                std::move(request), std::move(options));
+}
+
+void SoakFleet::OnCrash(const std::string& target, const std::string& id) {
+  std::vector<Instant>& crashes = crashes_[target];
+  const Instant now = SteadyNow();
+  const std::string host = checker_.HostOf(id);
+  if (crashes.size() < kCrashesUntilKnown) {
+    crashes.push_back(now);
+    return;
+  }
+  if (now - crashes.back() <= FaultHistory::kSettleTime || !InTouch(host, now))
+    return;
+  if (++late_crashes_[target] == kMaxLateCrashes + 1) {
+    checker_.Report(InvariantViolation::kCrashedTooMany,
+                    fmt::format("{} from {} ran {} ms after its third crash",
+                                target, host, (now - crashes.back()).ms()));
+  }
+}
+
 asio::awaitable<void> SoakFleet::Supervise(const bool& stop) {
   while (!stop) {
     co_await SleepFor(kProcessPollInterval);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -2,6 +2,7 @@
 #define SOAK_SOAK_FLEET_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,19 @@
   static constexpr Duration kGracePeriod{6'000};
   // After this a host has noticed that a caller disconnected.
   static constexpr Duration kDisconnectNoticeLimit{500};
+  // After this a server's limit, or its pause, is in force.
+  static constexpr Duration kLimitNotice{3'000};
+  static constexpr Duration kPauseNotice{500};
+  // The window of a limit, and what it allows: this many times the limit, plus
+  // some requests.
+  static constexpr Duration kLimitWindow{4'000};
+  static constexpr double kLimitRatio = 1.5;
+  static constexpr int kLimitSlack = 5;
+  // Requests that may reach a server from one host in its pause.
+  static constexpr int kMaxSentInPause = 2;
+  // Runs of a request that crashes servers, later than kSettleTime after the
+  // third of them.
+  static constexpr int kMaxLateCrashes = 3;
 
   struct Host {
     HostId id;
@@ -78,6 +92,15 @@
     std::optional<Instant> draining_since;
     // A fault or a replacement of it is in progress.
     bool fault_in_progress = false;
+    // Since when it names its limit; arrivals since then from hosts without a
+    // fault.
+    std::optional<Instant> limited_since;
+    std::deque<Instant> limited_arrivals;
+    // The hosts that it asked for a pause, when it did, and what reached it
+    // from them later than kPauseNotice after that.
+    std::map<std::string, Instant> paused_hosts;
+    std::map<std::string, int> sent_in_pause;
+    Instant paused_until;
   };
 
   SoakFleet(SoakOptions options,
@@ -102,6 +125,14 @@
   // Sends SIGKILL and waits for the exit.
   boost::asio::awaitable<void> KillHost(Host& host);
 
+  // Sends a request that crashes the servers that run it to `host`.
+  boost::asio::awaitable<void> SendCrashingRequest(Host& host,
+                                                   std::string target,
+                                                   std::string id);
+  // Whether all of the host has been free of faults for long enough that time
+  // bounds hold for it.
+  bool InTouch(const std::string& host, Instant now) const;
+
   // Changes of the store as servers and operators make them.
   void WriteServerEntry(const Server& server);
   void RemoveServerEntry(const Server& server);
@@ -128,6 +159,15 @@
   std::string SettingsOf(const Host& host) const;
   void WriteConfig();
   void OnArrival(const std::string& server, const std::string& id);
+  // Check an arrival against the limit of the server and its pauses.
+  void CheckLimit(Server& server, const std::string& host, Instant now);
+  void CheckPause(Server& server, const std::string& host, Instant now);
+  // A run of a request crashed its server.
+  void OnCrash(const std::string& target, const std::string& id);
+  // Crashes the server, which comes back later; false if another fault of it is
+  // in progress.
+  bool CrashBriefly(Server& server);
+  boost::asio::awaitable<void> RestartLater(Server& server);
 
   // Sends SIGTERM; returns false if the host is stopping or has exited already.
   bool RequestStop(Host& host);
@@ -148,6 +188,10 @@
   Instant version_written_at_;
   std::map<ZoneId, Instant> evacuated_;
   int64_t max_resident_bytes_ = 0;
+  // For each request that crashes servers, the first crashes, and the number of
+  // those after it was known.
+  std::map<std::string, std::vector<Instant>> crashes_;
+  std::map<std::string, int> late_crashes_;
 };
 
 // The path prefix of the route that exists only in this configuration version.
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "src/http/one_shot.h"
+#include "tests/platform/platform_texts.h"
 
 namespace toucanknot::soak {
 namespace {
@@ -84,9 +85,21 @@
   HttpResponse response = TextResponse(status, "not run");
   response.fields.Add(names_.request_id, id);
   response.fields.Add(names_.not_run, "1");
+  if (status == 503)
+    AddNotices(response);
   return response;
 }
 
+void SoakServer::AddNotices(HttpResponse& response) const {
+  ServerNotice notice;
+  notice.leaving = options_.entry.leaving;
+  notice.limit = limit_;
+  const Instant now = SteadyNow();
+  if (response.status == 503 && paused_until_ > now)
+    notice.pause = paused_until_ - now;
+  platform::AddNotice(notice, response.fields);
+}
+
 asio::awaitable<bool> SoakServer::WaitForSlot(const HttpRequest& request,
                                               Instant deadline) {
   if (waiting_ >= options_.queue_limit)
@@ -106,6 +119,8 @@
     co_return NotRunResponse(421, id);
   checker_.OnArrived(id, SteadyNow());
   on_arrival_(options_.entry.id.str(), id);
+  if (SteadyNow() < paused_until_)
+    co_return NotRunResponse(503, id);
   const std::string_view text = request.fields.Get(names_.deadline_ms);
   int64_t remaining_ms = kDefaultDeadlineMs;
   std::from_chars(text.data(), text.data() + text.size(), remaining_ms);
@@ -117,6 +132,11 @@
   const Incarnation started_incarnation = options_.entry.incarnation;
   checker_.OnRun(id,
                  RequestDigest(request.method, request.target, request.body));
+  // After a crash, the response finds its connection reset.
+  if (request.target.find(kCrashingTarget) != std::string::npos &&
+      on_crashing_request_(request.target, id)) {
+    co_return NotRunResponse(500, id);
+  }
   ++running_;
   std::exponential_distribution<double> run_time(
       1 / static_cast<double>(options_.mean_run_time.ms() * slowdown_));
@@ -135,6 +155,7 @@
                       ResponseStamp(options_.entry.id.str(), response.body));
   response.fields.Add(names_.load, fmt::format("{},{},{}", running_, waiting_,
                                                options_.entry.slots));
+  AddNotices(response);
   co_return response;
 }
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -4,8 +4,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "include/entry/entry_wire.h"
 #include "include/placing/server_entry.h"
@@ -25,6 +27,9 @@
 std::string ResponseBody(const std::string& id, size_t bytes);
 std::string ResponseStamp(const std::string& server, const std::string& body);
 
+// A request for a target that contains this crashes the servers that run it.
+inline constexpr std::string_view kCrashingTarget = "/crashes-servers-";
+
 // A backend server behind a proxy. It has slots and a short queue, and marks
 // the requests that it rejects as not run. Used on the loop of `workers` only.
 class SoakServer {
@@ -59,6 +64,18 @@
   void SetLeaving() { options_.entry.leaving = true; }
   // Requests take this many times as long.
   void SetSlowdown(int64_t factor) { slowdown_ = factor; }
+  // Names this limit in its responses, or none.
+  void SetLimit(std::optional<double> limit) { limit_ = limit; }
+  // Rejects all requests until then, and asks the hosts for a pause as long.
+  void SetPausedUntil(Instant until) { paused_until_ = until; }
+  std::optional<double> limit() const { return limit_; }
+  // Called when a request that crashes servers begins to run. Returns whether
+  // the server crashes.
+  using CrashHook =
+      std::function<bool(const std::string& target, const std::string& id)>;
+  void set_on_crashing_request(CrashHook hook) {
+    on_crashing_request_ = std::move(hook);
+  }
   // Share of the requests, 0 to 1, that are run but get an error response.
   void SetFailureRate(double rate) { failure_rate_ = rate; }
 
@@ -68,6 +85,8 @@
   boost::asio::awaitable<bool> WaitForSlot(const HttpRequest& request,
                                            Instant deadline);
   HttpResponse NotRunResponse(int status, const std::string& id) const;
+  // Adds what the server states about itself.
+  void AddNotices(HttpResponse& response) const;
 
   const EntryWire& names_;
   InvariantChecker& checker_;
@@ -77,6 +96,9 @@
   bool up_ = true;
   int64_t slowdown_ = 1;
   double failure_rate_ = 0;
+  std::optional<double> limit_;
+  Instant paused_until_;
+  CrashHook on_crashing_request_;
   int running_ = 0;
   int waiting_ = 0;
   HttpServer server_;
--- a/tests/platform/platform_texts.cc
+++ b/tests/platform/platform_texts.cc
@@ -67,6 +67,15 @@
                   {"born", entry.incarnation}});
 }
 
+void AddNotice(const ServerNotice& notice, HttpFields& fields) {
+  if (notice.leaving)
+    fields.Add("Server-Leaving", "1");
+  if (notice.pause)
+    fields.Add("Retry-After", std::to_string(notice.pause->seconds()));
+  if (notice.limit)
+    fields.Add("Server-Limit", std::to_string(*notice.limit));
+}
+
 std::string ConfigKey() {
   return "op/config";
 }
--- a/tests/platform/platform_texts.h
+++ b/tests/platform/platform_texts.h
@@ -4,7 +4,9 @@
 #include <string>
 
 #include "include/placing/server_entry.h"
+#include "include/placing/server_notice.h"
 #include "include/routing/route_config.h"
+#include "src/http/http_message.h"
 
 namespace toucanknot::platform {
 
@@ -13,6 +15,8 @@
 // DecodeServer().
 std::string EncodeConfig(const RouteConfig& config);
 std::string EncodeServer(const ServerEntry& entry);
+// Adds the fields of a response in which a server states `notice`.
+void AddNotice(const ServerNotice& notice, HttpFields& fields);
 
 // The keys of these values.
 std::string ConfigKey();
