--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -15,6 +15,7 @@
 #include "include/routing/route_table.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/entry_metrics.h"
+#include "src/entry/fleet_reports.h"
 #include "src/entry/load_exchange.h"
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
@@ -40,17 +41,6 @@
 // carries, and requests that a core serves, both at about half of their limits.
 constexpr double kRequestsPerMbit = 5;
 constexpr double kRequestsPerCore = 1'000;
-// Crashes are repeated in sheets for this long, so that even the farthest of
-// 300 hosts gets each at least once.
-constexpr Duration kRepeatCrashesFor{10'000};
-// A notice repeats those of the time since the one before.
-constexpr Duration kNoticeCrashesFor{1'000};
-// Refused requests in one sheet; the next sheet has others.
-constexpr size_t kRefusedPerSheet = 4;
-// Reports of other hosts are dated back by the longest time that they spend on
-// the way, so that a request that completes meanwhile counts as completed
-// later.
-constexpr Duration kReportTransit{100};
 // Idle connections are closed only after this percentage of the limit, so that
 // the caller's next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
@@ -95,10 +85,6 @@
   }
   FleetStoreListener MakeListener();
   LoadExchange::Hooks ExchangeHooks();
-  // Adds to `sheet` what this host knows about requests that crash servers:
-  // what it saw since `since`, and some of the refused requests.
-  void AddCrashReports(LoadSheet& sheet, Instant since, Instant now);
-  void OnCrashReports(const LoadSheet& sheet, Instant now);
   void OnConfig(const RouteConfigPtr& config);
   void OnEvacuations(const std::set<ZoneId>& zones);
   void OnServerChange(ServerChange change,
@@ -130,8 +116,8 @@
   EntryMetrics metrics_;
   HostRoster roster_;
   RequestRunner runner_;
+  FleetReports reports_;
   LoadExchange load_exchange_;
-  uint64_t sheets_sent_ = 0;
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer directory_;
@@ -166,6 +152,7 @@
       roster_(OwnRecord(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, placement_queue_,
                connections_, crashes_, metrics_, placer_, *store_}),
+      reports_(settings_.host, incarnation_, placer_, crashes_),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
@@ -285,33 +272,11 @@
 
 LoadExchange::Hooks EntryDaemon::Impl::ExchangeHooks() {
   LoadExchange::Hooks hooks;
-  hooks.own_sheet = [this] {
-    const Instant now = SteadyNow();
-    LoadSheet sheet{
-        HostKey(settings_.host),  incarnation_, ++sheets_sent_,
-        placer_.OwnServerLoads(), {},           placer_.OwnDemands(now)};
-    AddCrashReports(sheet, now - kRepeatCrashesFor, now);
-    sheet.limits = placer_.OwnLimits(now);
-    return sheet;
-  };
-  hooks.notice = [this]() -> std::optional<LoadSheet> {
-    const bool crash_news = crashes_.TakeNews();
-    if (!placer_.TakeLimitNews() && !crash_news)
-      return std::nullopt;
-    const Instant now = SteadyNow();
-    LoadSheet sheet{HostKey(settings_.host), incarnation_,
-                    LoadSheet::kNoticeSequence};
-    AddCrashReports(sheet, now - kNoticeCrashesFor, now);
-    sheet.limits = placer_.OwnLimits(now);
-    return sheet;
-  };
+  hooks.own_sheet = [this] { return reports_.MakeSheet(SteadyNow()); };
+  hooks.notice = [this] { return reports_.MakeNotice(SteadyNow()); };
   hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
-    const Instant now = SteadyNow();
-    if (sheet.sequence != LoadSheet::kNoticeSequence)
-      placer_.OnPeerLoadSheet(sheet, now);
-    placer_.OnPeerLimits(sheet, now);
-    OnCrashReports(sheet, now);
+    reports_.Apply(sheet, SteadyNow());
   };
   hooks.peers = [this](bool near) {
     std::vector<Endpoint> peers = roster_.PeerAddresses(settings_.region, near);
@@ -322,35 +287,6 @@
   return hooks;
 }
 
-void EntryDaemon::Impl::AddCrashReports(LoadSheet& sheet,
-                                        Instant since,
-                                        Instant now) {
-  for (const CrashTracker::Crash& it : crashes_.OwnCrashesSince(since)) {
-    sheet.crashes.push_back(
-        {it.fingerprint, it.server, now - it.at, it.excused});
-  }
-  for (const CrashTracker::Verdict& it : crashes_.OwnCompletedSince(since))
-    sheet.completed.push_back({it.fingerprint, now - it.at});
-  for (const CrashTracker::Verdict& it :
-       crashes_.NextRefused(kRefusedPerSheet, now)) {
-    sheet.refused.push_back({it.fingerprint, now - it.at});
-  }
-}
-
-void EntryDaemon::Impl::OnCrashReports(const LoadSheet& sheet, Instant now) {
-  for (const LoadSheet::RequestReport& it : sheet.completed)
-    crashes_.RecordCompleted({it.fingerprint, now - it.age});
-  for (const LoadSheet::Crash& it : sheet.crashes) {
-    crashes_.RecordCrash(
-        {it.fingerprint, it.server, now - it.age - kReportTransit, it.excused},
-        now);
-  }
-  for (const LoadSheet::RequestReport& it : sheet.refused) {
-    crashes_.RecordRefused({it.fingerprint, now - it.age - kReportTransit},
-                           now);
-  }
-}
-
 void EntryDaemon::Impl::OnConfig(const RouteConfigPtr& config) {
   const uint64_t before = routes_.version();
   if (!routes_.Apply(config))
--- a/tests/placing/server_limit_test.cc
+++ b/tests/placing/server_limit_test.cc
@@ -21,6 +21,7 @@
 constexpr int64_t kSettledMs = 3'000;
 constexpr int64_t kReportEveryMs = 600;
 constexpr int kServers = 6;
+constexpr Incarnation kIncarnation = 1;
 
 // Hosts that send requests to servers of one service, the first of which names
 // a limit in its responses.
@@ -141,7 +142,7 @@
     entry.service = ServiceId("s");
     entry.zone = ZoneId("z");
     entry.slots = 200;
-    entry.incarnation = 1;
+    entry.incarnation = kIncarnation;
     return entry;
   }
 
@@ -189,6 +190,8 @@
       if (it.ends_at > now_)
         return false;
       it.host->placer.Finish(it.result, now_);
+      if (it.result.notice->leaving)
+        it.host->registry.OnLeavingResponse(it.result.server, kIncarnation);
       return true;
     });
   }
@@ -298,6 +301,25 @@
   CHECK_FALSE(limits.LimitOf(1));
 }
 
+TEST_CASE("no host sends to a server after it has told that host it leaves") {
+  Fleet::Options options;
+  options.hosts = GENERATE(1, 7, 60);
+  options.objects = GENERATE(0, 20);
+  Fleet fleet(options);
+  fleet.Run(Duration(2'000));
+  ServerNotice notice;
+  notice.leaving = true;
+  fleet.SetNotice(notice);
+  // Every host hears of it, then the server says no more.
+  fleet.Run(Duration(2'000));
+  fleet.SetNotice({});
+  const Instant heard = fleet.now();
+  const int before = fleet.refused();
+  fleet.Run(Duration(20'000));
+  CHECK(fleet.Arrived(heard, fleet.now()) == 0);
+  CHECK(fleet.refused() == before);
+}
+
 TEST_CASE("a server that asked for a pause gets nothing until it ends") {
   ServerEntry entry;
   entry.id = ServerId("i-0");
