--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMaxResponseBytes = 20'000;
 // How often a waiting request checks for a free slot.
 constexpr Duration kSlotPollInterval{5};
+// Longer than a server takes to crash.
+constexpr Duration kCrashTime{500};
 // Deadline of requests that carry none.
 constexpr int64_t kDefaultDeadlineMs = 10'000;
 
@@ -132,10 +134,11 @@
   const Incarnation started_incarnation = options_.entry.incarnation;
   checker_.OnRun(id,
                  RequestDigest(request.method, request.target, request.body));
-  // After a crash, the response finds its connection reset.
-  if (request.target.find(kCrashingTarget) != std::string::npos &&
-      on_crashing_request_(request.target, id)) {
-    co_return NotRunResponse(500, id);
+  if (request.target.find(kCrashingTarget) != std::string::npos) {
+    if (on_crashing_request_(request.target, id))
+      co_await SleepFor(kCrashTime);
+    // After a crash, the response finds its connection reset.
+    co_return NotRunResponse(503, id);
   }
   ++running_;
   std::exponential_distribution<double> run_time(
