entry: a status that promises 'not run' needs the server's statement

Callers take 408, 429 and 503 as a promise that a request has not run.

Such a response counts as not valid: the caller gets 502. The test got the server's own status before, for all three. Fields in which a server states that it leaves, pauses or limits requests still count, as long as the response is to this request.

--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -60,6 +60,11 @@
   return Hash(request.body, hash);
 }
 
+// Whether callers take the status as a promise that the request did not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 429 || status == 503;
+}
+
 // Parses "running,waiting,slots".
 bool ParseLoad(std::string_view text, PlacedAttemptResult& out) {
   const size_t first = text.find(',');
@@ -353,9 +358,13 @@
     return ServerAttemptEnd::kMisdirected;
   if (response.fields.Has(parts_.names.not_run))
     return ServerAttemptEnd::kRefused;
-  // Only backend servers of the platform stamp their responses.
-  if (!response.fields.Has(parts_.names.stamp))
+  // Only backend servers of the platform stamp their responses. One that states
+  // with its status alone that it did not run the request may have run it, and
+  // the caller would repeat it.
+  if (!response.fields.Has(parts_.names.stamp) ||
+      PromisesNotRun(response.status)) {
     return ServerAttemptEnd::kBroken;
+  }
   return response.status >= 500 ? ServerAttemptEnd::kFailed
                                 : ServerAttemptEnd::kAnswered;
 }
@@ -372,7 +381,7 @@
   result.took = took;
   result.connect_took = attempt.connect_took;
   ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
-  result.notice = NoticeOf(attempt);
+  result.notice = NoticeOf(run, attempt);
   if (result.notice && result.notice->leaving)
     parts_.registry.OnLeavingResponse(placement.server, incarnation);
   const std::optional<double> limit = parts_.placer.LimitOf(placement.server);
@@ -405,16 +414,20 @@
 }
 
 std::optional<ServerNotice> RequestRunner::NoticeOf(
+    const Run& run,
     const Attempt& attempt) const {
-  const bool own_response = attempt.end == ServerAttemptEnd::kAnswered ||
-                            attempt.end == ServerAttemptEnd::kFailed ||
-                            attempt.end == ServerAttemptEnd::kRefused;
-  if (!own_response || !parts_.names.read_notice)
+  const HttpFields& fields = attempt.response.fields;
+  // The response may belong to another request if its connection broke later.
+  const bool own_response =
+      fields.Get(parts_.names.request_id) == run.id &&
+      (fields.Has(parts_.names.stamp) || fields.Has(parts_.names.not_run));
+  if (!own_response || attempt.end == ServerAttemptEnd::kMisdirected ||
+      !parts_.names.read_notice) {
     return std::nullopt;
-  const HttpResponse& response = attempt.response;
+  }
   return parts_.names.read_notice(
-      response.status,
-      [&response](std::string_view name) { return response.fields.Get(name); });
+      attempt.response.status,
+      [&fields](std::string_view name) { return fields.Get(name); });
 }
 
 void RequestRunner::Avoid(Run& run,
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -124,7 +124,8 @@
   void LogLimitChange(const ServerId& server,
                       std::optional<double> before) const;
   // What the server stated in its response, if it sent one.
-  std::optional<ServerNotice> NoticeOf(const Attempt& attempt) const;
+  std::optional<ServerNotice> NoticeOf(const Run& run,
+                                       const Attempt& attempt) const;
   // Excludes a server from further attempts, depending on how the attempt
   // ended.
   static void Avoid(Run& run, const ServerId& server, ServerAttemptEnd end);
--- a/tests/entry/misbehaving_server_test.cc
+++ b/tests/entry/misbehaving_server_test.cc
@@ -95,4 +95,21 @@
   CHECK(leaving.arrivals == 1);
 }
 
+TEST_CASE("a status that promises not run is not passed on without its proof") {
+  const int status = GENERATE(408, 429, 503);
+  EntryFixture it;
+  it.Configure();
+  TestServer server([&](const HttpRequest& request) {
+    HttpResponse response = TestServer::Ran(request, "ran");
+    response.status = status;
+    return response;
+  });
+  it.AddServer("a", server.endpoint());
+  const std::string out = it.Fetch("/once/a");
+  INFO(out);
+  CHECK(Status(out) == "502");
+  CHECK(out.find("X-Stamp") == std::string::npos);
+  CHECK(server.arrivals == 1);
+}
+
 }  // namespace toucanknot
