--- a/include/placing/server_limits.h
+++ b/include/placing/server_limits.h
@@ -22,6 +22,7 @@
   static constexpr Duration kStaleAfter{10'000};
   // How long a host reports what it has heard itself.
   static constexpr Duration kReportFor{10'000};
+  static constexpr size_t kMaxReported = 100;
   // Limits and pauses remembered; the limit heard of least recently, or the
   // pause that ends first, is evicted first.
   static constexpr size_t kMaxServers = 4'096;
@@ -48,7 +49,8 @@
   Instant PausedUntil(uint32_t server) const;
   // When any host last heard the server name its limit.
   std::optional<Instant> HeardAt(uint32_t server) const;
-  // What this host has heard itself within kReportFor.
+  // What this host has heard itself within kReportFor, the latest kMaxReported
+  // of it.
   std::vector<Statement> OwnStatements(Instant now) const;
   // Whether this host heard a change since the last call.
   bool TakeNews();
--- a/src/placing/server_limits.cc
+++ b/src/placing/server_limits.cc
@@ -79,6 +79,12 @@
     if (it.own_at && now - *it.own_at <= kReportFor)
       out.push_back({server, it.limit, it.at});
   }
+  if (out.size() > kMaxReported) {
+    std::nth_element(
+        out.begin(), out.begin() + kMaxReported, out.end(),
+        [](const Statement& a, const Statement& b) { return a.at > b.at; });
+    out.resize(kMaxReported);
+  }
   return out;
 }
 
--- a/src/placing/server_load.cc
+++ b/src/placing/server_load.cc
@@ -22,6 +22,8 @@
 constexpr Duration kWarmFor{30'000};
 constexpr size_t kMaxWarmObjects = 4'096;
 constexpr double kMsPerSecond = 1'000;
+// Less is no rate.
+constexpr double kMinPacedRate = 0.001;
 
 double Fade(Duration age, double fade_ms) {
   return std::exp(-static_cast<double>(age.ms()) / fade_ms);
@@ -91,7 +93,7 @@
 }
 
 Instant ServerLoad::NextPacedSend(double rate) const {
-  if (rate <= 0)
+  if (rate < kMinPacedRate)
     return Instant::Never();
   if (last_paced_send_ == Instant())
     return last_paced_send_;
--- a/tests/placing/server_limit_test.cc
+++ b/tests/placing/server_limit_test.cc
@@ -301,6 +301,31 @@
   CHECK_FALSE(limits.LimitOf(1));
 }
 
+TEST_CASE("reports of very many limits fit into a datagram") {
+  ServerLimits limits;
+  ServerNotice notice;
+  for (uint32_t it = 0; it < 1'000; ++it) {
+    notice.limit = it;
+    limits.OnNotice(it, notice, Instant(0), Instant(1'000 + it));
+  }
+  const auto own = limits.OwnStatements(Instant(2'000));
+  REQUIRE(own.size() == ServerLimits::kMaxReported);
+  for (const ServerLimits::Statement& it : own)
+    CHECK(it.server >= 1'000 - ServerLimits::kMaxReported);
+}
+
+TEST_CASE("a limit next to zero is none at all") {
+  Fleet::Options options;
+  options.limit = 1e-300;
+  Fleet fleet(options);
+  ServerNotice notice;
+  notice.limit = options.limit;
+  fleet.SetNotice(notice);
+  fleet.Run(Duration(20'000));
+  CHECK(fleet.MostArrived(Instant(kStart + kSettledMs)) <=
+        Fleet::MaxAllowed(0));
+}
+
 TEST_CASE("no host sends to a server after it has told that host it leaves") {
   Fleet::Options options;
   options.hosts = GENERATE(1, 7, 60);
