--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -1,7 +1,6 @@
 #include "src/entry/request_runner.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -10,12 +9,12 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <boost/system/system_error.hpp>
-#include <charconv>
 #include <memory>
 #include <utility>
 
 #include "include/placing/retry_after.h"
 #include "src/entry/decision_log.h"
+#include "src/entry/request_fields.h"
 
 namespace toucanknot {
 namespace {
@@ -38,49 +37,6 @@
 // for sliding windows and the hosts count in steps.
 constexpr double kRetryShare = 0.85;
 
-std::optional<int64_t> ParseInteger(std::string_view text) {
-  int64_t n = 0;
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), n);
-  if (ec != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return n;
-}
-
-uint64_t Hash(std::string_view text, uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-// Equal for all copies of a request, whoever sends them: a caller's address
-// changes with its connection, and a server crashes on what it receives.
-uint64_t FingerprintOf(const HttpRequest& request) {
-  uint64_t hash = Hash(request.method, 0);
-  hash = Hash(request.fields.Get("Host"), hash);
-  hash = Hash(request.target, hash);
-  return Hash(request.body, hash);
-}
-
-// Whether callers take the status as a promise that the request did not run.
-bool PromisesNotRun(int status) {
-  return status == 408 || status == 429 || status == 503;
-}
-
-// Parses "running,waiting,slots".
-bool ParseLoad(std::string_view text, PlacedAttemptResult& out) {
-  const size_t first = text.find(',');
-  const size_t second = text.find(',', first + 1);
-  if (first == std::string_view::npos || second == std::string_view::npos)
-    return false;
-  const auto running = ParseInteger(text.substr(0, first));
-  const auto waiting = ParseInteger(text.substr(first + 1, second - first - 1));
-  if (!running || !waiting)
-    return false;
-  out.reported = true;
-  out.running = static_cast<int>(*running);
-  out.waiting = static_cast<int>(*waiting);
-  return true;
-}
-
 }  // namespace
 
 RequestRunner::RequestRunner(const Parts& parts) : parts_(parts) {}
@@ -216,7 +172,7 @@
   placement_request.service = service;
   if (!object.empty())
     placement_request.object =
-        std::max<uint64_t>(Hash(object, Hash(route.name, 0)), 1);
+        std::max<uint64_t>(HashText(object, HashText(route.name, 0)), 1);
   placement_request.target = began + route.target_latency;
   placement_request.deadline = began + route.timeout - kResponseMargin;
   return placement_request;
@@ -278,7 +234,7 @@
   options.deadline = run.deadline;
   options.silent_after = kSilentAfter;
   options.max_answer_bytes = kMaxResponseBytes;
-  options.id_hash = Hash(run.id, 0);
+  options.id_hash = HashText(run.id, 0);
   options.is_own_response = [&run, this](const HttpResponse& response) {
     return response.fields.Get(parts_.names.request_id) == run.id;
   };
