--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -138,8 +139,9 @@
   if (pid < 0)
     std::exit(2);
   if (pid == 0) {
-    const int fd =
-        ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // The host must not outlive a case that was ended.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(fd, STDOUT_FILENO);
     ::dup2(fd, STDERR_FILENO);
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
@@ -259,8 +261,7 @@
   pollfd poll_fd{fd_, POLLIN, 0};
   error = 0;
   timed_out = false;
-  if (limit_ms <= 0 ||
-      ::poll(&poll_fd, 1, static_cast<int>(limit_ms)) != 1) {
+  if (limit_ms <= 0 || ::poll(&poll_fd, 1, static_cast<int>(limit_ms)) != 1) {
     timed_out = true;
     return false;
   }
@@ -327,10 +328,11 @@
 }
 
 std::string RequestText(const Call& call) {
-  std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " +
-                     kHostName + "\r\nToucanknot-Attempt-Id: " + call.id +
-                     "\r\nToucanknot-Deadline-Ms: " +
-                     std::to_string(call.deadline_ms) + "\r\n";
+  std::string text =
+      call.method + " " + call.target + " HTTP/1.1\r\nHost: " + kHostName +
+      "\r\nToucanknot-Attempt-Id: " + call.id +
+      "\r\nToucanknot-Deadline-Ms: " + std::to_string(call.deadline_ms) +
+      "\r\n";
   if (call.method != "GET")
     text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
   return text + "\r\n" + call.body;
