--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,15 +1,19 @@
 #!/usr/bin/env bash
-# Runs the program of one case: run_case.sh FOLDER PROGRAM. Exits with 0 if the
-# rule held, 1 if it was broken, 2 if the case could not run.
-folder=$(cd "$1" && pwd)
+# Runs the program of one case: run_case.sh RECORD PROGRAM. The program reads
+# TROUBLE and writes the file RECORD. Exits with 0 if the rule held, 1 if it was
+# broken, 2 if the case could not run.
+record=$1
+program=review/bin/$2
 cd "$(dirname "$0")/.."
-if [ ! -x target/toucanknot-entry ] || [ ! -x "review/bin/$2" ]; then
+rm -f "$record"
+if [ ! -x target/toucanknot-entry ] || [ ! -x "$program" ]; then
   echo "build the system and review/build.sh first" >&2
   exit 2
 fi
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-timeout -k 2 115 "review/bin/$2" "$folder/record.txt" "$scratch"
+timeout -k 2 115 "$program" "$record" "$scratch"
 status=$?
 [ "$status" -le 1 ] || status=2
+[ -s "$record" ] || status=2
 exit "$status"
