--- a/include/base/ids.h
+++ b/include/base/ids.h
@@ -39,6 +39,8 @@
 using ServiceId = Id<struct ServiceTag>;
 // A backend server.
 using ServerId = Id<struct ServerTag>;
+// A customer of an installation.
+using WorkspaceId = Id<struct WorkspaceTag>;
 
 // Identifies one run of a process. Every restart gets a new value, which
 // differs from all earlier ones on the same host, and is greater than them
--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -49,6 +49,18 @@
   double retry_ratio = 0.2;
   double retry_slack = 0;
   Duration retry_window{10'000};
+  // If set, a request whose API key was removed from the configuration does not
+  // run when it was sent later than this after the removal.
+  std::optional<Duration> revoke_within;
+  // Tolerance of the usage caps of workspaces: in any span of `cap_window`, the
+  // runs of a workspace over all hosts may exceed its cap by a fraction and a
+  // constant number.
+  Duration cap_window{5'000};
+  double cap_over = 0.1;
+  double cap_slack = 20;
+  // File descriptors that the process may use; 0 means the limit of the
+  // process.
+  int64_t max_descriptors = 0;
 };
 
 // Throws InvalidConfigError listing every problem; `source` names the text in
--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -32,6 +32,11 @@
   // Decodes what the server states in a response with that status. If null, it
   // states nothing.
   std::function<ServerNotice(int status, const FieldReader& field)> read_notice;
+  // The API key of the caller's workspace. Never forwarded to servers.
+  std::string api_key;
+  // The name of the caller's workspace, set by the host for the server whatever
+  // the caller sent.
+  std::string workspace;
   // Path of the directory.
   std::string lookup_path;
   // Query parameters with the region and the availability zone of the caller.
--- a/include/routing/route_config.h
+++ b/include/routing/route_config.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,11 @@
   std::vector<RouteTarget> targets;
   // Regions in which the request may run; empty means all.
   std::vector<RegionId> allowed_regions;
+  // Whether requests need no API key, although the configuration has
+  // workspaces.
+  bool is_public = false;
+  // Whether responses are large (downloads). Such requests are idempotent.
+  bool large_responses = false;
 
   bool operator==(const Route&) const = default;
 };
@@ -69,6 +75,23 @@
   bool operator==(const ServiceOptions&) const = default;
 };
 
+// A customer of the installation, known by the API keys of its callers.
+struct Workspace {
+  WorkspaceId id;
+  // Secrets: they never appear in logs, metrics, errors or messages.
+  std::vector<std::string> api_keys;
+  // Takes precedence over the priority of the route.
+  std::optional<int> priority;
+  // Usage cap over all hosts: requests a second, and the size of a burst above
+  // that. A rate of 0 means no cap.
+  double rate = 0;
+  double burst = 0;
+  // Regions in which its requests may run; empty means all.
+  std::vector<RegionId> allowed_regions;
+
+  bool operator==(const Workspace&) const = default;
+};
+
 // Limits on requests of callers.
 struct CallerLimits {
   uint32_t max_header_bytes = 16 << 10;
@@ -87,6 +110,8 @@
   uint64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceId, ServiceOptions> services;
+  // If there are none, requests need no API key. No key occurs twice.
+  std::vector<Workspace> workspaces;
   CallerLimits limits;
 };
 
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -19,6 +19,7 @@
 constexpr double kMaxLink = 1e7;
 constexpr double kMaxCores = 1'024;
 constexpr int64_t kMaxPort = 65'535;
+constexpr int64_t kMaxDescriptors = 1 << 30;
 // A year; sums of a time and a duration below it do not overflow.
 constexpr double kMaxDurationMs = 365.0 * 24 * 3'600 * 1'000;
 
@@ -94,6 +95,13 @@
   out.retry_ratio = in.Number("retry_ratio", 0, 1, out.retry_ratio);
   out.retry_slack = in.Number("retry_slack", 0, kMaxRetries, out.retry_slack);
   out.retry_window = Time(in, "retry_window", out.retry_window);
+  if (in.Member("revoke_within") != nullptr)
+    out.revoke_within = Time(in, "revoke_within", Duration(0));
+  out.cap_window = Time(in, "cap_window", out.cap_window);
+  out.cap_over = in.Number("cap_over", 0, 1, out.cap_over);
+  out.cap_slack = in.Number("cap_slack", 0, kMaxRetries, out.cap_slack);
+  out.max_descriptors =
+      in.Integer("max_descriptors", 0, kMaxDescriptors, out.max_descriptors);
   in.Finish();
   if (!problems.empty())
     throw InvalidConfigError(source, std::move(problems));
--- a/tests/platform/platform_texts.cc
+++ b/tests/platform/platform_texts.cc
@@ -11,18 +11,43 @@
   return std::to_string(d.ms()) + "ms";
 }
 
+json::array Array(const std::vector<RegionId>& regions) {
+  json::array out;
+  for (const RegionId& it : regions)
+    out.emplace_back(it.str());
+  return out;
+}
+
+json::object WorkspaceObject(const Workspace& workspace) {
+  json::object out{{"api_keys", json::value_from(workspace.api_keys)},
+                   {"rate_per_s", workspace.rate},
+                   {"burst", workspace.burst},
+                   {"allowed_regions", Array(workspace.allowed_regions)}};
+  if (workspace.priority)
+    out["priority"] = *workspace.priority;
+  return out;
+}
+
+std::string KindOf(const Route& route) {
+  if (route.large_responses)
+    return "download";
+  return route.kind == RequestKind::kIdempotent ? "safe" : "unsafe";
+}
+
 json::object RouteObject(const Route& route) {
   json::array parts;
   for (const RouteTarget& it : route.targets)
     parts.push_back({{"service", it.service.str()}, {"weight", it.weight}});
   return {{"host", route.host_name},
           {"prefix", route.prefix},
-          {"kind", route.kind == RequestKind::kIdempotent ? "safe" : "unsafe"},
+          {"kind", KindOf(route)},
           {"timeout", Time(route.timeout)},
           {"target_latency", Time(route.target_latency)},
           {"priority", route.priority},
           {"attempts", route.attempts},
           {"sticky_sessions", route.sticky},
+          {"public", route.is_public},
+          {"allowed_regions", Array(route.allowed_regions)},
           {"backends", std::move(parts)}};
 }
 
@@ -42,11 +67,15 @@
                      {"cold_start", Time(options.cold_start)},
                      {"cold_per_s", options.cold_rate}};
   }
+  json::object tenants;
+  for (const Workspace& it : config.workspaces)
+    tenants[it.id.str()] = WorkspaceObject(it);
   const CallerLimits& limits = config.limits;
   return json::serialize(
       json::value{{"version", "r" + std::to_string(config.version)},
                   {"routes", std::move(routes)},
                   {"services", std::move(services)},
+                  {"tenants", std::move(tenants)},
                   {"limits",
                    {{"max_header_bytes", limits.max_header_bytes},
                     {"max_body_bytes", limits.max_body_bytes},
--- a/tests/platform/wire_decoder_test.cc
+++ b/tests/platform/wire_decoder_test.cc
@@ -72,6 +72,37 @@
   CHECK_THROWS_AS(DecodeConfig(WithReplacement(kConfig, what, with)), Error);
 }
 
+TEST_CASE("downloads may be repeated and are marked as large") {
+  const RouteConfigPtr config =
+      DecodeConfig(WithReplacement(kConfig, "\"unsafe\"", "\"download\""));
+  CHECK(config->routes[1].kind == RequestKind::kIdempotent);
+  CHECK(config->routes[1].large_responses);
+  CHECK_FALSE(config->routes[0].large_responses);
+}
+
+// A key that two workspaces hold would let one act as the other.
+TEST_CASE("workspaces are decoded, a key of two of them is rejected") {
+  const std::string text =
+      WithReplacement(kConfig, "\"limits\"",
+                      R"("tenants":{"a":{"api_keys":["k1","k1"],"priority":1,
+        "rate_per_s":769,"burst":50.5,"allowed_regions":["here"],"more":[]},
+        "b":{"api_keys":["k2"]}},"limits")");
+  const RouteConfigPtr config = DecodeConfig(text);
+  REQUIRE(config->workspaces.size() == 2);
+  const Workspace& a = config->workspaces[0];
+  CHECK(a.id == WorkspaceId("a"));
+  CHECK(a.priority == 1);
+  CHECK(a.rate == 769);
+  CHECK(a.burst == 50.5);
+  CHECK(a.allowed_regions == std::vector{RegionId("here")});
+  CHECK_FALSE(config->workspaces[1].priority);
+  CHECK(config->workspaces[1].rate == 0);
+  CHECK_THROWS_AS(DecodeConfig(WithReplacement(text, "\"k2\"", "\"k1\"")),
+                  Error);
+  CHECK_THROWS_AS(DecodeConfig(WithReplacement(text, "[\"k2\"]", "\"k2\"")),
+                  Error);
+}
+
 TEST_CASE("requests of an unknown kind must run only once") {
   const RouteConfigPtr config =
       DecodeConfig(WithReplacement(kConfig, "\"safe\"", "\"keyed\""));
