--- a/include/base/clock.h
+++ b/include/base/clock.h
@@ -78,6 +78,10 @@
 // The process's monotonic clock.
 Instant SteadyNow();
 
+// A monotonic clock that, unlike SteadyNow(), also counts the time for which
+// the machine was suspended. Its instants must not be mixed with SteadyNow()'s.
+Instant BootNow();
+
 // Milliseconds since the Unix epoch. Used for output and for the expiry of
 // exceptions, never where correctness depends on it, because the clock may be
 // set.
--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -2,6 +2,7 @@
 #define INCLUDE_ENTRY_FLEET_STORE_H_
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,6 +39,9 @@
   uint64_t malformed_items = 0;
   // When the store last responded to this host.
   Instant last_response_at;
+  // When, on BootNow()'s clock, the host sent the last read of the store that
+  // completed: it knows of all changes until then. Empty before the first one.
+  std::optional<Instant> proven_at;
 };
 
 // The platform's store as used by an entry host. All methods return at once;
--- a/include/memory/memory_account.h
+++ b/include/memory/memory_account.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <utility>
 
 #include "include/base/enum_names.h"
@@ -69,12 +70,12 @@
 class MemoryReservation {
  public:
   MemoryReservation() = default;
-  // `account` must outlive the reservation; null for no account.
-  MemoryReservation(MemoryAccount* account, MemoryUse use)
-      : account_(account), use_(use) {}
+  // Null for no account.
+  MemoryReservation(std::shared_ptr<MemoryAccount> account, MemoryUse use)
+      : account_(std::move(account)), use_(use) {}
   ~MemoryReservation() { Reset(); }
   MemoryReservation(MemoryReservation&& other) noexcept
-      : account_(other.account_),
+      : account_(std::move(other.account_)),
         use_(other.use_),
         bytes_(std::exchange(other.bytes_, 0)) {}
   MemoryReservation& operator=(MemoryReservation&& other) noexcept;
@@ -86,7 +87,7 @@
   int64_t bytes() const { return bytes_; }
 
  private:
-  MemoryAccount* account_ = nullptr;
+  std::shared_ptr<MemoryAccount> account_;
   MemoryUse use_ = MemoryUse::kRequestHead;
   int64_t bytes_ = 0;
 };
--- a/include/placing/peer_loads.h
+++ b/include/placing/peer_loads.h
@@ -51,6 +51,14 @@
 
     bool operator==(const Limit&) const = default;
   };
+  // Requests of a workspace (its WorkspaceKey()) within the window of its cap.
+  struct Usage {
+    uint32_t workspace = 0;
+    int admitted = 0;
+    int offered = 0;
+
+    bool operator==(const Usage&) const = default;
+  };
   // Slots of a service (its ServiceKey()) that the host's own callers need on
   // average.
   struct Demand {
@@ -73,6 +81,10 @@
   std::vector<RequestReport> completed;
   std::vector<RequestReport> refused;
   std::vector<Limit> limits;
+  // A report of all usages, if `usage_sequence` is not 0; see UsageReport.
+  uint64_t usage_sequence = 0;
+  Duration usage_covers;
+  std::vector<Usage> usages;
 
   bool operator==(const LoadSheet&) const = default;
 };
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -57,6 +57,11 @@
   std::vector<ServerId> avoid;
   // Whether its caller was refused before and has come back.
   bool returned = false;
+  // Take the place of the route's, if set.
+  std::optional<int> priority;
+  std::optional<std::vector<RegionId>> allowed_regions;
+  // WorkspaceKey() of its workspace; 0 if it has none.
+  uint32_t workspace = 0;
 };
 
 enum class PlacementStep { kSend, kWait, kRefuse };
--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -1,5 +1,7 @@
 #include "include/base/clock.h"
 
+#include <time.h>
+
 #include <chrono>
 
 namespace toucanknot {
@@ -18,6 +20,14 @@
   return Instant(MillisOf(std::chrono::steady_clock::now()));
 }
 
+Instant BootNow() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr int64_t kMsPerSecond = 1'000;
+  constexpr int64_t kNsPerMs = 1'000'000;
+  return Instant(now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs);
+}
+
 int64_t UnixMillis() {
   return MillisOf(std::chrono::system_clock::now());
 }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -11,14 +11,18 @@
 
 #include "include/entry/host_roster.h"
 #include "include/health/crash_tracker.h"
+#include "include/limits/usage_caps.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
+#include "include/workspaces/access_control.h"
 #include "src/entry/decision_log.h"
+#include "src/entry/descriptor_budget.h"
 #include "src/entry/entry_metrics.h"
 #include "src/entry/fleet_reports.h"
 #include "src/entry/load_exchange.h"
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
+#include "src/entry/usage_sheets.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
 #include "src/http/one_shot.h"
@@ -31,8 +35,13 @@
 
 // Interval for checking grace periods and the host count.
 constexpr Duration kTickInterval = ServerRegistry::kAdvanceEvery;
-// The log's rate limit works in seconds.
-constexpr int kTicksPerLogSecond = 10;
+constexpr int kTicksPerSecond = 10;
+// Connections to servers that state no limit are closed after this time.
+constexpr Duration kMaxIdle{60'000};
+// Percentages of the descriptors for callers: a host that has used up the first
+// accepts new callers again below the second.
+constexpr int64_t kFullPercent = 97;
+constexpr int64_t kFreePercent = 85;
 // Callers that cached a lookup learn of a leaving host within this time, two
 // lifetimes of a lookup; until then its listener stays open.
 constexpr Duration kLeaveNotice{2'500};
@@ -58,12 +67,25 @@
   return std::max<int64_t>(1, static_cast<int64_t>(requests));
 }
 
-HttpServerLimits LimitsOf(const EntrySettings& settings) {
+HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
   HttpServerLimits limits;
+  limits.max_connections = connections;
   limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryDivisor;
   return limits;
 }
 
+HttpServerLimits SmallLimits(int connections) {
+  HttpServerLimits limits;
+  limits.max_connections = connections;
+  return limits;
+}
+
+UsageCaps::Options CapOptions(const EntrySettings& settings,
+                              Incarnation incarnation) {
+  return {settings.cap_window, settings.cap_over, settings.cap_slack,
+          HostKey(settings.host), incarnation};
+}
+
 }  // namespace
 
 // All members are used on the loop after Start(), except for the worker pool.
@@ -93,7 +115,13 @@
   asio::awaitable<void> Tick();
   asio::awaitable<void> FinishStop();
   // Whether this host accepts new callers.
-  bool Ready() const { return configured_ && servers_known_ && !leaving_; }
+  bool Ready() const {
+    return configured_ && servers_known_ && !leaving_ && !full_;
+  }
+  // Notes whether connections of callers use up their descriptors.
+  void UpdateFull();
+  // Notes whether requests with API keys can be served.
+  void UpdateProven();
   void UpdateReady();
   HttpResponse HandleReadiness(const HttpRequest& request) const;
   HttpResponse HandleLookup(const HttpRequest& request) const;
@@ -104,10 +132,13 @@
   EntrySettings settings_;
   const EntryWire names_;
   const Incarnation incarnation_;
+  const DescriptorBudget descriptors_;
   WorkerPool workers_;
   asio::io_context& loop_;
   std::unique_ptr<FleetStore> store_;
   RouteTable routes_;
+  UsageCaps caps_;
+  AccessControl access_;
   ServerRegistry registry_;
   Placer placer_;
   PlacementQueue placement_queue_;
@@ -127,6 +158,8 @@
   bool servers_known_ = false;
   bool leaving_ = false;
   bool ready_ = false;
+  bool full_ = false;
+  bool proven_ = true;
   std::promise<bool> stopped_;
 };
 
@@ -136,9 +169,14 @@
     : settings_(std::move(settings)),
       names_(std::move(names)),
       incarnation_(static_cast<Incarnation>(UnixMillis())),
+      descriptors_(DivideDescriptors(settings_.max_descriptors)),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
+      caps_(CapOptions(settings_, incarnation_), SteadyNow()),
+      access_({settings_.revoke_within,
+               [this] { return store_->counts().proven_at; }},
+              caps_),
       registry_(
           [this](ServerChange change, const ServerRegistry::Server& server) {
             OnServerChange(change, server);
@@ -151,29 +189,29 @@
       connections_(loop_),
       roster_(OwnRecord(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, placement_queue_,
-               connections_, crashes_, metrics_, placer_, *store_}),
+               connections_, crashes_, metrics_, placer_, *store_, access_}),
       reports_(settings_.host, incarnation_, placer_, crashes_),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
-          LimitsOf(settings_),
+          LimitsOf(settings_, descriptors_.callers),
           [this](std::string_view) { return max_body_bytes_; },
           [this](HttpRequest request) {
             return runner_.Handle(std::move(request));
           }),
       readiness_(
           workers_,
-          {},
+          SmallLimits(descriptors_.readiness),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleReadiness)),
       directory_(
           workers_,
-          {},
+          SmallLimits(descriptors_.directory),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleLookup)),
       metrics_server_(
           workers_,
-          {},
+          SmallLimits(descriptors_.metrics),
           [](std::string_view) { return uint64_t{0}; },
           [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
             co_return HandleMetrics(request);
@@ -193,6 +231,7 @@
 void EntryDaemon::Impl::Start() {
   connections_.set_max_buffered_bytes(settings_.memory_bytes /
                                       kBodyMemoryDivisor);
+  connections_.set_max_connections(static_cast<size_t>(descriptors_.servers));
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
         routes_.Find(request.fields.Get("Host"), request.target);
@@ -277,6 +316,13 @@
   hooks.crowded = [this] { return placer_.crowded(SteadyNow()); };
   hooks.on_sheet = [this](const LoadSheet& sheet) {
     reports_.Apply(sheet, SteadyNow());
+    if (const std::optional<UsageReport> report = UsageReportOf(sheet))
+      caps_.OnReport(*report, SteadyNow());
+  };
+  hooks.usage = [this]() -> std::optional<LoadSheet> {
+    if (!caps_.active())
+      return std::nullopt;
+    return ToSheet(caps_.MakeReport(SteadyNow()));
   };
   hooks.peers = [this](bool near) {
     std::vector<Endpoint> peers = roster_.PeerAddresses(settings_.region, near);
@@ -295,6 +341,8 @@
                        {"before", before},
                        {"routes", config->routes.size()}});
   placer_.OnConfig(config);
+  access_.OnConfig(config);
+  runner_.OnConfig(*config);
   max_body_bytes_ = config->limits.max_body_bytes;
   callers_.SetTimeouts(config->limits.idle_timeout * kIdlePercent / 100,
                        config->limits.header_timeout);
@@ -322,8 +370,10 @@
              {"zone", server.entry.zone.str()},
              {"cold_ms", std::max<int64_t>((server.cold_until - now).ms(), 0)},
              {"seen_ms_ago", (now - server.seen_at).ms()}});
-  if (change == ServerChange::kRestarted || change == ServerChange::kGone)
+  if (change == ServerChange::kRestarted || change == ServerChange::kGone) {
     placer_.ForgetServer(server.entry.id);
+    connections_.CloseIdleTo(server.entry.endpoint);
+  }
 }
 
 void EntryDaemon::Impl::OnStoreUnreachable(bool unreachable) {
@@ -338,7 +388,7 @@
   if (ready == ready_)
     return;
   ready_ = ready;
-  roster_.SetSelfReady(ready);
+  roster_.SetSelfReady(ready && proven_);
   LogChange("ready", {{"ready", ready}});
   if (ready)
     store_->Publish(OwnRecord());
@@ -346,6 +396,26 @@
     store_->Withdraw();
 }
 
+void EntryDaemon::Impl::UpdateFull() {
+  const int64_t percent =
+      callers_.OpenConnections() * 100 / descriptors_.callers;
+  const bool full = percent >= (full_ ? kFreePercent : kFullPercent);
+  if (full == full_)
+    return;
+  full_ = full;
+  LogChange("callers_full", {{"full", full}, {"most", descriptors_.callers}});
+  UpdateReady();
+}
+
+void EntryDaemon::Impl::UpdateProven() {
+  const bool proven = access_.IsProven(BootNow());
+  if (proven == proven_)
+    return;
+  proven_ = proven;
+  LogChange("keys_proven", {{"proven", proven}, {"config", routes_.version()}});
+  roster_.SetSelfReady(ready_ && proven_);
+}
+
 asio::awaitable<void> EntryDaemon::Impl::Tick() {
   for (int tick = 1;; ++tick) {
     co_await SleepFor(kTickInterval);
@@ -357,9 +427,15 @@
     placer_.SetHostCount(hosts);
     placer_.SetHosts(roster_.FleetHosts());
     runner_.SetHostCount(hosts);
+    caps_.SetHostCount(hosts);
+    caps_.Tick(now);
+    UpdateProven();
+    UpdateFull();
     placement_queue_.Wake();
-    if (tick % kTicksPerLogSecond == 0)
+    if (tick % kTicksPerSecond == 0) {
+      connections_.CloseIdle(kMaxIdle);
       FlushDecisionLog();
+    }
   }
 }
 
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -82,6 +82,30 @@
   return out;
 }
 
+void EncodeUsages(const LoadSheet& sheet, wire::LoadSheet& out) {
+  for (const LoadSheet::Usage& it : sheet.usages) {
+    out.usage_workspaces.push_back(static_cast<int32_t>(it.workspace));
+    out.usage_admitted.push_back(it.admitted);
+    out.usage_offered.push_back(it.offered);
+  }
+  out.__isset.usage_workspaces = true;
+  out.__isset.usage_admitted = true;
+  out.__isset.usage_offered = true;
+  out.__set_usage_covers_ms(EncodeAge(sheet.usage_covers));
+  out.__set_usage_sequence(static_cast<int64_t>(sheet.usage_sequence));
+}
+
+void DecodeUsages(const wire::LoadSheet& in, LoadSheet& sheet) {
+  sheet.usage_sequence = static_cast<uint64_t>(in.usage_sequence);
+  sheet.usage_covers =
+      std::clamp(Duration(in.usage_covers_ms), Duration(0), kMaxAge);
+  for (size_t i = 0; i < in.usage_workspaces.size(); ++i) {
+    sheet.usages.push_back({static_cast<uint32_t>(in.usage_workspaces[i]),
+                            std::max(in.usage_admitted[i], 0),
+                            std::max(in.usage_offered[i], 0)});
+  }
+}
+
 }  // namespace
 
 std::string EncodeSheet(const LoadSheet& sheet) {
@@ -138,6 +162,8 @@
     out.__set_limit_thousandths(thousandths);
     out.__set_limit_ages_ms(ages);
   }
+  if (sheet.usage_sequence != 0)
+    EncodeUsages(sheet, out);
   if (!sheet.demands.empty()) {
     std::vector<int32_t> services;
     std::vector<int32_t> tenths;
@@ -172,6 +198,8 @@
   if (!in.__isset.host || in.servers.size() != in.requests.size() ||
       in.crash_requests.size() != in.crash_servers.size() ||
       in.limited_servers.size() != in.limit_thousandths.size() ||
+      in.usage_workspaces.size() != in.usage_admitted.size() ||
+      in.usage_workspaces.size() != in.usage_offered.size() ||
       in.services.size() != in.slot_tenths.size()) {
     return std::nullopt;
   }
@@ -197,6 +225,8 @@
   }
   sheet.completed = DecodeReports(in.completed_requests, in.completed_ages_ms);
   sheet.refused = DecodeReports(in.refused_requests, in.refused_ages_ms);
+  if (in.__isset.usage_sequence)
+    DecodeUsages(in, sheet);
   for (size_t i = 0; i < in.services.size(); ++i) {
     sheet.demands.push_back({static_cast<uint32_t>(in.services[i]),
                              std::max(in.slot_tenths[i], 0) / kTenthsPerSlot});
@@ -240,6 +270,7 @@
   int near = 0;
   int far = 0;
   int rounds_since_notice = kNoticeRounds;
+  int rounds_since_usage = 0;
   for (;;) {
     co_await SleepFor(kRound);
     if (++rounds_since_notice >= kNoticeRounds) {
@@ -250,6 +281,14 @@
         SendTo(hooks_.peers(false), bytes);
       }
     }
+    if (++rounds_since_usage >= kUsageRounds) {
+      rounds_since_usage = 0;
+      if (const std::optional<LoadSheet> usage = hooks_.usage()) {
+        const std::string bytes = EncodeSheet(*usage);
+        SendTo(hooks_.peers(true), bytes);
+        SendTo(hooks_.peers(false), bytes);
+      }
+    }
     const bool crowded = hooks_.crowded();
     const bool far_due = ++far >= (crowded ? kFarRoundsCrowded : kFarRounds);
     const bool near_due =
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -38,6 +38,9 @@
   static constexpr int kFarRoundsCrowded = 2;
   // Notices go to all hosts outside of these limits, no more often than this.
   static constexpr int kNoticeRounds = 3;
+  // So do the usages of workspaces with a cap: caps hold only as far as hosts
+  // know of each other's runs.
+  static constexpr int kUsageRounds = 5;
   // Bandwidth for sheets, out of a host's 15 kB a second for control traffic.
   // It is multiplied by kCrowdedFactor while slots are scarce, since outdated
   // figures cost more then. Above the limit, each host gets sheets less often.
@@ -49,6 +52,8 @@
     std::function<LoadSheet()> own_sheet;
     // What all hosts should learn at once, if there is anything.
     std::function<std::optional<LoadSheet>()> notice;
+    // The usages of workspaces, if any has a cap.
+    std::function<std::optional<LoadSheet>()> usage;
     // Whether slots are scarce.
     std::function<bool()> crowded;
     std::function<void(const LoadSheet&)> on_sheet;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -37,6 +37,14 @@
 // for sliding windows and the hosts count in steps.
 constexpr double kRetryShare = 0.85;
 
+// A request that began at `began_at`, and now, on the clock that counts
+// suspension. If the host was suspended since, it seems to have begun later,
+// which is the safe side.
+AccessControl::Times BootTimesOf(Instant began_at, Instant now) {
+  const Instant boot_now = BootNow();
+  return {boot_now - (now - began_at), boot_now};
+}
+
 }  // namespace
 
 RequestRunner::RequestRunner(const Parts& parts) : parts_(parts) {}
@@ -63,6 +71,17 @@
   }
 }
 
+void RequestRunner::OnConfig(const RouteConfig& config) {
+  std::set<std::string> routes;
+  for (const Route& it : config.routes)
+    routes.insert(it.name);
+  std::erase_if(caller_budgets_,
+                [&](const auto& it) { return !routes.contains(it.first); });
+  std::erase_if(retries_, [&](const auto& it) {
+    return !config.services.contains(it.first) && in_flight_ == 0;
+  });
+}
+
 asio::awaitable<HttpResponse> RequestRunner::Handle(HttpRequest request) {
   ++in_flight_;
   // Also decrements the count if the handler throws.
@@ -93,11 +112,67 @@
   }
   run.route = *route;
   run.service = parts_.routes.NextTarget(*route);
+  std::optional<HttpResponse> refusal = CheckAccess(run);
+  if (refusal) {
+    LogOutcome(run, *refusal);
+    co_return std::move(*refusal);
+  }
   HttpResponse response = co_await Serve(run);
+  if (!run.may_have_run)
+    parts_.access.Refund(run.access, SteadyNow());
   LogOutcome(run, response);
   co_return response;
 }
 
+std::optional<HttpResponse> RequestRunner::CheckAccess(Run& run) {
+  if (!parts_.access.keys_required()) {
+    run.access.allowed_regions = run.route.allowed_regions;
+    return std::nullopt;
+  }
+  const Instant now = SteadyNow();
+  run.access = parts_.access.Admit(run.route, KeyOf(run),
+                                   BootTimesOf(run.request.began_at, now), now);
+  if (run.access.refusal == AccessRefusal::kNone)
+    return std::nullopt;
+  run.attempt_summary = fmt::format(
+      " refused:{} proof-age:{}ms",
+      kAccessRefusalNames.Name(run.access.refusal), run.access.proof_age.ms());
+  switch (run.access.refusal) {
+    case AccessRefusal::kUnknownKey:
+      return TextResponse(401, "the API key is missing or unknown");
+    case AccessRefusal::kOverCap:
+      return Refuse(run, 429, "the workspace has used up its cap",
+                    run.access.retry_after);
+    case AccessRefusal::kNoRegion:
+      return Refuse(run, 503, "no region may serve both route and workspace",
+                    run.access.retry_after);
+    default:
+      return Refuse(run, 503, "this host may not know the current API keys",
+                    run.access.retry_after);
+  }
+}
+
+bool RequestRunner::MayStillRun(const Run& run) const {
+  return !parts_.access.keys_required() ||
+         parts_.access.MayStillRun(
+             run.route, KeyOf(run), run.access,
+             BootTimesOf(run.request.began_at, SteadyNow()));
+}
+
+HttpResponse RequestRunner::RefuseRevoked(Run& run,
+                                          const Placement& placement) {
+  PlacedAttemptResult unused;
+  unused.request_id = placement.request_id;
+  unused.server = placement.server;
+  unused.end = ServerAttemptEnd::kCancelled;
+  parts_.placements.Finish(unused);
+  run.attempt_summary += " revoked";
+  if (run.may_have_run)
+    return Fail(run, ServerAttemptEnd::kBroken, "the API key was removed");
+  return Refuse(run, 503, "the API key may have been removed",
+                kUnconfiguredRetryAfter);
+}
+
 asio::awaitable<HttpResponse> RequestRunner::Serve(Run& run) {
   const Instant began = run.request.began_at;
   const HttpFields& fields = run.request.fields;
@@ -109,6 +184,7 @@
     run.caller_retried = spent > Duration(0);
   }
   run.fingerprint = FingerprintOf(run.request);
+  run.body = std::make_shared<const std::string>(std::move(run.request.body));
   const Duration refused_for =
       parts_.crashes.RefusedFor(run.fingerprint, SteadyNow());
   if (refused_for > Duration(0)) {
@@ -120,6 +196,11 @@
       run.route, run.service, fields.Get(parts_.names.object), began - spent);
   run.placement_request.deadline = run.deadline - kResponseMargin;
   run.placement_request.returned = run.caller_retried;
+  if (const WorkspacePtr& workspace = run.access.workspace) {
+    run.placement_request.priority = workspace->priority;
+    run.placement_request.workspace = WorkspaceKey(workspace->id);
+  }
+  run.placement_request.allowed_regions = run.access.allowed_regions;
   parts_.metrics.SetGauge("toucanknot_requests_in_flight", in_flight_);
   RetriesOf(run.service).budget.OnSuccess(SteadyNow());
   for (;;) {
@@ -142,6 +223,8 @@
       co_return Refuse(run, 503, "no backend server can answer in time",
                        placement->retry_after);
     }
+    if (!MayStillRun(run))
+      co_return RefuseRevoked(run, *placement);
     Attempt attempt = co_await Send(run, *placement);
     RemoveHopByHop(attempt.response.fields);
     if (attempt.end == ServerAttemptEnd::kAnswered)
@@ -208,7 +291,6 @@
   HttpRequest out;
   out.method = run.request.method;
   out.target = run.request.target;
-  out.body = run.request.body;
   out.fields = run.request.fields;
   RemoveHopByHop(out.fields);
   out.fields.Remove("Expect");
@@ -216,6 +298,12 @@
   out.fields.Set(parts_.names.deadline_ms,
                  std::to_string(std::max<int64_t>(left.ms(), 1)));
   out.fields.Set(parts_.names.target_server, server.str());
+  if (parts_.access.keys_required()) {
+    out.fields.Remove(parts_.names.api_key);
+    out.fields.Remove(parts_.names.workspace);
+    if (run.access.workspace)
+      out.fields.Add(parts_.names.workspace, run.access.workspace->id.str());
+  }
   return out;
 }
 
@@ -235,6 +323,8 @@
   options.silent_after = kSilentAfter;
   options.max_answer_bytes = kMaxResponseBytes;
   options.id_hash = HashText(run.id, 0);
+  options.single_fields = {parts_.names.request_id, parts_.names.stamp};
+  options.body = run.body;
   options.is_own_response = [&run, this](const HttpResponse& response) {
     return response.fields.Get(parts_.names.request_id) == run.id;
   };
@@ -411,6 +501,9 @@
   // A refused connection puts no load on the service.
   if (end == ServerAttemptEnd::kNotConnected)
     return true;
+  // A request that may have run counts once more towards the cap.
+  if (!not_run && !parts_.access.AdmitAgain(run.access, SteadyNow()))
+    return false;
   Retries& retries = RetriesOf(run.service);
   const double reserved =
       run.caller_retried
@@ -454,20 +547,24 @@
   parts_.metrics.CountRequest(run.service, response.status, took);
   const Duration since_store_response =
       SteadyNow() - parts_.store.counts().last_response_at;
-  LogRequest(response.status < 300,
-             {{"id", run.id},
-              {"target", run.request.target},
-              {"caller", run.request.remote_ip},
-              {"route", run.route.name},
-              {"service", run.service.str()},
-              {"config", parts_.routes.version()},
-              {"store_heard_ms_ago", since_store_response.ms()},
-              {"status", response.status},
-              {"took_ms", took.ms()},
-              {"sent", run.sent},
-              {"may_have_run", run.may_have_run},
-              {"caller_left", run.caller_left},
-              {"story", run.attempt_summary}});
+  LogRequest(
+      response.status < 300,
+      {{"id", run.id},
+       {"target", run.request.target},
+       {"caller", run.request.remote_ip},
+       {"route", run.route.name},
+       {"service", run.service.str()},
+       {"config", parts_.routes.version()},
+       {"store_heard_ms_ago", since_store_response.ms()},
+       {"status", response.status},
+       {"took_ms", took.ms()},
+       {"sent", run.sent},
+       {"may_have_run", run.may_have_run},
+       {"caller_left", run.caller_left},
+       {"workspace", run.access.workspace
+                         ? boost::json::value(run.access.workspace->id.str())
+                         : boost::json::value()},
+       {"story", run.attempt_summary}});
 }
 
 }  // namespace toucanknot
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -17,6 +18,7 @@
 #include "include/limits/retry_reserve.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
+#include "include/workspaces/access_control.h"
 #include "src/entry/caller_budget.h"
 #include "src/entry/entry_metrics.h"
 #include "src/entry/placement_queue.h"
@@ -43,6 +45,7 @@
     EntryMetrics& metrics;
     Placer& placer;
     const FleetStore& store;
+    AccessControl& access;
   };
 
   explicit RequestRunner(const Parts& parts);
@@ -55,6 +58,8 @@
                       std::string_view target,
                       std::string_view object);
 
+  // Drops what is kept for routes and services that no longer exist.
+  void OnConfig(const RouteConfig& config);
   // Sets the number of hosts that share the retry limit.
   void SetHostCount(int n);
   // Number of requests in progress.
@@ -63,7 +68,9 @@
  private:
   // A request in progress.
   struct Run {
+    // Without its body, which all attempts share.
     HttpRequest request;
+    std::shared_ptr<const std::string> body;
     // A copy, since the configuration may change while the request runs.
     Route route;
     ServiceId service;
@@ -73,6 +80,7 @@
     // Servers that rejected it.
     std::set<ServerId> rejected_by;
     int sent = 0;
+    AccessControl::Decision access;
     // Time by which the caller needs the response.
     Instant deadline;
     // Whether it may have run on some server.
@@ -99,6 +107,14 @@
   };
 
   boost::asio::awaitable<HttpResponse> HandleCounted(HttpRequest request);
+  // Sets `run.access`, and returns the response if the request may not be
+  // served.
+  std::optional<HttpResponse> CheckAccess(Run& run);
+  // Whether the request may be sent now.
+  bool MayStillRun(const Run& run) const;
+  std::string_view KeyOf(const Run& run) const {
+    return run.request.fields.Get(parts_.names.api_key);
+  }
   boost::asio::awaitable<HttpResponse> Serve(Run& run);
   boost::asio::awaitable<Attempt> Send(Run& run, const Placement& placement);
   // Builds the placement request for a request of `route` that arrived at
@@ -107,6 +123,7 @@
                                         const ServiceId& service,
                                         std::string_view object,
                                         Instant began) const;
+  // The head of the request as it is sent to `server`.
   HttpRequest ForServer(const Run& run, const ServerId& server) const;
   // Records and logs that a connection to `server` broke while it carried the
   // request.
@@ -136,6 +153,8 @@
                       int status,
                       const std::string& why,
                       Duration retry_after);
+  // The response to a request whose key was removed while it waited.
+  HttpResponse RefuseRevoked(Run& run, const Placement& placement);
   HttpResponse Fail(const Run& run,
                     ServerAttemptEnd end,
                     const std::string& why);
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -1,20 +1,26 @@
 #include "src/forward/connection_pool.h"
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <cstdlib>
-#include <deque>
-#include <map>
 #include <utility>
 
+#include "src/forward/idle_connections.h"
+#include "src/forward/response_head.h"
+#include "src/forward/stall_monitor.h"
 #include "src/http/beast_messages.h"
 
 namespace toucanknot {
@@ -24,9 +30,11 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+// A request whose body is owned elsewhere.
+using OutRequest = http::request<http::span_body<const char>>;
+using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kMaxBufferBytes = 128 << 10;
 constexpr uint32_t kMaxResponseHeaderBytes = 64 << 10;
 // Keep-alive time when the peer states no limit: well under the shortest
 // default of common servers, 5 s.
@@ -34,8 +42,8 @@
 constexpr int64_t kDefaultBufferedBytes = 1LL << 30;
 // Requests whose ids a connection remembers.
 constexpr size_t kMaxCarried = 32;
-// Maximum number of idle connections to one endpoint per worker.
-constexpr size_t kMaxIdlePerEndpoint = 8;
+// Space for a body beyond what one read can add.
+constexpr size_t kMinBodyGrowth = 2 * PooledConnection::kMaxBufferBytes;
 
 AttemptEnd ToAttemptEnd(const beast::error_code& ec) {
   if (ec == beast::error::timeout)
@@ -78,9 +86,51 @@
   ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+OutRequest ToOutRequest(const HttpRequest& request, const std::string& body) {
+  OutRequest out;
+  out.version(11);
+  out.method_string(request.method);
+  out.target(request.target);
+  for (const HttpField& it : request.fields.all())
+    out.insert(it.name, it.value);
+  out.body() = {body.data(), body.size()};
+  if (NeedsLength(request, body.size()))
+    out.content_length(body.size());
+  return out;
+}
+
+// Closes a connection unless it is released.
+class ConnectionCloser {
+ public:
+  explicit ConnectionCloser(PooledConnectionPtr connection)
+      : connection_(std::move(connection)) {}
+  ~ConnectionCloser() {
+    if (connection_)
+      connection_->stream.close();
+  }
+  ConnectionCloser(const ConnectionCloser&) = delete;
+  ConnectionCloser& operator=(const ConnectionCloser&) = delete;
+
+  void Release() { connection_.reset(); }
+
+ private:
+  PooledConnectionPtr connection_;
+};
+
+// What the fields of the message take; see FieldMemory().
+int64_t FieldMemoryOf(const http::fields& fields) {
+  size_t count = 0;
+  size_t bytes = 0;
+  for (const auto& it : fields) {
+    ++count;
+    bytes += it.name_string().size() + it.value().size();
+  }
+  return FieldMemory(count, bytes);
+}
+
 }  // namespace
 
-class ConnectionPool::Impl {
+class ConnectionPool::Impl : public std::enable_shared_from_this<Impl> {
  public:
   explicit Impl(asio::io_context& loop) : loop_(loop) {}
 
@@ -91,14 +141,25 @@
     co_return co_await self->Exchange(std::move(endpoint), std::move(request),
                                       std::move(options));
   }
-  void CloseIdle(Duration idle);
 
-  ConnectionLimit limit;
-  int64_t max_buffered_bytes = kDefaultBufferedBytes;
+  IdleConnections& idle() { return idle_; }
   ConnectionPoolCounts Counts() const {
-    return {counts_.opened,         counts_.reused,        counts_.discarded,
-            counts_.connect_failed, counts_.surplus_bytes, counts_.endless,
-            counts_.buffered_bytes};
+    return {counts_.opened,        counts_.reused,
+            counts_.discarded,     counts_.connect_failed,
+            counts_.surplus_bytes, counts_.endless,
+            counts_.mixed_heads,   memory->reserved(MemoryUse::kResponse),
+            counts_.idle};
+  }
+  // Copies the counts of the idle connections, which other threads may read.
+  void UpdateIdleCounts();
+
+  ConnectionLimit limit;
+  size_t max_connections = SIZE_MAX;
+  std::shared_ptr<MemoryAccount> memory = AccountFor(kDefaultBufferedBytes);
+
+  static std::shared_ptr<MemoryAccount> AccountFor(int64_t bytes) {
+    return std::make_shared<MemoryAccount>(
+        MemoryAccount::Limits{bytes, {bytes, bytes, bytes}});
   }
 
  private:
@@ -111,150 +172,91 @@
     std::atomic<uint64_t> surplus_bytes{0};
     std::atomic<uint64_t> surplus_responses{0};
     std::atomic<uint64_t> endless{0};
-    std::atomic<int64_t> buffered_bytes{0};
-  };
-
-  asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
-                                           HttpRequest request,
-                                           ExchangeOptions options);
-  // An open connection. Notifies the connection limit when it is destroyed.
-  struct Connection {
-    Connection(Impl& owner, Endpoint to)
-        : pool(owner), endpoint(std::move(to)), stream(owner.loop_) {}
-    ~Connection() {
-      // Close explicitly: asio's destructor would do an orderly close and
-      // ignore the linger option.
-      stream.close();
-      if (pool.limit)
-        pool.limit(endpoint, -1);
-    }
-    Connection(const Connection&) = delete;
-    Connection& operator=(const Connection&) = delete;
-
-    Impl& pool;
-    const Endpoint endpoint;
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{kMaxBufferBytes};
-    Instant last_used;
-    // The peer may close the connection when it has been idle until then.
-    Instant idle_until = Instant::Never();
-    bool used = false;
-    // The `id_hash` of the last requests.
-    std::deque<uint64_t> carried;
+    std::atomic<uint64_t> mixed_heads{0};
+    std::atomic<uint64_t> idle{0};
   };
-  using ConnectionPtr = std::unique_ptr<Connection>;
-
-  // Returns a usable idle connection, or null.
-  ConnectionPtr AcquireIdle(const Endpoint& endpoint,
-                            const ExchangeOptions& options);
-  static bool HasCarried(const Connection& connection, uint64_t id_hash);
-  // Whether the peer has closed the connection or sent unexpected bytes.
-  bool IsUnusable(Connection& connection);
-  asio::awaitable<ConnectionPtr> Open(const Endpoint& endpoint,
-                                      const ExchangeOptions& options,
-                                      ExchangeResult& result);
   // A request being sent; outlives the exchange if the response arrives first.
   struct Sending {
-    explicit Sending(http::request<http::string_body> r)
-        : request(std::move(r)) {}
+    Sending(const HttpRequest& r, std::shared_ptr<const std::string> b)
+        : body(std::move(b)), request(ToOutRequest(r, *body)) {}
 
-    http::request<http::string_body> request;
+    const std::shared_ptr<const std::string> body;
+    OutRequest request;
     bool done = false;
     beast::error_code ec;
     size_t bytes = 0;
   };
-  static std::shared_ptr<Sending> StartSending(
-      Connection& connection,
-      http::request<http::string_body> request);
-  // Accounts for the memory of a response body while it is read.
-  struct BodyMemory {
-    explicit BodyMemory(AtomicCounts& counts) : total(counts.buffered_bytes) {}
-    ~BodyMemory() { total -= bytes; }
-    BodyMemory(const BodyMemory&) = delete;
-    BodyMemory& operator=(const BodyMemory&) = delete;
-
-    void Set(int64_t n) {
-      total += n - bytes;
-      bytes = n;
-    }
+  using SendingPtr = std::shared_ptr<Sending>;
 
-    std::atomic<int64_t>& total;
-    int64_t bytes = 0;
-  };
-  // Reads the body of a response whose header has been read.
-  asio::awaitable<beast::error_code> ReadBody(
-      Connection& connection,
-      http::response_parser<http::string_body>& parser);
+  asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
+                                           HttpRequest request,
+                                           ExchangeOptions options);
+  asio::awaitable<PooledConnectionPtr> Open(const Endpoint& endpoint,
+                                            const ExchangeOptions& options,
+                                            ExchangeResult& result);
+  static SendingPtr StartSending(PooledConnectionPtr connection,
+                                 const HttpRequest& request,
+                                 const ExchangeOptions& options);
+  // Reads the body of a response whose header has been read. Grows the body
+  // itself, since a string that grows by itself holds two copies uncounted.
+  static asio::awaitable<beast::error_code> ReadBody(
+      PooledConnection& connection,
+      ResponseParser& parser,
+      MemoryReservation& memory);
+  static bool GrowBody(ResponseParser& parser, MemoryReservation& memory);
   // Reads responses up to the one to this request, into `result.response`.
   asio::awaitable<beast::error_code> ReadResponse(
-      Connection& connection,
-      bool head,
+      PooledConnection& connection,
+      const SendingPtr& sending,
       const ExchangeOptions& options,
       ExchangeResult& result,
       bool& reusable);
-  asio::awaitable<void> SendAndReceive(Connection& connection,
-                                       http::request<http::string_body> request,
+  // Whether both halves of a connection whose end ends a response are without
+  // error.
+  static asio::awaitable<bool> EndedCleanly(PooledConnection& connection,
+                                            SendingPtr sending);
+  asio::awaitable<void> SendAndReceive(PooledConnectionPtr connection,
+                                       HttpRequest request,
                                        const ExchangeOptions& options,
                                        ExchangeResult& result,
                                        bool& reusable);
-  static void SetDeadline(Connection& connection,
+  static void SetDeadline(PooledConnection& connection,
                           const ExchangeOptions& options);
 
   asio::io_context& loop_;
   AtomicCounts counts_;
-  std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
+  IdleConnections idle_;
+  // Connections that exist, idle ones included.
+  size_t open_ = 0;
 };
 
-ConnectionPool::Impl::ConnectionPtr ConnectionPool::Impl::AcquireIdle(
-    const Endpoint& endpoint,
-    const ExchangeOptions& options) {
-  auto& list = idle_[endpoint];
-  const Instant now = SteadyNow();
-  // The most recently used connection is the most likely to be alive.
-  for (size_t i = list.size(); i-- > 0;) {
-    const auto at = list.begin() + static_cast<ptrdiff_t>(i);
-    Connection& connection = **at;
-    if (now >= connection.idle_until || IsUnusable(connection)) {
-      ++counts_.discarded;
-      list.erase(at);
-      continue;
-    }
-    // The remaining ones are older still.
-    if (now - connection.last_used > options.fresh_for)
-      return nullptr;
-    if (options.id_hash != 0 && HasCarried(connection, options.id_hash))
-      continue;
-    ConnectionPtr it = std::move(*at);
-    list.erase(at);
-    return it;
-  }
-  return nullptr;
-}
-
-bool ConnectionPool::Impl::HasCarried(const Connection& connection,
-                                      uint64_t id_hash) {
-  return std::find(connection.carried.begin(), connection.carried.end(),
-                   id_hash) != connection.carried.end();
-}
-
-bool ConnectionPool::Impl::IsUnusable(Connection& connection) {
-  char byte = 0;
-  const ssize_t n = ::recv(connection.stream.socket().native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
-  if (n > 0)
-    ++counts_.surplus_bytes;
-  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+void ConnectionPool::Impl::UpdateIdleCounts() {
+  counts_.idle = idle_.size();
+  counts_.discarded = idle_.discarded();
 }
 
-asio::awaitable<ConnectionPool::Impl::ConnectionPtr> ConnectionPool::Impl::Open(
+asio::awaitable<PooledConnectionPtr> ConnectionPool::Impl::Open(
     const Endpoint& endpoint,
     const ExchangeOptions& options,
     ExchangeResult& result) {
+  if (open_ >= max_connections && !idle_.CloseOldest()) {
+    result.error = "no descriptor is left for servers";
+    co_return nullptr;
+  }
   if (limit && !limit(endpoint, +1)) {
     result.error = "the connection limit is reached";
     co_return nullptr;
   }
-  auto connection = std::make_unique<Connection>(*this, endpoint);
+  auto connection = std::make_shared<PooledConnection>(
+      loop_, endpoint, [weak = weak_from_this(), endpoint] {
+        const auto self = weak.lock();
+        if (!self)
+          return;
+        --self->open_;
+        if (self->limit)
+          self->limit(endpoint, -1);
+      });
+  ++open_;
   const Duration left = options.deadline - SteadyNow();
   connection->stream.expires_after(
       std::chrono::milliseconds(std::min(left, options.connect_limit).ms()));
@@ -279,13 +281,11 @@
   connection->stream.socket().set_option(asio::socket_base::linger(true, 0),
                                          ignored);
   EnableKeepAlive(connection->stream.socket().native_handle());
-  const int silent_ms = static_cast<int>(options.silent_after.ms());
-  ::setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP,
-               TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
+  SetUserTimeout(*connection, options.silent_after);
   co_return connection;
 }
 
-void ConnectionPool::Impl::SetDeadline(Connection& connection,
+void ConnectionPool::Impl::SetDeadline(PooledConnection& connection,
                                        const ExchangeOptions& options) {
   if (options.deadline == Instant::Never()) {
     connection.stream.expires_never();
@@ -295,12 +295,19 @@
   connection.stream.expires_after(std::chrono::milliseconds(left.ms()));
 }
 
-std::shared_ptr<ConnectionPool::Impl::Sending>
-ConnectionPool::Impl::StartSending(Connection& connection,
-                                   http::request<http::string_body> request) {
-  auto sending = std::make_shared<Sending>(std::move(request));
-  http::async_write(connection.stream, sending->request,
-                    [sending](beast::error_code ec, size_t n) {
+ConnectionPool::Impl::SendingPtr ConnectionPool::Impl::StartSending(
+    PooledConnectionPtr connection,
+    const HttpRequest& request,
+    const ExchangeOptions& options) {
+  auto sending = std::make_shared<Sending>(
+      request, options.body
+                   ? options.body
+                   : std::make_shared<const std::string>(request.body));
+  PooledConnection& it = *connection;
+  // The write may go on after the exchange has ended; it keeps both alive.
+  http::async_write(it.stream, sending->request,
+                    [sending, connection = std::move(connection)](
+                        beast::error_code ec, size_t n) {
                       sending->done = true;
                       sending->ec = ec;
                       sending->bytes = n;
@@ -308,11 +315,29 @@
   return sending;
 }
 
+bool ConnectionPool::Impl::GrowBody(ResponseParser& parser,
+                                    MemoryReservation& memory) {
+  std::string& body = parser.get().body();
+  if (body.capacity() - body.size() >= PooledConnection::kMaxBufferBytes)
+    return true;
+  const int64_t others = memory.bytes() - static_cast<int64_t>(body.capacity());
+  const size_t capacity = body.size() + std::max(body.size(), kMinBodyGrowth);
+  if (!memory.Resize(memory.bytes() + static_cast<int64_t>(capacity)))
+    return false;
+  body.reserve(capacity);
+  return memory.Resize(others + static_cast<int64_t>(body.capacity()));
+}
+
 asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadBody(
-    Connection& connection,
-    http::response_parser<http::string_body>& parser) {
-  BodyMemory body_memory(counts_);
+    PooledConnection& connection,
+    ResponseParser& parser,
+    MemoryReservation& memory) {
+  const auto length = parser.content_length();
+  if (length && !memory.Resize(memory.bytes() + static_cast<int64_t>(*length)))
+    co_return http::error::body_limit;
   while (!parser.is_done()) {
+    if (!length && !GrowBody(parser, memory))
+      co_return http::error::body_limit;
     auto [ec, n] = co_await http::async_read_some(
         connection.stream, connection.buffer, parser, kAwait);
     // A response without a length ends when its connection closes.
@@ -320,25 +345,30 @@
       break;
     if (ec)
       co_return ec;
-    body_memory.Set(static_cast<int64_t>(parser.get().body().size()));
-    if (counts_.buffered_bytes > max_buffered_bytes)
-      co_return http::error::body_limit;
   }
   co_return beast::error_code{};
 }
 
+asio::awaitable<bool> ConnectionPool::Impl::EndedCleanly(
+    PooledConnection& connection,
+    SendingPtr sending) {
+  // Lets a write that ended with the same event report its error.
+  co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+  co_return !(sending->done && sending->ec) && connection.EndedCleanly();
+}
+
 asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadResponse(
-    Connection& connection,
-    bool head,
+    PooledConnection& connection,
+    const SendingPtr& sending,
     const ExchangeOptions& options,
     ExchangeResult& result,
     bool& reusable) {
   for (int other_responses = 0; other_responses <= options.max_other_responses;
        ++other_responses) {
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.header_limit(kMaxResponseHeaderBytes);
     parser.body_limit(options.max_answer_bytes);
-    parser.skip(head);
+    parser.skip(sending->request.method() == http::verb::head);
     auto [header_ec, n] = co_await http::async_read_header(
         connection.stream, connection.buffer, parser, kAwait);
     // A partial header stays in the buffer and is not counted in `n`.
@@ -349,14 +379,26 @@
     // Skip interim responses (1xx).
     if (parser.get().result_int() / 100 == 1)
       continue;
-    if (const beast::error_code ec = co_await ReadBody(connection, parser)) {
+    result.error = FindHeadProblem(parser.get().reason(), parser.get(),
+                                   options.single_fields);
+    if (!result.error.empty()) {
+      ++counts_.mixed_heads;
+      co_return http::error::bad_value;
+    }
+    const auto reserved =
+        std::make_shared<MemoryReservation>(memory, MemoryUse::kResponse);
+    if (!reserved->Resize(FieldMemoryOf(parser.get())))
+      co_return http::error::header_limit;
+    if (const beast::error_code ec =
+            co_await ReadBody(connection, parser, *reserved)) {
       co_return ec;
     }
-    // A response without a length ends when its connection closes; if the
-    // connection was reset, reading failed above.
     reusable = reusable && parser.get().keep_alive() && !parser.need_eof();
     const bool last = parser.need_eof();
+    if (last && !co_await EndedCleanly(connection, sending))
+      co_return asio::error::connection_reset;
     result.response = FromBeast(parser.release());
+    result.response.memory = reserved;
     if (!options.is_own_response || options.is_own_response(result.response))
       co_return beast::error_code{};
     ++counts_.surplus_responses;
@@ -368,32 +410,39 @@
 }
 
 asio::awaitable<void> ConnectionPool::Impl::SendAndReceive(
-    Connection& connection,
-    http::request<http::string_body> request,
+    PooledConnectionPtr connection,
+    HttpRequest request,
     const ExchangeOptions& options,
     ExchangeResult& result,
     bool& reusable) {
-  const bool head = request.method() == http::verb::head;
-  SetDeadline(connection, options);
+  SetDeadline(*connection, options);
   // Read the response while the body is being sent: it may arrive before the
   // body ends.
-  const auto sending = StartSending(connection, std::move(request));
+  const SendingPtr sending = StartSending(connection, request, options);
+  const auto ended = std::make_shared<bool>(false);
+  if (sending->body->size() >= kMonitoredRequestBytes) {
+    asio::co_spawn(loop_,
+                   MonitorStalls(connection, ended, options.silent_after),
+                   asio::detached);
+  }
   reusable = true;
   const beast::error_code ec =
-      co_await ReadResponse(connection, head, options, result, reusable);
+      co_await ReadResponse(*connection, sending, options, result, reusable);
+  *ended = true;
   if (ec) {
     reusable = false;
     if (IsEndless(ec))
       ++counts_.endless;
     const bool unsent = sending->done && sending->ec && sending->bytes == 0;
     result.end = unsent ? AttemptEnd::kNotSent : ToAttemptEnd(ec);
+    result.response = {};
     result.error = (result.response_started ? "the response was incomplete: "
                                             : "no response: ") +
-                   ec.message();
+                   (result.error.empty() ? ec.message() : result.error);
     co_return;
   }
-  counts_.surplus_bytes += connection.buffer.size();
-  reusable = reusable && connection.buffer.size() == 0 && sending->done &&
+  counts_.surplus_bytes += connection->buffer.size();
+  reusable = reusable && connection->buffer.size() == 0 && sending->done &&
              !sending->ec;
   result.end = AttemptEnd::kAnswered;
 }
@@ -403,13 +452,16 @@
     HttpRequest request,
     ExchangeOptions options) {
   ExchangeResult result;
-  ConnectionPtr connection;
-  if (!options.new_connection)
-    connection = AcquireIdle(endpoint, options);
+  PooledConnectionPtr connection;
+  if (!options.new_connection) {
+    connection = idle_.Acquire(endpoint, {options.fresh_for, options.id_hash},
+                               SteadyNow());
+  }
   if (connection)
     ++counts_.reused;
   else
     connection = co_await Open(endpoint, options, result);
+  UpdateIdleCounts();
   if (!connection)
     co_return result;
   if (options.before_first_byte && !options.before_first_byte()) {
@@ -423,43 +475,48 @@
   }
   result.reused = connection->used;
   const Instant start = SteadyNow();
+  // Closes the connection also when the exchange is cancelled: a pending write
+  // would keep it open.
+  ConnectionCloser closer(connection);
   bool reusable = false;
-  co_await SendAndReceive(*connection, ToBeast(std::move(request)), options,
-                          result, reusable);
+  co_await SendAndReceive(connection, std::move(request), options, result,
+                          reusable);
   const Instant now = SteadyNow();
   result.took = now - start;
-  auto& list = idle_[endpoint];
-  if (reusable && list.size() < kMaxIdlePerEndpoint) {
+  if (reusable) {
+    closer.Release();
     connection->used = true;
     connection->last_used = now;
     connection->idle_until = now + ReuseTime(result.response);
     connection->stream.expires_never();
-    list.push_back(std::move(connection));
+    idle_.Keep(std::move(connection));
   }
+  UpdateIdleCounts();
   co_return result;
 }
 
-void ConnectionPool::Impl::CloseIdle(Duration idle) {
-  const Instant now = SteadyNow();
-  for (auto& [endpoint, list] : idle_) {
-    while (!list.empty() && now - list.front()->last_used > idle) {
-      list.pop_front();
-      ++counts_.discarded;
-    }
-  }
-}
-
 ConnectionPool::ConnectionPool(asio::io_context& loop)
     : impl_(std::make_shared<Impl>(loop)) {}
 
-ConnectionPool::~ConnectionPool() = default;
+ConnectionPool::~ConnectionPool() {
+  // Exchanges may outlive the pool, but not what its owner refers to.
+  impl_->limit = nullptr;
+}
 
 void ConnectionPool::set_connection_limit(ConnectionLimit limit) {
   impl_->limit = std::move(limit);
 }
 
 void ConnectionPool::set_max_buffered_bytes(int64_t bytes) {
-  impl_->max_buffered_bytes = bytes;
+  impl_->memory = Impl::AccountFor(bytes);
+}
+
+void ConnectionPool::set_memory(std::shared_ptr<MemoryAccount> account) {
+  impl_->memory = std::move(account);
+}
+
+void ConnectionPool::set_max_connections(size_t n) {
+  impl_->max_connections = n;
 }
 
 asio::awaitable<ExchangeResult> ConnectionPool::Exchange(
@@ -472,7 +529,13 @@
 }
 
 void ConnectionPool::CloseIdle(Duration idle) {
-  impl_->CloseIdle(idle);
+  impl_->idle().CloseExpired(idle, SteadyNow());
+  impl_->UpdateIdleCounts();
+}
+
+void ConnectionPool::CloseIdleTo(const Endpoint& endpoint) {
+  impl_->idle().Close(endpoint);
+  impl_->UpdateIdleCounts();
 }
 
 ConnectionPoolCounts ConnectionPool::counts() const {
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -7,9 +7,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
+#include "include/memory/memory_account.h"
 #include "include/steering/dispatcher.h"
 #include "src/http/http_message.h"
 
@@ -44,6 +47,12 @@
   // connection are dropped, and the connection is then closed after use. If
   // null, the first response belongs to it.
   std::function<bool(const HttpResponse&)> is_own_response;
+  // Fields that must not occur twice in a response, beyond those of HTTP; see
+  // FindHeadProblem().
+  std::vector<std::string> single_fields;
+  // Sent in place of the request's body, which must be empty then. Shared by
+  // the attempts of a request, so that its body is held once.
+  std::shared_ptr<const std::string> body;
 };
 
 // Result of an exchange.
@@ -72,8 +81,11 @@
   uint64_t surplus_bytes = 0;
   // Responses aborted because of their size or number.
   uint64_t endless = 0;
-  // Size of response bodies currently being read.
+  // Responses whose head was not that of one message.
+  uint64_t mixed_heads = 0;
+  // Memory reserved for responses.
   int64_t buffered_bytes = 0;
+  uint64_t idle = 0;
 };
 
 // HTTP/1.1 connections to backend servers and other entry hosts, kept open
@@ -93,9 +105,14 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   void set_connection_limit(ConnectionLimit limit);
-  // Limits the memory for response bodies being read, over all exchanges. An
-  // exchange that exceeds it ends as kBroken.
+  // Limits the memory for responses, over all exchanges, until the response is
+  // destroyed. An exchange that would exceed it ends as kBroken.
   void set_max_buffered_bytes(int64_t bytes);
+  // Counts that memory in `account`, which is shared with other users.
+  void set_memory(std::shared_ptr<MemoryAccount> account);
+  // Sets the maximum number of open connections to all endpoints. Beyond it, a
+  // new connection takes the place of an idle one, or is not opened.
+  void set_max_connections(size_t n);
 
   // Sends `request` to `endpoint` and reads the complete response. Cancellation
   // closes the connection. Never throws for network errors.
@@ -103,8 +120,12 @@
                                                   HttpRequest request,
                                                   ExchangeOptions options);
 
-  // Closes connections that have been idle for longer than `idle`.
+  // Closes connections that have been idle for longer than `idle`, or for as
+  // long as the peer keeps them open.
   void CloseIdle(Duration idle);
+  // Closes the idle connections to an endpoint that is no longer used. Those in
+  // use are closed by the next CloseIdle() after their time.
+  void CloseIdleTo(const Endpoint& endpoint);
   ConnectionPoolCounts counts() const;
 
  private:
--- /dev/null
+++ b/src/forward/response_head.cc
@@ -0,0 +1,57 @@
+#include "src/forward/response_head.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace toucanknot {
+namespace {
+
+constexpr std::string_view kSingleFields[] = {
+    "Content-Length", "Content-Type", "Transfer-Encoding", "Retry-After"};
+
+bool IsDigit(char c) {
+  return std::isdigit(static_cast<unsigned char>(c)) != 0;
+}
+
+// Whether `text` contains a status line, except for the first letters of its
+// protocol name, which the message before it may have taken.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "/1.";
+  constexpr size_t kStatusLineBytes = 8;
+  for (size_t at = text.find(kVersion); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const std::string_view line = text.substr(at, kStatusLineBytes);
+    if (line.size() == kStatusLineBytes && IsDigit(line[3]) && line[4] == ' ' &&
+        std::all_of(line.begin() + 5, line.end(), IsDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string FindHeadProblem(std::string_view reason,
+                            const boost::beast::http::fields& fields,
+                            const std::vector<std::string>& single_fields) {
+  if (ContainsStatusLine(reason))
+    return "the reason phrase contains a status line";
+  for (const auto& it : fields) {
+    if (ContainsStatusLine(it.value()))
+      return "the value of a field contains a status line";
+  }
+  const auto occurs_twice = [&](std::string_view name) {
+    return !name.empty() && fields.count(name) > 1;
+  };
+  for (const std::string_view it : kSingleFields) {
+    if (occurs_twice(it))
+      return "the field " + std::string(it) + " occurs twice";
+  }
+  for (const std::string& it : single_fields) {
+    if (occurs_twice(it))
+      return "the field " + it + " occurs twice";
+  }
+  return {};
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/forward/response_head.h
@@ -0,0 +1,26 @@
+#ifndef SRC_FORWARD_RESPONSE_HEAD_H_
+#define SRC_FORWARD_RESPONSE_HEAD_H_
+
+#include <boost/beast/http/fields.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace toucanknot {
+
+// Checks the head of a response for bytes of two messages. A peer may send a
+// late copy of an earlier response and break it off within its head; the
+// parser then takes the rest of that head and the start of the next response
+// for one head, with the status of the first and the id of the second.
+//
+// Returns what is wrong, or an empty string. `reason` is the reason phrase. A
+// field must not occur twice if it is among `single_fields` or one of those
+// that HTTP allows only once, and neither the reason nor a value may contain a
+// status line.
+std::string FindHeadProblem(std::string_view reason,
+                            const boost::beast::http::fields& fields,
+                            const std::vector<std::string>& single_fields);
+
+}  // namespace toucanknot
+
+#endif  // SRC_FORWARD_RESPONSE_HEAD_H_
--- a/src/http/beast_messages.cc
+++ b/src/http/beast_messages.cc
@@ -31,20 +31,9 @@
   return request;
 }
 
-BeastRequest ToBeast(HttpRequest&& request) {
-  BeastRequest out;
-  out.version(11);
-  out.method_string(request.method);
-  out.target(request.target);
-  for (const HttpField& it : request.fields.all())
-    out.insert(it.name, it.value);
-  out.body() = std::move(request.body);
-  const bool has_length = out.count(http::field::content_length) > 0;
-  if (!out.body().empty() || has_length || request.method == "POST" ||
-      request.method == "PUT") {
-    out.content_length(out.body().size());
-  }
-  return out;
+bool NeedsLength(const HttpRequest& request, size_t body_bytes) {
+  return body_bytes > 0 || request.fields.Has("Content-Length") ||
+         request.method == "POST" || request.method == "PUT";
 }
 
 HttpResponse FromBeast(BeastResponse&& in) {
--- a/src/http/beast_messages.h
+++ b/src/http/beast_messages.h
@@ -19,8 +19,9 @@
 BeastResponse ToBeast(HttpResponse&& response, unsigned version);
 HttpResponse FromBeast(BeastResponse&& in);
 
-// Sets Content-Length if there is a body or the method normally has one.
-BeastRequest ToBeast(HttpRequest&& request);
+// Whether a request with a body of `body_bytes` carries Content-Length: if
+// there is a body or the method normally has one.
+bool NeedsLength(const HttpRequest& request, size_t body_bytes);
 HttpRequest FromBeast(BeastRequest&& in);
 
 }  // namespace toucanknot
--- a/src/http/http_message.cc
+++ b/src/http/http_message.cc
@@ -43,8 +43,17 @@
   return response;
 }
 
+// The parser's node and ours, at twice the capacity of a list that grows.
+constexpr size_t kBytesPerField = 256;
+// The parser's copy of names and values and ours.
+constexpr size_t kCopiesOfBytes = 2;
+
 }  // namespace
 
+int64_t FieldMemory(size_t fields, size_t bytes) {
+  return static_cast<int64_t>(fields * kBytesPerField + bytes * kCopiesOfBytes);
+}
+
 std::string_view HttpFields::Get(std::string_view name) const {
   for (const HttpField& it : fields_) {
     if (SameName(it.name, name))
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -10,6 +10,7 @@
 
 #include "include/base/clock.h"
 #include "include/base/http_field.h"
+#include "include/memory/memory_account.h"
 
 namespace toucanknot {
 
@@ -83,8 +84,16 @@
   int status = 200;
   HttpFields fields;
   std::string body;
+  // What is reserved for the message, if that is counted. Released with the
+  // last copy.
+  std::shared_ptr<MemoryReservation> memory;
 };
 
+// Upper bound of the memory that the parsed fields of a message take, given
+// their number and the bytes of their names and values: the parser's own copy,
+// ours, and the spare capacity of growing lists.
+int64_t FieldMemory(size_t fields, size_t bytes);
+
 // A response with a text body that ends in a line feed.
 HttpResponse TextResponse(int status, std::string text);
 // A response with a JSON body.
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -433,6 +433,8 @@
 
 asio::awaitable<bool> ServerConnection::Write(Exchange& exchange,
                                               bool keep_alive) {
+  // The response stays reserved until it has been written.
+  const auto memory = exchange.response->memory;
   auto out = ToBeast(std::move(*exchange.response), exchange.version);
   out.keep_alive(keep_alive);
   if (out.result_int() != 204 && out.result_int() != 304) {
--- a/src/memory/memory_account.cc
+++ b/src/memory/memory_account.cc
@@ -45,7 +45,7 @@
   if (this == &other)
     return *this;
   Reset();
-  account_ = other.account_;
+  account_ = std::move(other.account_);
   use_ = other.use_;
   bytes_ = std::exchange(other.bytes_, 0);
   return *this;
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3495,6 +3495,31 @@
   this->limit_ages_ms = val;
 __isset.limit_ages_ms = true;
 }
+
+void LoadSheet::__set_usage_workspaces(const std::vector<int32_t> & val) {
+  this->usage_workspaces = val;
+__isset.usage_workspaces = true;
+}
+
+void LoadSheet::__set_usage_admitted(const std::vector<int32_t> & val) {
+  this->usage_admitted = val;
+__isset.usage_admitted = true;
+}
+
+void LoadSheet::__set_usage_offered(const std::vector<int32_t> & val) {
+  this->usage_offered = val;
+__isset.usage_offered = true;
+}
+
+void LoadSheet::__set_usage_covers_ms(const int32_t val) {
+  this->usage_covers_ms = val;
+__isset.usage_covers_ms = true;
+}
+
+void LoadSheet::__set_usage_sequence(const int64_t val) {
+  this->usage_sequence = val;
+__isset.usage_sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3847,6 +3872,82 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_workspaces.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->usage_workspaces.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              xfer += iprot->readI32(this->usage_workspaces[_i219]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_workspaces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_admitted.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->usage_admitted.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += iprot->readI32(this->usage_admitted[_i224]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_offered.clear();
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->usage_offered.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
+            {
+              xfer += iprot->readI32(this->usage_offered[_i229]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_offered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->usage_covers_ms);
+          this->__isset.usage_covers_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usage_sequence);
+          this->__isset.usage_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3883,10 +3984,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter215;
-      for (_iter215 = this->servers.begin(); _iter215 != this->servers.end(); ++_iter215)
+      std::vector<int32_t> ::const_iterator _iter230;
+      for (_iter230 = this->servers.begin(); _iter230 != this->servers.end(); ++_iter230)
       {
-        xfer += oprot->writeI32((*_iter215));
+        xfer += oprot->writeI32((*_iter230));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3896,10 +3997,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter216;
-      for (_iter216 = this->requests.begin(); _iter216 != this->requests.end(); ++_iter216)
+      std::vector<int16_t> ::const_iterator _iter231;
+      for (_iter231 = this->requests.begin(); _iter231 != this->requests.end(); ++_iter231)
       {
-        xfer += oprot->writeI16((*_iter216));
+        xfer += oprot->writeI16((*_iter231));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3909,10 +4010,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter217;
-      for (_iter217 = this->crash_requests.begin(); _iter217 != this->crash_requests.end(); ++_iter217)
+      std::vector<int64_t> ::const_iterator _iter232;
+      for (_iter232 = this->crash_requests.begin(); _iter232 != this->crash_requests.end(); ++_iter232)
       {
-        xfer += oprot->writeI64((*_iter217));
+        xfer += oprot->writeI64((*_iter232));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3922,10 +4023,10 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter218;
-      for (_iter218 = this->crash_servers.begin(); _iter218 != this->crash_servers.end(); ++_iter218)
+      std::vector<int32_t> ::const_iterator _iter233;
+      for (_iter233 = this->crash_servers.begin(); _iter233 != this->crash_servers.end(); ++_iter233)
       {
-        xfer += oprot->writeI32((*_iter218));
+        xfer += oprot->writeI32((*_iter233));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3935,10 +4036,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
-      std::vector<int32_t> ::const_iterator _iter219;
-      for (_iter219 = this->services.begin(); _iter219 != this->services.end(); ++_iter219)
+      std::vector<int32_t> ::const_iterator _iter234;
+      for (_iter234 = this->services.begin(); _iter234 != this->services.end(); ++_iter234)
       {
-        xfer += oprot->writeI32((*_iter219));
+        xfer += oprot->writeI32((*_iter234));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3948,10 +4049,10 @@
     xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
-      std::vector<int32_t> ::const_iterator _iter220;
-      for (_iter220 = this->slot_tenths.begin(); _iter220 != this->slot_tenths.end(); ++_iter220)
+      std::vector<int32_t> ::const_iterator _iter235;
+      for (_iter235 = this->slot_tenths.begin(); _iter235 != this->slot_tenths.end(); ++_iter235)
       {
-        xfer += oprot->writeI32((*_iter220));
+        xfer += oprot->writeI32((*_iter235));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3961,10 +4062,10 @@
     xfer += oprot->writeFieldBegin("crash_ages_ms", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter221;
-      for (_iter221 = this->crash_ages_ms.begin(); _iter221 != this->crash_ages_ms.end(); ++_iter221)
+      std::vector<int32_t> ::const_iterator _iter236;
+      for (_iter236 = this->crash_ages_ms.begin(); _iter236 != this->crash_ages_ms.end(); ++_iter236)
       {
-        xfer += oprot->writeI32((*_iter221));
+        xfer += oprot->writeI32((*_iter236));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3974,10 +4075,10 @@
     xfer += oprot->writeFieldBegin("crash_excused", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->crash_excused.size()));
-      std::vector<bool> ::const_iterator _iter222;
-      for (_iter222 = this->crash_excused.begin(); _iter222 != this->crash_excused.end(); ++_iter222)
+      std::vector<bool> ::const_iterator _iter237;
+      for (_iter237 = this->crash_excused.begin(); _iter237 != this->crash_excused.end(); ++_iter237)
       {
-        xfer += oprot->writeBool((*_iter222));
+        xfer += oprot->writeBool((*_iter237));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3987,10 +4088,10 @@
     xfer += oprot->writeFieldBegin("completed_requests", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->completed_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter223;
-      for (_iter223 = this->completed_requests.begin(); _iter223 != this->completed_requests.end(); ++_iter223)
+      std::vector<int64_t> ::const_iterator _iter238;
+      for (_iter238 = this->completed_requests.begin(); _iter238 != this->completed_requests.end(); ++_iter238)
       {
-        xfer += oprot->writeI64((*_iter223));
+        xfer += oprot->writeI64((*_iter238));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4000,10 +4101,10 @@
     xfer += oprot->writeFieldBegin("completed_ages_ms", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->completed_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter224;
-      for (_iter224 = this->completed_ages_ms.begin(); _iter224 != this->completed_ages_ms.end(); ++_iter224)
+      std::vector<int32_t> ::const_iterator _iter239;
+      for (_iter239 = this->completed_ages_ms.begin(); _iter239 != this->completed_ages_ms.end(); ++_iter239)
       {
-        xfer += oprot->writeI32((*_iter224));
+        xfer += oprot->writeI32((*_iter239));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4013,10 +4114,10 @@
     xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter225;
-      for (_iter225 = this->refused_requests.begin(); _iter225 != this->refused_requests.end(); ++_iter225)
+      std::vector<int64_t> ::const_iterator _iter240;
+      for (_iter240 = this->refused_requests.begin(); _iter240 != this->refused_requests.end(); ++_iter240)
       {
-        xfer += oprot->writeI64((*_iter225));
+        xfer += oprot->writeI64((*_iter240));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4026,10 +4127,10 @@
     xfer += oprot->writeFieldBegin("refused_ages_ms", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter226;
-      for (_iter226 = this->refused_ages_ms.begin(); _iter226 != this->refused_ages_ms.end(); ++_iter226)
+      std::vector<int32_t> ::const_iterator _iter241;
+      for (_iter241 = this->refused_ages_ms.begin(); _iter241 != this->refused_ages_ms.end(); ++_iter241)
       {
-        xfer += oprot->writeI32((*_iter226));
+        xfer += oprot->writeI32((*_iter241));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4039,10 +4140,10 @@
     xfer += oprot->writeFieldBegin("limited_servers", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limited_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter227;
-      for (_iter227 = this->limited_servers.begin(); _iter227 != this->limited_servers.end(); ++_iter227)
+      std::vector<int32_t> ::const_iterator _iter242;
+      for (_iter242 = this->limited_servers.begin(); _iter242 != this->limited_servers.end(); ++_iter242)
       {
-        xfer += oprot->writeI32((*_iter227));
+        xfer += oprot->writeI32((*_iter242));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4052,10 +4153,10 @@
     xfer += oprot->writeFieldBegin("limit_thousandths", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_thousandths.size()));
-      std::vector<int32_t> ::const_iterator _iter228;
-      for (_iter228 = this->limit_thousandths.begin(); _iter228 != this->limit_thousandths.end(); ++_iter228)
+      std::vector<int32_t> ::const_iterator _iter243;
+      for (_iter243 = this->limit_thousandths.begin(); _iter243 != this->limit_thousandths.end(); ++_iter243)
       {
-        xfer += oprot->writeI32((*_iter228));
+        xfer += oprot->writeI32((*_iter243));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4065,15 +4166,64 @@
     xfer += oprot->writeFieldBegin("limit_ages_ms", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter229;
-      for (_iter229 = this->limit_ages_ms.begin(); _iter229 != this->limit_ages_ms.end(); ++_iter229)
+      std::vector<int32_t> ::const_iterator _iter244;
+      for (_iter244 = this->limit_ages_ms.begin(); _iter244 != this->limit_ages_ms.end(); ++_iter244)
+      {
+        xfer += oprot->writeI32((*_iter244));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_workspaces) {
+    xfer += oprot->writeFieldBegin("usage_workspaces", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_workspaces.size()));
+      std::vector<int32_t> ::const_iterator _iter245;
+      for (_iter245 = this->usage_workspaces.begin(); _iter245 != this->usage_workspaces.end(); ++_iter245)
       {
-        xfer += oprot->writeI32((*_iter229));
+        xfer += oprot->writeI32((*_iter245));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usage_admitted) {
+    xfer += oprot->writeFieldBegin("usage_admitted", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_admitted.size()));
+      std::vector<int32_t> ::const_iterator _iter246;
+      for (_iter246 = this->usage_admitted.begin(); _iter246 != this->usage_admitted.end(); ++_iter246)
+      {
+        xfer += oprot->writeI32((*_iter246));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_offered) {
+    xfer += oprot->writeFieldBegin("usage_offered", ::apache::thrift::protocol::T_LIST, 21);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_offered.size()));
+      std::vector<int32_t> ::const_iterator _iter247;
+      for (_iter247 = this->usage_offered.begin(); _iter247 != this->usage_offered.end(); ++_iter247)
+      {
+        xfer += oprot->writeI32((*_iter247));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_covers_ms) {
+    xfer += oprot->writeFieldBegin("usage_covers_ms", ::apache::thrift::protocol::T_I32, 22);
+    xfer += oprot->writeI32(this->usage_covers_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_sequence) {
+    xfer += oprot->writeFieldBegin("usage_sequence", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->usage_sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4099,93 +4249,118 @@
   swap(a.limited_servers, b.limited_servers);
   swap(a.limit_thousandths, b.limit_thousandths);
   swap(a.limit_ages_ms, b.limit_ages_ms);
+  swap(a.usage_workspaces, b.usage_workspaces);
+  swap(a.usage_admitted, b.usage_admitted);
+  swap(a.usage_offered, b.usage_offered);
+  swap(a.usage_covers_ms, b.usage_covers_ms);
+  swap(a.usage_sequence, b.usage_sequence);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other230) {
-  host = other230.host;
-  incarnation = other230.incarnation;
-  sequence = other230.sequence;
-  servers = other230.servers;
-  requests = other230.requests;
-  crash_requests = other230.crash_requests;
-  crash_servers = other230.crash_servers;
-  services = other230.services;
-  slot_tenths = other230.slot_tenths;
-  crash_ages_ms = other230.crash_ages_ms;
-  crash_excused = other230.crash_excused;
-  completed_requests = other230.completed_requests;
-  completed_ages_ms = other230.completed_ages_ms;
-  refused_requests = other230.refused_requests;
-  refused_ages_ms = other230.refused_ages_ms;
-  limited_servers = other230.limited_servers;
-  limit_thousandths = other230.limit_thousandths;
-  limit_ages_ms = other230.limit_ages_ms;
-  __isset = other230.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other231) noexcept {
-  host = other231.host;
-  incarnation = other231.incarnation;
-  sequence = other231.sequence;
-  servers = std::move(other231.servers);
-  requests = std::move(other231.requests);
-  crash_requests = std::move(other231.crash_requests);
-  crash_servers = std::move(other231.crash_servers);
-  services = std::move(other231.services);
-  slot_tenths = std::move(other231.slot_tenths);
-  crash_ages_ms = std::move(other231.crash_ages_ms);
-  crash_excused = std::move(other231.crash_excused);
-  completed_requests = std::move(other231.completed_requests);
-  completed_ages_ms = std::move(other231.completed_ages_ms);
-  refused_requests = std::move(other231.refused_requests);
-  refused_ages_ms = std::move(other231.refused_ages_ms);
-  limited_servers = std::move(other231.limited_servers);
-  limit_thousandths = std::move(other231.limit_thousandths);
-  limit_ages_ms = std::move(other231.limit_ages_ms);
-  __isset = other231.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other232) {
-  host = other232.host;
-  incarnation = other232.incarnation;
-  sequence = other232.sequence;
-  servers = other232.servers;
-  requests = other232.requests;
-  crash_requests = other232.crash_requests;
-  crash_servers = other232.crash_servers;
-  services = other232.services;
-  slot_tenths = other232.slot_tenths;
-  crash_ages_ms = other232.crash_ages_ms;
-  crash_excused = other232.crash_excused;
-  completed_requests = other232.completed_requests;
-  completed_ages_ms = other232.completed_ages_ms;
-  refused_requests = other232.refused_requests;
-  refused_ages_ms = other232.refused_ages_ms;
-  limited_servers = other232.limited_servers;
-  limit_thousandths = other232.limit_thousandths;
-  limit_ages_ms = other232.limit_ages_ms;
-  __isset = other232.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other248) {
+  host = other248.host;
+  incarnation = other248.incarnation;
+  sequence = other248.sequence;
+  servers = other248.servers;
+  requests = other248.requests;
+  crash_requests = other248.crash_requests;
+  crash_servers = other248.crash_servers;
+  services = other248.services;
+  slot_tenths = other248.slot_tenths;
+  crash_ages_ms = other248.crash_ages_ms;
+  crash_excused = other248.crash_excused;
+  completed_requests = other248.completed_requests;
+  completed_ages_ms = other248.completed_ages_ms;
+  refused_requests = other248.refused_requests;
+  refused_ages_ms = other248.refused_ages_ms;
+  limited_servers = other248.limited_servers;
+  limit_thousandths = other248.limit_thousandths;
+  limit_ages_ms = other248.limit_ages_ms;
+  usage_workspaces = other248.usage_workspaces;
+  usage_admitted = other248.usage_admitted;
+  usage_offered = other248.usage_offered;
+  usage_covers_ms = other248.usage_covers_ms;
+  usage_sequence = other248.usage_sequence;
+  __isset = other248.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other249) noexcept {
+  host = other249.host;
+  incarnation = other249.incarnation;
+  sequence = other249.sequence;
+  servers = std::move(other249.servers);
+  requests = std::move(other249.requests);
+  crash_requests = std::move(other249.crash_requests);
+  crash_servers = std::move(other249.crash_servers);
+  services = std::move(other249.services);
+  slot_tenths = std::move(other249.slot_tenths);
+  crash_ages_ms = std::move(other249.crash_ages_ms);
+  crash_excused = std::move(other249.crash_excused);
+  completed_requests = std::move(other249.completed_requests);
+  completed_ages_ms = std::move(other249.completed_ages_ms);
+  refused_requests = std::move(other249.refused_requests);
+  refused_ages_ms = std::move(other249.refused_ages_ms);
+  limited_servers = std::move(other249.limited_servers);
+  limit_thousandths = std::move(other249.limit_thousandths);
+  limit_ages_ms = std::move(other249.limit_ages_ms);
+  usage_workspaces = std::move(other249.usage_workspaces);
+  usage_admitted = std::move(other249.usage_admitted);
+  usage_offered = std::move(other249.usage_offered);
+  usage_covers_ms = other249.usage_covers_ms;
+  usage_sequence = other249.usage_sequence;
+  __isset = other249.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other250) {
+  host = other250.host;
+  incarnation = other250.incarnation;
+  sequence = other250.sequence;
+  servers = other250.servers;
+  requests = other250.requests;
+  crash_requests = other250.crash_requests;
+  crash_servers = other250.crash_servers;
+  services = other250.services;
+  slot_tenths = other250.slot_tenths;
+  crash_ages_ms = other250.crash_ages_ms;
+  crash_excused = other250.crash_excused;
+  completed_requests = other250.completed_requests;
+  completed_ages_ms = other250.completed_ages_ms;
+  refused_requests = other250.refused_requests;
+  refused_ages_ms = other250.refused_ages_ms;
+  limited_servers = other250.limited_servers;
+  limit_thousandths = other250.limit_thousandths;
+  limit_ages_ms = other250.limit_ages_ms;
+  usage_workspaces = other250.usage_workspaces;
+  usage_admitted = other250.usage_admitted;
+  usage_offered = other250.usage_offered;
+  usage_covers_ms = other250.usage_covers_ms;
+  usage_sequence = other250.usage_sequence;
+  __isset = other250.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other233) noexcept {
-  host = other233.host;
-  incarnation = other233.incarnation;
-  sequence = other233.sequence;
-  servers = std::move(other233.servers);
-  requests = std::move(other233.requests);
-  crash_requests = std::move(other233.crash_requests);
-  crash_servers = std::move(other233.crash_servers);
-  services = std::move(other233.services);
-  slot_tenths = std::move(other233.slot_tenths);
-  crash_ages_ms = std::move(other233.crash_ages_ms);
-  crash_excused = std::move(other233.crash_excused);
-  completed_requests = std::move(other233.completed_requests);
-  completed_ages_ms = std::move(other233.completed_ages_ms);
-  refused_requests = std::move(other233.refused_requests);
-  refused_ages_ms = std::move(other233.refused_ages_ms);
-  limited_servers = std::move(other233.limited_servers);
-  limit_thousandths = std::move(other233.limit_thousandths);
-  limit_ages_ms = std::move(other233.limit_ages_ms);
-  __isset = other233.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other251) noexcept {
+  host = other251.host;
+  incarnation = other251.incarnation;
+  sequence = other251.sequence;
+  servers = std::move(other251.servers);
+  requests = std::move(other251.requests);
+  crash_requests = std::move(other251.crash_requests);
+  crash_servers = std::move(other251.crash_servers);
+  services = std::move(other251.services);
+  slot_tenths = std::move(other251.slot_tenths);
+  crash_ages_ms = std::move(other251.crash_ages_ms);
+  crash_excused = std::move(other251.crash_excused);
+  completed_requests = std::move(other251.completed_requests);
+  completed_ages_ms = std::move(other251.completed_ages_ms);
+  refused_requests = std::move(other251.refused_requests);
+  refused_ages_ms = std::move(other251.refused_ages_ms);
+  limited_servers = std::move(other251.limited_servers);
+  limit_thousandths = std::move(other251.limit_thousandths);
+  limit_ages_ms = std::move(other251.limit_ages_ms);
+  usage_workspaces = std::move(other251.usage_workspaces);
+  usage_admitted = std::move(other251.usage_admitted);
+  usage_offered = std::move(other251.usage_offered);
+  usage_covers_ms = other251.usage_covers_ms;
+  usage_sequence = other251.usage_sequence;
+  __isset = other251.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -4209,6 +4384,11 @@
   out << ", " << "limited_servers="; (__isset.limited_servers ? (out << to_string(limited_servers)) : (out << "<null>"));
   out << ", " << "limit_thousandths="; (__isset.limit_thousandths ? (out << to_string(limit_thousandths)) : (out << "<null>"));
   out << ", " << "limit_ages_ms="; (__isset.limit_ages_ms ? (out << to_string(limit_ages_ms)) : (out << "<null>"));
+  out << ", " << "usage_workspaces="; (__isset.usage_workspaces ? (out << to_string(usage_workspaces)) : (out << "<null>"));
+  out << ", " << "usage_admitted="; (__isset.usage_admitted ? (out << to_string(usage_admitted)) : (out << "<null>"));
+  out << ", " << "usage_offered="; (__isset.usage_offered ? (out << to_string(usage_offered)) : (out << "<null>"));
+  out << ", " << "usage_covers_ms="; (__isset.usage_covers_ms ? (out << to_string(usage_covers_ms)) : (out << "<null>"));
+  out << ", " << "usage_sequence="; (__isset.usage_sequence ? (out << to_string(usage_sequence)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1400,7 +1400,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false), limited_servers(false), limit_thousandths(false), limit_ages_ms(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false), limited_servers(false), limit_thousandths(false), limit_ages_ms(false), usage_workspaces(false), usage_admitted(false), usage_offered(false), usage_covers_ms(false), usage_sequence(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1419,6 +1419,11 @@
   bool limited_servers :1;
   bool limit_thousandths :1;
   bool limit_ages_ms :1;
+  bool usage_workspaces :1;
+  bool usage_admitted :1;
+  bool usage_offered :1;
+  bool usage_covers_ms :1;
+  bool usage_sequence :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1431,7 +1436,9 @@
   LoadSheet() noexcept
             : host(0),
               incarnation(0),
-              sequence(0) {
+              sequence(0),
+              usage_covers_ms(0),
+              usage_sequence(0) {
   }
 
   virtual ~LoadSheet() noexcept;
@@ -1453,6 +1460,11 @@
   std::vector<int32_t>  limited_servers;
   std::vector<int32_t>  limit_thousandths;
   std::vector<int32_t>  limit_ages_ms;
+  std::vector<int32_t>  usage_workspaces;
+  std::vector<int32_t>  usage_admitted;
+  std::vector<int32_t>  usage_offered;
+  int32_t usage_covers_ms;
+  int64_t usage_sequence;
 
   _LoadSheet__isset __isset;
 
@@ -1492,6 +1504,16 @@
 
   void __set_limit_ages_ms(const std::vector<int32_t> & val);
 
+  void __set_usage_workspaces(const std::vector<int32_t> & val);
+
+  void __set_usage_admitted(const std::vector<int32_t> & val);
+
+  void __set_usage_offered(const std::vector<int32_t> & val);
+
+  void __set_usage_covers_ms(const int32_t val);
+
+  void __set_usage_sequence(const int64_t val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1566,6 +1588,26 @@
       return false;
     else if (__isset.limit_ages_ms && !(limit_ages_ms == rhs.limit_ages_ms))
       return false;
+    if (__isset.usage_workspaces != rhs.__isset.usage_workspaces)
+      return false;
+    else if (__isset.usage_workspaces && !(usage_workspaces == rhs.usage_workspaces))
+      return false;
+    if (__isset.usage_admitted != rhs.__isset.usage_admitted)
+      return false;
+    else if (__isset.usage_admitted && !(usage_admitted == rhs.usage_admitted))
+      return false;
+    if (__isset.usage_offered != rhs.__isset.usage_offered)
+      return false;
+    else if (__isset.usage_offered && !(usage_offered == rhs.usage_offered))
+      return false;
+    if (__isset.usage_covers_ms != rhs.__isset.usage_covers_ms)
+      return false;
+    else if (__isset.usage_covers_ms && !(usage_covers_ms == rhs.usage_covers_ms))
+      return false;
+    if (__isset.usage_sequence != rhs.__isset.usage_sequence)
+      return false;
+    else if (__isset.usage_sequence && !(usage_sequence == rhs.usage_sequence))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -160,4 +160,12 @@
   16: optional list<i32> limited_servers
   17: optional list<i32> limit_thousandths
   18: optional list<i32> limit_ages_ms
+  // Runs of workspaces (hashes of their ids) at this host within the window of
+  // their caps: admitted and asked for; how much of the window the host has
+  // counted, and the number of this report among those of its incarnation.
+  19: optional list<i32> usage_workspaces
+  20: optional list<i32> usage_admitted
+  21: optional list<i32> usage_offered
+  22: optional i32 usage_covers_ms
+  23: optional i64 usage_sequence
 }
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -332,10 +332,11 @@
   waiting.request.route = nullptr;
   if (!request.route->sticky)
     waiting.request.object = 0;
-  waiting.priority = request.route->priority;
+  waiting.priority = request.priority.value_or(request.route->priority);
   waiting.order = next_order_++;
   waiting.route_name = request.route->name;
-  waiting.allowed_regions = request.route->allowed_regions;
+  waiting.allowed_regions =
+      request.allowed_regions.value_or(request.route->allowed_regions);
   return waiting;
 }
 
--- a/tests/memory/memory_account_test.cc
+++ b/tests/memory/memory_account_test.cc
@@ -4,6 +4,7 @@
 #include "include/memory/memory_account.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <utility>
 
 namespace toucanknot {
@@ -27,28 +28,28 @@
 }
 
 TEST_CASE("a reservation that cannot grow keeps its size") {
-  MemoryAccount account(kLimits);
-  MemoryReservation it(&account, MemoryUse::kRequestHead);
+  const auto account = std::make_shared<MemoryAccount>(kLimits);
+  MemoryReservation it(account, MemoryUse::kRequestHead);
   CHECK(it.Resize(50));
   CHECK_FALSE(it.Resize(61));
   CHECK(it.bytes() == 50);
   CHECK(it.Resize(10));
-  CHECK(account.total_reserved() == 10);
+  CHECK(account->total_reserved() == 10);
 }
 
 TEST_CASE("a moved reservation is released once") {
-  MemoryAccount account(kLimits);
+  const auto account = std::make_shared<MemoryAccount>(kLimits);
   {
-    MemoryReservation it(&account, MemoryUse::kResponse);
+    MemoryReservation it(account, MemoryUse::kResponse);
     CHECK(it.Resize(30));
     MemoryReservation other(std::move(it));
-    CHECK(account.total_reserved() == 30);
-    MemoryReservation third(&account, MemoryUse::kResponse);
+    CHECK(account->total_reserved() == 30);
+    MemoryReservation third(account, MemoryUse::kResponse);
     CHECK(third.Resize(5));
     third = std::move(other);
-    CHECK(account.total_reserved() == 30);
+    CHECK(account->total_reserved() == 30);
   }
-  CHECK(account.total_reserved() == 0);
+  CHECK(account->total_reserved() == 0);
 }
 
 TEST_CASE("without an account everything is granted") {
--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -27,7 +27,7 @@
 
 // A PlatformStore on its own loop, and the state that it reported.
 struct Fixture {
-  Fixture() : store(loop, standin.endpoint(), Duration(2'500), 1) {
+  Fixture() : store(loop, standin.endpoint(), {Duration(2'500), {}}, 1) {
     thread = std::thread([this] { loop.run(); });
   }
   ~Fixture() {
