entry: figures of the cap in the log, requests wait for the first configuration

Cause: a refusal above a cap did not say which figures decided it. A host that had just started refused requests in the 100 ms until it had read its configuration, which used up the one retry of most callers. Change: the log line has the figures; such requests wait for up to 400 ms.

--- a/include/workspaces/access_control.h
+++ b/include/workspaces/access_control.h
@@ -65,6 +65,8 @@
     // Where the request may run; empty means everywhere.
     std::vector<RegionId> allowed_regions;
     Duration retry_after;
+    // The figures behind the decision on the cap.
+    UsageCaps::Figures cap;
     // The age of the proof; Max() if there is none.
     Duration proof_age = Duration::Max();
   };
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -15,6 +15,7 @@
 #include "include/placing/retry_after.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/request_fields.h"
+#include "src/http/one_shot.h"
 
 namespace toucanknot {
 namespace {
@@ -23,6 +24,12 @@
 
 // Retry-After while this host has no configuration.
 constexpr Duration kUnconfiguredRetryAfter{300};
+// A host that has just started reads its configuration within a few round trips
+// to the store. Requests that arrive before wait for it, since most callers
+// retry only once after a refusal.
+constexpr Duration kConfigurationRead{1'000};
+constexpr Duration kConfigurationWait{400};
+constexpr Duration kConfigurationPoll{20};
 // Time reserved for the response to reach the caller.
 constexpr Duration kResponseMargin{15};
 // A connection whose server acknowledges no bytes for this long is treated as
@@ -96,6 +103,8 @@
   run.request = std::move(request);
   const HttpFields& fields = run.request.fields;
   run.id = std::string(fields.Get(parts_.names.request_id));
+  if (parts_.routes.version() == 0)
+    co_await AwaitConfiguration(run.request);
   if (parts_.routes.version() == 0) {
     HttpResponse response = Refuse(run, 503, "this host has no configuration",
                                    kUnconfiguredRetryAfter);
@@ -124,6 +133,16 @@
   co_return response;
 }
 
+asio::awaitable<void> RequestRunner::AwaitConfiguration(
+    const HttpRequest& request) {
+  const Instant until = std::min(request.began_at + kConfigurationWait,
+                                 started_at_ + kConfigurationRead);
+  while (parts_.routes.version() == 0 && SteadyNow() < until &&
+         !(request.caller && request.caller->left())) {
+    co_await SleepFor(kConfigurationPoll);
+  }
+}
+
 std::optional<HttpResponse> RequestRunner::CheckAccess(Run& run) {
   if (!parts_.access.keys_required()) {
     run.access.allowed_regions = run.route.allowed_regions;
@@ -141,6 +160,11 @@
     case AccessRefusal::kUnknownKey:
       return TextResponse(401, "the API key is missing or unknown");
     case AccessRefusal::kOverCap:
+      run.attempt_summary += fmt::format(
+          " used:{:.0f}/{:.0f} part:{:.1f} unreported:{:.0f} heard:{}/{}",
+          run.access.cap.used, run.access.cap.allowed, run.access.cap.part,
+          run.access.cap.unreported, run.access.cap.heard,
+          run.access.cap.others);
       return Refuse(run, 429, "the workspace has used up its cap",
                     run.access.retry_after);
     case AccessRefusal::kNoRegion:
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -107,6 +107,8 @@
   };
 
   boost::asio::awaitable<HttpResponse> HandleCounted(HttpRequest request);
+  // Waits for the first configuration if the host has just started.
+  boost::asio::awaitable<void> AwaitConfiguration(const HttpRequest& request);
   // Sets `run.access`, and returns the response if the request may not be
   // served.
   std::optional<HttpResponse> CheckAccess(Run& run);
@@ -162,6 +164,7 @@
   void LogOutcome(const Run& run, const HttpResponse& response);
 
   const Parts parts_;
+  const Instant started_at_ = SteadyNow();
   int in_flight_ = 0;
   int host_count_ = 1;
   std::map<ServiceId, Retries> retries_;
