workspaces: requests of public routes, changed regions and unknown keys

The first version refused a request of a public route when a key that it did not need was removed while it waited, kept the regions of an earlier configuration for waiting requests, and answered 401 for an unknown key while calls to the store failed. Runs count towards the cap from the time at which they are sent, and a refund is taken from the time of the count: it was taken from the present, so that up to a window's refunds allowed as many runs too many in the next window.

--- a/include/limits/usage_caps.h
+++ b/include/limits/usage_caps.h
@@ -48,13 +48,17 @@
 // are admitted at whatever host they arrive.
 //
 // Each host counts its own runs of the window and learns those of the others
-// from their reports. What the cap leaves is divided between the hosts, half of
-// it by their demand and half evenly; a host admits only its part of that until
-// the others have heard of what it admitted. So the sum holds although hosts
-// decide at the same time. A host that is not heard counts with its last
-// report, or with an even part of the cap if that is more: both sides of a
-// partition stay below the cap together. The part of the window from before a
-// host's start counts as if it had used an even part of the cap then.
+// from their reports. What the cap leaves is divided between the hosts, part of
+// it by the demand that they reported and the rest evenly; a host admits only
+// its part of that until the others have heard of what it admitted. So the sum
+// holds although hosts decide at the same time. Demand that a host has not
+// reported yet does not enlarge its part, since the others would not make room.
+//
+// A host that is not heard counts with its last report, or with an even part of
+// the cap if that is more: both sides of a partition stay below the cap
+// together. The runs that a former incarnation reported count until they have
+// left the window. The host itself does not know them, so that in its first
+// window it admits no more than an even part of the cap, evenly in time.
 //
 // Does no I/O. Not thread-safe.
 class UsageCaps {
@@ -92,10 +96,13 @@
   // How often a host sends its report to all others.
   static constexpr Duration kReportInterval{500};
   // A host without a report for this long counts as not heard.
-  static constexpr Duration kFreshFor{1'700};
+  // Short, because in that time both sides of a partition use the same rest;
+  // two lost reports in a row cost the other hosts little.
+  static constexpr Duration kFreshFor{1'200};
   // What was admitted within this time may not be known to the others yet.
   static constexpr Duration kReportDelay{700};
-  // Rows of one report; the workspaces with most requests come first.
+  // Rows of one report; the workspaces that are nearest to their caps come
+  // first. Of the others, a host uses no more than its even part of the cap.
   static constexpr size_t kMaxRows = 400;
 
   // `now` is the start time of the host.
@@ -109,8 +116,11 @@
   Admission Admit(const WorkspaceId& workspace, Instant now);
   // As Admit(), but counts nothing.
   Admission Preview(const WorkspaceId& workspace, Instant now) const;
-  // Takes back an admitted run that did not take place.
-  void Refund(const WorkspaceId& workspace, Instant now);
+  // Counts a run that was admitted at `admitted_at` as one of `now`: requests
+  // that wait would run together with those that are admitted a window later.
+  void OnRun(const WorkspaceId& workspace, Instant admitted_at, Instant now);
+  // Takes back a run counted at `counted_at` that did not take place.
+  void Refund(const WorkspaceId& workspace, Instant counted_at, Instant now);
 
   // Whether any workspace has a cap.
   bool active() const { return !caps_.empty(); }
@@ -131,20 +141,28 @@
   struct Usage {
     UsageWindow admitted;
     UsageWindow offered;
+    // Requests in the window by the last report, and by the last two, whichever
+    // is less.
+    int last_offered = 0;
+    int reported_offered = 0;
+    // Whether the last report had no room for the workspace.
+    bool left_out = false;
   };
+  using Rows = boost::unordered_flat_map<uint32_t, UsageReport::Row>;
   struct Peer {
     Incarnation incarnation = 0;
     uint64_t sequence = 0;
     Instant at;
     Duration covers;
-    boost::unordered_flat_map<uint32_t, UsageReport::Row> rows;
+    Rows rows;
+    // The last report of the former incarnation, whose runs count until then.
+    Rows former_rows;
+    Instant former_until;
   };
   // Sums over other hosts for one workspace.
   struct Others {
     double admitted = 0;
     double offered = 0;
-    // Hosts that report requests of it.
-    int active = 0;
     // Used by hosts that are not heard, by their last reports, where that is
     // more than an even part.
     double excess_admitted = 0;
@@ -157,9 +175,12 @@
   double AllowedIn(const Cap& cap) const;
   Figures FiguresOf(const Cap& cap, Instant now) const;
   Admission Decide(const Cap& cap, Instant now) const;
-  // Whether a host whose part is below one request may admit one in this
-  // interval: as many intervals as its part says.
-  bool WinsDraw(uint32_t key, double part, Instant now) const;
+  // What this host, which does not know the runs of its former incarnation, may
+  // still admit in its first window; no limit later.
+  double FirstWindowRest(const Cap& cap, double hosts, Instant now) const;
+  // The number of requests that a part stands for in this interval: a part of
+  // 0.3 is one request in 3 of 10 intervals.
+  double WholePart(uint32_t key, double part, Instant now) const;
 
   const Options options_;
   const Instant started_at_;
--- a/include/limits/usage_window.h
+++ b/include/limits/usage_window.h
@@ -23,6 +23,13 @@
     Advance(now);
     buckets_[Index(head_)] += n;
   }
+  // Takes back an event that was added at `at`, unless it has left the window.
+  void Remove(Instant at, Instant now) {
+    Advance(now);
+    const int64_t step = at.ms() / step_;
+    if (head_ - step <= kSteps)
+      --buckets_[Index(step)];
+  }
   // Events within the window.
   int Count(Instant now) const { return CountSince(now, kSteps); }
   // Events within the last `span`.
--- a/include/workspaces/access_control.h
+++ b/include/workspaces/access_control.h
@@ -51,6 +51,8 @@
     // When the configuration was last proven, on BootNow()'s clock; nothing
     // before the first time.
     std::function<std::optional<Instant>()> proven_at;
+    // Whether calls to the store fail at present. May be empty.
+    std::function<bool()> store_unreachable;
   };
   // When a request began and the current time, each on the clock that counts
   // suspension.
@@ -65,6 +67,8 @@
     // Where the request may run; empty means everywhere.
     std::vector<RegionId> allowed_regions;
     Duration retry_after;
+    // When its run was counted towards the cap.
+    Instant counted_at;
     // The age of the proof; Max() if there is none.
     Duration proof_age = Duration::Max();
   };
@@ -86,13 +90,17 @@
                    const Times& times,
                    Instant now);
   // Whether a request that was admitted may be sent now: its key may have been
-  // removed since.
+  // removed since, or its workspace's regions may have changed. Requests of
+  // public routes always may.
   bool MayStillRun(const Route& route,
                    std::string_view key,
                    const Decision& admitted,
                    const Times& times) const;
+  // Must be called when an admitted request is sent: the run counts towards the
+  // cap from now on, however long it has waited.
+  void OnRun(Decision& admitted, Instant now);
   // Counts another run of an admitted request, if the cap allows it.
-  bool AdmitAgain(const Decision& admitted, Instant now);
+  bool AdmitAgain(Decision& admitted, Instant now);
   void Refund(const Decision& admitted, Instant now);
 
   // Whether requests with keys can be served now.
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -160,6 +160,7 @@
   bool ready_ = false;
   bool full_ = false;
   bool proven_ = true;
+  bool store_unreachable_ = false;
   std::promise<bool> stopped_;
 };
 
@@ -175,7 +176,8 @@
       store_(make_store(loop_, settings_)),
       caps_(CapOptions(settings_, incarnation_), SteadyNow()),
       access_({settings_.revoke_within,
-               [this] { return store_->counts().proven_at; }},
+               [this] { return store_->counts().proven_at; },
+               [this] { return store_unreachable_; }},
               caps_),
       registry_(
           [this](ServerChange change, const ServerRegistry::Server& server) {
@@ -378,6 +380,7 @@
 
 void EntryDaemon::Impl::OnStoreUnreachable(bool unreachable) {
   const Instant now = SteadyNow();
+  store_unreachable_ = unreachable;
   registry_.SetStoreUnreachable(unreachable, store_->counts().last_response_at,
                                 now);
   roster_.SetStoreUnreachable(unreachable, now);
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -225,6 +225,7 @@
     }
     if (!MayStillRun(run))
       co_return RefuseRevoked(run, *placement);
+    parts_.access.OnRun(run.access, SteadyNow());
     Attempt attempt = co_await Send(run, *placement);
     RemoveHopByHop(attempt.response.fields);
     if (attempt.end == ServerAttemptEnd::kAnswered)
@@ -298,7 +299,8 @@
   out.fields.Set(parts_.names.deadline_ms,
                  std::to_string(std::max<int64_t>(left.ms(), 1)));
   out.fields.Set(parts_.names.target_server, server.str());
-  if (parts_.access.keys_required()) {
+  // The configuration may have lost its workspaces since the key was read.
+  if (parts_.access.keys_required() || run.access.workspace) {
     out.fields.Remove(parts_.names.api_key);
     out.fields.Remove(parts_.names.workspace);
     if (run.access.workspace)
--- a/src/limits/usage_caps.cc
+++ b/src/limits/usage_caps.cc
@@ -14,7 +14,14 @@
 constexpr double kToleranceUsed = 0.5;
 // Fraction of what a cap leaves that is divided by demand; the rest is divided
 // evenly, for hosts whose demand others have not heard of.
-constexpr double kByDemand = 0.5;
+constexpr double kByDemand = 0.7;
+// A host may admit a single request while the rest is this many times the
+// number of requests that all hosts expect before the next reports.
+constexpr double kSingleMargin = 2;
+// Standard deviations of the arrivals at a host that its part covers.
+constexpr double kDeviations = 2.5;
+// Times its usual rate that a workspace may send from one moment to the next.
+constexpr double kSurge = 7.5;
 constexpr Duration kMinRetryAfter{300};
 constexpr Duration kMaxRetryAfter{5'000};
 constexpr double kMsPerSecond = 1'000;
@@ -71,9 +78,11 @@
     others = it->second;
   double own = 0;
   double own_offered = 0;
+  bool left_out = false;
   if (const auto it = usage_.find(cap.key); it != usage_.end()) {
     own = it->second.admitted.Count(now);
-    own_offered = it->second.offered.Count(now);
+    own_offered = it->second.reported_offered;
+    left_out = it->second.left_out;
     out.unreported = it->second.admitted.CountWithin(kReportDelay, now);
   }
   const double even_part = out.allowed / hosts;
@@ -87,28 +96,57 @@
   // the same rest.
   const double rest = std::max(0.0, out.allowed - (out.used - out.unreported));
   const double offered = own_offered + others.offered;
-  const double weight = offered > 0 ? own_offered / offered : 0;
+  const double weight = offered > 0 ? own_offered / offered : 1 / hosts;
   out.part = rest * (kByDemand * weight + (1 - kByDemand) / hosts);
-  // While the rest has room for one request of each host that gets any, each
-  // may admit one.
-  if (rest >= 2.0 * (others.active + 1))
-    out.part = std::max(out.part, 1.0);
+  // Few of the hosts get a request of a small workspace before the next
+  // reports, so that even parts of its rest would refuse most of them.
+  const double expected =
+      offered * kReportDelay.seconds() / options_.window.seconds();
+  out.part = std::max(out.part,
+                      std::min(1.0, rest / (kSingleMargin * (1 + expected))));
+  // Arrivals vary by chance. The part covers that as far as the rest covers it
+  // at all hosts, or covers a surge of the workspace.
+  const double own_expected = expected * std::max(weight, 1 / hosts);
+  const double peak = 1 + own_expected + kDeviations * std::sqrt(own_expected);
+  const double all_peaks =
+      hosts + expected + kDeviations * std::sqrt(expected * hosts);
+  const double surge = kSurge * (1 + expected);
+  out.part = std::max(out.part,
+                      peak * std::min(1.0, rest / std::min(all_peaks, surge)));
+  if (left_out)
+    out.part = std::min(out.part, even_part - own + out.unreported);
+  out.part = std::clamp(out.part, 0.0,
+                        FirstWindowRest(cap, hosts, now) + out.unreported);
   return out;
 }
 
-bool UsageCaps::WinsDraw(uint32_t key, double part, Instant now) const {
+double UsageCaps::FirstWindowRest(const Cap& cap,
+                                  double hosts,
+                                  Instant now) const {
+  const Duration up = now - started_at_;
+  if (up >= options_.window)
+    return AllowedIn(cap);
+  const auto it = usage_.find(cap.key);
+  const double own = it == usage_.end() ? 0 : it->second.admitted.Count(now);
+  return std::max(0.0, AllowedIn(cap) / hosts * static_cast<double>(up.ms()) /
+                               static_cast<double>(options_.window.ms()) -
+                           own);
+}
+
+double UsageCaps::WholePart(uint32_t key, double part, Instant now) const {
   const uint64_t draw[] = {key,
                            static_cast<uint64_t>(now.ms() / kReportDelay.ms())};
   const uint64_t hash = XXH3_64bits_withSeed(draw, sizeof draw, options_.host);
-  return std::ldexp(static_cast<double>(hash >> 11), -53) < part;
+  const double whole = std::floor(part);
+  const bool one_more =
+      std::ldexp(static_cast<double>(hash >> 11), -53) < part - whole;
+  return whole + (one_more ? 1 : 0);
 }
 
 UsageCaps::Admission UsageCaps::Decide(const Cap& cap, Instant now) const {
   const Figures it = FiguresOf(cap, now);
   Admission out;
-  if (it.unreported + 1 <= it.part)
-    return out;
-  if (it.unreported < 1 && WinsDraw(cap.key, it.part, now))
+  if (it.unreported + 1 <= WholePart(cap.key, it.part, now))
     return out;
   out.admitted = false;
   const double excess = std::max(0.0, it.used + 1 - it.allowed);
@@ -138,10 +176,23 @@
   return cap == caps_.end() ? Admission() : Decide(cap->second, now);
 }
 
-void UsageCaps::Refund(const WorkspaceId& workspace, Instant now) {
+void UsageCaps::OnRun(const WorkspaceId& workspace,
+                      Instant admitted_at,
+                      Instant now) {
+  const auto cap = caps_.find(workspace);
+  if (cap == caps_.end())
+    return;
+  UsageWindow& admitted = UsageOf(cap->second.key).admitted;
+  admitted.Remove(admitted_at, now);
+  admitted.Add(1, now);
+}
+
+void UsageCaps::Refund(const WorkspaceId& workspace,
+                       Instant counted_at,
+                       Instant now) {
   const auto cap = caps_.find(workspace);
   if (cap != caps_.end())
-    UsageOf(cap->second.key).admitted.Add(-1, now);
+    UsageOf(cap->second.key).admitted.Remove(counted_at, now);
 }
 
 UsageReport UsageCaps::MakeReport(Instant now) {
@@ -150,18 +201,37 @@
   out.incarnation = options_.incarnation;
   out.sequence = ++reports_made_;
   out.covers = std::min(options_.window, now - started_at_);
-  for (const auto& [key, usage] : usage_) {
+  // A workspace's requests as a fraction of its cap, highest first.
+  std::vector<std::pair<double, UsageReport::Row>> rows;
+  for (const auto& [id, cap] : caps_) {
+    const auto it = usage_.find(cap.key);
+    if (it == usage_.end())
+      continue;
+    Usage& usage = it->second;
+    usage.left_out = false;
     const int offered = usage.offered.Count(now);
-    if (offered > 0)
-      out.rows.push_back(
-          {key, std::max(0, usage.admitted.Count(now)), offered});
+    // A report takes effect at this host when the next one is made: by then the
+    // others have reported a rise of the same moment, too.
+    usage.reported_offered = std::min(offered, usage.last_offered);
+    usage.last_offered = offered;
+    if (offered == 0 && usage.admitted.Count(now) <= 0) {
+      usage_.erase(it);
+      continue;
+    }
+    rows.push_back(
+        {offered / AllowedIn(cap),
+         {cap.key, std::max(0, usage.admitted.Count(now)), offered}});
   }
-  if (out.rows.size() > kMaxRows) {
+  if (rows.size() > kMaxRows) {
     std::nth_element(
-        out.rows.begin(), out.rows.begin() + kMaxRows, out.rows.end(),
-        [](const auto& a, const auto& b) { return a.offered > b.offered; });
-    out.rows.resize(kMaxRows);
+        rows.begin(), rows.begin() + kMaxRows, rows.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (size_t i = kMaxRows; i < rows.size(); ++i)
+      usage_.at(rows[i].second.workspace).left_out = true;
+    rows.resize(kMaxRows);
   }
+  for (const auto& [used, row] : rows)
+    out.rows.push_back(row);
   return out;
 }
 
@@ -172,6 +242,15 @@
                       report.sequence <= peer.sequence);
   if (older && IsFresh(peer, now))
     return;
+  if (peer.incarnation != 0 && report.incarnation != peer.incarnation) {
+    if (now >= peer.former_until)
+      peer.former_rows.clear();
+    for (const auto& [key, row] : peer.rows) {
+      UsageReport::Row& former = peer.former_rows[key];
+      former.admitted += row.admitted;
+    }
+    peer.former_until = now + options_.window;
+  }
   peer.incarnation = report.incarnation;
   peer.sequence = report.sequence;
   peer.at = now;
@@ -185,7 +264,8 @@
   // The runs of the last report have left the window by then; a host that is
   // still listed counts with an even part.
   boost::unordered::erase_if(peers_, [&](const auto& it) {
-    return now - it.second.at > options_.window;
+    return now - it.second.at > options_.window &&
+           now >= it.second.former_until;
   });
   others_.clear();
   heard_ = 0;
@@ -195,15 +275,22 @@
     const bool fresh = IsFresh(peer, now);
     if (fresh) {
       ++heard_;
+    }
+    const bool has_former = now < peer.former_until;
+    if (has_former) {
+      for (const auto& [key, row] : peer.former_rows)
+        others_[key].admitted += row.admitted;
+    } else if (fresh) {
       uncounted_ += 1 - static_cast<double>(peer.covers.ms()) /
                             static_cast<double>(options_.window.ms());
     }
+    if (now - peer.at > options_.window)
+      continue;
     for (const auto& [key, row] : peer.rows) {
       Others& it = others_[key];
       if (fresh) {
         it.admitted += row.admitted;
         it.offered += row.offered;
-        ++it.active;
       } else {
         it.excess_admitted += row.admitted;
       }
--- a/src/workspaces/access_control.cc
+++ b/src/workspaces/access_control.cc
@@ -6,11 +6,15 @@
 namespace toucanknot {
 namespace {
 
-// The store is usually back, and read again, within about a second.
+// The store is usually back, and read again, within about a second. After a
+// longer outage, callers are spread over a longer time, so that they do not all
+// return at the first proof.
 constexpr Duration kUnprovenRetryAfter{500};
-// An unknown key is denied only if the configuration was proven this recently;
-// otherwise a newer one may hold it.
-constexpr Duration kRecentProof{3'000};
+constexpr Duration kMaxUnprovenRetryAfter{1'500};
+// A new configuration is in force after this time. An unknown key is denied
+// only if the configuration was proven more recently; otherwise a newer one
+// that is in force may hold the key.
+constexpr Duration kConfigApply{3'000};
 
 }  // namespace
 
@@ -39,21 +43,23 @@
     return out;
   if (const auto proven_at = options_.proven_at())
     out.proof_age = times.now - *proven_at;
+  out.retry_after = std::clamp(out.proof_age / 4, kUnprovenRetryAfter,
+                               kMaxUnprovenRetryAfter);
   const bool needs_key = NeedsKey(route);
   const bool within_proof = IsWithinProof(times.began);
   if (needs_key && !within_proof) {
     out.refusal = AccessRefusal::kUnproven;
-    out.retry_after = kUnprovenRetryAfter;
     return out;
   }
   if (within_proof)
     out.workspace = keys_.Find(key);
   if (!out.workspace) {
     if (needs_key) {
-      const bool recent = out.proof_age <= kRecentProof;
+      const bool unreachable =
+          options_.store_unreachable && options_.store_unreachable();
+      const bool recent = out.proof_age <= kConfigApply && !unreachable;
       out.refusal =
           recent ? AccessRefusal::kUnknownKey : AccessRefusal::kUnproven;
-      out.retry_after = kUnprovenRetryAfter;
     }
     return out;
   }
@@ -84,6 +90,7 @@
     out.refusal = AccessRefusal::kOverCap;
     out.retry_after = admission.retry_after;
   }
+  out.counted_at = now;
   return out;
 }
 
@@ -106,22 +113,34 @@
                                 std::string_view key,
                                 const Decision& admitted,
                                 const Times& times) const {
-  if (!admitted.workspace)
-    return !NeedsKey(route);
-  if (!IsWithinProof(times.began))
+  if (!NeedsKey(route))
+    return true;
+  if (!admitted.workspace || !IsWithinProof(times.began))
     return false;
   const WorkspacePtr now_holds = keys_.Find(key);
-  return now_holds && now_holds->id == admitted.workspace->id;
+  return now_holds && now_holds->id == admitted.workspace->id &&
+         now_holds->allowed_regions == admitted.workspace->allowed_regions;
+}
+
+void AccessControl::OnRun(Decision& admitted, Instant now) {
+  if (!admitted.workspace)
+    return;
+  caps_.OnRun(admitted.workspace->id, admitted.counted_at, now);
+  admitted.counted_at = now;
 }
 
-bool AccessControl::AdmitAgain(const Decision& admitted, Instant now) {
-  return !admitted.workspace ||
-         caps_.Admit(admitted.workspace->id, now).admitted;
+bool AccessControl::AdmitAgain(Decision& admitted, Instant now) {
+  if (!admitted.workspace)
+    return true;
+  if (!caps_.Admit(admitted.workspace->id, now).admitted)
+    return false;
+  admitted.counted_at = now;
+  return true;
 }
 
 void AccessControl::Refund(const Decision& admitted, Instant now) {
   if (admitted.workspace)
-    caps_.Refund(admitted.workspace->id, now);
+    caps_.Refund(admitted.workspace->id, admitted.counted_at, now);
 }
 
 }  // namespace toucanknot
