entry: explain a workspace, and tests of API keys at one host

/explain?workspace=ID shows the number of keys, the cap, its use, this host's share and the age of the proof, and never a key. Three gauges, whose number does not depend on the number of workspaces, show keys and proof.

--- a/include/workspaces/key_directory.h
+++ b/include/workspaces/key_directory.h
@@ -30,6 +30,8 @@
   bool required() const { return config_ && !config_->workspaces.empty(); }
   // Null if no workspace holds the key.
   WorkspacePtr Find(std::string_view key) const;
+  // The workspace called `id`; null if there is none.
+  WorkspacePtr FindById(const WorkspaceId& id) const;
   size_t size() const { return by_digest_.size(); }
 
  private:
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -23,6 +23,7 @@
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
 #include "src/entry/usage_sheets.h"
+#include "src/entry/workspace_explain.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
 #include "src/http/one_shot.h"
@@ -464,6 +465,12 @@
   const Instant now = SteadyNow();
   if (TargetPath(request.target) == "/explain") {
     const std::string& target = request.target;
+    if (const std::string workspace = QueryValue(target, "workspace");
+        !workspace.empty()) {
+      return JsonResponse(
+          200, ExplainWorkspace(WorkspaceId(workspace), access_, caps_,
+                                store_->counts().proven_at, BootNow(), now));
+    }
     if (const std::string host = QueryValue(target, "host"); !host.empty()) {
       return JsonResponse(200, runner_.Explain(host, QueryValue(target, "path"),
                                                QueryValue(target, "object")));
@@ -481,6 +488,16 @@
                     static_cast<double>(store.malformed_items));
   metrics_.SetGauge("toucanknot_config_version",
                     static_cast<double>(routes_.version()));
+  // Their number does not depend on the number of workspaces.
+  const Instant boot_now = BootNow();
+  metrics_.SetGauge("toucanknot_api_keys",
+                    static_cast<double>(access_.keys().size()));
+  metrics_.SetGauge("toucanknot_keys_proven",
+                    access_.IsProven(boot_now) ? 1 : 0);
+  metrics_.SetGauge(
+      "toucanknot_proof_age_ms",
+      store.proven_at ? static_cast<double>((boot_now - *store.proven_at).ms())
+                      : -1);
   metrics_.SetGauge("toucanknot_servers",
                     static_cast<double>(registry_.size()));
   metrics_.SetGauge("toucanknot_hosts", roster_.HostCount(now));
--- a/src/workspaces/key_directory.cc
+++ b/src/workspaces/key_directory.cc
@@ -1,5 +1,6 @@
 #include "include/workspaces/key_directory.h"
 
+#include <algorithm>
 #include <random>
 
 namespace toucanknot {
@@ -32,4 +33,13 @@
   return it == by_digest_.end() ? nullptr : WorkspacePtr(config_, it->second);
 }
 
+WorkspacePtr KeyDirectory::FindById(const WorkspaceId& id) const {
+  if (!config_)
+    return nullptr;
+  const auto& all = config_->workspaces;
+  const auto it = std::find_if(all.begin(), all.end(),
+                               [&](const Workspace& w) { return w.id == id; });
+  return it == all.end() ? nullptr : WorkspacePtr(config_, &*it);
+}
+
 }  // namespace toucanknot
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -29,7 +30,11 @@
   }
   void Publish(const HostRecord&) override { published = true; }
   void Withdraw() override { published = false; }
-  FleetStoreCounts counts() const override { return {}; }
+  FleetStoreCounts counts() const override { return counts_; }
+  // When the store was last read, on BootNow()'s clock.
+  void SetProof(Instant at) {
+    Run([this, at] { counts_.proven_at = at; });
+  }
 
   // Runs `fn` on the host's loop and waits for it.
   void Run(const std::function<void()>& fn) {
@@ -46,6 +51,7 @@
 
  private:
   boost::asio::io_context& loop_;
+  FleetStoreCounts counts_;
 };
 
 inline EntryWire TestHeaders() {
@@ -57,6 +63,8 @@
   names.stamp = "X-Stamp";
   names.not_run = "X-Not-Run";
   names.load = "X-Load";
+  names.api_key = "X-Key";
+  names.workspace = "X-Workspace";
   names.read_notice = [](int status, const FieldReader& field) {
     ServerNotice notice;
     notice.leaving = field("X-Leaving") == "1";
@@ -79,8 +87,9 @@
 // An entry host on loopback with a FakeStore.
 class EntryFixture {
  public:
-  EntryFixture() {
+  explicit EntryFixture(std::optional<Duration> revoke_within = {}) {
     EntrySettings settings;
+    settings.revoke_within = revoke_within;
     settings.host = HostId("h");
     settings.zone = ZoneId("z");
     settings.region = RegionId("r");
