placing: fair queueing between workspaces

A workspace that flooded a service while its slots were short had all of its queued requests in front of those of the others. Requests of one priority now leave the queue of a host by start-time fair queueing with equal weights, one queue for each service and priority. Without workspaces all requests have the same start, and the order is that of arrival as before.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -13,6 +13,7 @@
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
 #include "include/placing/demand.h"
+#include "include/placing/fair_queue.h"
 #include "include/placing/fleet_demand.h"
 #include "include/placing/object_affinity_cache.h"
 #include "include/placing/peer_loads.h"
@@ -216,6 +217,8 @@
     PlacementRequest request;
     int priority = 0;
     uint64_t order = 0;
+    // Its start in the FairQueue of its service and priority.
+    int64_t fair_start = 0;
     std::string route_name;
     std::vector<RegionId> allowed_regions;
   };
@@ -352,11 +355,16 @@
     // Attempts in flight.
     int in_flight = 0;
     ReturnedServed returned_served;
+    // By priority.
+    std::map<int, FairQueue> fair_queues;
     // Until `scarce_until`, requests less urgent than the priority `scarce_for`
     // leave room at full servers, since a request of that priority found none.
     int scarce_for = 0;
     Instant scarce_until;
   };
+  FairQueue& FairQueueOf(const QueuedRequest& waiting) {
+    return services_[waiting.request.service].fair_queues[waiting.priority];
+  }
   // Returns the service with a view that matches the current registry.
   Service& ServiceOf(const ServiceId& id);
   // The share of the demand from the callers of the zone or region that its own
--- a/include/placing/queue_policy.h
+++ b/include/placing/queue_policy.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace toucanknot {
 
@@ -20,8 +21,15 @@
   bool late = false;
   // Order of arrival.
   uint64_t order = 0;
+  // Start between the workspaces, which goes before the order of arrival; see
+  // FairQueue.
+  int64_t fair_start = 0;
 
-  auto operator<=>(const QueueRank&) const = default;
+  auto operator<=>(const QueueRank& o) const {
+    return std::tie(priority, late, fair_start, order) <=>
+           std::tie(o.priority, o.late, o.fair_start, o.order);
+  }
+  bool operator==(const QueueRank&) const = default;
 };
 
 // The number of requests at a server with `slots` slots from which on no
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -180,7 +180,7 @@
 
 QueueRank Placer::RankOf(const QueuedRequest& waiting, Instant now) const {
   const bool yields = IsLate(waiting, now) && !waiting.request.returned;
-  return {waiting.priority, yields, waiting.order};
+  return {waiting.priority, yields, waiting.order, waiting.fair_start};
 }
 
 int Placer::QueuedAhead(const QueuedRequest& waiting, Instant now) const {
@@ -344,15 +344,25 @@
   QueuedRequest waiting = MakeQueuedRequest(request);
   ServiceOf(request.service)
       .demand.Add(times_.at(waiting.route_name).warm(), now);
+  FairQueue& fair_queue = FairQueueOf(waiting);
+  waiting.fair_start = fair_queue.StartOf(request.workspace);
   Placement out = Decide(waiting, QueuedAhead(waiting, now), now);
+  if (out.step != PlacementStep::kRefuse)
+    fair_queue.OnTaken(request.workspace);
+  if (out.step == PlacementStep::kSend)
+    fair_queue.OnSent(waiting.fair_start);
   if (out.step == PlacementStep::kWait)
     queue_.push_back(std::move(waiting));
   return out;
 }
 
 void Placer::Withdraw(uint64_t request_id) {
-  queue_.remove_if(
-      [&](const QueuedRequest& w) { return w.request.id == request_id; });
+  queue_.remove_if([&](const QueuedRequest& w) {
+    if (w.request.id != request_id)
+      return false;
+    FairQueueOf(w).OnDropped(w.request.workspace);
+    return true;
+  });
 }
 
 void Placer::Finish(const PlacedAttemptResult& result, Instant now) {
@@ -425,6 +435,10 @@
       ++ahead;
       continue;
     }
+    if (placement.step == PlacementStep::kSend)
+      FairQueueOf(*it).OnSent(it->fair_start);
+    else
+      FairQueueOf(*it).OnDropped(it->request.workspace);
     if (it->request.returned) {
       services_[it->request.service].returned_served.OnLeftQueue(
           placement.step == PlacementStep::kSend);
