--- a/include/limits/usage_caps.h
+++ b/include/limits/usage_caps.h
@@ -66,7 +66,7 @@
   struct Options {
     Duration window{5'000};
     // Fraction and number of requests by which the runs of a window may exceed
-    // the cap. Half of each is left to reports that are lost or late.
+    // the cap. Part of each is left to reports that are lost or late.
     double over = 0.1;
     double slack = 20;
     // Identifies this host in reports.
@@ -100,7 +100,7 @@
   // two lost reports in a row cost the other hosts little.
   static constexpr Duration kFreshFor{1'200};
   // What was admitted within this time may not be known to the others yet.
-  static constexpr Duration kReportDelay{700};
+  static constexpr Duration kReportDelay{600};
   // Rows of one report; the workspaces that are nearest to their caps come
   // first. Of the others, a host uses no more than its even part of the cap.
   static constexpr size_t kMaxRows = 400;
--- a/src/limits/usage_caps.cc
+++ b/src/limits/usage_caps.cc
@@ -10,16 +10,20 @@
 namespace {
 
 // Fraction of the tolerance that hosts use. The rest is for reports that are
-// lost or late.
-constexpr double kToleranceUsed = 0.5;
+// lost or late, and for floods that begin at all hosts at once.
+constexpr double kToleranceUsed = 0.4;
 // Fraction of what a cap leaves that is divided by demand; the rest is divided
 // evenly, for hosts whose demand others have not heard of.
 constexpr double kByDemand = 0.7;
 // A host may admit a single request while the rest is this many times the
 // number of requests that all hosts expect before the next reports.
 constexpr double kSingleMargin = 2;
+// Time between single requests beyond the part.
+constexpr Duration kSingleGap{200};
 // Standard deviations of the arrivals at a host that its part covers.
 constexpr double kDeviations = 2.5;
+// Requests beyond the expected ones that a part covers at least.
+constexpr double kPeakBase = 2;
 // Times its usual rate that a workspace may send from one moment to the next.
 constexpr double kSurge = 7.5;
 constexpr Duration kMinRetryAfter{300};
@@ -79,10 +83,12 @@
   double own = 0;
   double own_offered = 0;
   bool left_out = false;
+  int last_gap = 0;
   if (const auto it = usage_.find(cap.key); it != usage_.end()) {
     own = it->second.admitted.Count(now);
     own_offered = it->second.reported_offered;
     left_out = it->second.left_out;
+    last_gap = it->second.admitted.CountWithin(kSingleGap, now);
     out.unreported = it->second.admitted.CountWithin(kReportDelay, now);
   }
   const double even_part = out.allowed / hosts;
@@ -107,10 +113,11 @@
   // Arrivals vary by chance. The part covers that as far as the rest covers it
   // at all hosts, or covers a surge of the workspace.
   const double own_expected = expected * std::max(weight, 1 / hosts);
-  const double peak = 1 + own_expected + kDeviations * std::sqrt(own_expected);
+  const double peak =
+      kPeakBase + own_expected + kDeviations * std::sqrt(own_expected);
   const double all_peaks =
-      hosts + expected + kDeviations * std::sqrt(expected * hosts);
-  const double surge = kSurge * (1 + expected);
+      kPeakBase * hosts + expected + kDeviations * std::sqrt(expected * hosts);
+  const double surge = std::max(kSurge * (1 + expected), kPeakBase * hosts);
   out.part = std::max(out.part,
                       peak * std::min(1.0, rest / std::min(all_peaks, surge)));
   if (left_out)
