forward: one class per file; stall checks end within the silence limit

Cause: a peer with a closed window was asked for a connection only after it had been silent for the whole limit, so that a dead one was found after twice that; a check that ended late set the user timeout under the next exchange; a window that shrank over data in flight was taken for an open one; the connections of checks were outside the descriptor budget. A connection whose last request was not yet read was reused. The end by the deadline was reported as cancelled if the write's timer came first.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -9,57 +9,42 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <boost/beast/http/span_body.hpp>
 #include <cstdlib>
 #include <utility>
 
 #include "src/forward/idle_connections.h"
-#include "src/forward/response_head.h"
+#include "src/forward/request_sending.h"
+#include "src/forward/response_reader.h"
 #include "src/forward/stall_monitor.h"
-#include "src/http/beast_messages.h"
 
 namespace toucanknot {
 namespace {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-// A request whose body is owned elsewhere.
-using OutRequest = http::request<http::span_body<const char>>;
-using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr uint32_t kMaxResponseHeaderBytes = 64 << 10;
 // Keep-alive time when the peer states no limit: well under the shortest
 // default of common servers, 5 s.
 constexpr Duration kDefaultIdle{4'000};
 constexpr int64_t kDefaultBufferedBytes = 1LL << 30;
 // Requests whose ids a connection remembers.
 constexpr size_t kMaxCarried = 32;
-// Space for a body beyond what one read can add.
-constexpr size_t kMinBodyGrowth = 2 * PooledConnection::kMaxBufferBytes;
 
-AttemptEnd ToAttemptEnd(const beast::error_code& ec) {
-  if (ec == beast::error::timeout)
+AttemptEnd ToAttemptEnd(const beast::error_code& ec, Instant deadline) {
+  // At the deadline the timer of the write may close the connection first, and
+  // the read then ends as aborted.
+  if (ec == beast::error::timeout ||
+      (ec == asio::error::operation_aborted && SteadyNow() >= deadline))
     return AttemptEnd::kTimedOut;
   if (ec == asio::error::operation_aborted)
     return AttemptEnd::kCancelled;
   return AttemptEnd::kBroken;
 }
 
-// Whether a response was aborted because of its size or number: the limits of
-// headers and bodies, of chunk headers, and of responses to other requests.
-bool IsEndless(const beast::error_code& ec) {
-  return ec == http::error::header_limit || ec == http::error::body_limit ||
-         ec == http::error::buffer_overflow || ec == http::error::bad_status;
-}
-
 // How long a connection may be idle before reuse: 4/5 of the `timeout` in the
 // Keep-Alive field of the response, so that a request and the close by the peer
 // do not cross.
@@ -86,19 +71,6 @@
   ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
-OutRequest ToOutRequest(const HttpRequest& request, const std::string& body) {
-  OutRequest out;
-  out.version(11);
-  out.method_string(request.method);
-  out.target(request.target);
-  for (const HttpField& it : request.fields.all())
-    out.insert(it.name, it.value);
-  out.body() = {body.data(), body.size()};
-  if (NeedsLength(request, body.size()))
-    out.content_length(body.size());
-  return out;
-}
-
 // Closes a connection unless it is released.
 class ConnectionCloser {
  public:
@@ -117,17 +89,6 @@
   PooledConnectionPtr connection_;
 };
 
-// What the fields of the message take; see FieldMemory().
-int64_t FieldMemoryOf(const http::fields& fields) {
-  size_t count = 0;
-  size_t bytes = 0;
-  for (const auto& it : fields) {
-    ++count;
-    bytes += it.name_string().size() + it.value().size();
-  }
-  return FieldMemory(count, bytes);
-}
-
 }  // namespace
 
 class ConnectionPool::Impl : public std::enable_shared_from_this<Impl> {
@@ -144,10 +105,14 @@
 
   IdleConnections& idle() { return idle_; }
   ConnectionPoolCounts Counts() const {
-    return {counts_.opened,        counts_.reused,
-            counts_.discarded,     counts_.connect_failed,
-            counts_.surplus_bytes, counts_.endless,
-            counts_.mixed_heads,   memory->reserved(MemoryUse::kResponse),
+    return {counts_.opened,
+            counts_.reused,
+            counts_.discarded,
+            counts_.connect_failed,
+            counts_.surplus_bytes + counts_.surplus_idle,
+            counts_.endless,
+            counts_.mixed_heads,
+            memory->reserved(MemoryUse::kResponse),
             counts_.idle};
   }
   // Copies the counts of the idle connections, which other threads may read.
@@ -170,51 +135,17 @@
     std::atomic<uint64_t> discarded{0};
     std::atomic<uint64_t> connect_failed{0};
     std::atomic<uint64_t> surplus_bytes{0};
-    std::atomic<uint64_t> surplus_responses{0};
+    std::atomic<uint64_t> surplus_idle{0};
     std::atomic<uint64_t> endless{0};
     std::atomic<uint64_t> mixed_heads{0};
     std::atomic<uint64_t> idle{0};
   };
-  // A request being sent; outlives the exchange if the response arrives first.
-  struct Sending {
-    Sending(const HttpRequest& r, std::shared_ptr<const std::string> b)
-        : body(std::move(b)), request(ToOutRequest(r, *body)) {}
-
-    const std::shared_ptr<const std::string> body;
-    OutRequest request;
-    bool done = false;
-    beast::error_code ec;
-    size_t bytes = 0;
-  };
-  using SendingPtr = std::shared_ptr<Sending>;
-
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
                                            HttpRequest request,
                                            ExchangeOptions options);
   asio::awaitable<PooledConnectionPtr> Open(const Endpoint& endpoint,
                                             const ExchangeOptions& options,
                                             ExchangeResult& result);
-  static SendingPtr StartSending(PooledConnectionPtr connection,
-                                 const HttpRequest& request,
-                                 const ExchangeOptions& options);
-  // Reads the body of a response whose header has been read. Grows the body
-  // itself, since a string that grows by itself holds two copies uncounted.
-  static asio::awaitable<beast::error_code> ReadBody(
-      PooledConnection& connection,
-      ResponseParser& parser,
-      MemoryReservation& memory);
-  static bool GrowBody(ResponseParser& parser, MemoryReservation& memory);
-  // Reads responses up to the one to this request, into `result.response`.
-  asio::awaitable<beast::error_code> ReadResponse(
-      PooledConnection& connection,
-      const SendingPtr& sending,
-      const ExchangeOptions& options,
-      ExchangeResult& result,
-      bool& reusable);
-  // Whether both halves of a connection whose end ends a response are without
-  // error.
-  static asio::awaitable<bool> EndedCleanly(PooledConnection& connection,
-                                            SendingPtr sending);
   asio::awaitable<void> SendAndReceive(PooledConnectionPtr connection,
                                        HttpRequest request,
                                        const ExchangeOptions& options,
@@ -222,17 +153,28 @@
                                        bool& reusable);
   static void SetDeadline(PooledConnection& connection,
                           const ExchangeOptions& options);
+  // Counts the connections of stall checks. Returns whether one more may be
+  // opened.
+  bool CountCheck(int change);
 
   asio::io_context& loop_;
   AtomicCounts counts_;
   IdleConnections idle_;
-  // Connections that exist, idle ones included.
+  // Connections that exist, idle ones and those of stall checks included.
   size_t open_ = 0;
 };
 
 void ConnectionPool::Impl::UpdateIdleCounts() {
   counts_.idle = idle_.size();
   counts_.discarded = idle_.discarded();
+  counts_.surplus_idle = idle_.surplus_bytes();
+}
+
+bool ConnectionPool::Impl::CountCheck(int change) {
+  if (change > 0 && open_ >= max_connections && !idle_.CloseOldest())
+    return false;
+  open_ += static_cast<size_t>(change);
+  return true;
 }
 
 asio::awaitable<PooledConnectionPtr> ConnectionPool::Impl::Open(
@@ -295,120 +237,6 @@
   connection.stream.expires_after(std::chrono::milliseconds(left.ms()));
 }
 
-ConnectionPool::Impl::SendingPtr ConnectionPool::Impl::StartSending(
-    PooledConnectionPtr connection,
-    const HttpRequest& request,
-    const ExchangeOptions& options) {
-  auto sending = std::make_shared<Sending>(
-      request, options.body
-                   ? options.body
-                   : std::make_shared<const std::string>(request.body));
-  PooledConnection& it = *connection;
-  // The write may go on after the exchange has ended; it keeps both alive.
-  http::async_write(it.stream, sending->request,
-                    [sending, connection = std::move(connection)](
-                        beast::error_code ec, size_t n) {
-                      sending->done = true;
-                      sending->ec = ec;
-                      sending->bytes = n;
-                    });
-  return sending;
-}
-
-bool ConnectionPool::Impl::GrowBody(ResponseParser& parser,
-                                    MemoryReservation& memory) {
-  std::string& body = parser.get().body();
-  if (body.capacity() - body.size() >= PooledConnection::kMaxBufferBytes)
-    return true;
-  const int64_t others = memory.bytes() - static_cast<int64_t>(body.capacity());
-  const size_t capacity = body.size() + std::max(body.size(), kMinBodyGrowth);
-  if (!memory.Resize(memory.bytes() + static_cast<int64_t>(capacity)))
-    return false;
-  body.reserve(capacity);
-  return memory.Resize(others + static_cast<int64_t>(body.capacity()));
-}
-
-asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadBody(
-    PooledConnection& connection,
-    ResponseParser& parser,
-    MemoryReservation& memory) {
-  const auto length = parser.content_length();
-  if (length && !memory.Resize(memory.bytes() + static_cast<int64_t>(*length)))
-    co_return http::error::body_limit;
-  while (!parser.is_done()) {
-    if (!length && !GrowBody(parser, memory))
-      co_return http::error::body_limit;
-    auto [ec, n] = co_await http::async_read_some(
-        connection.stream, connection.buffer, parser, kAwait);
-    // A response without a length ends when its connection closes.
-    if (ec == http::error::end_of_stream && parser.is_done())
-      break;
-    if (ec)
-      co_return ec;
-  }
-  co_return beast::error_code{};
-}
-
-asio::awaitable<bool> ConnectionPool::Impl::EndedCleanly(
-    PooledConnection& connection,
-    SendingPtr sending) {
-  // Lets a write that ended with the same event report its error.
-  co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
-  co_return !(sending->done && sending->ec) && connection.EndedCleanly();
-}
-
-asio::awaitable<beast::error_code> ConnectionPool::Impl::ReadResponse(
-    PooledConnection& connection,
-    const SendingPtr& sending,
-    const ExchangeOptions& options,
-    ExchangeResult& result,
-    bool& reusable) {
-  for (int other_responses = 0; other_responses <= options.max_other_responses;
-       ++other_responses) {
-    ResponseParser parser;
-    parser.header_limit(kMaxResponseHeaderBytes);
-    parser.body_limit(options.max_answer_bytes);
-    parser.skip(sending->request.method() == http::verb::head);
-    auto [header_ec, n] = co_await http::async_read_header(
-        connection.stream, connection.buffer, parser, kAwait);
-    // A partial header stays in the buffer and is not counted in `n`.
-    result.response_started =
-        result.response_started || n > 0 || connection.buffer.size() > 0;
-    if (header_ec)
-      co_return header_ec;
-    // Skip interim responses (1xx).
-    if (parser.get().result_int() / 100 == 1)
-      continue;
-    result.error = FindHeadProblem(parser.get().reason(), parser.get(),
-                                   options.single_fields);
-    if (!result.error.empty()) {
-      ++counts_.mixed_heads;
-      co_return http::error::bad_value;
-    }
-    const auto reserved =
-        std::make_shared<MemoryReservation>(memory, MemoryUse::kResponse);
-    if (!reserved->Resize(FieldMemoryOf(parser.get())))
-      co_return http::error::header_limit;
-    if (const beast::error_code ec =
-            co_await ReadBody(connection, parser, *reserved)) {
-      co_return ec;
-    }
-    reusable = reusable && parser.get().keep_alive() && !parser.need_eof();
-    const bool last = parser.need_eof();
-    if (last && !co_await EndedCleanly(connection, sending))
-      co_return asio::error::connection_reset;
-    result.response = FromBeast(parser.release());
-    result.response.memory = reserved;
-    if (!options.is_own_response || options.is_own_response(result.response))
-      co_return beast::error_code{};
-    ++counts_.surplus_responses;
-    reusable = false;
-    if (last)
-      co_return http::error::end_of_stream;
-  }
-  co_return http::error::bad_status;
-}
-
 asio::awaitable<void> ConnectionPool::Impl::SendAndReceive(
     PooledConnectionPtr connection,
     HttpRequest request,
@@ -418,23 +246,30 @@
   SetDeadline(*connection, options);
   // Read the response while the body is being sent: it may arrive before the
   // body ends.
-  const SendingPtr sending = StartSending(connection, request, options);
+  const RequestSendingPtr sending =
+      RequestSending::Start(connection, request, options.body);
   const auto ended = std::make_shared<bool>(false);
-  if (sending->body->size() >= kMonitoredRequestBytes) {
+  const bool monitored = sending->body_bytes() >= kMonitoredRequestBytes;
+  if (monitored) {
     asio::co_spawn(loop_,
-                   MonitorStalls(connection, ended, options.silent_after),
+                   MonitorStalls(connection, ended, options.silent_after,
+                                 [weak = weak_from_this()](int change) {
+                                   const auto self = weak.lock();
+                                   return self && self->CountCheck(change);
+                                 }),
                    asio::detached);
   }
-  reusable = true;
-  const beast::error_code ec =
-      co_await ReadResponse(*connection, sending, options, result, reusable);
+  ResponseReader reader(connection, sending, options, memory);
+  const beast::error_code ec = co_await reader.Read(result);
   *ended = true;
+  if (reader.mixed_head())
+    ++counts_.mixed_heads;
   if (ec) {
-    reusable = false;
-    if (IsEndless(ec))
+    if (ResponseReader::IsEndless(ec))
       ++counts_.endless;
-    const bool unsent = sending->done && sending->ec && sending->bytes == 0;
-    result.end = unsent ? AttemptEnd::kNotSent : ToAttemptEnd(ec);
+    result.end = ToAttemptEnd(ec, options.deadline);
+    if (sending->nothing_sent())
+      result.end = AttemptEnd::kNotSent;
     result.response = {};
     result.error = (result.response_started ? "the response was incomplete: "
                                             : "no response: ") +
@@ -442,8 +277,10 @@
     co_return;
   }
   counts_.surplus_bytes += connection->buffer.size();
-  reusable = reusable && connection->buffer.size() == 0 && sending->done &&
-             !sending->ec;
+  reusable = reader.reusable() && connection->buffer.size() == 0 &&
+             sending->done() && !sending->failed();
+  if (reusable && monitored)
+    SetUserTimeout(*connection, options.silent_after);
   result.end = AttemptEnd::kAnswered;
 }
 
--- a/src/forward/idle_connections.cc
+++ b/src/forward/idle_connections.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "src/forward/send_window.h"
+
 namespace toucanknot {
 namespace {
 
@@ -46,6 +48,10 @@
       return nullptr;
     if (query.id_hash != 0 && HasCarried(connection, query.id_hash))
       continue;
+    // The peer responded before it read the whole request and may read the rest
+    // yet; another request would wait behind it.
+    if (HasUnacknowledged(connection.stream.socket().native_handle()))
+      continue;
     PooledConnectionPtr taken = std::move(*at);
     list.erase(at);
     --size_;
--- a/src/forward/stall_monitor.cc
+++ b/src/forward/stall_monitor.cc
@@ -1,19 +1,19 @@
 #include "src/forward/stall_monitor.h"
 
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <optional>
 #include <utility>
 
+#include "src/forward/send_window.h"
 #include "src/http/one_shot.h"
 
 namespace toucanknot {
@@ -22,32 +22,14 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-// Shorter than the time after which the kernel breaks a connection with a
-// closed window.
-constexpr Duration kInterval{200};
-
-enum class WindowState { kOpen, kClosed, kClosedAndHeard };
-
-WindowState ReadWindowState(PooledConnection& connection,
-                            Duration silent_after) {
-  const int socket = connection.stream.socket().native_handle();
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  int unsent_bytes = 0;
-  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
-      ::ioctl(socket, SIOCOUTQNSD, &unsent_bytes) != 0) {
-    return WindowState::kOpen;
-  }
-  // Data that is not sent while none is in flight waits for the window.
-  if (info.tcpi_unacked > 0 || unsent_bytes == 0)
-    return WindowState::kOpen;
-  return Duration(info.tcpi_last_ack_recv) < silent_after
-             ? WindowState::kClosedAndHeard
-             : WindowState::kClosed;
-}
+// Fractions (1/n) of the time after which a silent peer counts as gone: the
+// interval at which the window is looked at, and the silence after which the
+// peer is asked.
+constexpr int64_t kIntervalDivisor = 8;
+constexpr int64_t kAskDivisor = 2;
 
 // Whether the peer accepts or refuses a connection within `limit`.
-asio::awaitable<bool> Responds(const Endpoint& endpoint, Duration limit) {
+asio::awaitable<bool> Responds(Endpoint endpoint, Duration limit) {
   boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
   stream.expires_after(std::chrono::milliseconds(limit.ms()));
   const tcp::endpoint address(asio::ip::make_address(endpoint.ip),
@@ -68,33 +50,48 @@
 
 asio::awaitable<void> MonitorStalls(PooledConnectionPtr connection,
                                     std::shared_ptr<const bool> ended,
-                                    Duration silent_after) {
+                                    Duration silent_after,
+                                    CheckLimit limit) {
   const auto is_over = [&] {
     return *ended || !connection->stream.socket().is_open();
   };
+  const Duration interval(
+      std::max<int64_t>(silent_after.ms() / kIntervalDivisor, 1));
   bool timeout_off = false;
+  // When the peer last responded to a check.
+  Instant responded_at;
   for (;;) {
-    co_await SleepFor(std::min(kInterval, silent_after / 4));
+    co_await SleepFor(interval);
     if (is_over())
-      break;
-    const WindowState state = ReadWindowState(*connection, silent_after);
-    const bool closed = state != WindowState::kOpen;
-    if (closed != timeout_off) {
-      SetUserTimeout(*connection, closed ? Duration(0) : silent_after);
-      timeout_off = closed;
+      co_return;
+    const std::optional<Duration> acked_ago =
+        SilenceAtClosedWindow(connection->stream.socket().native_handle());
+    if (acked_ago.has_value() != timeout_off) {
+      timeout_off = acked_ago.has_value();
+      SetUserTimeout(*connection, timeout_off ? Duration(0) : silent_after);
     }
-    if (state != WindowState::kClosed)
+    if (!acked_ago)
       continue;
-    const bool responds = co_await Responds(connection->endpoint, silent_after);
+    const Duration silence = std::min(*acked_ago, SteadyNow() - responded_at);
+    if (silence < silent_after / kAskDivisor || !limit(+1))
+      continue;
+    // The whole second half is left for the answer when this process was held
+    // up.
+    const bool responds = co_await Responds(
+        connection->endpoint, std::max(silent_after - silence,
+                                       silent_after / kAskDivisor - interval));
+    limit(-1);
     if (is_over())
-      break;
-    if (!responds) {
+      co_return;
+    const std::optional<Duration> now =
+        SilenceAtClosedWindow(connection->stream.socket().native_handle());
+    if (responds) {
+      responded_at = SteadyNow();
+    } else if (now && *now >= silent_after - interval) {
       connection->BreakSilent();
       co_return;
     }
   }
-  if (timeout_off && connection->stream.socket().is_open())
-    SetUserTimeout(*connection, silent_after);
 }
 
 }  // namespace toucanknot
