--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -50,6 +50,14 @@
   static constexpr double kSafeHeartbeats = 1.8;
   // Leaving servers remembered; of more, those without an entry are forgotten.
   static constexpr size_t kMaxLeaving = 4'096;
+  // An entry that was not renewed for this many heartbeats may be replaced by
+  // one that does not follow it; see OnEntry().
+  static constexpr double kStaleHeartbeats = 2.5;
+  // How long a removed entry is remembered: well above the time for which the
+  // store may hold up a write.
+  static constexpr Duration kRememberRemoved{60'000};
+  // Removed entries remembered; of more, the oldest are forgotten.
+  static constexpr size_t kMaxRemoved = 4'096;
   // A reconnect this soon after the previous one belongs to the same outage.
   static constexpr Duration kFlapWindow{1'500};
 
@@ -73,7 +81,17 @@
   explicit ServerRegistry(ChangeHook on_change)
       : on_change_(std::move(on_change)) {}
 
-  // Handles an entry that was written.
+  // Handles an entry that was written. It is ignored if it
+  // - is an earlier heartbeat, or of an earlier incarnation: a late write;
+  // - names another service, zone or address under the same incarnation:
+  // another
+  //   writer's, since a server changes these only by a restart;
+  // - does not follow the last entry of an incarnation that was removed, or
+  // that
+  //   incarnation was leaving: a late write.
+  // The first two are accepted all the same once the known entry was not
+  // renewed for kStaleHeartbeats: its server is gone, or restarted with its
+  // clock behind.
   void OnEntry(const ServerEntry& entry, Instant now);
   // Handles the removal of an entry.
   void OnRemoved(const ServerId& id, Instant now);
@@ -123,11 +141,22 @@
     return !server.entry.leaving && !evacuated_.contains(server.entry.zone) &&
            !IsLeaving(server);
   }
+  // The last entry of a removed server.
+  struct Removed {
+    Incarnation incarnation = Incarnation();
+    uint64_t sequence = 0;
+    bool leaving = false;
+    Instant at;
+  };
+
+  // Whether `entry` must be ignored; see OnEntry().
+  bool IsIgnored(const ServerEntry& entry, Instant now) const;
+  void ForgetRemoved(Instant now);
   // Whether the server stated in a response that it leaves.
   bool IsLeaving(const Server& server) const;
   // Handles an entry that is no longer in the store.
   void OnMissing(Server& server, Instant now);
-  void Remove(std::map<ServerId, Server>::iterator it);
+  void Remove(std::map<ServerId, Server>::iterator it, Instant now);
 
   const ChangeHook on_change_;
   std::map<ServerId, Server> servers_;
@@ -136,6 +165,8 @@
   // Incarnations that stated in a response that they leave. Kept while their
   // entries are missing, since these may come back.
   std::map<ServerId, Incarnation> leaving_;
+  // Emptied by ForgetRemoved().
+  std::map<ServerId, Removed> removed_;
   uint64_t version_ = 1;
   Duration heartbeat_{1'500};
   bool store_unreachable_ = false;
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -35,6 +35,7 @@
 // How often slow start advances, records expire and ended exceptions are
 // applied.
 constexpr Duration kHousekeepingInterval{100};
+constexpr int kRoundsPerSecond = 10;
 constexpr Duration kStopPollInterval{20};
 constexpr int64_t kNoEnd = std::numeric_limits<int64_t>::max();
 // Time for the last messages of a stopping host to be sent.
@@ -360,8 +361,10 @@
 }
 
 HostDaemon::Impl::Coroutine HostDaemon::Impl::HousekeepingLoop() {
-  for (;;) {
+  for (int round = 1;; ++round) {
     co_await SleepFor(kHousekeepingInterval);
+    if (round % kRoundsPerSecond == 0)
+      sender_->CloseIdle();
     tickets_.Expire();
     const Instant now = SteadyNow();
     forwarding_limits_->Advance(now);
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/sender.h"
 
+#include <boost/asio/post.hpp>
 #include <mutex>
 #include <utility>
 
@@ -10,6 +11,9 @@
 namespace toucanknot {
 namespace {
 
+// Idle connections to peers that state no limit are closed after this time.
+constexpr Duration kMaxIdle{60'000};
+
 // Classifies an attempt by the status of the backend server's response.
 AttemptEnd AttemptEndForStatus(const ServiceEntry& entry, int status) {
   if (status == 503 || status == 429)
@@ -52,12 +56,18 @@
  public:
   bool Change(const Endpoint& endpoint, int change) {
     const std::lock_guard lock(mutex_);
-    int& open = open_[endpoint.ToString()];
-    const auto limit = connection_limits_.find(endpoint.ToString());
+    const std::string key = endpoint.ToString();
+    int& open = open_[key];
+    const auto limit = connection_limits_.find(key);
     if (change > 0 && limit != connection_limits_.end() &&
-        open >= limit->second)
+        open >= limit->second) {
+      if (open == 0)
+        open_.erase(key);
       return false;
+    }
     open += change;
+    if (open == 0)
+      open_.erase(key);
     return true;
   }
   int Open(const Endpoint& endpoint) const {
@@ -79,7 +89,8 @@
 Sender::Sender(WorkerPool& workers,
                HostIncarnation self,
                std::shared_ptr<const FleetKeys> keys)
-    : self_(std::move(self)),
+    : workers_(workers),
+      self_(std::move(self)),
       keys_(std::move(keys)),
       connection_limits_(std::make_shared<ConnectionLimits>()) {
   for (int i = 0; i < workers.size(); ++i) {
@@ -292,8 +303,19 @@
     sum.discarded += counts.discarded;
     sum.connect_failed += counts.connect_failed;
     sum.surplus_bytes += counts.surplus_bytes;
+    sum.endless += counts.endless;
+    sum.mixed_heads += counts.mixed_heads;
+    sum.buffered_bytes += counts.buffered_bytes;
+    sum.idle += counts.idle;
   }
   return sum;
 }
 
+void Sender::CloseIdle() {
+  for (size_t i = 0; i < pools_.size(); ++i) {
+    boost::asio::post(workers_.loop(static_cast<int>(i)),
+                      [&pool = *pools_[i]] { pool.CloseIdle(kMaxIdle); });
+  }
+}
+
 }  // namespace toucanknot
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -78,6 +78,9 @@
   // Sets the limit of open connections for each endpoint; endpoints without an
   // entry are unlimited.
   void SetConnectionLimits(std::unordered_map<std::string, int> limits);
+  // Closes connections that have been idle for long, on all workers, which must
+  // be stopped before this object is destroyed. Call about once a second.
+  void CloseIdle();
   // Sum over the workers; exact only while they are idle, otherwise for
   // metrics.
   ConnectionPoolCounts Counts() const;
@@ -107,6 +110,7 @@
               const DispatchDecision& decision,
               const AttemptResponse& result) const;
 
+  WorkerPool& workers_;
   const HostIncarnation self_;
   const std::shared_ptr<const FleetKeys> keys_;
   Observer observer_;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -15,10 +15,13 @@
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
+#include "src/entry/caller_room.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/descriptor_budget.h"
 #include "src/entry/entry_metrics.h"
 #include "src/entry/fleet_reports.h"
+#include "src/entry/host_capacity.h"
+#include "src/entry/host_gauges.h"
 #include "src/entry/load_exchange.h"
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
@@ -38,48 +41,18 @@
 constexpr int kTicksPerSecond = 10;
 // Connections to servers that state no limit are closed after this time.
 constexpr Duration kMaxIdle{60'000};
-// Percentages of the descriptors for callers: a host that has used up the first
-// accepts new callers again below the second.
-constexpr int64_t kFullPercent = 97;
-constexpr int64_t kFreePercent = 85;
 // Callers that cached a lookup learn of a leaving host within this time, two
 // lifetimes of a lookup; until then its listener stays open.
 constexpr Duration kLeaveNotice{2'500};
 constexpr Duration kLookupLifetime{1'000};
-// Requests of some ten kilobytes (request and response) that one Mbit/s
-// carries, and requests that a core serves, both at about half of their limits.
-constexpr double kRequestsPerMbit = 5;
-constexpr double kRequestsPerCore = 1'000;
 // Idle connections are closed only after this percentage of the limit, so that
 // the caller's next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
-// Fraction (1/n) of the memory for request bodies, and for responses being
-// read.
-constexpr int64_t kBodyMemoryDivisor = 4;
 constexpr Duration kStopPoll{20};
 // The process ends this long before it would be killed, so that it can log what
 // it leaves unfinished: a host with a small share of a core needs some of it.
 constexpr Duration kExitMargin{300};
 
-int64_t CapacityOf(const EntrySettings& settings) {
-  const double requests = std::min(settings.link_mbps * kRequestsPerMbit,
-                                   settings.cpu_share * kRequestsPerCore);
-  return std::max<int64_t>(1, static_cast<int64_t>(requests));
-}
-
-HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
-  limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryDivisor;
-  return limits;
-}
-
-HttpServerLimits SmallLimits(int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
-  return limits;
-}
-
 UsageCaps::Options CapOptions(const EntrySettings& settings,
                               Incarnation incarnation) {
   return {settings.cap_window, settings.cap_over, settings.cap_slack,
@@ -116,7 +89,7 @@
   asio::awaitable<void> FinishStop();
   // Whether this host accepts new callers.
   bool Ready() const {
-    return configured_ && servers_known_ && !leaving_ && !full_;
+    return configured_ && servers_known_ && !leaving_ && !caller_room_.full();
   }
   // Notes whether connections of callers use up their descriptors.
   void UpdateFull();
@@ -133,6 +106,7 @@
   const EntryWire names_;
   const Incarnation incarnation_;
   const DescriptorBudget descriptors_;
+  CallerRoom caller_room_;
   WorkerPool workers_;
   asio::io_context& loop_;
   std::unique_ptr<FleetStore> store_;
@@ -158,7 +132,6 @@
   bool servers_known_ = false;
   bool leaving_ = false;
   bool ready_ = false;
-  bool full_ = false;
   bool proven_ = true;
   std::promise<bool> stopped_;
 };
@@ -170,6 +143,7 @@
       names_(std::move(names)),
       incarnation_(static_cast<Incarnation>(UnixMillis())),
       descriptors_(DivideDescriptors(settings_.max_descriptors)),
+      caller_room_(descriptors_.callers),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
@@ -229,8 +203,7 @@
 }
 
 void EntryDaemon::Impl::Start() {
-  connections_.set_max_buffered_bytes(settings_.memory_bytes /
-                                      kBodyMemoryDivisor);
+  connections_.set_max_buffered_bytes(BodyMemoryOf(settings_));
   connections_.set_max_connections(static_cast<size_t>(descriptors_.servers));
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
@@ -397,13 +370,11 @@
 }
 
 void EntryDaemon::Impl::UpdateFull() {
-  const int64_t percent =
-      callers_.OpenConnections() * 100 / descriptors_.callers;
-  const bool full = percent >= (full_ ? kFreePercent : kFullPercent);
-  if (full == full_)
+  const HttpServerCounts counts = callers_.Counts();
+  if (!caller_room_.Update(counts.open_connections, counts.accept_failures))
     return;
-  full_ = full;
-  LogChange("callers_full", {{"full", full}, {"most", descriptors_.callers}});
+  LogChange("callers_full",
+            {{"full", caller_room_.full()}, {"most", descriptors_.callers}});
   UpdateReady();
 }
 
@@ -468,34 +439,11 @@
     const ServiceId service(QueryValue(target, "service"));
     return JsonResponse(200, placer_.Explain(service, now));
   }
-  const FleetStoreCounts store = store_->counts();
-  const ConnectionPoolCounts connections = connections_.counts();
-  const HttpServerCounts http = callers_.Counts();
-  metrics_.SetGauge("toucanknot_store_calls", static_cast<double>(store.calls));
-  metrics_.SetGauge("toucanknot_store_failed",
-                    static_cast<double>(store.failed));
-  metrics_.SetGauge("toucanknot_store_malformed",
-                    static_cast<double>(store.malformed_items));
-  metrics_.SetGauge("toucanknot_config_version",
-                    static_cast<double>(routes_.version()));
-  metrics_.SetGauge("toucanknot_servers",
-                    static_cast<double>(registry_.size()));
-  metrics_.SetGauge("toucanknot_hosts", roster_.HostCount(now));
-  metrics_.SetGauge("toucanknot_requests_waiting",
-                    static_cast<double>(placer_.waiting()));
-  metrics_.SetGauge("toucanknot_connections_opened",
-                    static_cast<double>(connections.opened));
-  metrics_.SetGauge("toucanknot_connections_reused",
-                    static_cast<double>(connections.reused));
-  metrics_.SetGauge("toucanknot_answers_endless",
-                    static_cast<double>(connections.endless));
-  metrics_.SetGauge("toucanknot_answer_bytes_buffered",
-                    static_cast<double>(connections.buffered_bytes));
-  metrics_.SetGauge("toucanknot_requests_overlapping",
-                    static_cast<double>(http.overlapping));
-  metrics_.SetGauge("toucanknot_callers_connected",
-                    static_cast<double>(http.open_connections));
-  metrics_.SetGauge("toucanknot_ready", Ready() ? 1 : 0);
+  const HostGauges gauges{store_->counts(),  connections_.counts(),
+                          callers_.Counts(), routes_.version(),
+                          registry_.size(),  roster_.HostCount(now),
+                          placer_.waiting(), Ready()};
+  gauges.WriteTo(metrics_);
   return TextResponse(200, metrics_.ToPrometheusText());
 }
 
--- /dev/null
+++ b/src/entry/host_capacity.cc
@@ -0,0 +1,41 @@
+#include "src/entry/host_capacity.h"
+
+#include <algorithm>
+
+namespace toucanknot {
+namespace {
+
+// Requests of some ten kilobytes (request and response) that one Mbit/s
+// carries, and requests that a core serves, both at about half of their limits.
+constexpr double kRequestsPerMbit = 5;
+constexpr double kRequestsPerCore = 1'000;
+// Fraction (1/n) of the memory for request bodies, and for responses being
+// read.
+constexpr int64_t kBodyMemoryDivisor = 4;
+
+}  // namespace
+
+int64_t CapacityOf(const EntrySettings& settings) {
+  const double requests = std::min(settings.link_mbps * kRequestsPerMbit,
+                                   settings.cpu_share * kRequestsPerCore);
+  return std::max<int64_t>(1, static_cast<int64_t>(requests));
+}
+
+int64_t BodyMemoryOf(const EntrySettings& settings) {
+  return settings.memory_bytes / kBodyMemoryDivisor;
+}
+
+HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
+  HttpServerLimits limits;
+  limits.max_connections = connections;
+  limits.max_buffered_bytes = BodyMemoryOf(settings);
+  return limits;
+}
+
+HttpServerLimits SmallLimits(int connections) {
+  HttpServerLimits limits;
+  limits.max_connections = connections;
+  return limits;
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/host_capacity.h
@@ -0,0 +1,21 @@
+#ifndef SRC_ENTRY_HOST_CAPACITY_H_
+#define SRC_ENTRY_HOST_CAPACITY_H_
+
+#include <cstdint>
+
+#include "include/entry/entry_settings.h"
+#include "src/http/http_server.h"
+
+namespace toucanknot {
+
+// Requests per second that the host can serve, from its link and its cores.
+int64_t CapacityOf(const EntrySettings& settings);
+// Memory for request bodies, and for responses being read, in bytes.
+int64_t BodyMemoryOf(const EntrySettings& settings);
+// Limits of the listener for callers, and of one for the platform.
+HttpServerLimits LimitsOf(const EntrySettings& settings, int connections);
+HttpServerLimits SmallLimits(int connections);
+
+}  // namespace toucanknot
+
+#endif  // SRC_ENTRY_HOST_CAPACITY_H_
--- /dev/null
+++ b/src/entry/host_gauges.cc
@@ -0,0 +1,27 @@
+#include "src/entry/host_gauges.h"
+
+namespace toucanknot {
+
+void HostGauges::WriteTo(EntryMetrics& metrics) const {
+  const auto set = [&metrics](const char* name, auto value) {
+    metrics.SetGauge(name, static_cast<double>(value));
+  };
+  set("toucanknot_store_calls", store.calls);
+  set("toucanknot_store_failed", store.failed);
+  set("toucanknot_store_malformed", store.malformed_items);
+  set("toucanknot_config_version", config_version);
+  set("toucanknot_servers", servers);
+  set("toucanknot_hosts", hosts);
+  set("toucanknot_requests_waiting", requests_waiting);
+  set("toucanknot_connections_opened", connections.opened);
+  set("toucanknot_connections_reused", connections.reused);
+  set("toucanknot_connections_idle", connections.idle);
+  set("toucanknot_answers_endless", connections.endless);
+  set("toucanknot_answers_mixed", connections.mixed_heads);
+  set("toucanknot_answer_bytes_buffered", connections.buffered_bytes);
+  set("toucanknot_requests_overlapping", callers.overlapping);
+  set("toucanknot_callers_connected", callers.open_connections);
+  set("toucanknot_ready", ready ? 1 : 0);
+}
+
+}  // namespace toucanknot
--- /dev/null
+++ b/src/entry/host_gauges.h
@@ -0,0 +1,32 @@
+#ifndef SRC_ENTRY_HOST_GAUGES_H_
+#define SRC_ENTRY_HOST_GAUGES_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "include/entry/fleet_store.h"
+#include "src/entry/entry_metrics.h"
+#include "src/forward/connection_pool.h"
+#include "src/http/http_server.h"
+
+namespace toucanknot {
+
+// State of an entry host that its metrics show, beside what EntryMetrics
+// counts.
+struct HostGauges {
+  FleetStoreCounts store;
+  ConnectionPoolCounts connections;
+  HttpServerCounts callers;
+  uint64_t config_version = 0;
+  size_t servers = 0;
+  int hosts = 0;
+  size_t requests_waiting = 0;
+  bool ready = false;
+
+  // Sets the gauges of `metrics`.
+  void WriteTo(EntryMetrics& metrics) const;
+};
+
+}  // namespace toucanknot
+
+#endif  // SRC_ENTRY_HOST_GAUGES_H_
--- a/src/entry/placement_queue.cc
+++ b/src/entry/placement_queue.cc
@@ -65,7 +65,11 @@
     return;
   armed_ = true;
   timer_.expires_after(std::chrono::milliseconds(Placer::kAdvanceEvery.ms()));
-  timer_.async_wait([this](const boost::system::error_code& ec) {
+  timer_.async_wait([this, alive = std::weak_ptr<const bool>(alive_)](
+                        const boost::system::error_code& ec) {
+    // The handler may be queued already when the queue is destroyed.
+    if (alive.expired())
+      return;
     armed_ = false;
     if (ec)
       return;
--- a/src/entry/placement_queue.h
+++ b/src/entry/placement_queue.h
@@ -41,6 +41,8 @@
   Placer& placer_;
   boost::asio::steady_timer timer_;
   bool armed_ = false;
+  // Tells the timer's handler whether the queue still exists.
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::map<uint64_t, std::shared_ptr<PlacementWaiter>> waiting_;
   uint64_t last_request_id_ = 0;
 };
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -223,7 +223,6 @@
   connection->stream.socket().set_option(asio::socket_base::linger(true, 0),
                                          ignored);
   EnableKeepAlive(connection->stream.socket().native_handle());
-  SetUserTimeout(*connection, options.silent_after);
   co_return connection;
 }
 
@@ -244,13 +243,14 @@
     ExchangeResult& result,
     bool& reusable) {
   SetDeadline(*connection, options);
+  if (connection->user_timeout != options.silent_after)
+    SetUserTimeout(*connection, options.silent_after);
   // Read the response while the body is being sent: it may arrive before the
   // body ends.
   const RequestSendingPtr sending =
       RequestSending::Start(connection, request, options.body);
   const auto ended = std::make_shared<bool>(false);
-  const bool monitored = sending->body_bytes() >= kMonitoredRequestBytes;
-  if (monitored) {
+  if (sending->body_bytes() >= kMonitoredRequestBytes) {
     asio::co_spawn(loop_,
                    MonitorStalls(connection, ended, options.silent_after,
                                  [weak = weak_from_this()](int change) {
@@ -279,8 +279,6 @@
   counts_.surplus_bytes += connection->buffer.size();
   reusable = reader.reusable() && connection->buffer.size() == 0 &&
              sending->done() && !sending->failed();
-  if (reusable && monitored)
-    SetUserTimeout(*connection, options.silent_after);
   result.end = AttemptEnd::kAnswered;
 }
 
--- a/src/forward/pooled_connection.h
+++ b/src/forward/pooled_connection.h
@@ -58,6 +58,8 @@
   // The peer may close the connection when it has been idle until then.
   Instant idle_until = Instant::Never();
   bool used = false;
+  // The TCP_USER_TIMEOUT in force; see SetUserTimeout().
+  Duration user_timeout;
   // The `id_hash` of the last requests.
   std::deque<uint64_t> carried;
 
--- a/src/forward/stall_monitor.cc
+++ b/src/forward/stall_monitor.cc
@@ -43,6 +43,7 @@
 }  // namespace
 
 void SetUserTimeout(PooledConnection& connection, Duration timeout) {
+  connection.user_timeout = timeout;
   const int ms = static_cast<int>(timeout.ms());
   ::setsockopt(connection.stream.socket().native_handle(), IPPROTO_TCP,
                TCP_USER_TIMEOUT, &ms, sizeof ms);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -68,6 +68,7 @@
   std::atomic<bool> accepting_{false};
   std::atomic<uint64_t> accepted_{0};
   std::atomic<uint64_t> refused_connections_{0};
+  std::atomic<uint64_t> accept_failures_{0};
 
   mutable std::mutex mutex_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
@@ -95,6 +96,7 @@
     if (ec == asio::error::operation_aborted)
       co_return;
     if (ec) {
+      ++accept_failures_;
       // Most likely there are no free file descriptors: wait until connections
       // are closed.
       asio::steady_timer pause(acceptor_->get_executor(),
@@ -180,6 +182,7 @@
   HttpServerCounts counts;
   counts.accepted = accepted_;
   counts.refused_connections = refused_connections_;
+  counts.accept_failures = accept_failures_;
   counts.requests = state_->requests;
   counts.overlapping = state_->overlapping;
   counts.malformed = state_->malformed;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -33,6 +33,8 @@
 struct HttpServerCounts {
   uint64_t accepted = 0;
   uint64_t refused_connections = 0;
+  // Connections that could not be accepted, such as for want of a descriptor.
+  uint64_t accept_failures = 0;
   uint64_t requests = 0;
   // Requests handed to the handler while an earlier one of the same connection
   // had no response yet.
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -4,26 +4,60 @@
 
 namespace toucanknot {
 
+bool ServerRegistry::IsIgnored(const ServerEntry& entry, Instant now) const {
+  const auto it = servers_.find(entry.id);
+  if (it == servers_.end()) {
+    const auto removed = removed_.find(entry.id);
+    return removed != removed_.end() &&
+           removed->second.incarnation == entry.incarnation &&
+           (removed->second.leaving ||
+            entry.sequence <= removed->second.sequence);
+  }
+  const ServerEntry& old = it->second.entry;
+  const bool same = entry.incarnation == old.incarnation;
+  const bool foreign =
+      same && (entry.service != old.service || entry.zone != old.zone ||
+               entry.endpoint != old.endpoint);
+  const bool older = entry.incarnation < old.incarnation ||
+                     (same && entry.sequence < old.sequence);
+  if (!foreign && !older)
+    return false;
+  // An earlier heartbeat of the same server never replaces a later one.
+  if (same && !foreign)
+    return true;
+  return static_cast<double>((now - it->second.seen_at).ms()) <
+         kStaleHeartbeats * static_cast<double>(heartbeat_.ms());
+}
+
+void ServerRegistry::ForgetRemoved(Instant now) {
+  std::erase_if(removed_, [&](const auto& it) {
+    return now - it.second.at > kRememberRemoved;
+  });
+  if (removed_.size() < kMaxRemoved)
+    return;
+  removed_.erase(std::min_element(
+      removed_.begin(), removed_.end(),
+      [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+}
+
 void ServerRegistry::OnEntry(const ServerEntry& entry, Instant now) {
   const auto it = servers_.find(entry.id);
   const bool known = it != servers_.end();
-  if (known) {
-    const ServerEntry& old = it->second.entry;
-    const bool older =
-        entry.incarnation < old.incarnation ||
-        (entry.incarnation == old.incarnation && entry.sequence < old.sequence);
-    // A late write of an earlier incarnation, or an earlier heartbeat.
-    if (older)
-      return;
-  }
+  if (IsIgnored(entry, now))
+    return;
+  removed_.erase(entry.id);
   const bool restarted =
       known && it->second.entry.incarnation != entry.incarnation;
   const bool moved = known && it->second.entry.service != entry.service;
   Server& server = servers_[entry.id];
   const bool was_leaving = known && !restarted && server.entry.leaving;
   const int slots_before = server.entry.slots;
-  if (moved)
-    by_service_[server.entry.service].erase(entry.id);
+  if (moved) {
+    const auto service = by_service_.find(server.entry.service);
+    service->second.erase(entry.id);
+    if (service->second.empty())
+      by_service_.erase(service);
+  }
   server.entry = entry;
   server.seen_at = now;
   server.drop_at.reset();
@@ -52,7 +86,7 @@
     return;
   OnMissing(it->second, now);
   if (*it->second.drop_at <= now)
-    Remove(it);
+    Remove(it, now);
 }
 
 void ServerRegistry::OnListed(const std::set<ServerId>& ids, Instant now) {
@@ -138,15 +172,22 @@
   for (auto it = servers_.begin(); it != servers_.end();) {
     const auto next = std::next(it);
     if (it->second.drop_at && *it->second.drop_at <= now)
-      Remove(it);
+      Remove(it, now);
     it = next;
   }
 }
 
-void ServerRegistry::Remove(std::map<ServerId, Server>::iterator it) {
+void ServerRegistry::Remove(std::map<ServerId, Server>::iterator it,
+                            Instant now) {
   ++version_;
   const Server last = it->second;
-  by_service_[last.entry.service].erase(it->first);
+  ForgetRemoved(now);
+  removed_[last.entry.id] = {last.entry.incarnation, last.entry.sequence,
+                             last.entry.leaving || IsLeaving(last), now};
+  const auto service = by_service_.find(last.entry.service);
+  service->second.erase(it->first);
+  if (service->second.empty())
+    by_service_.erase(service);
   servers_.erase(it);
   on_change_(ServerChange::kGone, last);
 }
