--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -135,6 +135,8 @@
   // until then the returned pointers stay valid.
   uint64_t version() const { return version_; }
   size_t size() const { return servers_.size(); }
+  // Removed entries that are remembered.
+  size_t remembered() const { return removed_.size(); }
 
  private:
   bool TakesWork(const Server& server) const {
--- a/tests/placing/server_registry_test.cc
+++ b/tests/placing/server_registry_test.cc
@@ -204,4 +204,79 @@
   CHECK(it.registry.Find(ServerId("a"))->cold_until == At(10'500));
 }
 
+TEST_CASE("a late entry of a removed server is ignored") {
+  // Its write was held up; the server is gone and gets no more requests.
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  it.registry.OnRemoved(ServerId("a"), At(10));
+  it.registry.OnEntry(MakeEntry("a"), At(20));
+  CHECK(it.UsableCount() == 0);
+  // An entry that expired in an outage is renewed with the next sequence.
+  ServerEntry next = MakeEntry("a");
+  next.sequence = 6;
+  it.registry.OnEntry(next, At(30));
+  CHECK(it.UsableCount() == 1);
+  // A leaving incarnation does not come back.
+  next.leaving = true;
+  next.sequence = 7;
+  it.registry.OnEntry(next, At(40));
+  it.registry.OnRemoved(ServerId("a"), At(50));
+  next.leaving = false;
+  next.sequence = 8;
+  it.registry.OnEntry(next, At(60));
+  CHECK(it.UsableCount() == 0);
+  next.incarnation = 101;
+  next.sequence = 1;
+  it.registry.OnEntry(next, At(70));
+  CHECK(it.UsableCount() == 1);
+}
+
+TEST_CASE("an entry of another writer does not hide a server") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  ServerEntry odd = MakeEntry("a");
+  odd.service = ServiceId("unknown");
+  odd.sequence = 1'000'000;
+  it.registry.OnEntry(odd, At(100));
+  CHECK(it.UsableCount() == 1);
+  ServerEntry next = MakeEntry("a");
+  next.sequence = 6;
+  it.registry.OnEntry(next, At(200));
+  CHECK(it.UsableCount() == 1);
+  // The same if the odd entry came first: it is not renewed.
+  it.registry.OnRemoved(ServerId("a"), At(300));
+  odd.incarnation = next.incarnation = 101;
+  it.registry.OnEntry(odd, At(400));
+  CHECK(it.UsableCount() == 0);
+  it.registry.OnEntry(next, At(500));
+  it.registry.OnEntry(next, At(4'300));
+  CHECK(it.UsableCount() == 1);
+}
+
+TEST_CASE("a server that restarts with its clock behind is used again") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  ServerEntry restarted = MakeEntry("a");
+  restarted.incarnation = 90;
+  restarted.endpoint.port = 2;
+  // Taken for a late write at first, until the known entry is not renewed.
+  it.registry.OnEntry(restarted, At(1'500));
+  CHECK(it.registry.Find(ServerId("a"))->entry.endpoint.port == 1);
+  ++restarted.sequence;
+  it.registry.OnEntry(restarted, At(4'000));
+  CHECK(it.registry.Find(ServerId("a"))->entry.endpoint.port == 2);
+  CHECK(it.changes == std::vector<std::string>{"a appeared", "a restarted"});
+}
+
+TEST_CASE("removed servers are forgotten") {
+  Fixture it;
+  for (int i = 0; i < 10'000; ++i) {
+    const std::string id = std::to_string(i);
+    it.registry.OnEntry(MakeEntry(id), At(i));
+    it.registry.OnRemoved(ServerId(id), At(i));
+  }
+  CHECK(it.registry.size() == 0);
+  CHECK(it.registry.remembered() <= ServerRegistry::kMaxRemoved);
+}
+
 }  // namespace toucanknot
--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -215,4 +215,18 @@
   CHECK(it.WaitUntil([&] { return it.hosts.empty(); }));
 }
 
+TEST_CASE("a host's record is written again when it is removed") {
+  // A late write binds the record to a lease that the host gave up; when that
+  // lease expires, the record is removed, although the host renews another one.
+  Fixture it;
+  it.Start();
+  const HostRecord record{HostId("h"), ZoneId("z"), {"10.0.0.1", 80}, 5};
+  boost::asio::post(it.loop, [&] { it.store.Publish(record); });
+  REQUIRE(it.WaitUntil([&] { return it.hosts.size() == 1; }));
+  it.standin.Remove("toucanknot/hosts/h");
+  REQUIRE(it.WaitUntil([&] { return it.hosts.empty(); }));
+  CHECK(it.WaitUntil([&] { return it.hosts.size() == 1; }));
+  CHECK(ReadHostRecord(it.standin.Get("toucanknot/hosts/h")) == record);
+}
+
 }  // namespace toucanknot::platform
