placing: count the speed that servers report for their machines

Cause: some services report a fourth load figure, how long work takes on the machine at this moment in percent. It was not read; the placer learned it late, as slowness, from response times.

Change: the platform adapter decodes the figure (EntryWire::read_work_ratio; 0.05 to 20 times usual, anything else is ignored). The factor applies to work and queue in the expected time, in ms beside warmth and distance. Slowness and the times of work are learned with the factor taken out, so that it is not counted twice.

--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -10,6 +10,8 @@
 
 // Network latency in one direction, in ms.
 constexpr int64_t kInRegionMs = 1;
+// How often the speeds of machines change.
+constexpr int64_t kSpeedStepMs = 100;
 constexpr int64_t kShiftSpanMs = 2'000;
 constexpr int64_t kSettleMs = 6'000;
 // Minimum number of requests for meaningful shares.
@@ -39,6 +41,8 @@
   // Cached objects, most recent first.
   std::list<uint64_t> objects;
   double slow = 1;
+  // Logarithm of the time of work relative to usual.
+  double log_work_ratio = 0;
 };
 
 struct FleetModel::Host {
@@ -94,7 +98,9 @@
 }
 
 FleetModel::FleetModel(ModelSetup setup)
-    : setup_(FillDefaults(std::move(setup))), random_(setup_.seed) {
+    : setup_(FillDefaults(std::move(setup))),
+      random_(setup_.seed),
+      speed_random_(setup_.seed) {
   auto config = std::make_shared<RouteConfig>();
   config->version = 1;
   for (const ModelRoute& it : setup_.routes) {
@@ -309,6 +315,7 @@
   std::normal_distribution<double> spread(1, kWorkDeviation);
   const double work = request->model->work_ms *
                       (warm ? request->model->warm_part : 1) * server.slow *
+                      std::exp(server.log_work_ratio) *
                       std::max(0.3, spread(random_));
   const auto took = static_cast<int64_t>(std::ceil(work));
   ScheduleAt(now_ + took,
@@ -353,6 +360,8 @@
   result.reported = end != ServerAttemptEnd::kTimedOut;
   result.running = server.running;
   result.waiting = static_cast<int>(server.waiting.size());
+  if (setup_.speed_reported && result.reported)
+    result.work_ratio = std::exp(server.log_work_ratio);
   request->host->placer.Finish(result, Now());
   Advance(*request->host);
 }
@@ -385,10 +394,21 @@
   }
 }
 
+void FleetModel::ChangeSpeeds() {
+  const double kept = std::exp(-static_cast<double>(kSpeedStepMs) /
+                               static_cast<double>(setup_.speed_persists.ms()));
+  std::normal_distribution<double> step(
+      0, setup_.speed_spread * std::sqrt(1 - kept * kept));
+  for (const auto& it : servers_)
+    it->log_work_ratio = it->log_work_ratio * kept + step(speed_random_);
+}
+
 void FleetModel::Tick() {
   const int64_t since = now_ - kStart;
   if (since > 0 && since == setup_.leave_from.ms())
     StartLeaving();
+  if (since % kSpeedStepMs == 0 && setup_.speed_spread > 0)
+    ChangeSpeeds();
   if (since % 100 == 0) {
     for (const auto& from : hosts_) {
       // Same intervals as LoadExchange.
--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -50,6 +50,13 @@
   Duration slow_from{0};
   double slow_part = 0;
   double slow_by = 1;
+  // The time of work on each machine varies about its usual value: the standard
+  // deviation of its logarithm, and for how long a value persists. 0: it does
+  // not vary.
+  double speed_spread = 0;
+  Duration speed_persists{300};
+  // Whether servers report the speed of their machines.
+  bool speed_reported = false;
   // All rates are multiplied by `burst_by` during the burst.
   Duration burst_from{0};
   Duration burst_to{0};
@@ -154,6 +161,8 @@
   void Advance(Host& host);
   void Tick();
   void StartLeaving();
+  // Moves the speeds of all machines on by one step.
+  void ChangeSpeeds();
   // Network latency from a host to a server in one direction, in ms.
   int64_t Latency(const Host& host, const Server& server) const;
   void CountRegion(const Request& request, size_t ran_in);
@@ -161,6 +170,8 @@
 
   const ModelSetup setup_;
   std::mt19937_64 random_;
+  // Apart from random_, so that speeds change nothing else.
+  std::mt19937_64 speed_random_;
   int64_t now_ = kStart;
   uint64_t order_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -2,7 +2,9 @@
 #define INCLUDE_ENTRY_ENTRY_WIRE_H_
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "include/base/clock.h"
@@ -29,6 +31,10 @@
   std::string not_run;
   // Running requests, queued requests and slots, separated by commas.
   std::string load;
+  // Decodes the speed of the server's machine in that field: how long work
+  // takes there relative to usual. If null, or if it returns nothing, the speed
+  // is unknown.
+  std::function<std::optional<double>(std::string_view load)> read_work_ratio;
   // Decodes what the server states in a response with that status. If null, it
   // states nothing.
   std::function<ServerNotice(int status, const FieldReader& field)> read_notice;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -14,6 +14,7 @@
 #include "include/base/ids.h"
 #include "include/placing/demand.h"
 #include "include/placing/fleet_demand.h"
+#include "include/placing/machine_speed.h"
 #include "include/placing/object_affinity_cache.h"
 #include "include/placing/peer_loads.h"
 #include "include/placing/queue_policy.h"
@@ -128,6 +129,9 @@
   bool reported = false;
   int running = 0;
   int waiting = 0;
+  // How long work takes on the server's machine at the moment, relative to
+  // usual, if the server says so.
+  std::optional<double> work_ratio;
   // What the server stated; none if it sent no response of its own.
   std::optional<ServerNotice> notice;
 };
@@ -230,6 +234,11 @@
     bool was_warm = false;
     bool was_full = false;
     double slowness = 1;
+    // What the server's machine last reported before the request was sent, and
+    // the factor expected from it.
+    std::optional<MachineSpeed::Report> machine_speed;
+    double speed_factor = 1;
+    Instant sent_at;
   };
   // A server that a request may be sent to, with the estimates for it.
   struct Candidate {
@@ -242,6 +251,11 @@
     double cost = 0;
     double expected_ms = 0;
     double busy = 0;
+    // Estimated wait there, and factors of the work: slowness learned from
+    // responses, and the machine's speed.
+    double wait_ms = 0;
+    double slowness = 1;
+    double speed_factor = 1;
     bool warm = false;
     bool cold = false;
     bool full = false;
@@ -347,6 +361,7 @@
     // Version of the registry from which the view was built.
     uint64_t version = 0;
     Demand demand;
+    MachineSpeed machine_speed;
     // Its ServiceKey().
     uint32_t key = 0;
     // Attempts in flight.
--- a/include/placing/server_load.h
+++ b/include/placing/server_load.h
@@ -3,8 +3,10 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
+#include <optional>
 
 #include "include/base/clock.h"
+#include "include/placing/machine_speed.h"
 
 namespace toucanknot {
 
@@ -28,6 +30,13 @@
   // Records a report of how many requests the server runs and queues. Call
   // after OnEnded() for the response that carried the report.
   void OnReport(int running, int waiting, Instant now);
+  // Records the speed that the server's machine reported.
+  void OnMachineSpeed(double work_ratio, Instant now) {
+    machine_speed_ = {work_ratio, now};
+  }
+  const std::optional<MachineSpeed::Report>& machine_speed() const {
+    return machine_speed_;
+  }
   // Records that a response took `ratio` times as long as expected from a
   // typical server.
   void OnRelativeDuration(double ratio, Instant now);
@@ -71,6 +80,7 @@
   Instant others_at_;
   double slowness_ = 1;
   Instant slowness_at_;
+  std::optional<MachineSpeed::Report> machine_speed_;
   double failure_rate_ = 0;
   Instant failure_at_;
   int broken_connections_ = 0;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -426,7 +426,10 @@
   result.end = attempt.end;
   result.took = took;
   result.connect_took = attempt.connect_took;
-  ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
+  const std::string_view load = attempt.response.fields.Get(parts_.names.load);
+  ParseLoad(load, result);
+  if (parts_.names.read_work_ratio)
+    result.work_ratio = parts_.names.read_work_ratio(load);
   result.notice = NoticeOf(run, attempt);
   if (result.notice && result.notice->leaving)
     parts_.registry.OnLeavingResponse(placement.server, incarnation);
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -224,6 +224,9 @@
   attempt.was_warm = best.warm;
   attempt.was_full = best.busy >= entry.slots;
   attempt.slowness = load->Slowness(now);
+  attempt.machine_speed = load->machine_speed();
+  attempt.speed_factor = best.speed_factor;
+  attempt.sent_at = now;
   load->OnSent(now);
   // The object is cached from when the server starts on its first request.
   if (request.object != 0) {
@@ -368,6 +371,8 @@
     distances_.OnConnected(attempt.zone, result.connect_took);
   if (result.reported)
     server_load.OnReport(result.running, result.waiting, now);
+  if (result.work_ratio)
+    server_load.OnMachineSpeed(*result.work_ratio, now);
   if (result.notice) {
     limits_.OnNotice(attempt.run_key, *result.notice, now - result.took, now);
   }
@@ -377,11 +382,18 @@
     case ServerAttemptEnd::kAnswered:
       server_load.OnSuccess(now);
       if (!attempt.was_full) {
-        const double work = took / attempt.slowness;
+        // Slowness and the times of work are learned from what the reported
+        // speed does not explain, so that neither counts it again.
+        const double at_usual_speed = took / attempt.speed_factor;
+        const double work = at_usual_speed / attempt.slowness;
         const double typical = attempt.was_warm || times.LooksWarm(work)
                                    ? times.warm()
                                    : times.cold();
-        server_load.OnRelativeDuration(took / std::max(1.0, typical), now);
+        server_load.OnRelativeDuration(at_usual_speed / std::max(1.0, typical),
+                                       now);
+        services_[attempt.service].machine_speed.OnResponse(
+            attempt.machine_speed, attempt.sent_at,
+            took / attempt.slowness / std::max(1.0, typical));
         times.AddSample(work, attempt.was_warm);
       }
       break;
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -189,8 +189,15 @@
   const double chance = c.warm                       ? 0
                         : rank < kFetchChance.size() ? kFetchChance[rank]
                                                      : 1;
-  c.expected_ms =
-      (times.warm() + chance * fetch + wait) * slowness + c.server->rtt;
+  c.wait_ms = wait * slowness;
+  c.slowness = slowness;
+  // The reported speed fades until the work starts.
+  const MachineSpeed& machine_speed = service.machine_speed;
+  const Instant start = now + Duration(static_cast<int64_t>(c.wait_ms));
+  c.speed_factor = machine_speed.FactorAt(load.machine_speed(), start);
+  const double work = (times.warm() + chance * fetch) * c.speed_factor;
+  const double queue = wait * machine_speed.FactorAt(load.machine_speed(), now);
+  c.expected_ms = (work + queue) * slowness + c.server->rtt;
   c.cost = c.expected_ms + load.FailureRate(now) * kFailureCost * times.mean();
   // Fetching an object at one more server uses slots that others need.
   if (!c.warm && c.rank > 0)
