placing: limit requests to servers that started until they answer well

Cause: every host sent its first requests to a new server at once, and more until it heard of the others. A server that was slow after its start held 6 requests in its first 3 s, of which many timed out.

Change: ServerPace finds from responses, requests overdue and the load of other hosts how many requests at once a server may have after a start or a failed connection. The fleet model can start servers.

--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -12,6 +12,8 @@
 constexpr int64_t kInRegionMs = 1;
 // How often the speeds of machines change.
 constexpr int64_t kSpeedStepMs = 100;
+constexpr int64_t kAfterStartMs = 12'000;
+constexpr int64_t kJustStartedMs = 3'000;
 constexpr int64_t kShiftSpanMs = 2'000;
 constexpr int64_t kSettleMs = 6'000;
 // Minimum number of requests for meaningful shares.
@@ -43,6 +45,9 @@
   double slow = 1;
   // Logarithm of the time of work relative to usual.
   double log_work_ratio = 0;
+  int64_t started_at = 0;
+  // Not registered before its start.
+  bool absent = false;
 };
 
 struct FleetModel::Host {
@@ -133,6 +138,15 @@
   ran_in_.assign(setup_.servers.size(),
                  std::vector<int>(setup_.servers.size()));
   ran_in_previous_ = ran_in_;
+  for (const ModelStart& start : setup_.starts) {
+    first_start_ = std::min(first_start_, kStart + start.at.ms());
+    for (int i = 0; i < start.count && !start.restart; ++i) {
+      by_id_
+          .at(ServerId("server-" + std::to_string(start.region) + "-" +
+                       std::to_string(start.first + i)))
+          ->absent = true;
+    }
+  }
   std::vector<FleetHost> fleet_hosts;
   const int all =
       setup_.hosts_per_region * static_cast<int>(setup_.servers.size());
@@ -147,8 +161,10 @@
       host->placer.SetHostCount(all);
       fleet_hosts.push_back({HostKey(options.host), options.region,
                              options.zone, options.capacity});
-      for (const auto& it : servers_)
-        host->registry.OnEntry(it->entry, Now());
+      for (const auto& it : servers_) {
+        if (!it->absent)
+          host->registry.OnEntry(it->entry, Now());
+      }
       hosts_.push_back(std::move(host));
     }
   }
@@ -174,6 +190,8 @@
         servers_[static_cast<size_t>(i)]->slow = setup_.slow_by;
     });
   }
+  for (const ModelStart& it : setup_.starts)
+    ScheduleAt(kStart + it.at.ms(), [this, &it] { StartServers(it); });
   ScheduleAt(kStart, [this] { Tick(); });
   while (!events_.empty()) {
     const Event event = events_.top();
@@ -181,6 +199,10 @@
     now_ = event.at;
     event.run();
   }
+  if (started_samples_ > 0) {
+    outcome_.mean_at_started = static_cast<double>(started_requests_) /
+                               static_cast<double>(started_samples_);
+  }
   return outcome_;
 }
 
@@ -207,6 +229,8 @@
     request->first_asked = now_;
     ++outcome_.routes[m.name].asked;
     ++outcome_.regions[region].asked;
+    if (IsAfterStart(*request))
+      ++outcome_.after_start.asked;
     Offer(request);
     ScheduleArrival(region, route, m);
   });
@@ -340,8 +364,12 @@
     if (now_ - request->first_asked <= request->model->target.ms()) {
       ++result.in_target;
       ++outcome_.regions[request->region].in_target;
+      if (IsAfterStart(*request))
+        ++outcome_.after_start.in_target;
     } else {
       ++result.late;
+      if (IsAfterStart(*request))
+        ++outcome_.after_start.late;
     }
     Finish(request, ServerAttemptEnd::kAnswered, server);
   });
@@ -394,6 +422,38 @@
   }
 }
 
+void FleetModel::StartServers(const ModelStart& start) {
+  for (int i = 0; i < start.count; ++i) {
+    Server& server =
+        *by_id_.at(ServerId("server-" + std::to_string(start.region) + "-" +
+                            std::to_string(start.first + i)));
+    server.absent = false;
+    server.objects.clear();
+    server.started_at = now_;
+    server.slow = start.slow_by;
+    ScheduleAt(now_ + start.slow_for.ms(), [&server] { server.slow = 1; });
+    ++server.entry.incarnation;
+    for (const auto& host : hosts_) {
+      host->placer.ForgetServer(server.entry.id);
+      host->registry.OnEntry(server.entry, Now());
+    }
+  }
+}
+
+bool FleetModel::IsAfterStart(const Request& request) const {
+  return request.first_asked >= first_start_ &&
+         request.first_asked < first_start_ + kAfterStartMs;
+}
+
+void FleetModel::MeasureStarted() {
+  for (const auto& it : servers_) {
+    if (it->started_at == 0 || now_ - it->started_at >= kJustStartedMs)
+      continue;
+    ++started_samples_;
+    started_requests_ += it->running + static_cast<int>(it->waiting.size());
+  }
+}
+
 void FleetModel::ChangeSpeeds() {
   const double kept = std::exp(-static_cast<double>(kSpeedStepMs) /
                                static_cast<double>(setup_.speed_persists.ms()));
@@ -407,6 +467,7 @@
   const int64_t since = now_ - kStart;
   if (since > 0 && since == setup_.leave_from.ms())
     StartLeaving();
+  MeasureStarted();
   if (since % kSpeedStepMs == 0 && setup_.speed_spread > 0)
     ChangeSpeeds();
   if (since % 100 == 0) {
--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -32,6 +32,20 @@
   int priority = 0;
 };
 
+// Servers of a region that start during a run, with nothing cached.
+struct ModelStart {
+  Duration at;
+  size_t region = 0;
+  // The first of them, and their number.
+  int first = 0;
+  int count = 1;
+  // Whether they ran before, under the same ids, and restart.
+  bool restart = false;
+  // Work takes `slow_by` times as long there for `slow_for` after the start.
+  double slow_by = 1;
+  Duration slow_for;
+};
+
 // Parameters of a run.
 struct ModelSetup {
   std::vector<ModelRoute> routes;
@@ -65,6 +79,7 @@
   Duration leave_from{0};
   size_t leave_region = 0;
   double leave_part = 0;
+  std::vector<ModelStart> starts;
   // Network latency between regions in one direction.
   Duration between_regions{20};
   // Whether hosts learn the distances from the time that connections take.
@@ -113,6 +128,10 @@
   int max_at_server = 0;
   // Responses within the target and requests, by the callers' region.
   std::vector<ModelResult> regions;
+  // Of the requests that arrived in the 12 s after the first start of a server.
+  ModelResult after_start;
+  // The mean number of requests at servers that started less than 3 s ago.
+  double mean_at_started = 0;
   // Largest fraction of a region's requests that moved to another region
   // between consecutive spans of two seconds, not counting the first six
   // seconds.
@@ -161,6 +180,9 @@
   void Advance(Host& host);
   void Tick();
   void StartLeaving();
+  void StartServers(const ModelStart& start);
+  bool IsAfterStart(const Request& request) const;
+  void MeasureStarted();
   // Moves the speeds of all machines on by one step.
   void ChangeSpeeds();
   // Network latency from a host to a server in one direction, in ms.
@@ -180,6 +202,9 @@
   std::map<ServerId, Server*> by_id_;
   std::vector<std::unique_ptr<Host>> hosts_;
   uint64_t last_request_id_ = 0;
+  int64_t first_start_ = INT64_MAX / 2;
+  int64_t started_samples_ = 0;
+  int64_t started_requests_ = 0;
   ModelOutcome outcome_;
   // By region of the caller: how many requests ran in each region in the
   // current span and in the previous one.
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -216,6 +216,7 @@
   std::string ExplainRequest(const PlacementRequest& request, Instant now);
 
  private:
+  struct Service;
   struct QueuedRequest {
     PlacementRequest request;
     int priority = 0;
@@ -292,9 +293,14 @@
   // The time until the first pause ends of servers that could take the request
   // otherwise; 0 if there is none.
   Duration ShortestPause(const QueuedRequest& waiting, Instant now);
-  // Whether the server joined recently and has had no request from this host
-  // yet.
+  // Whether the server started recently, is near and has had no request from
+  // this host yet.
   bool NeedsTrial(const ServiceView::Server& server, Instant now) const;
+  // Whether the server started or failed recently and must not get another
+  // request of this host yet.
+  bool IsPaced(const Service& service,
+               const ServiceView::Server& server,
+               Instant now) const;
   // Builds the queue entry for `request`.
   QueuedRequest MakeQueuedRequest(const PlacementRequest& request);
   // Whether a request waits although the chosen server could take it, since it
@@ -323,7 +329,7 @@
   // Estimated time in ms until a server whose rate is limited accepts a request
   // behind `ahead` others; 0 unless all servers are of that kind.
   static double PacedWait(const Choice& choice, int ahead, Instant now);
-  std::shared_ptr<ServerLoad> LoadOf(const ServerId& id);
+  std::shared_ptr<ServerLoad> LoadOf(const ServerRegistry::Server& server);
   WorkTimes& TimesOf(const Route& route);
   // Requests of all hosts at a server.
   double Busy(const ServerLoad& load, Instant now) const;
@@ -366,6 +372,8 @@
     uint32_t key = 0;
     // Attempts in flight.
     int in_flight = 0;
+    // Fraction of the slots at servers whose pace is limited.
+    double paced_part = 0;
     ReturnedServed returned_served;
     // Until `scarce_until`, requests less urgent than the priority `scarce_for`
     // leave room at full servers, since a request of that priority found none.
--- a/include/placing/rate_owners.h
+++ b/include/placing/rate_owners.h
@@ -2,6 +2,7 @@
 #define INCLUDE_PLACING_RATE_OWNERS_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -28,8 +29,17 @@
   // this host does not own it. Hosts of the same region rank first, since their
   // callers are near.
   double RateFor(uint32_t server, const RegionId& region, double rate) const;
+  // Whether this host is one of the first `hosts` hosts to own `server`. True
+  // if the store does not list this host: the others leave it out.
+  bool IsAmongFirst(uint32_t server,
+                    const RegionId& region,
+                    double hosts) const;
 
  private:
+  // The number of hosts that precede this one; nothing if it is not listed.
+  std::optional<int64_t> Preceding(uint32_t server,
+                                   const RegionId& region) const;
+
   const uint64_t self_;
   std::vector<FleetHost> hosts_;
 };
--- a/include/placing/server_load.h
+++ b/include/placing/server_load.h
@@ -7,6 +7,7 @@
 
 #include "include/base/clock.h"
 #include "include/placing/machine_speed.h"
+#include "include/placing/server_pace.h"
 
 namespace toucanknot {
 
@@ -68,6 +69,10 @@
   // When the next request is allowed at that rate.
   Instant NextPacedSend(double rate) const;
 
+  // Limits the requests at the server after a start or failure.
+  ServerPace& pace() { return pace_; }
+  const ServerPace& pace() const { return pace_; }
+
   Instant last_sent() const { return last_sent_; }
 
  private:
@@ -86,6 +91,7 @@
   int broken_connections_ = 0;
   Instant suspended_until_;
   Instant last_sent_;
+  ServerPace pace_;
   Instant last_paced_send_;
   boost::unordered_flat_map<uint64_t, Instant> warm_;
 };
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -16,6 +16,10 @@
 constexpr Duration kMaxRetryAfter{2'000};
 // Time reserved for the response to reach the caller, in ms.
 constexpr double kResponseMarginMs = 10;
+// The first entries that a host reads are not of servers that start.
+constexpr Duration kLearnsServers{3'000};
+// A response that takes this multiple of the expected time is late.
+constexpr double kLateResponse = 2;
 constexpr double kMsPerSecond = 1'000;
 constexpr double kMinPacedRate = 0.001;
 // Limits that other hosts report are dated back by the time that reports spend
@@ -37,10 +41,16 @@
                      options_.capacity}),
       rate_owners_(HostKey(options_.host)) {}
 
-std::shared_ptr<ServerLoad> Placer::LoadOf(const ServerId& id) {
+std::shared_ptr<ServerLoad> Placer::LoadOf(
+    const ServerRegistry::Server& server) {
+  const ServerId& id = server.entry.id;
   std::shared_ptr<ServerLoad>& load = loads_[id];
-  if (!load)
+  if (!load) {
     load = std::make_shared<ServerLoad>(ServerKey(id));
+    // To a host that has just started itself, all servers are new.
+    if (server.appeared_at - started_at_ > kLearnsServers)
+      load->pace().BeginAfterStart(server.appeared_at);
+  }
   return load;
 }
 
@@ -142,7 +152,7 @@
   for (const ServerRegistry::Server* it : registry_.UsableServers(id)) {
     ServiceView::Server server;
     server.entry = it;
-    server.load = LoadOf(it->entry.id);
+    server.load = LoadOf(*it);
     server.run_key = ServerRunKey(it->entry.id, it->entry.incarnation);
     const auto region = options_.regions.find(it->entry.zone);
     if (region != options_.regions.end())
@@ -228,6 +238,9 @@
   attempt.speed_factor = best.speed_factor;
   attempt.sent_at = now;
   load->OnSent(now);
+  load->pace().OnSent(
+      request.id,
+      now + Duration(static_cast<int64_t>(best.expected_ms * kLateResponse)));
   // The object is cached from when the server starts on its first request.
   if (request.object != 0) {
     load->SetWarm(request.object, now);
@@ -367,6 +380,7 @@
   --services_[attempt.service].in_flight;
   ServerLoad& server_load = *attempt.load;
   server_load.OnEnded();
+  server_load.pace().OnEnded(result.request_id);
   if (result.connect_took > Duration(0))
     distances_.OnConnected(attempt.zone, result.connect_took);
   if (result.reported)
@@ -389,6 +403,8 @@
         const double typical = attempt.was_warm || times.LooksWarm(work)
                                    ? times.warm()
                                    : times.cold();
+        server_load.pace().OnAnswered(at_usual_speed / std::max(1.0, typical),
+                                      now);
         server_load.OnRelativeDuration(at_usual_speed / std::max(1.0, typical),
                                        now);
         services_[attempt.service].machine_speed.OnResponse(
@@ -400,8 +416,10 @@
     case ServerAttemptEnd::kFailed:
     case ServerAttemptEnd::kRefused:
       server_load.OnFailure(now);
+      server_load.pace().OnFailed(now);
       break;
     case ServerAttemptEnd::kTimedOut:
+      server_load.pace().OnFailed(now);
       server_load.OnRelativeDuration(took / std::max(1.0, times.mean()), now);
       server_load.OnFailure(now);
       break;
@@ -412,6 +430,7 @@
     case ServerAttemptEnd::kBroken:
       server_load.OnFailure(now);
       server_load.Suspend(now);
+      server_load.pace().BeginAfterFailure(now);
       break;
     case ServerAttemptEnd::kCancelled:
       break;
@@ -460,6 +479,10 @@
       service.view->UpdateRtts([this](const ServiceView::Server& server) {
         return RttMs(server.zone, server.nearness);
       });
+      double paced = 0;
+      for (const ServiceView::Server& it : service.view->servers())
+        paced += it.load->pace().active() ? it.entry->entry.slots : 0;
+      service.paced_part = paced / std::max(1.0, service.view->slots());
     }
   }
 }
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -35,9 +35,6 @@
 // beyond the first of its order, and of a full server.
 constexpr double kExtraServerCost = 0.8;
 constexpr double kFullServerCost = 0.5;
-// A server that joined recently is tried once by each host of its region, even
-// if other servers have the objects cached.
-constexpr Duration kRecentlyJoined{12'000};
 // Costs in the same interval of this length, in ms, count as equal.
 constexpr double kSameCostMs = 8;
 
@@ -93,9 +90,11 @@
   if (utilization > kNearlyCrowded)
     crowded_until_ = now + kCrowdedMemory;
   std::vector<Candidate> out;
+  bool paced = true;
   const auto add = [&](int index, int rank) {
     const ServiceView::Server& server = view.servers()[index];
-    if (MayTake(waiting, server, now))
+    if (MayTake(waiting, server, now) &&
+        (!paced || !IsPaced(service, server, now)))
       out.push_back({&server, rank, static_cast<int>(out.size())});
   };
   const ServiceView::Order order = OrderFor(service, waiting, now);
@@ -124,6 +123,7 @@
     if (NeedsTrial(view.servers()[it], now))
       add(it, kept);
   }
+  paced = false;
   if (out.empty()) {
     for (size_t i = 0; i < view.servers().size(); ++i)
       add(static_cast<int>(i), kept);
@@ -159,12 +159,32 @@
   return first == Instant::Never() ? Duration(0) : first - now;
 }
 
+bool Placer::IsPaced(const Service& service,
+                     const ServiceView::Server& server,
+                     Instant now) const {
+  ServerLoad& load = *server.load;
+  ServerPace& pace = load.pace();
+  if (!pace.active())
+    return false;
+  const double busy = Busy(load, now);
+  const double at_others = busy - load.in_flight();
+  pace.EndIfEnough(MaxAtServer(server.entry->entry.slots, false, false),
+                   at_others, now);
+  if (!pace.active())
+    return false;
+  const double allowed = pace.Allowed(at_others, service.paced_part, now);
+  if (busy >= allowed)
+    return true;
+  // As many hosts as requests begin, since each sees the requests of the others
+  // late.
+  return pace.is_shared() &&
+         !rate_owners_.IsAmongFirst(load.key(), server.region, allowed);
+}
+
 bool Placer::NeedsTrial(const ServiceView::Server& server, Instant now) const {
   return server.nearness != ServiceView::Nearness::kElsewhere &&
-         now - server.entry->appeared_at < kRecentlyJoined &&
-         now >= server.entry->cold_until &&
-         server.load->last_sent() == Instant() &&
-         server.entry->appeared_at - started_at_ > kRecentlyJoined;
+         server.load->pace().active() && now >= server.entry->cold_until &&
+         server.load->last_sent() == Instant();
 }
 
 void Placer::EstimateCost(const QueuedRequest& waiting,
