--- a/bench/placing/fleet_model.cc
+++ b/bench/placing/fleet_model.cc
@@ -10,6 +10,10 @@
 
 // Network latency in one direction, in ms.
 constexpr int64_t kInRegionMs = 1;
+// How often the speeds of machines change.
+constexpr int64_t kSpeedStepMs = 100;
+constexpr int64_t kAfterStartMs = 12'000;
+constexpr int64_t kJustStartedMs = 3'000;
 constexpr int64_t kShiftSpanMs = 2'000;
 constexpr int64_t kSettleMs = 6'000;
 // Minimum number of requests for meaningful shares.
@@ -39,6 +43,11 @@
   // Cached objects, most recent first.
   std::list<uint64_t> objects;
   double slow = 1;
+  // Logarithm of the time of work relative to usual.
+  double log_work_ratio = 0;
+  int64_t started_at = 0;
+  // Not registered before its start.
+  bool absent = false;
 };
 
 struct FleetModel::Host {
@@ -94,7 +103,9 @@
 }
 
 FleetModel::FleetModel(ModelSetup setup)
-    : setup_(FillDefaults(std::move(setup))), random_(setup_.seed) {
+    : setup_(FillDefaults(std::move(setup))),
+      random_(setup_.seed),
+      speed_random_(setup_.seed) {
   auto config = std::make_shared<RouteConfig>();
   config->version = 1;
   for (const ModelRoute& it : setup_.routes) {
@@ -127,6 +138,15 @@
   ran_in_.assign(setup_.servers.size(),
                  std::vector<int>(setup_.servers.size()));
   ran_in_previous_ = ran_in_;
+  for (const ModelStart& start : setup_.starts) {
+    first_start_ = std::min(first_start_, kStart + start.at.ms());
+    for (int i = 0; i < start.count && !start.restart; ++i) {
+      by_id_
+          .at(ServerId("server-" + std::to_string(start.region) + "-" +
+                       std::to_string(start.first + i)))
+          ->absent = true;
+    }
+  }
   std::vector<FleetHost> fleet_hosts;
   const int all =
       setup_.hosts_per_region * static_cast<int>(setup_.servers.size());
@@ -141,8 +161,10 @@
       host->placer.SetHostCount(all);
       fleet_hosts.push_back({HostKey(options.host), options.region,
                              options.zone, options.capacity});
-      for (const auto& it : servers_)
-        host->registry.OnEntry(it->entry, Now());
+      for (const auto& it : servers_) {
+        if (!it->absent)
+          host->registry.OnEntry(it->entry, Now());
+      }
       hosts_.push_back(std::move(host));
     }
   }
@@ -168,6 +190,8 @@
         servers_[static_cast<size_t>(i)]->slow = setup_.slow_by;
     });
   }
+  for (const ModelStart& it : setup_.starts)
+    ScheduleAt(kStart + it.at.ms(), [this, &it] { StartServers(it); });
   ScheduleAt(kStart, [this] { Tick(); });
   while (!events_.empty()) {
     const Event event = events_.top();
@@ -175,6 +199,10 @@
     now_ = event.at;
     event.run();
   }
+  if (started_samples_ > 0) {
+    outcome_.mean_at_started = static_cast<double>(started_requests_) /
+                               static_cast<double>(started_samples_);
+  }
   return outcome_;
 }
 
@@ -201,6 +229,8 @@
     request->first_asked = now_;
     ++outcome_.routes[m.name].asked;
     ++outcome_.regions[region].asked;
+    if (IsAfterStart(*request))
+      ++outcome_.after_start.asked;
     Offer(request);
     ScheduleArrival(region, route, m);
   });
@@ -309,6 +339,7 @@
   std::normal_distribution<double> spread(1, kWorkDeviation);
   const double work = request->model->work_ms *
                       (warm ? request->model->warm_part : 1) * server.slow *
+                      std::exp(server.log_work_ratio) *
                       std::max(0.3, spread(random_));
   const auto took = static_cast<int64_t>(std::ceil(work));
   ScheduleAt(now_ + took,
@@ -333,8 +364,12 @@
     if (now_ - request->first_asked <= request->model->target.ms()) {
       ++result.in_target;
       ++outcome_.regions[request->region].in_target;
+      if (IsAfterStart(*request))
+        ++outcome_.after_start.in_target;
     } else {
       ++result.late;
+      if (IsAfterStart(*request))
+        ++outcome_.after_start.late;
     }
     Finish(request, ServerAttemptEnd::kAnswered, server);
   });
@@ -353,6 +388,8 @@
   result.reported = end != ServerAttemptEnd::kTimedOut;
   result.running = server.running;
   result.waiting = static_cast<int>(server.waiting.size());
+  if (setup_.speed_reported && result.reported)
+    result.work_ratio = std::exp(server.log_work_ratio);
   request->host->placer.Finish(result, Now());
   Advance(*request->host);
 }
@@ -385,10 +422,54 @@
   }
 }
 
+void FleetModel::StartServers(const ModelStart& start) {
+  for (int i = 0; i < start.count; ++i) {
+    Server& server =
+        *by_id_.at(ServerId("server-" + std::to_string(start.region) + "-" +
+                            std::to_string(start.first + i)));
+    server.absent = false;
+    server.objects.clear();
+    server.started_at = now_;
+    server.slow = start.slow_by;
+    ScheduleAt(now_ + start.slow_for.ms(), [&server] { server.slow = 1; });
+    ++server.entry.incarnation;
+    for (const auto& host : hosts_) {
+      host->placer.ForgetServer(server.entry.id);
+      host->registry.OnEntry(server.entry, Now());
+    }
+  }
+}
+
+bool FleetModel::IsAfterStart(const Request& request) const {
+  return request.first_asked >= first_start_ &&
+         request.first_asked < first_start_ + kAfterStartMs;
+}
+
+void FleetModel::MeasureStarted() {
+  for (const auto& it : servers_) {
+    if (it->started_at == 0 || now_ - it->started_at >= kJustStartedMs)
+      continue;
+    ++started_samples_;
+    started_requests_ += it->running + static_cast<int>(it->waiting.size());
+  }
+}
+
+void FleetModel::ChangeSpeeds() {
+  const double kept = std::exp(-static_cast<double>(kSpeedStepMs) /
+                               static_cast<double>(setup_.speed_persists.ms()));
+  std::normal_distribution<double> step(
+      0, setup_.speed_spread * std::sqrt(1 - kept * kept));
+  for (const auto& it : servers_)
+    it->log_work_ratio = it->log_work_ratio * kept + step(speed_random_);
+}
+
 void FleetModel::Tick() {
   const int64_t since = now_ - kStart;
   if (since > 0 && since == setup_.leave_from.ms())
     StartLeaving();
+  MeasureStarted();
+  if (since % kSpeedStepMs == 0 && setup_.speed_spread > 0)
+    ChangeSpeeds();
   if (since % 100 == 0) {
     for (const auto& from : hosts_) {
       // Same intervals as LoadExchange.
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -15,6 +15,7 @@
 #include "include/placing/demand.h"
 #include "include/placing/fair_queue.h"
 #include "include/placing/fleet_demand.h"
+#include "include/placing/machine_speed.h"
 #include "include/placing/object_affinity_cache.h"
 #include "include/placing/peer_loads.h"
 #include "include/placing/queue_policy.h"
@@ -129,6 +130,9 @@
   bool reported = false;
   int running = 0;
   int waiting = 0;
+  // How long work takes on the server's machine at the moment, relative to
+  // usual, if the server says so.
+  std::optional<double> work_ratio;
   // What the server stated; none if it sent no response of its own.
   std::optional<ServerNotice> notice;
 };
@@ -213,6 +217,7 @@
   std::string ExplainRequest(const PlacementRequest& request, Instant now);
 
  private:
+  struct Service;
   struct QueuedRequest {
     PlacementRequest request;
     int priority = 0;
@@ -233,6 +238,11 @@
     bool was_warm = false;
     bool was_full = false;
     double slowness = 1;
+    // What the server's machine last reported before the request was sent, and
+    // the factor expected from it.
+    std::optional<MachineSpeed::Report> machine_speed;
+    double speed_factor = 1;
+    Instant sent_at;
   };
   // A server that a request may be sent to, with the estimates for it.
   struct Candidate {
@@ -245,6 +255,11 @@
     double cost = 0;
     double expected_ms = 0;
     double busy = 0;
+    // Estimated wait there, and factors of the work: slowness learned from
+    // responses, and the machine's speed.
+    double wait_ms = 0;
+    double slowness = 1;
+    double speed_factor = 1;
     bool warm = false;
     bool cold = false;
     bool full = false;
@@ -281,9 +296,14 @@
   // The time until the first pause ends of servers that could take the request
   // otherwise; 0 if there is none.
   Duration ShortestPause(const QueuedRequest& waiting, Instant now);
-  // Whether the server joined recently and has had no request from this host
-  // yet.
+  // Whether the server started recently, is near and has had no request from
+  // this host yet.
   bool NeedsTrial(const ServiceView::Server& server, Instant now) const;
+  // Whether the server started or failed recently and must not get another
+  // request of this host yet.
+  bool IsPaced(const Service& service,
+               const ServiceView::Server& server,
+               Instant now) const;
   // Builds the queue entry for `request`.
   QueuedRequest MakeQueuedRequest(const PlacementRequest& request);
   // Whether a request waits although the chosen server could take it, since it
@@ -312,7 +332,7 @@
   // Estimated time in ms until a server whose rate is limited accepts a request
   // behind `ahead` others; 0 unless all servers are of that kind.
   static double PacedWait(const Choice& choice, int ahead, Instant now);
-  std::shared_ptr<ServerLoad> LoadOf(const ServerId& id);
+  std::shared_ptr<ServerLoad> LoadOf(const ServerRegistry::Server& server);
   WorkTimes& TimesOf(const Route& route);
   // Requests of all hosts at a server.
   double Busy(const ServerLoad& load, Instant now) const;
@@ -350,10 +370,13 @@
     // Version of the registry from which the view was built.
     uint64_t version = 0;
     Demand demand;
+    MachineSpeed machine_speed;
     // Its ServiceKey().
     uint32_t key = 0;
     // Attempts in flight.
     int in_flight = 0;
+    // Fraction of the slots at servers whose pace is limited.
+    double paced_part = 0;
     ReturnedServed returned_served;
     // By priority.
     std::map<int, FairQueue> fair_queues;
--- a/include/placing/server_load.h
+++ b/include/placing/server_load.h
@@ -3,8 +3,11 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
+#include <optional>
 
 #include "include/base/clock.h"
+#include "include/placing/machine_speed.h"
+#include "include/placing/server_pace.h"
 
 namespace toucanknot {
 
@@ -28,6 +31,13 @@
   // Records a report of how many requests the server runs and queues. Call
   // after OnEnded() for the response that carried the report.
   void OnReport(int running, int waiting, Instant now);
+  // Records the speed that the server's machine reported.
+  void OnMachineSpeed(double work_ratio, Instant now) {
+    machine_speed_ = {work_ratio, now};
+  }
+  const std::optional<MachineSpeed::Report>& machine_speed() const {
+    return machine_speed_;
+  }
   // Records that a response took `ratio` times as long as expected from a
   // typical server.
   void OnRelativeDuration(double ratio, Instant now);
@@ -59,6 +69,10 @@
   // When the next request is allowed at that rate.
   Instant NextPacedSend(double rate) const;
 
+  // Limits the requests at the server after a start or failure.
+  ServerPace& pace() { return pace_; }
+  const ServerPace& pace() const { return pace_; }
+
   Instant last_sent() const { return last_sent_; }
 
  private:
@@ -71,11 +85,13 @@
   Instant others_at_;
   double slowness_ = 1;
   Instant slowness_at_;
+  std::optional<MachineSpeed::Report> machine_speed_;
   double failure_rate_ = 0;
   Instant failure_at_;
   int broken_connections_ = 0;
   Instant suspended_until_;
   Instant last_sent_;
+  ServerPace pace_;
   Instant last_paced_send_;
   boost::unordered_flat_map<uint64_t, Instant> warm_;
 };
