--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -9,6 +9,7 @@
 #include "include/base/clock.h"
 #include "include/base/ids.h"
 #include "include/entry/host_record.h"
+#include "include/entry/store_news.h"
 #include "include/placing/server_entry.h"
 #include "include/routing/route_config.h"
 
@@ -30,6 +31,9 @@
   std::function<void(const std::set<HostId>&)> hosts_listed;
   // The store became unreachable for this host, or reachable again.
   std::function<void(bool away)> store_unreachable;
+  // `news` must be sent to the other hosts of this host's zone. May be empty:
+  // each host reads the store itself then.
+  std::function<void(const StoreNews& news)> send_news;
 };
 
 // Requests to the store since the start.
@@ -37,7 +41,16 @@
   uint64_t calls = 0;
   uint64_t failed = 0;
   uint64_t malformed_items = 0;
-  // When the store last responded to this host.
+  // The calls by kind: watches, listings and reads of single keys, renewals of
+  // the lease, and other writes.
+  uint64_t watches = 0;
+  uint64_t reads = 0;
+  uint64_t renewals = 0;
+  uint64_t writes = 0;
+  // Whether the host relies on other hosts of its zone for changes.
+  bool following = false;
+  // When the store last responded to this host, or to a host on which it relies
+  // for changes.
   Instant last_response_at;
   // When, on BootNow()'s clock, the host sent the last read of the store that
   // completed: it knows of all changes until then. Empty before the first one.
@@ -57,6 +70,8 @@
   virtual void Publish(const HostRecord& record) = 0;
   virtual void Withdraw() = 0;
   virtual FleetStoreCounts counts() const = 0;
+  // Handles news of the store from another host.
+  virtual void OnNews(const StoreNews&) {}
 };
 
 }  // namespace toucanknot
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -45,6 +45,8 @@
   // The other hosts in `region` (`inside`) or in all other regions.
   std::vector<Endpoint> PeerAddresses(const RegionId& region,
                                       bool inside) const;
+  // The other hosts in this host's zone.
+  std::vector<Endpoint> ZonePeerAddresses() const;
   // The hosts that the store lists.
   std::vector<FleetHost> FleetHosts() const;
   size_t size() const { return hosts_.size(); }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -306,6 +306,12 @@
   listener.store_unreachable = [this](bool unreachable) {
     OnStoreUnreachable(unreachable);
   };
+  listener.send_news = [this](const StoreNews& news) {
+    std::vector<Endpoint> peers = roster_.ZonePeerAddresses();
+    for (Endpoint& it : peers)
+      it.port = settings_.peers.port;
+    load_exchange_.SendStoreNews(peers, news);
+  };
   return listener;
 }
 
@@ -319,6 +325,7 @@
     if (const std::optional<UsageReport> report = UsageReportOf(sheet))
       caps_.OnReport(*report, SteadyNow());
   };
+  hooks.on_store_news = [this](const StoreNews& news) { store_->OnNews(news); };
   hooks.usage = [this]() -> std::optional<LoadSheet> {
     if (!caps_.active())
       return std::nullopt;
@@ -472,6 +479,14 @@
   const ConnectionPoolCounts connections = connections_.counts();
   const HttpServerCounts http = callers_.Counts();
   metrics_.SetGauge("toucanknot_store_calls", static_cast<double>(store.calls));
+  metrics_.SetGauge("toucanknot_store_watches",
+                    static_cast<double>(store.watches));
+  metrics_.SetGauge("toucanknot_store_reads", static_cast<double>(store.reads));
+  metrics_.SetGauge("toucanknot_store_renewals",
+                    static_cast<double>(store.renewals));
+  metrics_.SetGauge("toucanknot_store_writes",
+                    static_cast<double>(store.writes));
+  metrics_.SetGauge("toucanknot_store_following", store.following ? 1 : 0);
   metrics_.SetGauge("toucanknot_store_failed",
                     static_cast<double>(store.failed));
   metrics_.SetGauge("toucanknot_store_malformed",
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -81,6 +81,15 @@
   return out;
 }
 
+std::vector<Endpoint> HostRoster::ZonePeerAddresses() const {
+  std::vector<Endpoint> out;
+  for (const auto& [id, host] : hosts_) {
+    if (id != self_.host && host.record.zone == self_.zone)
+      out.push_back(host.record.callers);
+  }
+  return out;
+}
+
 std::vector<FleetHost> HostRoster::FleetHosts() const {
   std::vector<FleetHost> out;
   out.reserve(hosts_.size());
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -14,6 +14,7 @@
 #include <memory>
 #include <utility>
 
+#include "src/entry/store_news_codec.h"
 #include "src/http/one_shot.h"
 #include "src/peer/gen/peer_types.h"
 
@@ -260,8 +261,11 @@
     // Other errors concern a datagram sent earlier, not this socket.
     if (ec)
       continue;
-    if (const auto sheet = DecodeSheet({buffer_.data(), n}))
+    const std::string_view bytes(buffer_.data(), n);
+    if (const auto sheet = DecodeSheet(bytes))
       hooks_.on_sheet(*sheet);
+    else if (const auto news = DecodeStoreNews(bytes))
+      hooks_.on_store_news(*news);
   }
 }
 
@@ -317,6 +321,11 @@
   }
 }
 
+void LoadExchange::SendStoreNews(const std::vector<Endpoint>& peers,
+                                 const StoreNews& news) {
+  SendTo(peers, EncodeStoreNews(news));
+}
+
 void LoadExchange::SendTo(const std::vector<Endpoint>& peers,
                           const std::string& bytes) {
   for (const Endpoint& it : peers) {
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "include/base/endpoint.h"
+#include "include/entry/store_news.h"
 #include "include/placing/peer_loads.h"
 #include "src/entry/datagram_rate_limiter.h"
 
@@ -57,6 +58,7 @@
     // Whether slots are scarce.
     std::function<bool()> crowded;
     std::function<void(const LoadSheet&)> on_sheet;
+    std::function<void(const StoreNews&)> on_store_news;
     // The other hosts: those of the own region if `near`, else those of other
     // regions.
     std::function<std::vector<Endpoint>(bool near)> peers;
@@ -67,6 +69,8 @@
   // Binds the socket and starts sending and receiving. Throws
   // boost::system::system_error.
   void Start();
+  // Sends `news` to `peers` at once.
+  void SendStoreNews(const std::vector<Endpoint>& peers, const StoreNews& news);
 
  private:
   boost::asio::awaitable<void> ReceiveLoop();
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3402,6 +3402,449 @@
 }
 
 
+StoreNews::~StoreNews() noexcept {
+}
+
+
+void StoreNews::__set_host(const std::string& val) {
+  this->host = val;
+__isset.host = true;
+}
+
+void StoreNews::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+__isset.incarnation = true;
+}
+
+void StoreNews::__set_before(const int64_t val) {
+  this->before = val;
+__isset.before = true;
+}
+
+void StoreNews::__set_revision(const int64_t val) {
+  this->revision = val;
+__isset.revision = true;
+}
+
+void StoreNews::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+__isset.age_ms = true;
+}
+
+void StoreNews::__set_lost(const bool val) {
+  this->lost = val;
+__isset.lost = true;
+}
+
+void StoreNews::__set_keys(const std::vector<std::string> & val) {
+  this->keys = val;
+__isset.keys = true;
+}
+
+void StoreNews::__set_revisions(const std::vector<int64_t> & val) {
+  this->revisions = val;
+__isset.revisions = true;
+}
+
+void StoreNews::__set_removed(const std::vector<bool> & val) {
+  this->removed = val;
+__isset.removed = true;
+}
+
+void StoreNews::__set_values(const std::vector<std::string> & val) {
+  this->values = val;
+__isset.values = true;
+}
+
+void StoreNews::__set_valued(const std::vector<bool> & val) {
+  this->valued = val;
+__isset.valued = true;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->before);
+          this->__isset.before = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lost);
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keys.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->keys.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += iprot->readString(this->keys[_i144]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->revisions.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->revisions.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += iprot->readI64(this->revisions[_i149]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.revisions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->removed.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += iprot->readBool(this->removed[_i154]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->values.clear();
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->values.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
+            {
+              xfer += iprot->readBinary(this->values[_i159]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.values = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->valued.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->valued.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              xfer += iprot->readBool(this->valued[_i164]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.valued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNews");
+
+  if (this->__isset.host) {
+    xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->host);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.before) {
+    xfer += oprot->writeFieldBegin("before", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->before);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision) {
+    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.age_ms) {
+    xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lost) {
+    xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->lost);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.keys) {
+    xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
+      std::vector<std::string> ::const_iterator _iter165;
+      for (_iter165 = this->keys.begin(); _iter165 != this->keys.end(); ++_iter165)
+      {
+        xfer += oprot->writeString((*_iter165));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revisions) {
+    xfer += oprot->writeFieldBegin("revisions", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->revisions.size()));
+      std::vector<int64_t> ::const_iterator _iter166;
+      for (_iter166 = this->revisions.begin(); _iter166 != this->revisions.end(); ++_iter166)
+      {
+        xfer += oprot->writeI64((*_iter166));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removed) {
+    xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->removed.size()));
+      std::vector<bool> ::const_iterator _iter167;
+      for (_iter167 = this->removed.begin(); _iter167 != this->removed.end(); ++_iter167)
+      {
+        xfer += oprot->writeBool((*_iter167));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.values) {
+    xfer += oprot->writeFieldBegin("values", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->values.size()));
+      std::vector<std::string> ::const_iterator _iter168;
+      for (_iter168 = this->values.begin(); _iter168 != this->values.end(); ++_iter168)
+      {
+        xfer += oprot->writeBinary((*_iter168));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.valued) {
+    xfer += oprot->writeFieldBegin("valued", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->valued.size()));
+      std::vector<bool> ::const_iterator _iter169;
+      for (_iter169 = this->valued.begin(); _iter169 != this->valued.end(); ++_iter169)
+      {
+        xfer += oprot->writeBool((*_iter169));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNews &a, StoreNews &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.before, b.before);
+  swap(a.revision, b.revision);
+  swap(a.age_ms, b.age_ms);
+  swap(a.lost, b.lost);
+  swap(a.keys, b.keys);
+  swap(a.revisions, b.revisions);
+  swap(a.removed, b.removed);
+  swap(a.values, b.values);
+  swap(a.valued, b.valued);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNews::StoreNews(const StoreNews& other170) {
+  host = other170.host;
+  incarnation = other170.incarnation;
+  before = other170.before;
+  revision = other170.revision;
+  age_ms = other170.age_ms;
+  lost = other170.lost;
+  keys = other170.keys;
+  revisions = other170.revisions;
+  removed = other170.removed;
+  values = other170.values;
+  valued = other170.valued;
+  __isset = other170.__isset;
+}
+StoreNews::StoreNews(StoreNews&& other171) noexcept {
+  host = std::move(other171.host);
+  incarnation = other171.incarnation;
+  before = other171.before;
+  revision = other171.revision;
+  age_ms = other171.age_ms;
+  lost = other171.lost;
+  keys = std::move(other171.keys);
+  revisions = std::move(other171.revisions);
+  removed = std::move(other171.removed);
+  values = std::move(other171.values);
+  valued = std::move(other171.valued);
+  __isset = other171.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other172) {
+  host = other172.host;
+  incarnation = other172.incarnation;
+  before = other172.before;
+  revision = other172.revision;
+  age_ms = other172.age_ms;
+  lost = other172.lost;
+  keys = other172.keys;
+  revisions = other172.revisions;
+  removed = other172.removed;
+  values = other172.values;
+  valued = other172.valued;
+  __isset = other172.__isset;
+  return *this;
+}
+StoreNews& StoreNews::operator=(StoreNews&& other173) noexcept {
+  host = std::move(other173.host);
+  incarnation = other173.incarnation;
+  before = other173.before;
+  revision = other173.revision;
+  age_ms = other173.age_ms;
+  lost = other173.lost;
+  keys = std::move(other173.keys);
+  revisions = std::move(other173.revisions);
+  removed = std::move(other173.removed);
+  values = std::move(other173.values);
+  valued = std::move(other173.valued);
+  __isset = other173.__isset;
+  return *this;
+}
+void StoreNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNews(";
+  out << "host="; (__isset.host ? (out << to_string(host)) : (out << "<null>"));
+  out << ", " << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
+  out << ", " << "before="; (__isset.before ? (out << to_string(before)) : (out << "<null>"));
+  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ", " << "age_ms="; (__isset.age_ms ? (out << to_string(age_ms)) : (out << "<null>"));
+  out << ", " << "lost="; (__isset.lost ? (out << to_string(lost)) : (out << "<null>"));
+  out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
+  out << ", " << "revisions="; (__isset.revisions ? (out << to_string(revisions)) : (out << "<null>"));
+  out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
+  out << ", " << "values="; (__isset.values ? (out << to_string(values)) : (out << "<null>"));
+  out << ", " << "valued="; (__isset.valued ? (out << to_string(valued)) : (out << "<null>"));
+  out << ")";
+}
+
+
 LoadSheet::~LoadSheet() noexcept {
 }
 
@@ -3520,6 +3963,11 @@
   this->usage_sequence = val;
 __isset.usage_sequence = true;
 }
+
+void LoadSheet::__set_store_news(const StoreNews& val) {
+  this->store_news = val;
+__isset.store_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadSheet& obj)
 {
   obj.printTo(out);
@@ -3576,14 +4024,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->servers.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->servers.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += iprot->readI32(this->servers[_i144]);
+              xfer += iprot->readI32(this->servers[_i178]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3596,14 +4044,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->requests.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->requests.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += iprot->readI16(this->requests[_i149]);
+              xfer += iprot->readI16(this->requests[_i183]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3616,14 +4064,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_requests.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->crash_requests.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->crash_requests.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += iprot->readI64(this->crash_requests[_i154]);
+              xfer += iprot->readI64(this->crash_requests[_i188]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3636,14 +4084,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_servers.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->crash_servers.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->crash_servers.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readI32(this->crash_servers[_i159]);
+              xfer += iprot->readI32(this->crash_servers[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3656,14 +4104,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->services.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->services.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readI32(this->services[_i164]);
+              xfer += iprot->readI32(this->services[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3676,14 +4124,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slot_tenths.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->slot_tenths.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->slot_tenths.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += iprot->readI32(this->slot_tenths[_i169]);
+              xfer += iprot->readI32(this->slot_tenths[_i203]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3696,14 +4144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_ages_ms.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->crash_ages_ms.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->crash_ages_ms.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readI32(this->crash_ages_ms[_i174]);
+              xfer += iprot->readI32(this->crash_ages_ms[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3716,14 +4164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_excused.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->crash_excused.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->crash_excused.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readBool(this->crash_excused[_i179]);
+              xfer += iprot->readBool(this->crash_excused[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3736,14 +4184,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed_requests.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->completed_requests.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->completed_requests.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += iprot->readI64(this->completed_requests[_i184]);
+              xfer += iprot->readI64(this->completed_requests[_i218]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3756,14 +4204,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed_ages_ms.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->completed_ages_ms.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->completed_ages_ms.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += iprot->readI32(this->completed_ages_ms[_i189]);
+              xfer += iprot->readI32(this->completed_ages_ms[_i223]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3776,14 +4224,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused_requests.clear();
-            uint32_t _size190;
-            ::apache::thrift::protocol::TType _etype193;
-            xfer += iprot->readListBegin(_etype193, _size190);
-            this->refused_requests.resize(_size190);
-            uint32_t _i194;
-            for (_i194 = 0; _i194 < _size190; ++_i194)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->refused_requests.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += iprot->readI64(this->refused_requests[_i194]);
+              xfer += iprot->readI64(this->refused_requests[_i228]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3796,14 +4244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused_ages_ms.clear();
-            uint32_t _size195;
-            ::apache::thrift::protocol::TType _etype198;
-            xfer += iprot->readListBegin(_etype198, _size195);
-            this->refused_ages_ms.resize(_size195);
-            uint32_t _i199;
-            for (_i199 = 0; _i199 < _size195; ++_i199)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->refused_ages_ms.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += iprot->readI32(this->refused_ages_ms[_i199]);
+              xfer += iprot->readI32(this->refused_ages_ms[_i233]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3816,14 +4264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limited_servers.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->limited_servers.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->limited_servers.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += iprot->readI32(this->limited_servers[_i204]);
+              xfer += iprot->readI32(this->limited_servers[_i238]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3836,14 +4284,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limit_thousandths.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->limit_thousandths.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->limit_thousandths.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += iprot->readI32(this->limit_thousandths[_i209]);
+              xfer += iprot->readI32(this->limit_thousandths[_i243]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3856,14 +4304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limit_ages_ms.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->limit_ages_ms.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->limit_ages_ms.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += iprot->readI32(this->limit_ages_ms[_i214]);
+              xfer += iprot->readI32(this->limit_ages_ms[_i248]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3876,14 +4324,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage_workspaces.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->usage_workspaces.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->usage_workspaces.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
             {
-              xfer += iprot->readI32(this->usage_workspaces[_i219]);
+              xfer += iprot->readI32(this->usage_workspaces[_i253]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3896,14 +4344,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage_admitted.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->usage_admitted.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->usage_admitted.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += iprot->readI32(this->usage_admitted[_i224]);
+              xfer += iprot->readI32(this->usage_admitted[_i258]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3916,14 +4364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage_offered.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->usage_offered.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->usage_offered.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += iprot->readI32(this->usage_offered[_i229]);
+              xfer += iprot->readI32(this->usage_offered[_i263]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3948,6 +4396,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news.read(iprot);
+          this->__isset.store_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3984,10 +4440,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int32_t> ::const_iterator _iter230;
-      for (_iter230 = this->servers.begin(); _iter230 != this->servers.end(); ++_iter230)
+      std::vector<int32_t> ::const_iterator _iter264;
+      for (_iter264 = this->servers.begin(); _iter264 != this->servers.end(); ++_iter264)
       {
-        xfer += oprot->writeI32((*_iter230));
+        xfer += oprot->writeI32((*_iter264));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3997,10 +4453,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int16_t> ::const_iterator _iter231;
-      for (_iter231 = this->requests.begin(); _iter231 != this->requests.end(); ++_iter231)
+      std::vector<int16_t> ::const_iterator _iter265;
+      for (_iter265 = this->requests.begin(); _iter265 != this->requests.end(); ++_iter265)
       {
-        xfer += oprot->writeI16((*_iter231));
+        xfer += oprot->writeI16((*_iter265));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4010,10 +4466,10 @@
     xfer += oprot->writeFieldBegin("crash_requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crash_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter232;
-      for (_iter232 = this->crash_requests.begin(); _iter232 != this->crash_requests.end(); ++_iter232)
+      std::vector<int64_t> ::const_iterator _iter266;
+      for (_iter266 = this->crash_requests.begin(); _iter266 != this->crash_requests.end(); ++_iter266)
       {
-        xfer += oprot->writeI64((*_iter232));
+        xfer += oprot->writeI64((*_iter266));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4023,10 +4479,10 @@
     xfer += oprot->writeFieldBegin("crash_servers", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter233;
-      for (_iter233 = this->crash_servers.begin(); _iter233 != this->crash_servers.end(); ++_iter233)
+      std::vector<int32_t> ::const_iterator _iter267;
+      for (_iter267 = this->crash_servers.begin(); _iter267 != this->crash_servers.end(); ++_iter267)
       {
-        xfer += oprot->writeI32((*_iter233));
+        xfer += oprot->writeI32((*_iter267));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4036,10 +4492,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->services.size()));
-      std::vector<int32_t> ::const_iterator _iter234;
-      for (_iter234 = this->services.begin(); _iter234 != this->services.end(); ++_iter234)
+      std::vector<int32_t> ::const_iterator _iter268;
+      for (_iter268 = this->services.begin(); _iter268 != this->services.end(); ++_iter268)
       {
-        xfer += oprot->writeI32((*_iter234));
+        xfer += oprot->writeI32((*_iter268));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4049,10 +4505,10 @@
     xfer += oprot->writeFieldBegin("slot_tenths", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slot_tenths.size()));
-      std::vector<int32_t> ::const_iterator _iter235;
-      for (_iter235 = this->slot_tenths.begin(); _iter235 != this->slot_tenths.end(); ++_iter235)
+      std::vector<int32_t> ::const_iterator _iter269;
+      for (_iter269 = this->slot_tenths.begin(); _iter269 != this->slot_tenths.end(); ++_iter269)
       {
-        xfer += oprot->writeI32((*_iter235));
+        xfer += oprot->writeI32((*_iter269));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4062,10 +4518,10 @@
     xfer += oprot->writeFieldBegin("crash_ages_ms", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crash_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter236;
-      for (_iter236 = this->crash_ages_ms.begin(); _iter236 != this->crash_ages_ms.end(); ++_iter236)
+      std::vector<int32_t> ::const_iterator _iter270;
+      for (_iter270 = this->crash_ages_ms.begin(); _iter270 != this->crash_ages_ms.end(); ++_iter270)
       {
-        xfer += oprot->writeI32((*_iter236));
+        xfer += oprot->writeI32((*_iter270));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4075,10 +4531,10 @@
     xfer += oprot->writeFieldBegin("crash_excused", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->crash_excused.size()));
-      std::vector<bool> ::const_iterator _iter237;
-      for (_iter237 = this->crash_excused.begin(); _iter237 != this->crash_excused.end(); ++_iter237)
+      std::vector<bool> ::const_iterator _iter271;
+      for (_iter271 = this->crash_excused.begin(); _iter271 != this->crash_excused.end(); ++_iter271)
       {
-        xfer += oprot->writeBool((*_iter237));
+        xfer += oprot->writeBool((*_iter271));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4088,10 +4544,10 @@
     xfer += oprot->writeFieldBegin("completed_requests", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->completed_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter238;
-      for (_iter238 = this->completed_requests.begin(); _iter238 != this->completed_requests.end(); ++_iter238)
+      std::vector<int64_t> ::const_iterator _iter272;
+      for (_iter272 = this->completed_requests.begin(); _iter272 != this->completed_requests.end(); ++_iter272)
       {
-        xfer += oprot->writeI64((*_iter238));
+        xfer += oprot->writeI64((*_iter272));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4101,10 +4557,10 @@
     xfer += oprot->writeFieldBegin("completed_ages_ms", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->completed_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter239;
-      for (_iter239 = this->completed_ages_ms.begin(); _iter239 != this->completed_ages_ms.end(); ++_iter239)
+      std::vector<int32_t> ::const_iterator _iter273;
+      for (_iter273 = this->completed_ages_ms.begin(); _iter273 != this->completed_ages_ms.end(); ++_iter273)
       {
-        xfer += oprot->writeI32((*_iter239));
+        xfer += oprot->writeI32((*_iter273));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4114,10 +4570,10 @@
     xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused_requests.size()));
-      std::vector<int64_t> ::const_iterator _iter240;
-      for (_iter240 = this->refused_requests.begin(); _iter240 != this->refused_requests.end(); ++_iter240)
+      std::vector<int64_t> ::const_iterator _iter274;
+      for (_iter274 = this->refused_requests.begin(); _iter274 != this->refused_requests.end(); ++_iter274)
       {
-        xfer += oprot->writeI64((*_iter240));
+        xfer += oprot->writeI64((*_iter274));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4127,10 +4583,10 @@
     xfer += oprot->writeFieldBegin("refused_ages_ms", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter241;
-      for (_iter241 = this->refused_ages_ms.begin(); _iter241 != this->refused_ages_ms.end(); ++_iter241)
+      std::vector<int32_t> ::const_iterator _iter275;
+      for (_iter275 = this->refused_ages_ms.begin(); _iter275 != this->refused_ages_ms.end(); ++_iter275)
       {
-        xfer += oprot->writeI32((*_iter241));
+        xfer += oprot->writeI32((*_iter275));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4140,10 +4596,10 @@
     xfer += oprot->writeFieldBegin("limited_servers", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limited_servers.size()));
-      std::vector<int32_t> ::const_iterator _iter242;
-      for (_iter242 = this->limited_servers.begin(); _iter242 != this->limited_servers.end(); ++_iter242)
+      std::vector<int32_t> ::const_iterator _iter276;
+      for (_iter276 = this->limited_servers.begin(); _iter276 != this->limited_servers.end(); ++_iter276)
       {
-        xfer += oprot->writeI32((*_iter242));
+        xfer += oprot->writeI32((*_iter276));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4153,10 +4609,10 @@
     xfer += oprot->writeFieldBegin("limit_thousandths", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_thousandths.size()));
-      std::vector<int32_t> ::const_iterator _iter243;
-      for (_iter243 = this->limit_thousandths.begin(); _iter243 != this->limit_thousandths.end(); ++_iter243)
+      std::vector<int32_t> ::const_iterator _iter277;
+      for (_iter277 = this->limit_thousandths.begin(); _iter277 != this->limit_thousandths.end(); ++_iter277)
       {
-        xfer += oprot->writeI32((*_iter243));
+        xfer += oprot->writeI32((*_iter277));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4166,10 +4622,10 @@
     xfer += oprot->writeFieldBegin("limit_ages_ms", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limit_ages_ms.size()));
-      std::vector<int32_t> ::const_iterator _iter244;
-      for (_iter244 = this->limit_ages_ms.begin(); _iter244 != this->limit_ages_ms.end(); ++_iter244)
+      std::vector<int32_t> ::const_iterator _iter278;
+      for (_iter278 = this->limit_ages_ms.begin(); _iter278 != this->limit_ages_ms.end(); ++_iter278)
       {
-        xfer += oprot->writeI32((*_iter244));
+        xfer += oprot->writeI32((*_iter278));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4179,10 +4635,10 @@
     xfer += oprot->writeFieldBegin("usage_workspaces", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_workspaces.size()));
-      std::vector<int32_t> ::const_iterator _iter245;
-      for (_iter245 = this->usage_workspaces.begin(); _iter245 != this->usage_workspaces.end(); ++_iter245)
+      std::vector<int32_t> ::const_iterator _iter279;
+      for (_iter279 = this->usage_workspaces.begin(); _iter279 != this->usage_workspaces.end(); ++_iter279)
       {
-        xfer += oprot->writeI32((*_iter245));
+        xfer += oprot->writeI32((*_iter279));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4192,10 +4648,10 @@
     xfer += oprot->writeFieldBegin("usage_admitted", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_admitted.size()));
-      std::vector<int32_t> ::const_iterator _iter246;
-      for (_iter246 = this->usage_admitted.begin(); _iter246 != this->usage_admitted.end(); ++_iter246)
+      std::vector<int32_t> ::const_iterator _iter280;
+      for (_iter280 = this->usage_admitted.begin(); _iter280 != this->usage_admitted.end(); ++_iter280)
       {
-        xfer += oprot->writeI32((*_iter246));
+        xfer += oprot->writeI32((*_iter280));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4205,10 +4661,10 @@
     xfer += oprot->writeFieldBegin("usage_offered", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->usage_offered.size()));
-      std::vector<int32_t> ::const_iterator _iter247;
-      for (_iter247 = this->usage_offered.begin(); _iter247 != this->usage_offered.end(); ++_iter247)
+      std::vector<int32_t> ::const_iterator _iter281;
+      for (_iter281 = this->usage_offered.begin(); _iter281 != this->usage_offered.end(); ++_iter281)
       {
-        xfer += oprot->writeI32((*_iter247));
+        xfer += oprot->writeI32((*_iter281));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4224,6 +4680,11 @@
     xfer += oprot->writeI64(this->usage_sequence);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_news) {
+    xfer += oprot->writeFieldBegin("store_news", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->store_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4254,113 +4715,118 @@
   swap(a.usage_offered, b.usage_offered);
   swap(a.usage_covers_ms, b.usage_covers_ms);
   swap(a.usage_sequence, b.usage_sequence);
+  swap(a.store_news, b.store_news);
   swap(a.__isset, b.__isset);
 }
 
-LoadSheet::LoadSheet(const LoadSheet& other248) {
-  host = other248.host;
-  incarnation = other248.incarnation;
-  sequence = other248.sequence;
-  servers = other248.servers;
-  requests = other248.requests;
-  crash_requests = other248.crash_requests;
-  crash_servers = other248.crash_servers;
-  services = other248.services;
-  slot_tenths = other248.slot_tenths;
-  crash_ages_ms = other248.crash_ages_ms;
-  crash_excused = other248.crash_excused;
-  completed_requests = other248.completed_requests;
-  completed_ages_ms = other248.completed_ages_ms;
-  refused_requests = other248.refused_requests;
-  refused_ages_ms = other248.refused_ages_ms;
-  limited_servers = other248.limited_servers;
-  limit_thousandths = other248.limit_thousandths;
-  limit_ages_ms = other248.limit_ages_ms;
-  usage_workspaces = other248.usage_workspaces;
-  usage_admitted = other248.usage_admitted;
-  usage_offered = other248.usage_offered;
-  usage_covers_ms = other248.usage_covers_ms;
-  usage_sequence = other248.usage_sequence;
-  __isset = other248.__isset;
-}
-LoadSheet::LoadSheet(LoadSheet&& other249) noexcept {
-  host = other249.host;
-  incarnation = other249.incarnation;
-  sequence = other249.sequence;
-  servers = std::move(other249.servers);
-  requests = std::move(other249.requests);
-  crash_requests = std::move(other249.crash_requests);
-  crash_servers = std::move(other249.crash_servers);
-  services = std::move(other249.services);
-  slot_tenths = std::move(other249.slot_tenths);
-  crash_ages_ms = std::move(other249.crash_ages_ms);
-  crash_excused = std::move(other249.crash_excused);
-  completed_requests = std::move(other249.completed_requests);
-  completed_ages_ms = std::move(other249.completed_ages_ms);
-  refused_requests = std::move(other249.refused_requests);
-  refused_ages_ms = std::move(other249.refused_ages_ms);
-  limited_servers = std::move(other249.limited_servers);
-  limit_thousandths = std::move(other249.limit_thousandths);
-  limit_ages_ms = std::move(other249.limit_ages_ms);
-  usage_workspaces = std::move(other249.usage_workspaces);
-  usage_admitted = std::move(other249.usage_admitted);
-  usage_offered = std::move(other249.usage_offered);
-  usage_covers_ms = other249.usage_covers_ms;
-  usage_sequence = other249.usage_sequence;
-  __isset = other249.__isset;
-}
-LoadSheet& LoadSheet::operator=(const LoadSheet& other250) {
-  host = other250.host;
-  incarnation = other250.incarnation;
-  sequence = other250.sequence;
-  servers = other250.servers;
-  requests = other250.requests;
-  crash_requests = other250.crash_requests;
-  crash_servers = other250.crash_servers;
-  services = other250.services;
-  slot_tenths = other250.slot_tenths;
-  crash_ages_ms = other250.crash_ages_ms;
-  crash_excused = other250.crash_excused;
-  completed_requests = other250.completed_requests;
-  completed_ages_ms = other250.completed_ages_ms;
-  refused_requests = other250.refused_requests;
-  refused_ages_ms = other250.refused_ages_ms;
-  limited_servers = other250.limited_servers;
-  limit_thousandths = other250.limit_thousandths;
-  limit_ages_ms = other250.limit_ages_ms;
-  usage_workspaces = other250.usage_workspaces;
-  usage_admitted = other250.usage_admitted;
-  usage_offered = other250.usage_offered;
-  usage_covers_ms = other250.usage_covers_ms;
-  usage_sequence = other250.usage_sequence;
-  __isset = other250.__isset;
+LoadSheet::LoadSheet(const LoadSheet& other282) {
+  host = other282.host;
+  incarnation = other282.incarnation;
+  sequence = other282.sequence;
+  servers = other282.servers;
+  requests = other282.requests;
+  crash_requests = other282.crash_requests;
+  crash_servers = other282.crash_servers;
+  services = other282.services;
+  slot_tenths = other282.slot_tenths;
+  crash_ages_ms = other282.crash_ages_ms;
+  crash_excused = other282.crash_excused;
+  completed_requests = other282.completed_requests;
+  completed_ages_ms = other282.completed_ages_ms;
+  refused_requests = other282.refused_requests;
+  refused_ages_ms = other282.refused_ages_ms;
+  limited_servers = other282.limited_servers;
+  limit_thousandths = other282.limit_thousandths;
+  limit_ages_ms = other282.limit_ages_ms;
+  usage_workspaces = other282.usage_workspaces;
+  usage_admitted = other282.usage_admitted;
+  usage_offered = other282.usage_offered;
+  usage_covers_ms = other282.usage_covers_ms;
+  usage_sequence = other282.usage_sequence;
+  store_news = other282.store_news;
+  __isset = other282.__isset;
+}
+LoadSheet::LoadSheet(LoadSheet&& other283) noexcept {
+  host = other283.host;
+  incarnation = other283.incarnation;
+  sequence = other283.sequence;
+  servers = std::move(other283.servers);
+  requests = std::move(other283.requests);
+  crash_requests = std::move(other283.crash_requests);
+  crash_servers = std::move(other283.crash_servers);
+  services = std::move(other283.services);
+  slot_tenths = std::move(other283.slot_tenths);
+  crash_ages_ms = std::move(other283.crash_ages_ms);
+  crash_excused = std::move(other283.crash_excused);
+  completed_requests = std::move(other283.completed_requests);
+  completed_ages_ms = std::move(other283.completed_ages_ms);
+  refused_requests = std::move(other283.refused_requests);
+  refused_ages_ms = std::move(other283.refused_ages_ms);
+  limited_servers = std::move(other283.limited_servers);
+  limit_thousandths = std::move(other283.limit_thousandths);
+  limit_ages_ms = std::move(other283.limit_ages_ms);
+  usage_workspaces = std::move(other283.usage_workspaces);
+  usage_admitted = std::move(other283.usage_admitted);
+  usage_offered = std::move(other283.usage_offered);
+  usage_covers_ms = other283.usage_covers_ms;
+  usage_sequence = other283.usage_sequence;
+  store_news = std::move(other283.store_news);
+  __isset = other283.__isset;
+}
+LoadSheet& LoadSheet::operator=(const LoadSheet& other284) {
+  host = other284.host;
+  incarnation = other284.incarnation;
+  sequence = other284.sequence;
+  servers = other284.servers;
+  requests = other284.requests;
+  crash_requests = other284.crash_requests;
+  crash_servers = other284.crash_servers;
+  services = other284.services;
+  slot_tenths = other284.slot_tenths;
+  crash_ages_ms = other284.crash_ages_ms;
+  crash_excused = other284.crash_excused;
+  completed_requests = other284.completed_requests;
+  completed_ages_ms = other284.completed_ages_ms;
+  refused_requests = other284.refused_requests;
+  refused_ages_ms = other284.refused_ages_ms;
+  limited_servers = other284.limited_servers;
+  limit_thousandths = other284.limit_thousandths;
+  limit_ages_ms = other284.limit_ages_ms;
+  usage_workspaces = other284.usage_workspaces;
+  usage_admitted = other284.usage_admitted;
+  usage_offered = other284.usage_offered;
+  usage_covers_ms = other284.usage_covers_ms;
+  usage_sequence = other284.usage_sequence;
+  store_news = other284.store_news;
+  __isset = other284.__isset;
   return *this;
 }
-LoadSheet& LoadSheet::operator=(LoadSheet&& other251) noexcept {
-  host = other251.host;
-  incarnation = other251.incarnation;
-  sequence = other251.sequence;
-  servers = std::move(other251.servers);
-  requests = std::move(other251.requests);
-  crash_requests = std::move(other251.crash_requests);
-  crash_servers = std::move(other251.crash_servers);
-  services = std::move(other251.services);
-  slot_tenths = std::move(other251.slot_tenths);
-  crash_ages_ms = std::move(other251.crash_ages_ms);
-  crash_excused = std::move(other251.crash_excused);
-  completed_requests = std::move(other251.completed_requests);
-  completed_ages_ms = std::move(other251.completed_ages_ms);
-  refused_requests = std::move(other251.refused_requests);
-  refused_ages_ms = std::move(other251.refused_ages_ms);
-  limited_servers = std::move(other251.limited_servers);
-  limit_thousandths = std::move(other251.limit_thousandths);
-  limit_ages_ms = std::move(other251.limit_ages_ms);
-  usage_workspaces = std::move(other251.usage_workspaces);
-  usage_admitted = std::move(other251.usage_admitted);
-  usage_offered = std::move(other251.usage_offered);
-  usage_covers_ms = other251.usage_covers_ms;
-  usage_sequence = other251.usage_sequence;
-  __isset = other251.__isset;
+LoadSheet& LoadSheet::operator=(LoadSheet&& other285) noexcept {
+  host = other285.host;
+  incarnation = other285.incarnation;
+  sequence = other285.sequence;
+  servers = std::move(other285.servers);
+  requests = std::move(other285.requests);
+  crash_requests = std::move(other285.crash_requests);
+  crash_servers = std::move(other285.crash_servers);
+  services = std::move(other285.services);
+  slot_tenths = std::move(other285.slot_tenths);
+  crash_ages_ms = std::move(other285.crash_ages_ms);
+  crash_excused = std::move(other285.crash_excused);
+  completed_requests = std::move(other285.completed_requests);
+  completed_ages_ms = std::move(other285.completed_ages_ms);
+  refused_requests = std::move(other285.refused_requests);
+  refused_ages_ms = std::move(other285.refused_ages_ms);
+  limited_servers = std::move(other285.limited_servers);
+  limit_thousandths = std::move(other285.limit_thousandths);
+  limit_ages_ms = std::move(other285.limit_ages_ms);
+  usage_workspaces = std::move(other285.usage_workspaces);
+  usage_admitted = std::move(other285.usage_admitted);
+  usage_offered = std::move(other285.usage_offered);
+  usage_covers_ms = other285.usage_covers_ms;
+  usage_sequence = other285.usage_sequence;
+  store_news = std::move(other285.store_news);
+  __isset = other285.__isset;
   return *this;
 }
 void LoadSheet::printTo(std::ostream& out) const {
@@ -4389,6 +4855,7 @@
   out << ", " << "usage_offered="; (__isset.usage_offered ? (out << to_string(usage_offered)) : (out << "<null>"));
   out << ", " << "usage_covers_ms="; (__isset.usage_covers_ms ? (out << to_string(usage_covers_ms)) : (out << "<null>"));
   out << ", " << "usage_sequence="; (__isset.usage_sequence ? (out << to_string(usage_sequence)) : (out << "<null>"));
+  out << ", " << "store_news="; (__isset.store_news ? (out << to_string(store_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -61,6 +61,8 @@
 
 class Envelope;
 
+class StoreNews;
+
 class LoadSheet;
 
 typedef struct _ConfigStamp__isset {
@@ -1399,8 +1401,140 @@
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
+typedef struct _StoreNews__isset {
+  _StoreNews__isset() : host(false), incarnation(false), before(false), revision(false), age_ms(false), lost(false), keys(false), revisions(false), removed(false), values(false), valued(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool before :1;
+  bool revision :1;
+  bool age_ms :1;
+  bool lost :1;
+  bool keys :1;
+  bool revisions :1;
+  bool removed :1;
+  bool values :1;
+  bool valued :1;
+} _StoreNews__isset;
+
+class StoreNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNews(const StoreNews&);
+  StoreNews(StoreNews&&) noexcept;
+  StoreNews& operator=(const StoreNews&);
+  StoreNews& operator=(StoreNews&&) noexcept;
+  StoreNews() noexcept
+            : host(),
+              incarnation(0),
+              before(0),
+              revision(0),
+              age_ms(0),
+              lost(0) {
+  }
+
+  virtual ~StoreNews() noexcept;
+  std::string host;
+  int64_t incarnation;
+  int64_t before;
+  int64_t revision;
+  int32_t age_ms;
+  bool lost;
+  std::vector<std::string>  keys;
+  std::vector<int64_t>  revisions;
+  std::vector<bool>  removed;
+  std::vector<std::string>  values;
+  std::vector<bool>  valued;
+
+  _StoreNews__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_before(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_lost(const bool val);
+
+  void __set_keys(const std::vector<std::string> & val);
+
+  void __set_revisions(const std::vector<int64_t> & val);
+
+  void __set_removed(const std::vector<bool> & val);
+
+  void __set_values(const std::vector<std::string> & val);
+
+  void __set_valued(const std::vector<bool> & val);
+
+  bool operator == (const StoreNews & rhs) const
+  {
+    if (__isset.host != rhs.__isset.host)
+      return false;
+    else if (__isset.host && !(host == rhs.host))
+      return false;
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
+      return false;
+    if (__isset.before != rhs.__isset.before)
+      return false;
+    else if (__isset.before && !(before == rhs.before))
+      return false;
+    if (__isset.revision != rhs.__isset.revision)
+      return false;
+    else if (__isset.revision && !(revision == rhs.revision))
+      return false;
+    if (__isset.age_ms != rhs.__isset.age_ms)
+      return false;
+    else if (__isset.age_ms && !(age_ms == rhs.age_ms))
+      return false;
+    if (__isset.lost != rhs.__isset.lost)
+      return false;
+    else if (__isset.lost && !(lost == rhs.lost))
+      return false;
+    if (__isset.keys != rhs.__isset.keys)
+      return false;
+    else if (__isset.keys && !(keys == rhs.keys))
+      return false;
+    if (__isset.revisions != rhs.__isset.revisions)
+      return false;
+    else if (__isset.revisions && !(revisions == rhs.revisions))
+      return false;
+    if (__isset.removed != rhs.__isset.removed)
+      return false;
+    else if (__isset.removed && !(removed == rhs.removed))
+      return false;
+    if (__isset.values != rhs.__isset.values)
+      return false;
+    else if (__isset.values && !(values == rhs.values))
+      return false;
+    if (__isset.valued != rhs.__isset.valued)
+      return false;
+    else if (__isset.valued && !(valued == rhs.valued))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNews &a, StoreNews &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
+
 typedef struct _LoadSheet__isset {
-  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false), limited_servers(false), limit_thousandths(false), limit_ages_ms(false), usage_workspaces(false), usage_admitted(false), usage_offered(false), usage_covers_ms(false), usage_sequence(false) {}
+  _LoadSheet__isset() : host(false), incarnation(false), sequence(false), servers(false), requests(false), crash_requests(false), crash_servers(false), services(false), slot_tenths(false), crash_ages_ms(false), crash_excused(false), completed_requests(false), completed_ages_ms(false), refused_requests(false), refused_ages_ms(false), limited_servers(false), limit_thousandths(false), limit_ages_ms(false), usage_workspaces(false), usage_admitted(false), usage_offered(false), usage_covers_ms(false), usage_sequence(false), store_news(false) {}
   bool host :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1424,6 +1558,7 @@
   bool usage_offered :1;
   bool usage_covers_ms :1;
   bool usage_sequence :1;
+  bool store_news :1;
 } _LoadSheet__isset;
 
 class LoadSheet : public virtual ::apache::thrift::TBase {
@@ -1465,6 +1600,7 @@
   std::vector<int32_t>  usage_offered;
   int32_t usage_covers_ms;
   int64_t usage_sequence;
+  StoreNews store_news;
 
   _LoadSheet__isset __isset;
 
@@ -1514,6 +1650,8 @@
 
   void __set_usage_sequence(const int64_t val);
 
+  void __set_store_news(const StoreNews& val);
+
   bool operator == (const LoadSheet & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1608,6 +1746,10 @@
       return false;
     else if (__isset.usage_sequence && !(usage_sequence == rhs.usage_sequence))
       return false;
+    if (__isset.store_news != rhs.__isset.store_news)
+      return false;
+    else if (__isset.store_news && !(store_news == rhs.store_news))
+      return false;
     return true;
   }
   bool operator != (const LoadSheet &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -130,6 +130,24 @@
   14: optional TicketHandoff ticket_handoff
 }
 
+// What a host that watches the platform's store sends to the other hosts of its
+// zone (see StoreNews). The lists have one element for each changed key.
+struct StoreNews {
+  1: optional string host
+  2: optional i64 incarnation
+  3: optional i64 before
+  4: optional i64 revision
+  // How long ago there were no later changes; not set if that is not known.
+  5: optional i32 age_ms
+  6: optional bool lost
+  7: optional list<string> keys
+  8: optional list<i64> revisions
+  9: optional list<bool> removed
+  // Empty where `valued` is false.
+  10: optional list<binary> values
+  11: optional list<bool> valued
+}
+
 // Load report of one host, sent to the others in a datagram: its requests in
 // flight at backend servers. Servers are identified by hashes of their ids.
 struct LoadSheet {
@@ -168,4 +186,7 @@
   21: optional list<i32> usage_offered
   22: optional i32 usage_covers_ms
   23: optional i64 usage_sequence
+  // A datagram has either this or the fields above. Without a host, versions that
+  // do not know this field ignore it.
+  24: optional StoreNews store_news
 }
