--- a/src/entry/store_readers.cc
+++ b/src/entry/store_readers.cc
@@ -85,7 +85,12 @@
     return {};
   NoteSuspension(now);
   std::vector<StoreChange> changes;
-  if (news.before <= revision_ && news.revision > revision_) {
+  // A host that watches gets a value that was left out from its own watch.
+  const bool complete =
+      following_ ||
+      std::all_of(news.changes.begin(), news.changes.end(),
+                  [](const StoreChange& it) { return it.removed || it.value; });
+  if (complete && news.before <= revision_ && news.revision > revision_) {
     for (const StoreChange& it : news.changes) {
       if (it.revision > revision_)
         changes.push_back(it);
--- a/tests/entry/store_readers_test.cc
+++ b/tests/entry/store_readers_test.cc
@@ -390,6 +390,31 @@
   CHECK(Following(zone) == 0);
 }
 
+TEST_CASE("only a host that follows reads values that were left out") {
+  // A reader that heard of a large value from the other reader read it in
+  // addition to its own watch.
+  Zone zone(4, 5);
+  zone.change_every = Duration(0);
+  zone.RunFor(Duration(8'000));
+  REQUIRE(Following(zone) == 2);
+  StoreNews news;
+  news.host = HostId(zone.WithRole(StoreRole::kReader)[0]->id);
+  news.incarnation = 1;
+  news.before = zone.store.revision;
+  news.revision = news.before + 1;
+  news.changes = {{"large", news.revision, false, std::nullopt}};
+  Host& reader = *zone.WithRole(StoreRole::kReader)[1];
+  CHECK(reader.readers.OnNews(news, zone.now).empty());
+  CHECK(reader.readers.revision() == news.before);
+  Host& follower = *zone.WithRole(StoreRole::kFollower)[0];
+  CHECK(follower.readers.OnNews(news, zone.now).size() == 1);
+  CHECK(follower.readers.revision() == news.revision);
+  // The value could not be read.
+  follower.readers.RequireRead();
+  follower.readers.Advance(true, zone.now);
+  CHECK(!follower.readers.following());
+}
+
 TEST_CASE("many and large changes are cut into datagrams between revisions") {
   StoreNewsFeed feed;
   feed.OnRead(10, Instant(0));
