--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -282,6 +282,12 @@
   listener.store_unreachable = [this](bool unreachable) {
     OnStoreUnreachable(unreachable);
   };
+  listener.send_news = [this](const StoreNews& news) {
+    std::vector<Endpoint> peers = roster_.ZonePeerAddresses();
+    for (Endpoint& it : peers)
+      it.port = settings_.peers.port;
+    load_exchange_.SendStoreNews(peers, news);
+  };
   return listener;
 }
 
@@ -295,6 +301,7 @@
     if (const std::optional<UsageReport> report = UsageReportOf(sheet))
       caps_.OnReport(*report, SteadyNow());
   };
+  hooks.on_store_news = [this](const StoreNews& news) { store_->OnNews(news); };
   hooks.usage = [this]() -> std::optional<LoadSheet> {
     if (!caps_.active())
       return std::nullopt;
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -7,6 +7,11 @@
     metrics.SetGauge(name, static_cast<double>(value));
   };
   set("toucanknot_store_calls", store.calls);
+  set("toucanknot_store_watches", store.watches);
+  set("toucanknot_store_reads", store.reads);
+  set("toucanknot_store_renewals", store.renewals);
+  set("toucanknot_store_writes", store.writes);
+  set("toucanknot_store_following", store.following ? 1 : 0);
   set("toucanknot_store_failed", store.failed);
   set("toucanknot_store_malformed", store.malformed_items);
   set("toucanknot_config_version", config_version);
