--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -22,6 +22,8 @@
   // Throws Error when the process cannot be started.
   void Start();
   bool running() const { return pid_ > 0; }
+  // 0 if the process isn't running.
+  pid_t pid() const { return pid_; }
   void Signal(int signal);
   // Returns the wait status, once, after the process has exited.
   std::optional<int> Reap();
