http: heads, bodies and unsent responses of callers are reserved

Cause: the listener counted request bodies only, each held with the spare room of a growing string; read buffers, parsed fields and responses on their way to callers were not counted. The parser kept the fields of incomplete heads, at 64 bytes for a line of 4. Change: connections, read buffers and fields are reserved in a MemoryAccount that the listener of callers shares with the pool of connections to servers. A head is parsed once, when it is complete, after its lines were counted (HeadScanner). A body of unknown length grows as reserved. While responses take up three quarters of theirs, callers that do not read are disconnected; a connection with much unsent passes on no further request. RemoveHopByHop takes linear time.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -12,6 +12,7 @@
 #include "include/entry/host_roster.h"
 #include "include/health/crash_tracker.h"
 #include "include/limits/usage_caps.h"
+#include "include/memory/memory_account.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
@@ -53,9 +54,9 @@
 // Idle connections are closed only after this percentage of the limit, so that
 // the caller's next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
-// Fraction (1/n) of the memory for request bodies, and for responses being
-// read.
-constexpr int64_t kBodyMemoryDivisor = 4;
+// Fraction (1/n) of the memory for each of the directory, the readiness check
+// and the metrics.
+constexpr int64_t kSmallMemoryDivisor = 32;
 constexpr Duration kStopPoll{20};
 // The process ends this long before it would be killed, so that it can log what
 // it leaves unfinished: a host with a small share of a core needs some of it.
@@ -67,16 +68,18 @@
   return std::max<int64_t>(1, static_cast<int64_t>(requests));
 }
 
-HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
+HttpServerLimits LimitsOf(int connections) {
   HttpServerLimits limits;
   limits.max_connections = connections;
-  limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryDivisor;
   return limits;
 }
 
-HttpServerLimits SmallLimits(int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
+// The limits of a listener with memory of its own, so that callers cannot make
+// the host seem not ready.
+HttpServerLimits SmallLimits(const EntrySettings& settings, int connections) {
+  HttpServerLimits limits = LimitsOf(connections);
+  limits.max_buffered_head_bytes = settings.memory_bytes / kSmallMemoryDivisor;
+  limits.max_buffered_bytes = settings.memory_bytes / kSmallMemoryDivisor;
   return limits;
 }
 
@@ -133,6 +136,8 @@
   const EntryWire names_;
   const Incarnation incarnation_;
   const DescriptorBudget descriptors_;
+  // For callers' requests and for responses.
+  const std::shared_ptr<MemoryAccount> memory_;
   WorkerPool workers_;
   asio::io_context& loop_;
   std::unique_ptr<FleetStore> store_;
@@ -170,6 +175,8 @@
       names_(std::move(names)),
       incarnation_(static_cast<Incarnation>(UnixMillis())),
       descriptors_(DivideDescriptors(settings_.max_descriptors)),
+      memory_(std::make_shared<MemoryAccount>(
+          MemoryAccount::LimitsFor(settings_.memory_bytes))),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
@@ -194,24 +201,24 @@
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
-          LimitsOf(settings_, descriptors_.callers),
+          LimitsOf(descriptors_.callers),
           [this](std::string_view) { return max_body_bytes_; },
           [this](HttpRequest request) {
             return runner_.Handle(std::move(request));
           }),
       readiness_(
           workers_,
-          SmallLimits(descriptors_.readiness),
+          SmallLimits(settings_, descriptors_.readiness),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleReadiness)),
       directory_(
           workers_,
-          SmallLimits(descriptors_.directory),
+          SmallLimits(settings_, descriptors_.directory),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleLookup)),
       metrics_server_(
           workers_,
-          SmallLimits(descriptors_.metrics),
+          SmallLimits(settings_, descriptors_.metrics),
           [](std::string_view) { return uint64_t{0}; },
           [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
             co_return HandleMetrics(request);
@@ -229,8 +236,8 @@
 }
 
 void EntryDaemon::Impl::Start() {
-  connections_.set_max_buffered_bytes(settings_.memory_bytes /
-                                      kBodyMemoryDivisor);
+  connections_.set_memory(memory_);
+  callers_.SetMemory(memory_);
   connections_.set_max_connections(static_cast<size_t>(descriptors_.servers));
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
--- a/src/http/beast_messages.cc
+++ b/src/http/beast_messages.cc
@@ -1,6 +1,7 @@
 #include "src/http/beast_messages.h"
 
 #include <boost/beast/http/field.hpp>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,10 @@
 
 namespace http = boost::beast::http;
 
+size_t CountOf(const http::fields& fields) {
+  return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 }  // namespace
 
 BeastResponse ToBeast(HttpResponse&& response, unsigned version) {
@@ -25,6 +30,7 @@
   HttpRequest request;
   request.method = std::string(in.method_string());
   request.target = std::string(in.target());
+  request.fields.Reserve(CountOf(in));
   for (const auto& it : in)
     request.fields.Add(std::string(it.name_string()), std::string(it.value()));
   request.body = std::move(in.body());
@@ -39,6 +45,7 @@
 HttpResponse FromBeast(BeastResponse&& in) {
   HttpResponse response;
   response.status = static_cast<int>(in.result_int());
+  response.fields.Reserve(CountOf(in));
   for (const auto& it : in) {
     response.fields.Add(std::string(it.name_string()), std::string(it.value()));
   }
--- a/src/http/http_message.cc
+++ b/src/http/http_message.cc
@@ -1,10 +1,14 @@
 #include "src/http/http_message.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/url/params_view.hpp>
 #include <boost/url/parse.hpp>
+#include <locale>
+#include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace toucanknot {
@@ -20,19 +24,24 @@
   return boost::algorithm::iequals(a, b);
 }
 
-std::vector<std::string> ListItems(std::string_view value) {
-  std::vector<std::string> items;
+std::string LowerCase(std::string_view text) {
+  return boost::algorithm::to_lower_copy(std::string(text),
+                                         std::locale::classic());
+}
+
+// Adds the items of a comma-separated list, in lower case.
+void AddListItems(std::string_view value,
+                  std::unordered_set<std::string>& items) {
   while (!value.empty()) {
     const size_t comma = value.find(',');
-    std::string item(value.substr(0, comma));
+    std::string item = LowerCase(value.substr(0, comma));
     boost::algorithm::trim(item);
     if (!item.empty())
-      items.push_back(std::move(item));
+      items.insert(std::move(item));
     if (comma == std::string_view::npos)
       break;
     value.remove_prefix(comma + 1);
   }
-  return items;
 }
 
 HttpResponse WithBody(int status, std::string type, std::string body) {
@@ -78,8 +87,12 @@
 }
 
 void HttpFields::Remove(std::string_view name) {
-  std::erase_if(fields_,
-                [&](const HttpField& f) { return SameName(f.name, name); });
+  RemoveIf([&](const HttpField& f) { return SameName(f.name, name); });
+}
+
+void HttpFields::RemoveIf(
+    const std::function<bool(const HttpField&)>& predicate) {
+  std::erase_if(fields_, predicate);
 }
 
 HttpResponse TextResponse(int status, std::string text) {
@@ -91,17 +104,15 @@
 }
 
 void RemoveHopByHop(HttpFields& fields) {
-  std::vector<std::string> named;
+  std::unordered_set<std::string> names;
+  for (const std::string_view it : kHopByHopFields)
+    names.insert(LowerCase(it));
   for (const HttpField& it : fields.all()) {
-    if (!SameName(it.name, "Connection"))
-      continue;
-    for (std::string& item : ListItems(it.value))
-      named.push_back(std::move(item));
+    if (SameName(it.name, "Connection"))
+      AddListItems(it.value, names);
   }
-  for (const std::string& it : named)
-    fields.Remove(it);
-  for (const std::string_view it : kHopByHopFields)
-    fields.Remove(it);
+  fields.RemoveIf(
+      [&](const HttpField& it) { return names.contains(LowerCase(it.name)); });
 }
 
 std::string_view TargetPath(std::string_view target) {
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -22,9 +22,12 @@
   std::string_view Get(std::string_view name) const;
   bool Has(std::string_view name) const;
   void Add(std::string name, std::string value);
+  // Makes room for `n` fields, so that adding them leaves no spare capacity.
+  void Reserve(size_t n) { fields_.reserve(n); }
   // Replaces all fields called `name` with a single one.
   void Set(std::string_view name, std::string value);
   void Remove(std::string_view name);
+  void RemoveIf(const std::function<bool(const HttpField&)>& predicate);
 
   const std::vector<HttpField>& all() const { return fields_; }
 
@@ -100,7 +103,7 @@
 HttpResponse JsonResponse(int status, std::string json);
 
 // Removes the hop-by-hop fields (RFC 9110, section 7.6.1): the well-known ones
-// and those listed in Connection.
+// and those listed in Connection. Takes time linear in the bytes of the fields.
 void RemoveHopByHop(HttpFields& fields);
 
 // The part of `target` before '?'.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/http/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "src/http/listener_state.h"
 #include "src/http/server_connection.h"
@@ -24,6 +26,16 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// Interval for checking the memory of responses.
+constexpr std::chrono::milliseconds kMemoryInterval{100};
+// Percentages of the memory for responses: above the first, clients that do not
+// read are disconnected until the second is reached.
+constexpr int64_t kHighPercent = 75;
+constexpr int64_t kLowPercent = 50;
+// Minimum interval between two searches for connections to close.
+constexpr int64_t kRoomIntervalMs = 10;
+// Fraction (1/n) of a use's memory that is freed at once.
+constexpr int64_t kRoomDivisor = 16;
 
 }  // namespace
 
@@ -42,6 +54,9 @@
         acceptor_(std::in_place, workers.loop(0)) {}
 
   void SetMayOverlap(MayOverlap hook) { state_->may_overlap = std::move(hook); }
+  void SetMemory(std::shared_ptr<MemoryAccount> account) {
+    state_->memory = std::move(account);
+  }
   Endpoint Listen(const Endpoint& endpoint);
   void BeginStop() { state_->stopping = true; }
   void StopAccepting();
@@ -58,6 +73,13 @@
 
  private:
   asio::awaitable<void> AcceptLoop();
+  // Closes connections whose clients do not read while responses take up most
+  // of their memory.
+  asio::awaitable<void> WatchMemory();
+  void MakeRoom(MemoryUse use, int64_t bytes);
+  int64_t LimitOf(MemoryUse use) const {
+    return state_->memory->limits().by_use[static_cast<size_t>(use)];
+  }
   void StartConnection(tcp::socket socket);
   void RemoveConnection(ServerConnection* connection);
 
@@ -66,6 +88,8 @@
   // Empty once the listener is released.
   std::optional<tcp::acceptor> acceptor_;
   std::atomic<bool> accepting_{false};
+  // When MakeRoom() last looked for connections.
+  std::atomic<int64_t> room_made_at_ms_{0};
   std::atomic<uint64_t> accepted_{0};
   std::atomic<uint64_t> refused_connections_{0};
 
@@ -81,10 +105,20 @@
   acceptor_->bind(address);
   acceptor_->listen();
   accepting_ = true;
+  state_->make_room = [weak = weak_from_this()](MemoryUse use, int64_t bytes) {
+    if (const auto self = weak.lock())
+      self->MakeRoom(use, bytes);
+  };
   asio::co_spawn(
       acceptor_->get_executor(),
       [self = shared_from_this()] { return self->AcceptLoop(); },
       asio::detached);
+  if (LimitOf(MemoryUse::kResponse) < ListenerState::kNoLimit) {
+    asio::co_spawn(
+        acceptor_->get_executor(),
+        [self = shared_from_this()] { return self->WatchMemory(); },
+        asio::detached);
+  }
   return {endpoint.ip, acceptor_->local_endpoint().port()};
 }
 
@@ -106,6 +140,54 @@
   }
 }
 
+asio::awaitable<void> HttpServer::Listener::WatchMemory() {
+  asio::steady_timer timer(workers_.loop(0));
+  while (accepting_) {
+    timer.expires_after(kMemoryInterval);
+    co_await timer.async_wait(kAwait);
+    const int64_t limit = LimitOf(MemoryUse::kResponse);
+    const int64_t reserved = state_->memory->reserved(MemoryUse::kResponse);
+    if (reserved > limit / 100 * kHighPercent)
+      MakeRoom(MemoryUse::kResponse, reserved - limit / 100 * kLowPercent);
+  }
+}
+
+void HttpServer::Listener::MakeRoom(MemoryUse use, int64_t bytes) {
+  // Requests that wait for memory all ask for it.
+  const int64_t now_ms = SteadyNow().ms();
+  int64_t last_ms = room_made_at_ms_;
+  if (now_ms - last_ms < kRoomIntervalMs ||
+      !room_made_at_ms_.compare_exchange_strong(last_ms, now_ms)) {
+    return;
+  }
+  struct Candidate {
+    ServerConnection::Held held;
+    std::shared_ptr<ServerConnection> connection;
+  };
+  std::vector<Candidate> candidates;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& it : connections_) {
+      const ServerConnection::Held held = it->HeldFor(use);
+      if (held.bytes > 0)
+        candidates.push_back({held, it});
+    }
+  }
+  // Frees some more at a time, since each call looks at all connections.
+  bytes = std::max(bytes, LimitOf(use) / kRoomDivisor);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::pair(a.held.idle, b.held.weight) <
+                     std::pair(b.held.idle, a.held.weight);
+            });
+  for (const Candidate& it : candidates) {
+    if (bytes <= 0)
+      break;
+    bytes -= it.held.bytes;
+    it.connection->Evict(use);
+  }
+}
+
 void HttpServer::Listener::StartConnection(tcp::socket socket) {
   error_code ec;
   socket.set_option(tcp::no_delay(true), ec);
@@ -185,7 +267,9 @@
   counts.malformed = state_->malformed;
   counts.too_large = state_->too_large;
   counts.timed_out = state_->timed_out;
-  counts.buffered_bytes = state_->buffered_bytes;
+  counts.buffered_bytes = state_->memory->reserved(MemoryUse::kRequestBody);
+  counts.evicted = state_->evicted;
+  counts.no_memory = state_->no_memory;
   const std::lock_guard lock(mutex_);
   counts.open_connections = static_cast<int64_t>(connections_.size());
   return counts;
@@ -211,6 +295,10 @@
   listener_->SetMayOverlap(std::move(hook));
 }
 
+void HttpServer::SetMemory(std::shared_ptr<MemoryAccount> account) {
+  listener_->SetMemory(std::move(account));
+}
+
 Endpoint HttpServer::Listen(const Endpoint& endpoint) {
   return listener_->Listen(endpoint);
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -8,6 +8,7 @@
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
+#include "include/memory/memory_account.h"
 #include "src/http/http_message.h"
 #include "src/http/worker_pool.h"
 
@@ -19,6 +20,10 @@
   uint32_t max_header_bytes = 16 << 10;
   // Maximum total size of the request bodies held by all connections.
   int64_t max_buffered_bytes = 256LL << 20;
+  // Maximum memory for connections and request heads. Not reached by
+  // `max_connections` with heads of the size that clients usually send. This
+  // and `max_buffered_bytes` apply unless SetMemory() is called.
+  int64_t max_buffered_head_bytes = 128LL << 20;
   // Maximum idle time of a connection between requests.
   Duration idle{75'000};
   // Maximum time from the first byte of a request to the end of its header.
@@ -42,6 +47,9 @@
   uint64_t timed_out = 0;
   int64_t open_connections = 0;
   int64_t buffered_bytes = 0;
+  // Connections closed, and requests rejected, for want of memory.
+  uint64_t evicted = 0;
+  uint64_t no_memory = 0;
 };
 
 // An HTTP/1.1 listener. Each request is read completely, within limits, and
@@ -72,6 +80,9 @@
 
   // Must be called before Listen(). By default no requests overlap.
   void SetMayOverlap(MayOverlap hook);
+  // Must be called before Listen(). Counts the memory of connections, requests
+  // and responses in `account`, which is shared with other users.
+  void SetMemory(std::shared_ptr<MemoryAccount> account);
   // Binds and starts to accept connections. Returns the bound address; port 0
   // selects a free port. Throws boost::system::system_error when the address is
   // not available.
--- a/src/http/listener_state.h
+++ b/src/http/listener_state.h
@@ -3,8 +3,11 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <utility>
 
+#include "include/memory/memory_account.h"
 #include "src/http/http_server.h"
 
 namespace toucanknot {
@@ -12,29 +15,36 @@
 // State shared by the connections of one listener. The atomics may be modified
 // by any thread; the other members do not change.
 struct ListenerState {
+  static constexpr int64_t kNoLimit = INT64_MAX / 2;
+
   ListenerState(const HttpServerLimits& l,
                 HttpServer::BodyLimit b,
                 HttpServer::Handler h)
       : limits(l),
         body_limit(std::move(b)),
         handler(std::move(h)),
+        memory(AccountOf(l)),
         idle_ms(l.idle.ms()),
         header_ms(l.header.ms()) {}
 
-  // Reserves memory for a body. Returns false when the limit is reached.
-  bool Reserve(int64_t bytes) {
-    if (buffered_bytes.fetch_add(bytes) + bytes <= limits.max_buffered_bytes)
-      return true;
-    buffered_bytes -= bytes;
-    return false;
+  // The account of a listener that shares none with others.
+  static std::shared_ptr<MemoryAccount> AccountOf(const HttpServerLimits& l) {
+    MemoryAccount::Limits limits;
+    limits.by_use = {l.max_buffered_head_bytes, l.max_buffered_bytes, kNoLimit};
+    limits.total = kNoLimit;
+    return std::make_shared<MemoryAccount>(limits);
   }
-  void Release(int64_t bytes) { buffered_bytes -= bytes; }
 
   const HttpServerLimits limits;
   const HttpServer::BodyLimit body_limit;
   const HttpServer::Handler handler;
   // Set before the listener accepts connections; null if no requests overlap.
   HttpServer::MayOverlap may_overlap;
+  // Set before the listener accepts connections.
+  std::shared_ptr<MemoryAccount> memory;
+  // Closes connections that hold memory for `use` without a request that is
+  // being handled, until at least `bytes` will be free. Takes effect later.
+  std::function<void(MemoryUse use, int64_t bytes)> make_room;
 
   std::atomic<int64_t> idle_ms;
   std::atomic<int64_t> header_ms;
@@ -47,7 +57,9 @@
   std::atomic<uint64_t> malformed{0};
   std::atomic<uint64_t> too_large{0};
   std::atomic<uint64_t> timed_out{0};
-  std::atomic<int64_t> buffered_bytes{0};
+  // Connections closed, and requests rejected, for want of memory.
+  std::atomic<uint64_t> evicted{0};
+  std::atomic<uint64_t> no_memory{0};
 };
 
 }  // namespace toucanknot
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,6 +1,7 @@
 #ifndef SRC_HTTP_SERVER_CONNECTION_H_
 #define SRC_HTTP_SERVER_CONNECTION_H_
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,8 +13,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "include/base/clock.h"
+#include "include/memory/memory_account.h"
 #include "src/http/http_message.h"
 #include "src/http/listener_state.h"
 #include "src/http/wake_up.h"
@@ -47,6 +50,20 @@
   // Closes the connection if it is idle, or unconditionally if `force` is set.
   // Thread-safe.
   void Interrupt(bool force);
+  // Memory that the connection holds and that closing it frees without breaking
+  // off a request that is being handled.
+  struct Held {
+    int64_t bytes = 0;
+    // Connections with the largest product of bytes and time go first.
+    int64_t weight = 0;
+    // Between two requests; goes after all that are not.
+    bool idle = false;
+  };
+  // Thread-safe.
+  Held HeldFor(MemoryUse use) const;
+  // Closes the connection if it still holds memory for `use` in that way.
+  // Thread-safe.
+  void Evict(MemoryUse use);
   // Must be called on the worker, or after the workers have been stopped.
   void Close();
 
@@ -62,27 +79,52 @@
     // Set for a HEAD request, whose response has no body.
     bool head = false;
     bool may_overlap = false;
-    // Bytes reserved for the request's body.
-    int64_t reserved = 0;
+    // For the request, until the handler is done with it.
+    MemoryReservation fields;
+    MemoryReservation body;
     std::shared_ptr<CallerWatch> caller;
     std::optional<HttpResponse> response;
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
-  enum class BodyRead { kDone, kNoRoom, kFailed };
+  enum class Reading { kDone, kNoRoom, kFailed };
 
   boost::asio::awaitable<void> Read();
   // Reads one request and passes it to the handler. Returns whether to continue
   // reading.
   boost::asio::awaitable<bool> ReadOne();
   boost::asio::awaitable<bool> AwaitFirstByte();
+  // Resizes a reservation for a head. If there is no memory, closes idle and
+  // incomplete connections and waits for a moment. Returns false if there still
+  // is none.
+  boost::asio::awaitable<bool> ReserveHead(MemoryReservation& reservation,
+                                           int64_t bytes);
+  // Whether heads may take up the memory that `bytes` for one of them need. A
+  // part of it is kept for heads of ordinary size.
+  bool MayReserveHead(const MemoryReservation& reservation,
+                      int64_t bytes) const;
+  // The size of the read buffer with room for `free_bytes` more.
+  size_t BufferSizeFor(size_t free_bytes) const;
+  // Makes room in the read buffer, if there is memory for it.
+  bool GrowBuffer(size_t free_bytes);
+  boost::asio::awaitable<bool> AwaitBuffer(size_t free_bytes);
+  void ShrinkBuffer();
+  // Reads and parses the head of a request, once it is complete.
+  boost::asio::awaitable<Reading> ReadHead(Parser& parser,
+                                           Exchange& exchange,
+                                           ErrorCode& ec);
+  // Reads into the buffer what has arrived, at least one byte.
+  boost::asio::awaitable<ErrorCode> Receive();
+  std::string_view Buffered() const;
   // The number of bytes to reserve for the body; negative when it exceeds the
   // limit.
   int64_t BodyRoom(Parser& parser) const;
   // Reads the rest of the message. For a body without Content-Length, reserves
   // memory as the body grows; returns kNoRoom when the limit is reached.
-  boost::asio::awaitable<BodyRead> ReadBody(Parser& parser,
-                                            Exchange& exchange,
-                                            ErrorCode& ec);
+  boost::asio::awaitable<Reading> ReadBody(Parser& parser,
+                                           Exchange& exchange,
+                                           ErrorCode& ec);
+  // Makes room for what one read can add to a body of unknown length.
+  bool GrowBody(Parser& parser, Exchange& exchange);
   boost::asio::awaitable<bool> SendContinue(unsigned version);
   // Waits until the request may be passed to the handler. Returns false when it
   // must not be served.
@@ -103,6 +145,10 @@
   boost::asio::awaitable<void> ServeRequest(ExchangePtr exchange,
                                             HttpRequest request);
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
+  // Bytes held for complete responses.
+  int64_t UnsentBytes() const;
+  // Publishes what HeldFor() returns.
+  void UpdateHeld();
   // Writes the responses that are complete and next in order.
   boost::asio::awaitable<void> Flush();
   // Returns whether the response was written completely.
@@ -130,6 +176,15 @@
   WakeUp wake_up_;
   const Instant connected_at_ = SteadyNow();
   std::string remote_ip_;
+  // For the connection itself and its read buffer.
+  MemoryReservation memory_;
+  // What HeldFor() returns, for other threads.
+  std::atomic<int64_t> held_head_bytes_{0};
+  std::atomic<int64_t> unsent_bytes_{0};
+  std::atomic<bool> held_idle_{false};
+  std::atomic<int64_t> held_since_ms_{0};
+  // When the response was last written to.
+  std::atomic<int64_t> progress_at_ms_{0};
   // When the first byte of the current request was read.
   Instant began_at_;
   ReadPhase phase_ = ReadPhase::kIdle;
@@ -142,6 +197,10 @@
   std::deque<ExchangePtr> exchanges_;
   // Set while waiting for the first byte of the next request.
   bool awaiting_ = false;
+  // Set from then until the head is complete.
+  bool reading_head_ = false;
+  // When writing the oldest response began.
+  Instant write_began_at_;
   bool writing_ = false;
   // Set when the last response of the connection is being or has been written.
   bool closing_ = false;
