--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -12,6 +12,7 @@
 #include "include/entry/host_roster.h"
 #include "include/health/crash_tracker.h"
 #include "include/limits/usage_caps.h"
+#include "include/memory/memory_account.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
@@ -108,6 +109,8 @@
   const Incarnation incarnation_;
   const DescriptorBudget descriptors_;
   CallerRoom caller_room_;
+  // For callers' requests and for responses.
+  const std::shared_ptr<MemoryAccount> memory_;
   WorkerPool workers_;
   asio::io_context& loop_;
   std::unique_ptr<FleetStore> store_;
@@ -146,6 +149,8 @@
       incarnation_(static_cast<Incarnation>(UnixMillis())),
       descriptors_(DivideDescriptors(settings_.max_descriptors)),
       caller_room_(descriptors_.callers),
+      memory_(std::make_shared<MemoryAccount>(
+          MemoryAccount::LimitsFor(settings_.memory_bytes))),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
@@ -171,24 +176,24 @@
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
-          LimitsOf(settings_, descriptors_.callers),
+          LimitsOf(descriptors_.callers),
           [this](std::string_view) { return max_body_bytes_; },
           [this](HttpRequest request) {
             return runner_.Handle(std::move(request));
           }),
       readiness_(
           workers_,
-          SmallLimits(descriptors_.readiness),
+          SmallLimits(settings_, descriptors_.readiness),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleReadiness)),
       directory_(
           workers_,
-          SmallLimits(descriptors_.directory),
+          SmallLimits(settings_, descriptors_.directory),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleLookup)),
       metrics_server_(
           workers_,
-          SmallLimits(descriptors_.metrics),
+          SmallLimits(settings_, descriptors_.metrics),
           [](std::string_view) { return uint64_t{0}; },
           [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
             co_return HandleMetrics(request);
@@ -206,7 +211,8 @@
 }
 
 void EntryDaemon::Impl::Start() {
-  connections_.set_max_buffered_bytes(BodyMemoryOf(settings_));
+  connections_.set_memory(memory_);
+  callers_.SetMemory(memory_);
   connections_.set_max_connections(static_cast<size_t>(descriptors_.servers));
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
--- a/src/entry/host_capacity.cc
+++ b/src/entry/host_capacity.cc
@@ -9,9 +9,9 @@
 // carries, and requests that a core serves, both at about half of their limits.
 constexpr double kRequestsPerMbit = 5;
 constexpr double kRequestsPerCore = 1'000;
-// Fraction (1/n) of the memory for request bodies, and for responses being
-// read.
-constexpr int64_t kBodyMemoryDivisor = 4;
+// Fraction (1/n) of the memory for each of the directory, the readiness check
+// and the metrics.
+constexpr int64_t kSmallMemoryDivisor = 32;
 
 }  // namespace
 
@@ -21,20 +21,16 @@
   return std::max<int64_t>(1, static_cast<int64_t>(requests));
 }
 
-int64_t BodyMemoryOf(const EntrySettings& settings) {
-  return settings.memory_bytes / kBodyMemoryDivisor;
-}
-
-HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
+HttpServerLimits LimitsOf(int connections) {
   HttpServerLimits limits;
   limits.max_connections = connections;
-  limits.max_buffered_bytes = BodyMemoryOf(settings);
   return limits;
 }
 
-HttpServerLimits SmallLimits(int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
+HttpServerLimits SmallLimits(const EntrySettings& settings, int connections) {
+  HttpServerLimits limits = LimitsOf(connections);
+  limits.max_buffered_head_bytes = settings.memory_bytes / kSmallMemoryDivisor;
+  limits.max_buffered_bytes = settings.memory_bytes / kSmallMemoryDivisor;
   return limits;
 }
 
--- a/src/entry/host_capacity.h
+++ b/src/entry/host_capacity.h
@@ -10,11 +10,11 @@
 
 // Requests per second that the host can serve, from its link and its cores.
 int64_t CapacityOf(const EntrySettings& settings);
-// Memory for request bodies, and for responses being read, in bytes.
-int64_t BodyMemoryOf(const EntrySettings& settings);
-// Limits of the listener for callers, and of one for the platform.
-HttpServerLimits LimitsOf(const EntrySettings& settings, int connections);
-HttpServerLimits SmallLimits(int connections);
+// Limits of the listener for callers.
+HttpServerLimits LimitsOf(int connections);
+// Limits of a listener with memory of its own, so that callers cannot make the
+// host seem not ready.
+HttpServerLimits SmallLimits(const EntrySettings& settings, int connections);
 
 }  // namespace toucanknot
 
