--- a/bench/placing/fleet_model.h
+++ b/bench/placing/fleet_model.h
@@ -32,6 +32,20 @@
   int priority = 0;
 };
 
+// Servers of a region that start during a run, with nothing cached.
+struct ModelStart {
+  Duration at;
+  size_t region = 0;
+  // The first of them, and their number.
+  int first = 0;
+  int count = 1;
+  // Whether they ran before, under the same ids, and restart.
+  bool restart = false;
+  // Work takes `slow_by` times as long there for `slow_for` after the start.
+  double slow_by = 1;
+  Duration slow_for;
+};
+
 // Parameters of a run.
 struct ModelSetup {
   std::vector<ModelRoute> routes;
@@ -50,6 +64,13 @@
   Duration slow_from{0};
   double slow_part = 0;
   double slow_by = 1;
+  // The time of work on each machine varies about its usual value: the standard
+  // deviation of its logarithm, and for how long a value persists. 0: it does
+  // not vary.
+  double speed_spread = 0;
+  Duration speed_persists{300};
+  // Whether servers report the speed of their machines.
+  bool speed_reported = false;
   // All rates are multiplied by `burst_by` during the burst.
   Duration burst_from{0};
   Duration burst_to{0};
@@ -58,6 +79,7 @@
   Duration leave_from{0};
   size_t leave_region = 0;
   double leave_part = 0;
+  std::vector<ModelStart> starts;
   // Network latency between regions in one direction.
   Duration between_regions{20};
   // Whether hosts learn the distances from the time that connections take.
@@ -106,6 +128,10 @@
   int max_at_server = 0;
   // Responses within the target and requests, by the callers' region.
   std::vector<ModelResult> regions;
+  // Of the requests that arrived in the 12 s after the first start of a server.
+  ModelResult after_start;
+  // The mean number of requests at servers that started less than 3 s ago.
+  double mean_at_started = 0;
   // Largest fraction of a region's requests that moved to another region
   // between consecutive spans of two seconds, not counting the first six
   // seconds.
@@ -154,6 +180,11 @@
   void Advance(Host& host);
   void Tick();
   void StartLeaving();
+  void StartServers(const ModelStart& start);
+  bool IsAfterStart(const Request& request) const;
+  void MeasureStarted();
+  // Moves the speeds of all machines on by one step.
+  void ChangeSpeeds();
   // Network latency from a host to a server in one direction, in ms.
   int64_t Latency(const Host& host, const Server& server) const;
   void CountRegion(const Request& request, size_t ran_in);
@@ -161,6 +192,8 @@
 
   const ModelSetup setup_;
   std::mt19937_64 random_;
+  // Apart from random_, so that speeds change nothing else.
+  std::mt19937_64 speed_random_;
   int64_t now_ = kStart;
   uint64_t order_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
@@ -169,6 +202,9 @@
   std::map<ServerId, Server*> by_id_;
   std::vector<std::unique_ptr<Host>> hosts_;
   uint64_t last_request_id_ = 0;
+  int64_t first_start_ = INT64_MAX / 2;
+  int64_t started_samples_ = 0;
+  int64_t started_requests_ = 0;
   ModelOutcome outcome_;
   // By region of the caller: how many requests ran in each region in the
   // current span and in the previous one.
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -12,17 +12,22 @@
 #include "include/entry/host_roster.h"
 #include "include/health/crash_tracker.h"
 #include "include/limits/usage_caps.h"
+#include "include/memory/memory_account.h"
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
+#include "src/entry/caller_room.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/descriptor_budget.h"
 #include "src/entry/entry_metrics.h"
 #include "src/entry/fleet_reports.h"
+#include "src/entry/host_capacity.h"
+#include "src/entry/host_gauges.h"
 #include "src/entry/load_exchange.h"
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
 #include "src/entry/usage_sheets.h"
+#include "src/entry/workspace_explain.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
 #include "src/http/one_shot.h"
@@ -38,48 +43,18 @@
 constexpr int kTicksPerSecond = 10;
 // Connections to servers that state no limit are closed after this time.
 constexpr Duration kMaxIdle{60'000};
-// Percentages of the descriptors for callers: a host that has used up the first
-// accepts new callers again below the second.
-constexpr int64_t kFullPercent = 97;
-constexpr int64_t kFreePercent = 85;
 // Callers that cached a lookup learn of a leaving host within this time, two
 // lifetimes of a lookup; until then its listener stays open.
 constexpr Duration kLeaveNotice{2'500};
 constexpr Duration kLookupLifetime{1'000};
-// Requests of some ten kilobytes (request and response) that one Mbit/s
-// carries, and requests that a core serves, both at about half of their limits.
-constexpr double kRequestsPerMbit = 5;
-constexpr double kRequestsPerCore = 1'000;
 // Idle connections are closed only after this percentage of the limit, so that
 // the caller's next request and the close do not cross.
 constexpr int64_t kIdlePercent = 150;
-// Fraction (1/n) of the memory for request bodies, and for responses being
-// read.
-constexpr int64_t kBodyMemoryDivisor = 4;
 constexpr Duration kStopPoll{20};
 // The process ends this long before it would be killed, so that it can log what
 // it leaves unfinished: a host with a small share of a core needs some of it.
 constexpr Duration kExitMargin{300};
 
-int64_t CapacityOf(const EntrySettings& settings) {
-  const double requests = std::min(settings.link_mbps * kRequestsPerMbit,
-                                   settings.cpu_share * kRequestsPerCore);
-  return std::max<int64_t>(1, static_cast<int64_t>(requests));
-}
-
-HttpServerLimits LimitsOf(const EntrySettings& settings, int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
-  limits.max_buffered_bytes = settings.memory_bytes / kBodyMemoryDivisor;
-  return limits;
-}
-
-HttpServerLimits SmallLimits(int connections) {
-  HttpServerLimits limits;
-  limits.max_connections = connections;
-  return limits;
-}
-
 UsageCaps::Options CapOptions(const EntrySettings& settings,
                               Incarnation incarnation) {
   return {settings.cap_window, settings.cap_over, settings.cap_slack,
@@ -116,7 +91,7 @@
   asio::awaitable<void> FinishStop();
   // Whether this host accepts new callers.
   bool Ready() const {
-    return configured_ && servers_known_ && !leaving_ && !full_;
+    return configured_ && servers_known_ && !leaving_ && !caller_room_.full();
   }
   // Notes whether connections of callers use up their descriptors.
   void UpdateFull();
@@ -133,6 +108,9 @@
   const EntryWire names_;
   const Incarnation incarnation_;
   const DescriptorBudget descriptors_;
+  CallerRoom caller_room_;
+  // For callers' requests and for responses.
+  const std::shared_ptr<MemoryAccount> memory_;
   WorkerPool workers_;
   asio::io_context& loop_;
   std::unique_ptr<FleetStore> store_;
@@ -158,8 +136,8 @@
   bool servers_known_ = false;
   bool leaving_ = false;
   bool ready_ = false;
-  bool full_ = false;
   bool proven_ = true;
+  bool store_unreachable_ = false;
   std::promise<bool> stopped_;
 };
 
@@ -170,12 +148,16 @@
       names_(std::move(names)),
       incarnation_(static_cast<Incarnation>(UnixMillis())),
       descriptors_(DivideDescriptors(settings_.max_descriptors)),
+      caller_room_(descriptors_.callers),
+      memory_(std::make_shared<MemoryAccount>(
+          MemoryAccount::LimitsFor(settings_.memory_bytes))),
       workers_(1),
       loop_(workers_.loop(0)),
       store_(make_store(loop_, settings_)),
       caps_(CapOptions(settings_, incarnation_), SteadyNow()),
       access_({settings_.revoke_within,
-               [this] { return store_->counts().proven_at; }},
+               [this] { return store_->counts().proven_at; },
+               [this] { return store_unreachable_; }},
               caps_),
       registry_(
           [this](ServerChange change, const ServerRegistry::Server& server) {
@@ -194,24 +176,24 @@
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
           workers_,
-          LimitsOf(settings_, descriptors_.callers),
+          LimitsOf(descriptors_.callers),
           [this](std::string_view) { return max_body_bytes_; },
           [this](HttpRequest request) {
             return runner_.Handle(std::move(request));
           }),
       readiness_(
           workers_,
-          SmallLimits(descriptors_.readiness),
+          SmallLimits(settings_, descriptors_.readiness),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleReadiness)),
       directory_(
           workers_,
-          SmallLimits(descriptors_.directory),
+          SmallLimits(settings_, descriptors_.directory),
           [](std::string_view) { return uint64_t{0}; },
           ToHandler(&Impl::HandleLookup)),
       metrics_server_(
           workers_,
-          SmallLimits(descriptors_.metrics),
+          SmallLimits(settings_, descriptors_.metrics),
           [](std::string_view) { return uint64_t{0}; },
           [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
             co_return HandleMetrics(request);
@@ -229,8 +211,8 @@
 }
 
 void EntryDaemon::Impl::Start() {
-  connections_.set_max_buffered_bytes(settings_.memory_bytes /
-                                      kBodyMemoryDivisor);
+  connections_.set_memory(memory_);
+  callers_.SetMemory(memory_);
   connections_.set_max_connections(static_cast<size_t>(descriptors_.servers));
   callers_.SetMayOverlap([this](const HttpRequest& request) {
     const Route* route =
@@ -306,6 +288,12 @@
   listener.store_unreachable = [this](bool unreachable) {
     OnStoreUnreachable(unreachable);
   };
+  listener.send_news = [this](const StoreNews& news) {
+    std::vector<Endpoint> peers = roster_.ZonePeerAddresses();
+    for (Endpoint& it : peers)
+      it.port = settings_.peers.port;
+    load_exchange_.SendStoreNews(peers, news);
+  };
   return listener;
 }
 
@@ -319,6 +307,7 @@
     if (const std::optional<UsageReport> report = UsageReportOf(sheet))
       caps_.OnReport(*report, SteadyNow());
   };
+  hooks.on_store_news = [this](const StoreNews& news) { store_->OnNews(news); };
   hooks.usage = [this]() -> std::optional<LoadSheet> {
     if (!caps_.active())
       return std::nullopt;
@@ -378,6 +367,7 @@
 
 void EntryDaemon::Impl::OnStoreUnreachable(bool unreachable) {
   const Instant now = SteadyNow();
+  store_unreachable_ = unreachable;
   registry_.SetStoreUnreachable(unreachable, store_->counts().last_response_at,
                                 now);
   roster_.SetStoreUnreachable(unreachable, now);
@@ -397,13 +387,11 @@
 }
 
 void EntryDaemon::Impl::UpdateFull() {
-  const int64_t percent =
-      callers_.OpenConnections() * 100 / descriptors_.callers;
-  const bool full = percent >= (full_ ? kFreePercent : kFullPercent);
-  if (full == full_)
+  const HttpServerCounts counts = callers_.Counts();
+  if (!caller_room_.Update(counts.open_connections, counts.accept_failures))
     return;
-  full_ = full;
-  LogChange("callers_full", {{"full", full}, {"most", descriptors_.callers}});
+  LogChange("callers_full",
+            {{"full", caller_room_.full()}, {"most", descriptors_.callers}});
   UpdateReady();
 }
 
@@ -461,6 +449,12 @@
   const Instant now = SteadyNow();
   if (TargetPath(request.target) == "/explain") {
     const std::string& target = request.target;
+    if (const std::string workspace = QueryValue(target, "workspace");
+        !workspace.empty()) {
+      return JsonResponse(
+          200, ExplainWorkspace(WorkspaceId(workspace), access_, caps_,
+                                store_->counts().proven_at, BootNow(), now));
+    }
     if (const std::string host = QueryValue(target, "host"); !host.empty()) {
       return JsonResponse(200, runner_.Explain(host, QueryValue(target, "path"),
                                                QueryValue(target, "object")));
@@ -468,34 +462,12 @@
     const ServiceId service(QueryValue(target, "service"));
     return JsonResponse(200, placer_.Explain(service, now));
   }
-  const FleetStoreCounts store = store_->counts();
-  const ConnectionPoolCounts connections = connections_.counts();
-  const HttpServerCounts http = callers_.Counts();
-  metrics_.SetGauge("toucanknot_store_calls", static_cast<double>(store.calls));
-  metrics_.SetGauge("toucanknot_store_failed",
-                    static_cast<double>(store.failed));
-  metrics_.SetGauge("toucanknot_store_malformed",
-                    static_cast<double>(store.malformed_items));
-  metrics_.SetGauge("toucanknot_config_version",
-                    static_cast<double>(routes_.version()));
-  metrics_.SetGauge("toucanknot_servers",
-                    static_cast<double>(registry_.size()));
-  metrics_.SetGauge("toucanknot_hosts", roster_.HostCount(now));
-  metrics_.SetGauge("toucanknot_requests_waiting",
-                    static_cast<double>(placer_.waiting()));
-  metrics_.SetGauge("toucanknot_connections_opened",
-                    static_cast<double>(connections.opened));
-  metrics_.SetGauge("toucanknot_connections_reused",
-                    static_cast<double>(connections.reused));
-  metrics_.SetGauge("toucanknot_answers_endless",
-                    static_cast<double>(connections.endless));
-  metrics_.SetGauge("toucanknot_answer_bytes_buffered",
-                    static_cast<double>(connections.buffered_bytes));
-  metrics_.SetGauge("toucanknot_requests_overlapping",
-                    static_cast<double>(http.overlapping));
-  metrics_.SetGauge("toucanknot_callers_connected",
-                    static_cast<double>(http.open_connections));
-  metrics_.SetGauge("toucanknot_ready", Ready() ? 1 : 0);
+  const HostGauges gauges{store_->counts(),      connections_.counts(),
+                          callers_.Counts(),     routes_.version(),
+                          registry_.size(),      roster_.HostCount(now),
+                          placer_.waiting(),     Ready(),
+                          access_.keys().size(), access_.IsProven(BootNow())};
+  gauges.WriteTo(metrics_);
   return TextResponse(200, metrics_.ToPrometheusText());
 }
 
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -249,6 +249,7 @@
     }
     if (!MayStillRun(run))
       co_return RefuseRevoked(run, *placement);
+    parts_.access.OnRun(run.access, SteadyNow());
     Attempt attempt = co_await Send(run, *placement);
     RemoveHopByHop(attempt.response.fields);
     if (attempt.end == ServerAttemptEnd::kAnswered)
@@ -322,7 +323,8 @@
   out.fields.Set(parts_.names.deadline_ms,
                  std::to_string(std::max<int64_t>(left.ms(), 1)));
   out.fields.Set(parts_.names.target_server, server.str());
-  if (parts_.access.keys_required()) {
+  // The configuration may have lost its workspaces since the key was read.
+  if (parts_.access.keys_required() || run.access.workspace) {
     out.fields.Remove(parts_.names.api_key);
     out.fields.Remove(parts_.names.workspace);
     if (run.access.workspace)
@@ -450,7 +452,10 @@
   result.end = attempt.end;
   result.took = took;
   result.connect_took = attempt.connect_took;
-  ParseLoad(attempt.response.fields.Get(parts_.names.load), result);
+  const std::string_view load = attempt.response.fields.Get(parts_.names.load);
+  ParseLoad(load, result);
+  if (parts_.names.read_work_ratio)
+    result.work_ratio = parts_.names.read_work_ratio(load);
   result.notice = NoticeOf(run, attempt);
   if (result.notice && result.notice->leaving)
     parts_.registry.OnLeavingResponse(placement.server, incarnation);
