--- a/tests/forward/pending_write_test.cc
+++ b/tests/forward/pending_write_test.cc
@@ -5,12 +5,15 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "src/forward/connection_pool.h"
 #include "tests/forward/fake_server.h"
@@ -74,6 +77,50 @@
   CHECK(pool.counts().opened == 1);
 }
 
+TEST_CASE("a response arrives between two parts of a request") {
+  // A part of the write completes after the exchange has closed the connection;
+  // the next part was then written to a freed stream.
+  constexpr int kRounds = 100;
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::tcp::v4(), 0});
+  std::thread server([&] {
+    std::string buf(256 << 10, '\0');
+    for (int i = 0; i < kRounds; ++i) {
+      asio::ip::tcp::socket socket(io);
+      acceptor.accept(socket);
+      boost::system::error_code ec;
+      bool responded = false;
+      for (size_t in = 0; !ec;) {
+        in += socket.read_some(asio::buffer(buf), ec);
+        if (responded || in < static_cast<size_t>(i + 1) << 17)
+          continue;
+        responded = true;
+        asio::write(socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                    ec);
+      }
+    }
+  });
+  asio::io_context loop;
+  int answered = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    // Closes the connection also if the whole request was written in time.
+    ConnectionPool pool(loop);
+    ExchangeResult result;
+    asio::co_spawn(
+        loop,
+        Exchange(pool, {"127.0.0.1", acceptor.local_endpoint().port()},
+                 OptionsUntil(5'000), result),
+        asio::detached);
+    loop.restart();
+    loop.run();
+    answered += result.end == AttemptEnd::kAnswered ? 1 : 0;
+  }
+  server.join();
+  CHECK(answered == kRounds);
+}
+
 TEST_CASE("a caller leaves while its request is written") {
   FakeServer server{FakeServer::Responses{""}};
   asio::io_context loop;
