entry: directory answers for host names that are bound to regions

A caller in a region without hosts was given hosts of any region, also for a host name whose routes all run in certain regions, so that each request crossed regions twice. The directory names hosts of the caller's region or of those regions. A host without a proof of its keys leaves itself out of its answers only while it lists others: alone, it would leave callers of public routes without an address.

--- a/include/entry/entry_wire.h
+++ b/include/entry/entry_wire.h
@@ -42,6 +42,9 @@
   // Query parameters with the region and the availability zone of the caller.
   std::string lookup_region;
   std::string lookup_zone;
+  // Query parameter with the host name that the caller wants to reach; it may
+  // be absent.
+  std::string lookup_name;
   // Builds the response of the directory: addresses, and how long a caller may
   // cache them.
   std::function<std::string(const std::vector<Endpoint>&, Duration lifetime)>
--- a/include/entry/host_choice.h
+++ b/include/entry/host_choice.h
@@ -22,6 +22,9 @@
   ZoneId zone;
   // IP address; distinguishes callers.
   std::string_view address;
+  // Regions to which the requests for the caller's host name are bound; empty
+  // if they are not bound.
+  std::vector<RegionId> homes = {};
 };
 
 // Number of addresses given to a caller: the second is for when the first
@@ -33,7 +36,8 @@
 // has its fair share of the region's capacity. If it has less, some of its
 // callers are spread over the whole region, so that no caller is lost to a zone
 // with few hosts or none. If the region has no host, those of all regions are
-// used.
+// used, or those of the home regions if the caller has any: other hosts could
+// only pass its requests on to there.
 //
 // Each caller gets the same hosts while the set of hosts is unchanged
 // (rendezvous hashing), and hosts get callers in proportion to their capacity.
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -37,6 +37,10 @@
   // Sets whether this host itself accepts new callers.
   void SetSelfReady(bool ready) { self_ready_ = ready; }
 
+  // Sets whether this host can serve requests with API keys. While it cannot,
+  // it is named only if there is no other host.
+  void SetSelfProven(bool proven) { self_proven_ = proven; }
+
   // The addresses for a caller; see ChooseHosts().
   std::vector<Endpoint> AddressesFor(const CallerLocation& caller) const;
 
@@ -62,6 +66,7 @@
   const std::map<ZoneId, RegionId> regions_;
   std::map<HostId, Host> hosts_;
   bool self_ready_ = false;
+  bool self_proven_ = true;
   bool store_unreachable_ = false;
   std::optional<Instant> store_returned_at_;
   int max_hosts_ = 1;
--- a/include/routing/route_table.h
+++ b/include/routing/route_table.h
@@ -27,6 +27,10 @@
   // is ignored); null when there is none. Valid as long as config().
   const Route* Find(std::string_view host_name, std::string_view path) const;
 
+  // The regions in which requests for `host_name` may run, if all of its routes
+  // are bound to regions; else empty.
+  std::vector<RegionId> HomesOf(std::string_view host_name) const;
+
   // Selects the service for the next request of `route`, so that even short
   // sequences of requests are split by weight.
   const ServiceId& NextTarget(const Route& route);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -392,7 +392,7 @@
   if (ready == ready_)
     return;
   ready_ = ready;
-  roster_.SetSelfReady(ready && proven_);
+  roster_.SetSelfReady(ready);
   LogChange("ready", {{"ready", ready}});
   if (ready)
     store_->Publish(OwnRecord());
@@ -417,7 +417,7 @@
     return;
   proven_ = proven;
   LogChange("keys_proven", {{"proven", proven}, {"config", routes_.version()}});
-  roster_.SetSelfReady(ready_ && proven_);
+  roster_.SetSelfProven(proven_);
 }
 
 asio::awaitable<void> EntryDaemon::Impl::Tick() {
@@ -453,7 +453,8 @@
   const std::vector<Endpoint> addresses = roster_.AddressesFor(
       {RegionId(QueryValue(request.target, names_.lookup_region)),
        ZoneId(QueryValue(request.target, names_.lookup_zone)),
-       request.remote_ip});
+       request.remote_ip,
+       routes_.HomesOf(QueryValue(request.target, names_.lookup_name))});
   if (addresses.empty())
     return TextResponse(503, "no entry host is ready");
   return JsonResponse(
--- a/src/entry/host_choice.cc
+++ b/src/entry/host_choice.cc
@@ -45,7 +45,11 @@
   Hosts in_region;
   Hosts in_zone;
   for (const HostCandidate& it : hosts) {
-    all.push_back(it.record);
+    const auto& homes = caller.homes;
+    if (homes.empty() ||
+        std::find(homes.begin(), homes.end(), it.region) != homes.end()) {
+      all.push_back(it.record);
+    }
     if (it.region != caller.region)
       continue;
     in_region.push_back(it.record);
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -59,7 +59,8 @@
     const CallerLocation& caller) const {
   std::vector<HostCandidate> candidates;
   candidates.reserve(hosts_.size() + 1);
-  if (self_ready_)
+  const bool others = hosts_.size() > hosts_.count(self_.host);
+  if (self_ready_ && (self_proven_ || !others))
     candidates.push_back({&self_, RegionOf(self_.zone)});
   for (const auto& [id, host] : hosts_) {
     if (id != self_.host)
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace toucanknot {
@@ -48,6 +49,22 @@
   return nullptr;
 }
 
+std::vector<RegionId> RouteTable::HomesOf(std::string_view host_name) const {
+  const std::string name =
+      boost::algorithm::to_lower_copy(std::string(host_name));
+  const auto host =
+      by_host_.find(std::string_view(name).substr(0, name.find(':')));
+  if (host == by_host_.end())
+    return {};
+  std::set<RegionId> homes;
+  for (const auto& [prefix, route] : host->second) {
+    if (route->allowed_regions.empty())
+      return {};
+    homes.insert(route->allowed_regions.begin(), route->allowed_regions.end());
+  }
+  return {homes.begin(), homes.end()};
+}
+
 const ServiceId& RouteTable::NextTarget(const Route& route) {
   const auto it = round_robins_.find(route.name);
   if (it == round_robins_.end() || it->second.targets != route.targets)
