--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -2,6 +2,7 @@
 #define INCLUDE_PLACING_PLACER_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -211,8 +212,10 @@
 
   // Load figures of all servers of `service`, as JSON.
   std::string Explain(const ServiceId& service, Instant now) const;
-  // The server to which `request` would go now, and the figures of all
-  // candidates, as JSON. Sends nothing.
+  // What Offer() would decide now. Changes nothing but caches.
+  Placement Preview(const PlacementRequest& request, Instant now);
+  // That decision and the figures of all candidates, as JSON. Changes nothing
+  // but caches.
   std::string ExplainRequest(const PlacementRequest& request, Instant now);
 
  private:
@@ -274,6 +277,7 @@
     // Fraction of the service's slots in use.
     double utilization = 0;
     bool crowded() const;
+    bool nearly_crowded() const;
   };
 
   Choice Choose(const QueuedRequest& waiting, Instant now);
@@ -286,13 +290,15 @@
   void EstimateCost(const QueuedRequest& waiting,
                     const WorkTimes& times,
                     Candidate& c,
-                    Instant now);
+                    Instant now) const;
+  // The most requests that a server gets.
+  static double MostAtServer(const ServiceView::Server& server);
   bool MayTake(const QueuedRequest& waiting,
                const ServiceView::Server& server,
                Instant now) const;
   // The time until the first pause ends of servers that could take the request
   // otherwise; 0 if there is none.
-  Duration ShortestPause(const QueuedRequest& waiting, Instant now);
+  Duration ShortestPause(const QueuedRequest& waiting, Instant now) const;
   // Whether the server started recently, is near and has had no request from
   // this host yet.
   bool NeedsTrial(const ServiceView::Server& server, Instant now) const;
@@ -301,12 +307,31 @@
   bool IsPaced(const Service& service,
                const ServiceView::Server& server,
                Instant now) const;
+  // Calls `look` with the queue entry that Offer() would make for `request`,
+  // and undoes what building it and choosing for it changes.
+  void Look(const PlacementRequest& request,
+            const std::function<void(const QueuedRequest&)>& look,
+            Instant now);
   // Builds the queue entry for `request`.
   QueuedRequest MakeQueuedRequest(const PlacementRequest& request);
   // Whether a request waits although the chosen server could take it, since it
   // is `late`, slots are scarce and others can still be in time.
   static bool YieldsSlot(const Choice& choice, bool late);
+  // A decision, and what it changes beyond the placement itself.
+  struct Judgement {
+    Placement placement;
+    // No server had room for the request.
+    bool found_no_room = false;
+    // A request of a returned caller was refused without being queued.
+    bool refused_returned = false;
+  };
   // Decides on a request with `ahead` more urgent ones queued for its service.
+  // Changes nothing.
+  Judgement Judge(const QueuedRequest& waiting,
+                  const Choice& choice,
+                  int ahead,
+                  Instant now) const;
+  // As Judge(), and applies the decision.
   Placement Decide(const QueuedRequest& waiting, int ahead, Instant now);
   Placement Send(const QueuedRequest& waiting,
                  const Choice& choice,
@@ -314,7 +339,11 @@
   Placement Refuse(const QueuedRequest& waiting,
                    PlacementRefusal refusal,
                    Duration wait,
-                   const Choice& choice);
+                   const Choice& choice) const;
+  // The placement of a request at the chosen server.
+  Placement ToServer(const QueuedRequest& waiting,
+                     const Choice& choice,
+                     Instant now) const;
   // Service time in ms at a server that has the object cached; 0 as long as it
   // is only guessed: if guesses refused requests or held them back, a new route
   // would never get the samples that correct its guess.
--- a/include/placing/server_pace.h
+++ b/include/placing/server_pace.h
@@ -41,8 +41,12 @@
   // number of those of other hosts, as far as this one has heard, and
   // `limited_part` the fraction of the service's slots at limited servers.
   double Allowed(double at_others, double limited_part, Instant now) const;
-  // Ends the limit once it is at least `enough`, the most that a server gets
+  // Whether it is limited to less than `enough`, the most that a server gets
   // anyway.
+  bool IsLimitedBelow(double enough, double at_others, Instant now) const {
+    return active_ && Allowed(at_others, 0, now) < enough;
+  }
+  // Ends the limit once it is at least `enough`.
   void EndIfEnough(double enough, double at_others, Instant now);
 
  private:
--- a/include/placing/service_view.h
+++ b/include/placing/service_view.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -74,6 +75,14 @@
   // kMeasureEvery.
   double Utilization(const std::function<double(const ServerLoad&)>& busy,
                      Instant now);
+  // The last measurement of the slots in use.
+  struct Measurement {
+    double utilization = 0;
+    // Nothing before the first one.
+    std::optional<Instant> at;
+  };
+  const Measurement& measurement() const { return measurement_; }
+  void set_measurement(const Measurement& it) { measurement_ = it; }
 
  private:
   static constexpr Duration kMeasureEvery{25};
@@ -95,9 +104,7 @@
   // Cached orders by object: [0] has the servers of other regions first, [1]
   // those of this region.
   std::array<boost::unordered_flat_map<uint64_t, Order>, 2> orders_;
-  double utilization_ = 0;
-  Instant utilization_at_;
-  bool measured_ = false;
+  Measurement measurement_;
 };
 
 // Maps a hash to a number in the open interval (0, 1).
--- a/include/routing/route_table.h
+++ b/include/routing/route_table.h
@@ -30,12 +30,17 @@
   // Selects the service for the next request of `route`, so that even short
   // sequences of requests are split by weight.
   const ServiceId& NextTarget(const Route& route);
+  // The service that NextTarget() would select now.
+  const ServiceId& PeekTarget(const Route& route) const;
 
  private:
   // State of the smooth weighted round robin of a route with several targets.
   struct RoundRobin {
     std::vector<RouteTarget> targets;
     std::vector<double> credit;
+
+    // Index of the next target; moves on to it.
+    size_t Next();
   };
 
   RouteConfigPtr config_;
--- a/include/workspaces/access_control.h
+++ b/include/workspaces/access_control.h
@@ -85,6 +85,11 @@
                    std::string_view key,
                    const Times& times,
                    Instant now);
+  // The figures behind the cap of a workspace.
+  UsageCaps::Figures CapFiguresOf(const WorkspaceId& workspace,
+                                  Instant now) const {
+    return caps_.FiguresOf(workspace, now);
+  }
   // Whether a request that was admitted may be sent now: its key may have been
   // removed since.
   bool MayStillRun(const Route& route,
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -462,8 +462,12 @@
   if (TargetPath(request.target) == "/explain") {
     const std::string& target = request.target;
     if (const std::string host = QueryValue(target, "host"); !host.empty()) {
-      return JsonResponse(200, runner_.Explain(host, QueryValue(target, "path"),
-                                               QueryValue(target, "object")));
+      return JsonResponse(
+          200,
+          runner_.Explain(
+              {host, QueryValue(target, "path"), QueryValue(target, "object"),
+               QueryValue(target, "workspace"),
+               std::string(request.fields.Get(ExplainQuery::kKeyField))}));
     }
     const ServiceId service(QueryValue(target, "service"));
     return JsonResponse(200, placer_.Explain(service, now));
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -21,8 +21,6 @@
 
 namespace asio = boost::asio;
 
-// Retry-After while this host has no configuration.
-constexpr Duration kUnconfiguredRetryAfter{300};
 // Time reserved for the response to reach the caller.
 constexpr Duration kResponseMargin{15};
 // A connection whose server acknowledges no bytes for this long is treated as
@@ -196,11 +194,7 @@
       run.route, run.service, fields.Get(parts_.names.object), began - spent);
   run.placement_request.deadline = run.deadline - kResponseMargin;
   run.placement_request.returned = run.caller_retried;
-  if (const WorkspacePtr& workspace = run.access.workspace) {
-    run.placement_request.priority = workspace->priority;
-    run.placement_request.workspace = WorkspaceKey(workspace->id);
-  }
-  run.placement_request.allowed_regions = run.access.allowed_regions;
+  ApplyAccess(run.access, run.placement_request);
   parts_.metrics.SetGauge("toucanknot_requests_in_flight", in_flight_);
   RetriesOf(run.service).budget.OnSuccess(SteadyNow());
   for (;;) {
@@ -246,6 +240,15 @@
   }
 }
 
+void RequestRunner::ApplyAccess(const AccessControl::Decision& access,
+                                PlacementRequest& request) {
+  if (const WorkspacePtr& workspace = access.workspace) {
+    request.priority = workspace->priority;
+    request.workspace = WorkspaceKey(workspace->id);
+  }
+  request.allowed_regions = access.allowed_regions;
+}
+
 PlacementRequest RequestRunner::MakePlacementRequest(const Route& route,
                                                      const ServiceId& service,
                                                      std::string_view object,
@@ -261,31 +264,6 @@
   return placement_request;
 }
 
-std::string RequestRunner::Explain(std::string_view host_name,
-                                   std::string_view target,
-                                   std::string_view object) {
-  boost::json::object out{{"config", parts_.routes.version()}};
-  const Route* route = parts_.routes.Find(host_name, target);
-  if (route == nullptr) {
-    out["route"] = nullptr;
-    return boost::json::serialize(out);
-  }
-  out["route"] = route->name;
-  out["kind"] = kRequestKindNames.Name(route->kind);
-  const Instant now = SteadyNow();
-  boost::json::array targets;
-  for (const RouteTarget& it : route->targets) {
-    const PlacementRequest placement_request =
-        MakePlacementRequest(*route, it.service, object, now);
-    boost::json::value placing = boost::json::parse(
-        parts_.placer.ExplainRequest(placement_request, now));
-    placing.as_object()["weight"] = it.weight;
-    targets.push_back(std::move(placing));
-  }
-  out["targets"] = std::move(targets);
-  return boost::json::serialize(out);
-}
-
 HttpRequest RequestRunner::ForServer(const Run& run,
                                      const ServerId& server) const {
   HttpRequest out;
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -12,6 +12,7 @@
 
 #include "include/entry/entry_settings.h"
 #include "include/entry/entry_wire.h"
+#include "include/entry/explain_query.h"
 #include "include/entry/fleet_store.h"
 #include "include/health/crash_tracker.h"
 #include "include/limits/retry_budget.h"
@@ -52,11 +53,9 @@
 
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
-  // The server to which a request for `target` of `host_name` about `object`
-  // would go now, and the figures behind that choice, as JSON. Sends nothing.
-  std::string Explain(std::string_view host_name,
-                      std::string_view target,
-                      std::string_view object);
+  // Where a request would go now, and the figures behind that decision, as
+  // JSON. Sends nothing, and changes no state that decisions use.
+  std::string Explain(const ExplainQuery& query);
 
   // Drops what is kept for routes and services that no longer exist.
   void OnConfig(const RouteConfig& config);
@@ -123,6 +122,11 @@
                                         const ServiceId& service,
                                         std::string_view object,
                                         Instant began) const;
+  // Sets what follows from the workspace of the request.
+  static void ApplyAccess(const AccessControl::Decision& access,
+                          PlacementRequest& request);
+  // The key with which a request of the query would come; empty if unknown.
+  std::string KeyFor(const ExplainQuery& query) const;
   // The head of the request as it is sent to `server`.
   HttpRequest ForServer(const Run& run, const ServerId& server) const;
   // Records and logs that a connection to `server` broke while it carried the
@@ -161,6 +165,9 @@
   Retries& RetriesOf(const ServiceId& service);
   void LogOutcome(const Run& run, const HttpResponse& response);
 
+  // Retry-After while this host has no configuration.
+  static constexpr Duration kUnconfiguredRetryAfter{300};
+
   const Parts parts_;
   int in_flight_ = 0;
   int host_count_ = 1;
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -248,10 +248,17 @@
   }
   ++services_[request.service].in_flight;
   active_attempts_[request.id] = std::move(attempt);
+  return ToServer(waiting, choice, now);
+}
+
+Placement Placer::ToServer(const QueuedRequest& waiting,
+                           const Choice& choice,
+                           Instant now) const {
+  const Candidate& best = choice.best;
   Placement out;
-  out.request_id = request.id;
+  out.request_id = waiting.request.id;
   out.step = PlacementStep::kSend;
-  out.server = entry.id;
+  out.server = best.server->entry->entry.id;
   out.busy = best.busy;
   out.expected_ms = best.expected_ms;
   out.warm = best.warm;
@@ -266,7 +273,7 @@
 Placement Placer::Refuse(const QueuedRequest& waiting,
                          PlacementRefusal refusal,
                          Duration wait,
-                         const Choice& choice) {
+                         const Choice& choice) const {
   Placement out;
   out.request_id = waiting.request.id;
   out.step = PlacementStep::kRefuse;
@@ -289,8 +296,10 @@
          !MayFetch(best.warm, best.rank, late, choice.crowded());
 }
 
-Placement Placer::Decide(const QueuedRequest& waiting, int ahead, Instant now) {
-  const Choice choice = Choose(waiting, now);
+Placer::Judgement Placer::Judge(const QueuedRequest& waiting,
+                                const Choice& choice,
+                                int ahead,
+                                Instant now) const {
   const Candidate& best = choice.best;
   const double left =
       Millis(waiting.request.deadline - now) - kResponseMarginMs;
@@ -301,7 +310,7 @@
     Placement out = Refuse(waiting, PlacementRefusal::kNoServer,
                            kNoServerRetryAfter, choice);
     out.retry_after = std::max(out.retry_after, ShortestPause(waiting, now));
-    return out;
+    return {out};
   }
   const bool yields = YieldsSlot(choice, IsLate(waiting, now));
   if (best.server != nullptr && !best.full && !yields) {
@@ -312,32 +321,48 @@
                               ? best.expected_ms
                               : KnownServiceMs(waiting);
     if (needed <= left && left > 0)
-      return Send(waiting, choice, now);
-    return Refuse(waiting, PlacementRefusal::kTooLate, kNoServerRetryAfter,
-                  choice);
+      return {ToServer(waiting, choice, now)};
+    return {Refuse(waiting, PlacementRefusal::kTooLate, kNoServerRetryAfter,
+                   choice)};
   }
   const double wait =
       std::max(QueueWait(waiting, ahead), PacedWait(choice, ahead, now));
   const Duration after_queue(static_cast<int64_t>(wait));
   const double needed = times.warm() + wait;
-  Service& service = services_[waiting.request.service];
-  if (now >= service.scarce_until || waiting.priority <= service.scarce_for) {
-    service.scarce_for = waiting.priority;
-    service.scarce_until = now + kCrowdedMemory;
-  }
-  ReturnedServed& returned_served = service.returned_served;
+  const Service& service = services_.at(waiting.request.service);
   const bool past_target =
-      waiting.request.returned && returned_served.IsLikely();
+      waiting.request.returned && service.returned_served.IsLikely();
+  Judgement judgement;
+  judgement.found_no_room = true;
   if (needed > UsefulTimeLeft(to_target, left, choice.crowded(), past_target)) {
-    if (waiting.request.returned && !past_target)
-      returned_served.OnRefusedAtOnce();
-    return Refuse(waiting, PlacementRefusal::kTooLate, after_queue, choice);
+    judgement.refused_returned = waiting.request.returned && !past_target;
+    judgement.placement =
+        Refuse(waiting, PlacementRefusal::kTooLate, after_queue, choice);
+    return judgement;
   }
-  Placement out;
+  Placement& out = judgement.placement;
   out.request_id = waiting.request.id;
   out.step = PlacementStep::kWait;
   out.queued = static_cast<int>(queue_.size());
-  return out;
+  return judgement;
+}
+
+Placement Placer::Decide(const QueuedRequest& waiting, int ahead, Instant now) {
+  const Choice choice = Choose(waiting, now);
+  if (choice.nearly_crowded())
+    crowded_until_ = now + kCrowdedMemory;
+  const Judgement judgement = Judge(waiting, choice, ahead, now);
+  if (judgement.placement.step == PlacementStep::kSend)
+    return Send(waiting, choice, now);
+  Service& service = services_[waiting.request.service];
+  if (judgement.found_no_room &&
+      (now >= service.scarce_until || waiting.priority <= service.scarce_for)) {
+    service.scarce_for = waiting.priority;
+    service.scarce_until = now + kCrowdedMemory;
+  }
+  if (judgement.refused_returned)
+    service.returned_served.OnRefusedAtOnce();
+  return judgement.placement;
 }
 
 Placer::QueuedRequest Placer::MakeQueuedRequest(
@@ -480,8 +505,11 @@
         return RttMs(server.zone, server.nearness);
       });
       double paced = 0;
-      for (const ServiceView::Server& it : service.view->servers())
+      for (const ServiceView::Server& it : service.view->servers()) {
+        const double at_others = Busy(*it.load, now) - it.load->in_flight();
+        it.load->pace().EndIfEnough(MostAtServer(it), at_others, now);
         paced += it.load->pace().active() ? it.entry->entry.slots : 0;
+      }
       service.paced_part = paced / std::max(1.0, service.view->slots());
     }
   }
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -87,8 +87,6 @@
   utilization = view.Utilization(
       [&](const ServerLoad& load) { return Busy(load, now); }, now);
   const bool crowded = utilization > kCrowded;
-  if (utilization > kNearlyCrowded)
-    crowded_until_ = now + kCrowdedMemory;
   std::vector<Candidate> out;
   bool paced = true;
   const auto add = [&](int index, int rank) {
@@ -148,10 +146,11 @@
          now >= limits_.PausedUntil(server.run_key);
 }
 
-Duration Placer::ShortestPause(const QueuedRequest& waiting, Instant now) {
+Duration Placer::ShortestPause(const QueuedRequest& waiting,
+                               Instant now) const {
   Instant first = Instant::Never();
   for (const ServiceView::Server& it :
-       ServiceOf(waiting.request.service).view->servers()) {
+       services_.at(waiting.request.service).view->servers()) {
     const Instant until = limits_.PausedUntil(it.run_key);
     if (until > now && MayTake(waiting, it, until))
       first = std::min(first, until);
@@ -159,18 +158,18 @@
   return first == Instant::Never() ? Duration(0) : first - now;
 }
 
+double Placer::MostAtServer(const ServiceView::Server& server) {
+  return MaxAtServer(server.entry->entry.slots, false, false);
+}
+
 bool Placer::IsPaced(const Service& service,
                      const ServiceView::Server& server,
                      Instant now) const {
-  ServerLoad& load = *server.load;
-  ServerPace& pace = load.pace();
-  if (!pace.active())
-    return false;
+  const ServerLoad& load = *server.load;
+  const ServerPace& pace = load.pace();
   const double busy = Busy(load, now);
   const double at_others = busy - load.in_flight();
-  pace.EndIfEnough(MaxAtServer(server.entry->entry.slots, false, false),
-                   at_others, now);
-  if (!pace.active())
+  if (!pace.IsLimitedBelow(MostAtServer(server), at_others, now))
     return false;
   const double allowed = pace.Allowed(at_others, service.paced_part, now);
   if (busy >= allowed)
@@ -190,7 +189,7 @@
 void Placer::EstimateCost(const QueuedRequest& waiting,
                           const WorkTimes& times,
                           Candidate& c,
-                          Instant now) {
+                          Instant now) const {
   const ServerRegistry::Server& server = *c.server->entry;
   const ServerLoad& load = *c.server->load;
   const double slots = server.entry.slots;
@@ -232,6 +231,10 @@
   return utilization > kCrowded;
 }
 
+bool Placer::Choice::nearly_crowded() const {
+  return utilization > kNearlyCrowded;
+}
+
 Placer::Choice Placer::Choose(const QueuedRequest& waiting, Instant now) {
   const WorkTimes& times = times_.at(waiting.route_name);
   Choice choice;
--- a/src/placing/server_pace.cc
+++ b/src/placing/server_pace.cc
@@ -21,7 +21,7 @@
 constexpr double kDoublingMs = 3'000;
 // When servers with this fraction of a service's slots are limited at once, as
 // in a release of all, the others cannot do their work, and none is limited.
-constexpr double kMaxLimitedPart = 0.3;
+constexpr double kMaxLimitedPart = 0.2;
 
 }  // namespace
 
@@ -85,7 +85,7 @@
 }
 
 void ServerPace::EndIfEnough(double enough, double at_others, Instant now) {
-  if (!active_ || Allowed(at_others, 0, now) < enough)
+  if (IsLimitedBelow(enough, at_others, now))
     return;
   active_ = false;
   sent_.clear();
--- a/src/placing/service_view.cc
+++ b/src/placing/service_view.cc
@@ -123,15 +123,13 @@
 double ServiceView::Utilization(
     const std::function<double(const ServerLoad&)>& busy,
     Instant now) {
-  if (measured_ && now - utilization_at_ < kMeasureEvery)
-    return utilization_;
+  if (measurement_.at && now - *measurement_.at < kMeasureEvery)
+    return measurement_.utilization;
   double sum = 0;
   for (const Server& it : servers_)
     sum += busy(*it.load);
-  utilization_ = slots_ > 0 ? sum / slots_ : 0;
-  utilization_at_ = now;
-  measured_ = true;
-  return utilization_;
+  measurement_ = {slots_ > 0 ? sum / slots_ : 0, now};
+  return measurement_.utilization;
 }
 
 }  // namespace toucanknot
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -48,20 +48,30 @@
   return nullptr;
 }
 
+size_t RouteTable::RoundRobin::Next() {
+  double total = 0;
+  for (size_t i = 0; i < targets.size(); ++i) {
+    credit[i] += targets[i].weight;
+    total += targets[i].weight;
+  }
+  const auto best = std::max_element(credit.begin(), credit.end());
+  *best -= total;
+  return static_cast<size_t>(best - credit.begin());
+}
+
 const ServiceId& RouteTable::NextTarget(const Route& route) {
   const auto it = round_robins_.find(route.name);
   if (it == round_robins_.end() || it->second.targets != route.targets)
     return route.targets.front().service;
-  RoundRobin& round_robin = it->second;
-  double total = 0;
-  for (size_t i = 0; i < round_robin.targets.size(); ++i) {
-    round_robin.credit[i] += round_robin.targets[i].weight;
-    total += round_robin.targets[i].weight;
-  }
-  const auto best =
-      std::max_element(round_robin.credit.begin(), round_robin.credit.end());
-  *best -= total;
-  return route.targets[best - round_robin.credit.begin()].service;
+  return route.targets[it->second.Next()].service;
+}
+
+const ServiceId& RouteTable::PeekTarget(const Route& route) const {
+  const auto it = round_robins_.find(route.name);
+  if (it == round_robins_.end() || it->second.targets != route.targets)
+    return route.targets.front().service;
+  RoundRobin copy = it->second;
+  return route.targets[copy.Next()].service;
 }
 
 }  // namespace toucanknot
--- a/tests/entry/entry_daemon_test.cc
+++ b/tests/entry/entry_daemon_test.cc
@@ -239,6 +239,8 @@
   CHECK(Status(out) == "200");
   CHECK(out.find("\"route\":\"/safe/\"") != std::string::npos);
   CHECK(out.find("\"server\":\"a\"") != std::string::npos);
+  CHECK(out.find("\"decision\":{\"step\":\"send\",\"server\":\"a\"}") !=
+        std::string::npos);
   CHECK(ask("/explain?host=x&path=/none").find("\"route\":null") !=
         std::string::npos);
   CHECK(ask("/explain?service=s").find("\"server\":\"a\"") !=
