--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -467,11 +467,12 @@
     const ServiceId service(QueryValue(target, "service"));
     return JsonResponse(200, placer_.Explain(service, now));
   }
-  const HostGauges gauges{store_->counts(),      connections_.counts(),
-                          callers_.Counts(),     routes_.version(),
-                          registry_.size(),      roster_.HostCount(now),
-                          placer_.waiting(),     Ready(),
-                          access_.keys().size(), access_.IsProven(BootNow())};
+  const HostGauges gauges{store_->counts(),         connections_.counts(),
+                          callers_.Counts(),        routes_.version(),
+                          registry_.size(),         roster_.HostCount(now),
+                          placer_.waiting(),        Ready(),
+                          access_.keys().size(),    access_.IsProven(BootNow()),
+                          memory_->total_reserved()};
   gauges.WriteTo(metrics_);
   return TextResponse(200, metrics_.ToPrometheusText());
 }
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -25,6 +25,9 @@
   set("toucanknot_answers_mixed", connections.mixed_heads);
   set("toucanknot_answer_bytes_buffered", connections.buffered_bytes);
   set("toucanknot_requests_overlapping", callers.overlapping);
+  set("toucanknot_callers_evicted", callers.evicted);
+  set("toucanknot_requests_no_memory", callers.no_memory);
+  set("toucanknot_memory_reserved", memory_reserved);
   set("toucanknot_callers_connected", callers.open_connections);
   set("toucanknot_ready", ready ? 1 : 0);
   set("toucanknot_api_keys", api_keys);
--- a/src/entry/host_gauges.h
+++ b/src/entry/host_gauges.h
@@ -26,6 +26,8 @@
   // gauges does not depend on the number of workspaces.
   size_t api_keys = 0;
   bool keys_proven = true;
+  // Bytes reserved in the MemoryAccount.
+  int64_t memory_reserved = 0;
 
   // Sets the gauges of `metrics`.
   void WriteTo(EntryMetrics& metrics) const;
