entry: the log line of a refusal above the cap has its figures

A refusal with 429 logged only its reason. The line now has the allowed and the counted runs, this host's share, what it admitted of that and the number of hosts that are heard.

tests/entry, tests/platform: 75 cases pass.

--- a/include/workspaces/access_control.h
+++ b/include/workspaces/access_control.h
@@ -102,6 +102,11 @@
   // Counts another run of an admitted request, if the cap allows it.
   bool AdmitAgain(Decision& admitted, Instant now);
   void Refund(const Decision& admitted, Instant now);
+  // The figures behind a decision on the cap.
+  UsageCaps::Figures CapFiguresOf(const Decision& decision, Instant now) const {
+    return decision.workspace ? caps_.FiguresOf(decision.workspace->id, now)
+                              : UsageCaps::Figures();
+  }
 
   // Whether requests with keys can be served now.
   bool IsProven(Instant boot_now) const;
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -137,6 +137,13 @@
   run.attempt_summary = fmt::format(
       " refused:{} proof-age:{}ms",
       kAccessRefusalNames.Name(run.access.refusal), run.access.proof_age.ms());
+  if (run.access.refusal == AccessRefusal::kOverCap) {
+    const UsageCaps::Figures it = parts_.access.CapFiguresOf(run.access, now);
+    run.attempt_summary += fmt::format(
+        " allowed:{:.0f} used:{:.0f} share:{:.2f} unreported:{:.0f} "
+        "heard:{}/{}",
+        it.allowed, it.used, it.part, it.unreported, it.heard, it.others);
+  }
   switch (run.access.refusal) {
     case AccessRefusal::kUnknownKey:
       return TextResponse(401, "the API key is missing or unknown");
