routing: test that a look at the next target does not move the split

The explanation of a request uses RouteTable::PeekTarget. The test compares it with the decision that follows and with a table that nobody looked at.

--- a/tests/routing/route_table_test.cc
+++ b/tests/routing/route_table_test.cc
@@ -73,6 +73,23 @@
   CHECK(counts["b"] == 4);
 }
 
+TEST_CASE("a look at the next target equals it and does not move on") {
+  // Explanations that moved the split would take requests from a service.
+  Route route = MakeRoute("split", "/");
+  route.targets = {
+      {ServiceId("a"), 7}, {ServiceId("b"), 2}, {ServiceId("c"), 1}};
+  RouteTable table;
+  table.Apply(MakeConfig(1, {route}));
+  RouteTable unseen;
+  unseen.Apply(MakeConfig(1, {route}));
+  for (int i = 0; i < 40; ++i) {
+    const ServiceId peeked = table.PeekTarget(route);
+    CHECK(table.PeekTarget(route) == peeked);
+    CHECK(table.NextTarget(route) == peeked);
+    CHECK(unseen.NextTarget(route) == peeked);
+  }
+}
+
 TEST_CASE("a request in progress keeps the route of its version") {
   RouteTable table;
   Route old = MakeRoute("r", "/");
