--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -117,6 +117,8 @@
   // Ends an evacuation. The servers may have become cold since they wrote their
   // entries, so they are treated as cold for one heartbeat.
   void Restore(const ZoneId& zone, Instant now);
+  // Handles a full read of the evacuations: all other zones are restored.
+  void OnEvacuationsListed(const std::set<ZoneId>& zones, Instant now);
   bool IsEvacuated(const ZoneId& zone) const {
     return evacuated_.contains(zone);
   }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -25,6 +25,7 @@
 #include "src/entry/load_exchange.h"
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
+#include "src/entry/server_change_log.h"
 #include "src/entry/usage_sheets.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
@@ -53,12 +54,6 @@
 // it leaves unfinished: a host with a small share of a core needs some of it.
 constexpr Duration kExitMargin{300};
 
-UsageCaps::Options CapOptions(const EntrySettings& settings,
-                              Incarnation incarnation) {
-  return {settings.cap_window, settings.cap_over, settings.cap_slack,
-          HostKey(settings.host), incarnation};
-}
-
 }  // namespace
 
 // All members are used on the loop after Start(), except for the worker pool.
@@ -81,7 +76,6 @@
   FleetStoreListener MakeListener();
   LoadExchange::Hooks ExchangeHooks();
   void OnConfig(const RouteConfigPtr& config);
-  void OnEvacuations(const std::set<ZoneId>& zones);
   void OnServerChange(ServerChange change,
                       const ServerRegistry::Server& server);
   void OnStoreUnreachable(bool unreachable);
@@ -252,7 +246,7 @@
     placement_queue_.Wake();
   };
   listener.evacuations_listed = [this](const std::set<ZoneId>& zones) {
-    OnEvacuations(zones);
+    registry_.OnEvacuationsListed(zones, SteadyNow());
   };
   listener.server = [this](const ServerEntry& entry) {
     registry_.OnEntry(entry, SteadyNow());
@@ -323,26 +317,9 @@
   UpdateReady();
 }
 
-void EntryDaemon::Impl::OnEvacuations(const std::set<ZoneId>& zones) {
-  const std::set<ZoneId> before = registry_.evacuated();
-  for (const ZoneId& it : zones)
-    registry_.Evacuate(it);
-  for (const ZoneId& it : before) {
-    if (!zones.contains(it))
-      registry_.Restore(it, SteadyNow());
-  }
-}
-
 void EntryDaemon::Impl::OnServerChange(ServerChange change,
                                        const ServerRegistry::Server& server) {
-  const Instant now = SteadyNow();
-  LogChange("server",
-            {{"change", kServerChangeNames.Name(change)},
-             {"server", server.entry.id.str()},
-             {"service", server.entry.service.str()},
-             {"zone", server.entry.zone.str()},
-             {"cold_ms", std::max<int64_t>((server.cold_until - now).ms(), 0)},
-             {"seen_ms_ago", (now - server.seen_at).ms()}});
+  LogServerChange(change, server, SteadyNow());
   if (change == ServerChange::kRestarted || change == ServerChange::kGone) {
     placer_.ForgetServer(server.entry.id);
     connections_.CloseIdleTo(server.entry.endpoint);
--- a/src/entry/host_capacity.cc
+++ b/src/entry/host_capacity.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "include/placing/peer_loads.h"
+
 namespace toucanknot {
 namespace {
 
@@ -38,4 +40,10 @@
   return limits;
 }
 
+UsageCaps::Options CapOptions(const EntrySettings& settings,
+                              Incarnation incarnation) {
+  return {settings.cap_window, settings.cap_over, settings.cap_slack,
+          HostKey(settings.host), incarnation};
+}
+
 }  // namespace toucanknot
--- a/src/entry/host_capacity.h
+++ b/src/entry/host_capacity.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "include/entry/entry_settings.h"
+#include "include/limits/usage_caps.h"
 #include "src/http/http_server.h"
 
 namespace toucanknot {
@@ -16,6 +17,10 @@
 HttpServerLimits LimitsOf(const EntrySettings& settings, int connections);
 HttpServerLimits SmallLimits(int connections);
 
+// Options of the usage caps of this run of the host.
+UsageCaps::Options CapOptions(const EntrySettings& settings,
+                              Incarnation incarnation);
+
 }  // namespace toucanknot
 
 #endif  // SRC_ENTRY_HOST_CAPACITY_H_
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -166,6 +166,17 @@
   }
 }
 
+void ServerRegistry::OnEvacuationsListed(const std::set<ZoneId>& zones,
+                                         Instant now) {
+  const std::set<ZoneId> before = evacuated_;
+  for (const ZoneId& it : zones)
+    Evacuate(it);
+  for (const ZoneId& it : before) {
+    if (!zones.contains(it))
+      Restore(it, now);
+  }
+}
+
 void ServerRegistry::Advance(Instant now) {
   if (store_unreachable_)
     return;
