http: the time limit of a write does not apply to reads that follow

Cause: a read of a head or a body that began after the write of an earlier response took over the time limit of that write. Change: each read clears the limit first, as the reads of bodies did before.

--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -36,6 +36,8 @@
                buffer_.max_size() - buffer_.size());
   if (free_bytes == 0)
     co_return http::error::buffer_overflow;
+  // The limit of a write that ran meanwhile must not apply to this read.
+  stream_.expires_never();
   auto [ec, n] =
       co_await stream_.async_read_some(buffer_.prepare(free_bytes), kAwait);
   buffer_.commit(n);
