--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -134,6 +134,9 @@
       break;
     if (ec)
       co_return ec;
+    // The stream's timer does not fire while bytes are always ready.
+    if (SteadyNow() >= options_.deadline)
+      co_return beast::error::timeout;
   }
   co_return ErrorCode{};
 }
--- a/tests/crowd/hostile_heads_test.cc
+++ b/tests/crowd/hostile_heads_test.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <string>
 
 #include "tests/crowd/crowd.h"
@@ -23,12 +24,11 @@
 constexpr size_t kHeadBytes = 15'500;
 constexpr char kEnd[] = "\r\n";
 
-#if defined(__SANITIZE_ADDRESS__)
-// The sanitizer itself takes several times the memory of the process.
-constexpr bool kMemoryIsBounded = false;
-#else
-constexpr bool kMemoryIsBounded = true;
-#endif
+// A sanitizer takes several times the memory of the process itself, so that the
+// bound does not hold for a host that is built with one.
+bool IsMemoryBounded() {
+  return std::getenv("TOUCANKNOT_ENTRY_SANITIZED") == nullptr;
+}
 
 // Repeats `line` up to the size of a large legal head.
 std::string FillHead(std::string head, const std::string& line) {
@@ -54,7 +54,7 @@
   REQUIRE(host.Lives());
   const int64_t peak_kb = host.PeakMemoryKb();
   INFO("peak memory " << peak_kb << " KB");
-  if (kMemoryIsBounded)
+  if (IsMemoryBounded())
     CHECK(peak_kb <= CrowdHost::kMemoryMb * 1024);
   else
     CHECK(peak_kb > 0);
