--- a/include/workspaces/access_control.h
+++ b/include/workspaces/access_control.h
@@ -67,8 +67,6 @@
     // Where the request may run; empty means everywhere.
     std::vector<RegionId> allowed_regions;
     Duration retry_after;
-    // The figures behind the decision on the cap.
-    UsageCaps::Figures cap;
     // When its run was counted towards the cap.
     Instant counted_at;
     // The age of the proof; Max() if there is none.
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -7,13 +7,11 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 #include <boost/system/system_error.hpp>
 #include <memory>
 #include <utility>
 
 #include "include/placing/retry_after.h"
-#include "src/entry/decision_log.h"
 #include "src/entry/request_fields.h"
 #include "src/http/one_shot.h"
 
@@ -42,14 +40,6 @@
 // for sliding windows and the hosts count in steps.
 constexpr double kRetryShare = 0.85;
 
-// A request that began at `began_at`, and now, on the clock that counts
-// suspension. If the host was suspended since, it seems to have begun later,
-// which is the safe side.
-AccessControl::Times BootTimesOf(Instant began_at, Instant now) {
-  const Instant boot_now = BootNow();
-  return {boot_now - (now - began_at), boot_now};
-}
-
 }  // namespace
 
 RequestRunner::RequestRunner(const Parts& parts) : parts_(parts) {}
@@ -141,67 +131,6 @@
   }
 }
 
-std::optional<HttpResponse> RequestRunner::CheckAccess(Run& run) {
-  if (!parts_.access.keys_required()) {
-    run.access.allowed_regions = run.route.allowed_regions;
-    return std::nullopt;
-  }
-  const Instant now = SteadyNow();
-  run.access = parts_.access.Admit(run.route, KeyOf(run),
-                                   BootTimesOf(run.request.began_at, now), now);
-  if (run.access.refusal == AccessRefusal::kNone)
-    return std::nullopt;
-  run.attempt_summary = fmt::format(
-      " refused:{} proof-age:{}ms",
-      kAccessRefusalNames.Name(run.access.refusal), run.access.proof_age.ms());
-  if (run.access.refusal == AccessRefusal::kOverCap) {
-    const UsageCaps::Figures it = parts_.access.CapFiguresOf(run.access, now);
-    run.attempt_summary += fmt::format(
-        " allowed:{:.0f} used:{:.0f} share:{:.2f} unreported:{:.0f} "
-        "heard:{}/{}",
-        it.allowed, it.used, it.part, it.unreported, it.heard, it.others);
-  }
-  switch (run.access.refusal) {
-    case AccessRefusal::kUnknownKey:
-      return TextResponse(401, "the API key is missing or unknown");
-    case AccessRefusal::kOverCap:
-      run.attempt_summary += fmt::format(
-          " used:{:.0f}/{:.0f} part:{:.1f} unreported:{:.0f} heard:{}/{}",
-          run.access.cap.used, run.access.cap.allowed, run.access.cap.part,
-          run.access.cap.unreported, run.access.cap.heard,
-          run.access.cap.others);
-      return Refuse(run, 429, "the workspace has used up its cap",
-                    run.access.retry_after);
-    case AccessRefusal::kNoRegion:
-      return Refuse(run, 503, "no region may serve both route and workspace",
-                    run.access.retry_after);
-    default:
-      return Refuse(run, 503, "this host may not know the current API keys",
-                    run.access.retry_after);
-  }
-}
-
-bool RequestRunner::MayStillRun(const Run& run) const {
-  return !parts_.access.keys_required() ||
-         parts_.access.MayStillRun(
-             run.route, KeyOf(run), run.access,
-             BootTimesOf(run.request.began_at, SteadyNow()));
-}
-
-HttpResponse RequestRunner::RefuseRevoked(Run& run,
-                                          const Placement& placement) {
-  PlacedAttemptResult unused;
-  unused.request_id = placement.request_id;
-  unused.server = placement.server;
-  unused.end = ServerAttemptEnd::kCancelled;
-  parts_.placements.Finish(unused);
-  run.attempt_summary += " revoked";
-  if (run.may_have_run)
-    return Fail(run, ServerAttemptEnd::kBroken, "the API key was removed");
-  return Refuse(run, 503, "the API key may have been removed",
-                kUnconfiguredRetryAfter);
-}
-
 asio::awaitable<HttpResponse> RequestRunner::Serve(Run& run) {
   const Instant began = run.request.began_at;
   const HttpFields& fields = run.request.fields;
@@ -272,15 +201,6 @@
   }
 }
 
-void RequestRunner::ApplyAccess(const AccessControl::Decision& access,
-                                PlacementRequest& request) {
-  if (const WorkspacePtr& workspace = access.workspace) {
-    request.priority = workspace->priority;
-    request.workspace = WorkspaceKey(workspace->id);
-  }
-  request.allowed_regions = access.allowed_regions;
-}
-
 PlacementRequest RequestRunner::MakePlacementRequest(const Route& route,
                                                      const ServiceId& service,
                                                      std::string_view object,
@@ -383,113 +303,6 @@
   co_return attempt;
 }
 
-void RequestRunner::RecordCrash(const Run& run,
-                                const ServerId& server,
-                                Incarnation incarnation) {
-  const CrashTracker::Crash crash = parts_.crashes.OnBroken(
-      run.fingerprint, ServerRunKey(server, incarnation), SteadyNow());
-  LogChange("crash",
-            {{"id", run.id},
-             {"caller", run.request.remote_ip},
-             {"fingerprint", fmt::format("{:016x}", run.fingerprint)},
-             {"server", server.str()},
-             {"excused", crash.excused},
-             {"servers", parts_.crashes.CrashedServers(run.fingerprint)},
-             {"refused", parts_.crashes.IsCrasher(run.fingerprint, crash.at)}});
-}
-
-ServerAttemptEnd RequestRunner::Classify(const ExchangeResult& exchange) const {
-  switch (exchange.end) {
-    case AttemptEnd::kNotSent:
-      return ServerAttemptEnd::kNotConnected;
-    case AttemptEnd::kTimedOut:
-      return ServerAttemptEnd::kTimedOut;
-    case AttemptEnd::kCancelled:
-    case AttemptEnd::kBroken:
-      return ServerAttemptEnd::kBroken;
-    default:
-      break;
-  }
-  const HttpResponse& response = exchange.response;
-  if (response.status == 421)
-    return ServerAttemptEnd::kMisdirected;
-  if (response.fields.Has(parts_.names.not_run))
-    return ServerAttemptEnd::kRefused;
-  // Only backend servers of the platform stamp their responses. One that states
-  // with its status alone that it did not run the request may have run it, and
-  // the caller would repeat it.
-  if (!response.fields.Has(parts_.names.stamp) ||
-      PromisesNotRun(response.status)) {
-    return ServerAttemptEnd::kBroken;
-  }
-  return response.status >= 500 ? ServerAttemptEnd::kFailed
-                                : ServerAttemptEnd::kAnswered;
-}
-
-void RequestRunner::Report(Run& run,
-                           const Placement& placement,
-                           Incarnation incarnation,
-                           const Attempt& attempt,
-                           Duration took) {
-  PlacedAttemptResult result;
-  result.request_id = placement.request_id;
-  result.server = placement.server;
-  result.end = attempt.end;
-  result.took = took;
-  result.connect_took = attempt.connect_took;
-  const std::string_view load = attempt.response.fields.Get(parts_.names.load);
-  ParseLoad(load, result);
-  if (parts_.names.read_work_ratio)
-    result.work_ratio = parts_.names.read_work_ratio(load);
-  result.notice = NoticeOf(run, attempt);
-  if (result.notice && result.notice->leaving)
-    parts_.registry.OnLeavingResponse(placement.server, incarnation);
-  const std::optional<double> limit = parts_.placer.LimitOf(placement.server);
-  parts_.placements.Finish(result);
-  LogLimitChange(placement.server, limit);
-  parts_.metrics.CountAttempt(run.service, attempt.end, took);
-  RetriesOf(run.service)
-      .reserve.OnAttempt(attempt.end == ServerAttemptEnd::kRefused);
-  // A server may report a failure without having run the request.
-  if (attempt.end == ServerAttemptEnd::kAnswered)
-    parts_.crashes.OnCompleted(run.fingerprint, SteadyNow());
-  run.attempt_summary += fmt::format(
-      " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{} "
-      "entry-age:{}ms heard:{}/{}",
-      placement.server.str(), kServerAttemptEndNames.Name(attempt.end),
-      took.ms(), placement.busy, placement.expected_ms, placement.warm,
-      placement.queued, placement.entry_age.ms(), placement.fresh_peers,
-      placement.other_hosts);
-}
-
-void RequestRunner::LogLimitChange(const ServerId& server,
-                                   std::optional<double> before) const {
-  const std::optional<double> limit = parts_.placer.LimitOf(server);
-  if (limit == before)
-    return;
-  boost::json::value named;
-  if (limit)
-    named = *limit;
-  LogChange("server_limit", {{"server", server.str()}, {"limit", named}});
-}
-
-std::optional<ServerNotice> RequestRunner::NoticeOf(
-    const Run& run,
-    const Attempt& attempt) const {
-  const HttpFields& fields = attempt.response.fields;
-  // The response may belong to another request if its connection broke later.
-  const bool own_response =
-      fields.Get(parts_.names.request_id) == run.id &&
-      (fields.Has(parts_.names.stamp) || fields.Has(parts_.names.not_run));
-  if (!own_response || attempt.end == ServerAttemptEnd::kMisdirected ||
-      !parts_.names.read_notice) {
-    return std::nullopt;
-  }
-  return parts_.names.read_notice(
-      attempt.response.status,
-      [&fields](std::string_view name) { return fields.Get(name); });
-}
-
 void RequestRunner::Avoid(Run& run,
                           const ServerId& server,
                           ServerAttemptEnd end) {
@@ -526,59 +339,4 @@
   return retries.budget.TryTake(SteadyNow(), reserved);
 }
 
-HttpResponse RequestRunner::Refuse(const Run& run,
-                                   int status,
-                                   const std::string& why,
-                                   Duration retry_after) {
-  HttpResponse response = TextResponse(status, why);
-  if (!run.id.empty())
-    response.fields.Add(parts_.names.request_id, run.id);
-  if (retry_after > Duration(0)) {
-    // Adds up to half of it at random, so that callers do not retry at the same
-    // time.
-    std::uniform_int_distribution<int64_t> spread(0, retry_after.ms() / 2);
-    response.fields.Add(
-        "Retry-After",
-        fmt::format("{:.3f}",
-                    (retry_after + Duration(spread(random_))).seconds()));
-  }
-  return response;
-}
-
-HttpResponse RequestRunner::Fail(const Run& run,
-                                 ServerAttemptEnd end,
-                                 const std::string& why) {
-  HttpResponse response =
-      TextResponse(end == ServerAttemptEnd::kTimedOut ? 504 : 502,
-                   "the request may have run: " + why);
-  if (!run.id.empty())
-    response.fields.Add(parts_.names.request_id, run.id);
-  return response;
-}
-
-void RequestRunner::LogOutcome(const Run& run, const HttpResponse& response) {
-  const Duration took = SteadyNow() - run.request.began_at;
-  parts_.metrics.CountRequest(run.service, response.status, took);
-  const Duration since_store_response =
-      SteadyNow() - parts_.store.counts().last_response_at;
-  LogRequest(
-      response.status < 300,
-      {{"id", run.id},
-       {"target", run.request.target},
-       {"caller", run.request.remote_ip},
-       {"route", run.route.name},
-       {"service", run.service.str()},
-       {"config", parts_.routes.version()},
-       {"store_heard_ms_ago", since_store_response.ms()},
-       {"status", response.status},
-       {"took_ms", took.ms()},
-       {"sent", run.sent},
-       {"may_have_run", run.may_have_run},
-       {"caller_left", run.caller_left},
-       {"workspace", run.access.workspace
-                         ? boost::json::value(run.access.workspace->id.str())
-                         : boost::json::value()},
-       {"story", run.attempt_summary}});
-}
-
 }  // namespace toucanknot
--- a/src/workspaces/access_control.cc
+++ b/src/workspaces/access_control.cc
@@ -87,7 +87,6 @@
     return out;
   const UsageCaps::Admission admission = caps_.Admit(out.workspace->id, now);
   if (!admission.admitted) {
-    out.cap = caps_.FiguresOf(out.workspace->id, now);
     out.refusal = AccessRefusal::kOverCap;
     out.retry_after = admission.retry_after;
   }
