--- a/bench/workspaces/workspaces_micro.cc
+++ b/bench/workspaces/workspaces_micro.cc
@@ -42,6 +42,7 @@
   KeyDirectory keys;
   keys.OnConfig(Config());
   std::vector<std::string> asked;
+  asked.reserve(kWorkspaces);
   for (int i = 0; i < kWorkspaces; ++i)
     asked.push_back(KeyOf(i * 7'919 % kWorkspaces));
   size_t i = 0;
--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -7,6 +7,9 @@
 namespace toucanknot {
 namespace {
 
+constexpr int64_t kMsPerSecond = 1'000;
+constexpr int64_t kNsPerMs = 1'000'000;
+
 template <typename Point>
 int64_t MillisOf(Point t) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -23,8 +26,6 @@
 Instant BootNow() {
   timespec now{};
   ::clock_gettime(CLOCK_BOOTTIME, &now);
-  constexpr int64_t kMsPerSecond = 1'000;
-  constexpr int64_t kNsPerMs = 1'000'000;
   return Instant(now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs);
 }
 
--- a/src/limits/usage_caps.cc
+++ b/src/limits/usage_caps.cc
@@ -18,8 +18,6 @@
 // A host may admit a single request while the rest is this many times the
 // number of requests that all hosts expect before the next reports.
 constexpr double kSingleMargin = 2;
-// Time between single requests beyond the part.
-constexpr Duration kSingleGap{200};
 // Standard deviations of the arrivals at a host that its part covers.
 constexpr double kDeviations = 2.5;
 // Requests beyond the expected ones that a part covers at least.
@@ -83,12 +81,10 @@
   double own = 0;
   double own_offered = 0;
   bool left_out = false;
-  int last_gap = 0;
   if (const auto it = usage_.find(cap.key); it != usage_.end()) {
     own = it->second.admitted.Count(now);
     own_offered = it->second.reported_offered;
     left_out = it->second.left_out;
-    last_gap = it->second.admitted.CountWithin(kSingleGap, now);
     out.unreported = it->second.admitted.CountWithin(kReportDelay, now);
   }
   const double even_part = out.allowed / hosts;
--- a/tests/placing/server_limit_test.cc
+++ b/tests/placing/server_limit_test.cc
@@ -393,6 +393,8 @@
   placer.Finish(earlier, begin + Duration(10));
   registry.OnRemoved(entry.id, begin + Duration(20));
   placer.ForgetServer(entry.id);
+  // An entry that comes back is a later heartbeat.
+  ++entry.sequence;
   registry.OnEntry(entry, begin + Duration(30));
   for (int64_t ms = 50; ms < 5'000; ms += 50) {
     const Placement out = offer(begin + Duration(ms));
