placing: paces of servers are a setting, off by default

Change: pace_servers switches ServerPace on; without it a server that joined is tried once by each near host, as before.

--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -58,6 +58,9 @@
   Duration cap_window{5'000};
   double cap_over = 0.1;
   double cap_slack = 20;
+  // Whether servers that started or failed recently are limited until they
+  // answer as their peers do.
+  bool pace_servers = false;
   // File descriptors that the process may use; 0 means the limit of the
   // process.
   int64_t max_descriptors = 0;
--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -146,6 +146,9 @@
 class Placer {
  public:
   struct Options {
+    static constexpr double kZoneRtt = 2;
+    static constexpr double kRegionRtt = 40;
+
     HostId host;
     ZoneId zone;
     RegionId region;
@@ -154,8 +157,10 @@
     double capacity = 1;
     // Round-trip time to servers of other zones in the region and of other
     // regions, in ms, until it is known from connections.
-    double zone_rtt = 2;
-    double region_rtt = 40;
+    double zone_rtt = kZoneRtt;
+    double region_rtt = kRegionRtt;
+    // Whether ServerPace limits servers that started or failed recently.
+    bool pace_servers = true;
   };
 
   // `now` is the start time of the host.
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -100,6 +100,7 @@
   out.cap_window = Time(in, "cap_window", out.cap_window);
   out.cap_over = in.Number("cap_over", 0, 1, out.cap_over);
   out.cap_slack = in.Number("cap_slack", 0, kMaxRetries, out.cap_slack);
+  out.pace_servers = in.Flag("pace_servers", out.pace_servers);
   out.max_descriptors =
       in.Integer("max_descriptors", 0, kMaxDescriptors, out.max_descriptors);
   in.Finish();
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -35,6 +35,9 @@
 // beyond the first of its order, and of a full server.
 constexpr double kExtraServerCost = 0.8;
 constexpr double kFullServerCost = 0.5;
+// Without paces, a server that joined within this time is tried once by each
+// host of its region, even if other servers have the objects cached.
+constexpr Duration kRecentlyJoined{12'000};
 // Costs in the same interval of this length, in ms, count as equal.
 constexpr double kSameCostMs = 8;
 
@@ -165,6 +168,8 @@
 bool Placer::IsPaced(const Service& service,
                      const ServiceView::Server& server,
                      Instant now) const {
+  if (!options_.pace_servers)
+    return false;
   const ServerLoad& load = *server.load;
   const ServerPace& pace = load.pace();
   const double busy = Busy(load, now);
@@ -181,8 +186,13 @@
 }
 
 bool Placer::NeedsTrial(const ServiceView::Server& server, Instant now) const {
-  return server.nearness != ServiceView::Nearness::kElsewhere &&
-         server.load->pace().active() && now >= server.entry->cold_until &&
+  const Instant appeared_at = server.entry->appeared_at;
+  const bool is_new = options_.pace_servers
+                          ? server.load->pace().active()
+                          : now - appeared_at < kRecentlyJoined &&
+                                appeared_at - started_at_ > kRecentlyJoined;
+  return is_new && server.nearness != ServiceView::Nearness::kElsewhere &&
+         now >= server.entry->cold_until &&
          server.load->last_sent() == Instant();
 }
 
