--- a/src/forward/response_head.cc
+++ b/src/forward/response_head.cc
@@ -9,6 +9,11 @@
 constexpr std::string_view kSingleFields[] = {
     "Content-Length", "Content-Type", "Transfer-Encoding", "Retry-After"};
 
+// What a status line has after its protocol's name, and the length of that up
+// to the status.
+constexpr std::string_view kVersion = "/1.";
+constexpr size_t kStatusLineBytes = 8;
+
 bool IsDigit(char c) {
   return std::isdigit(static_cast<unsigned char>(c)) != 0;
 }
@@ -16,8 +21,6 @@
 // Whether `text` contains a status line, except for the first letters of its
 // protocol name, which the message before it may have taken.
 bool ContainsStatusLine(std::string_view text) {
-  constexpr std::string_view kVersion = "/1.";
-  constexpr size_t kStatusLineBytes = 8;
   for (size_t at = text.find(kVersion); at != std::string_view::npos;
        at = text.find(kVersion, at + 1)) {
     const std::string_view line = text.substr(at, kStatusLineBytes);
