entry: an attempt's log names what its connection carried before

A broken promise ("not run", and it ran) can come from an earlier response on a kept connection, from a send that failed, or from the server itself; the log line of the request did not tell them apart.

--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -160,7 +160,7 @@
   ExchangeResult result =
       co_await CurrentPool().Exchange(endpoint, request, options);
   const bool closed_while_idle = result.end == AttemptEnd::kBroken &&
-                                 result.reused && !result.response_started;
+                                 result.reused() && !result.response_started;
   if (!closed_while_idle)
     co_return result;
   options.new_connection = true;
@@ -305,6 +305,7 @@
     sum.surplus_bytes += counts.surplus_bytes;
     sum.endless += counts.endless;
     sum.mixed_heads += counts.mixed_heads;
+    sum.other_responses += counts.other_responses;
     sum.buffered_bytes += counts.buffered_bytes;
     sum.idle += counts.idle;
   }
--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -83,12 +83,21 @@
   if (attempt.end == ServerAttemptEnd::kAnswered)
     parts_.crashes.OnCompleted(run.fingerprint, SteadyNow());
   run.attempt_summary += fmt::format(
-      " {}:{}:{}ms busy:{:.1f} expected:{:.0f}ms warm:{} queued:{} "
+      " {}:{}:{}ms {} busy:{:.1f} expected:{:.0f}ms warm:{} queued:{} "
       "entry-age:{}ms heard:{}/{}",
       placement.server.str(), kServerAttemptEndNames.Name(attempt.end),
-      took.ms(), placement.busy, placement.expected_ms, placement.warm,
-      placement.queued, placement.entry_age.ms(), placement.fresh_peers,
-      placement.other_hosts);
+      took.ms(), ConnectionSummary(attempt), placement.busy,
+      placement.expected_ms, placement.warm, placement.queued,
+      placement.entry_age.ms(), placement.fresh_peers, placement.other_hosts);
+}
+
+std::string RequestRunner::ConnectionSummary(const Attempt& attempt) {
+  std::string out = attempt.earlier_requests
+                        ? fmt::format("conn:{}", *attempt.earlier_requests)
+                        : "conn:none";
+  if (attempt.other_responses > 0)
+    out += fmt::format(" others:{}", attempt.other_responses);
+  return out;
 }
 
 void RequestRunner::LogLimitChange(const ServerId& server,
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -299,6 +299,8 @@
     RecordCrash(run, placement.server, incarnation);
   }
   attempt.connect_took = exchange.connect_took;
+  attempt.earlier_requests = exchange.earlier_requests;
+  attempt.other_responses = exchange.other_responses;
   Report(run, placement, incarnation, attempt, SteadyNow() - start);
   co_return attempt;
 }
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -102,6 +102,9 @@
     HttpResponse response;
     // As in PlacedAttemptResult.
     Duration connect_took;
+    // As in ExchangeResult.
+    std::optional<int> earlier_requests;
+    int other_responses = 0;
     std::string error;
   };
 
@@ -143,6 +146,8 @@
               Incarnation incarnation,
               const Attempt& attempt,
               Duration took);
+  // What tells in the log whether a response can belong to an earlier request.
+  static std::string ConnectionSummary(const Attempt& attempt);
   // Logs the limit that the server names if it is not `before`.
   void LogLimitChange(const ServerId& server,
                       std::optional<double> before) const;
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -112,6 +112,7 @@
             counts_.surplus_bytes + counts_.surplus_idle,
             counts_.endless,
             counts_.mixed_heads,
+            counts_.other_responses,
             memory->reserved(MemoryUse::kResponse),
             counts_.idle};
   }
@@ -138,6 +139,7 @@
     std::atomic<uint64_t> surplus_idle{0};
     std::atomic<uint64_t> endless{0};
     std::atomic<uint64_t> mixed_heads{0};
+    std::atomic<uint64_t> other_responses{0};
     std::atomic<uint64_t> idle{0};
   };
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
@@ -264,6 +266,7 @@
   *ended = true;
   if (reader.mixed_head())
     ++counts_.mixed_heads;
+  counts_.other_responses += static_cast<uint64_t>(result.other_responses);
   if (ec) {
     if (ResponseReader::IsEndless(ec))
       ++counts_.endless;
@@ -308,7 +311,7 @@
     if (connection->carried.size() > kMaxCarried)
       connection->carried.pop_front();
   }
-  result.reused = connection->used;
+  result.earlier_requests = connection->requests++;
   const Instant start = SteadyNow();
   // Closes the connection also when the exchange is cancelled: a pending write
   // would keep it open.
@@ -320,7 +323,6 @@
   result.took = now - start;
   if (reusable) {
     closer.Release();
-    connection->used = true;
     connection->last_used = now;
     connection->idle_until = now + ReuseTime(result.response);
     connection->stream.expires_never();
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,13 +64,19 @@
   Duration took;
   // How long the connection took to open; zero if it was open already.
   Duration connect_took;
-  // Whether the connection had been used before. The other side may have closed
-  // such a connection while it was idle.
-  bool reused = false;
+  // Number of requests that the connection had carried before; nothing if there
+  // was no connection.
+  std::optional<int> earlier_requests;
+  // Complete responses that were dropped because they belong to other requests.
+  int other_responses = 0;
   // Whether any byte of a response arrived.
   bool response_started = false;
   // Human-readable description of the error.
   std::string error;
+
+  // Whether the connection had been used before. The other side may have closed
+  // such a connection while it was idle.
+  bool reused() const { return earlier_requests.value_or(0) > 0; }
 };
 
 // Counts since the start.
@@ -83,6 +90,8 @@
   uint64_t endless = 0;
   // Responses whose head was not that of one message.
   uint64_t mixed_heads = 0;
+  // Complete responses that belonged to other requests than the one sent.
+  uint64_t other_responses = 0;
   // Memory reserved for responses.
   int64_t buffered_bytes = 0;
   uint64_t idle = 0;
--- a/src/forward/pooled_connection.h
+++ b/src/forward/pooled_connection.h
@@ -57,7 +57,8 @@
   Instant last_used;
   // The peer may close the connection when it has been idle until then.
   Instant idle_until = Instant::Never();
-  bool used = false;
+  // Number of requests that it has carried, the one in progress included.
+  int requests = 0;
   // The TCP_USER_TIMEOUT in force; see SetUserTimeout().
   Duration user_timeout;
   // The `id_hash` of the last requests.
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -81,6 +81,7 @@
     result.response.memory = reserved;
     if (!options_.is_own_response || options_.is_own_response(result.response))
       co_return ErrorCode{};
+    ++result.other_responses;
     reusable_ = false;
     if (last)
       co_return http::error::end_of_stream;
--- a/tests/forward/connection_pool_test.cc
+++ b/tests/forward/connection_pool_test.cc
@@ -71,8 +71,8 @@
   const ExchangeResult first = client.Run(server.endpoint());
   CHECK(first.end == AttemptEnd::kAnswered);
   CHECK(first.response.body == "ok");
-  CHECK_FALSE(first.reused);
-  CHECK(client.Run(server.endpoint()).reused);
+  CHECK_FALSE(first.reused());
+  CHECK(client.Run(server.endpoint()).reused());
   CHECK(client.pool.counts().opened == 1);
   CHECK(client.pool.counts().reused == 1);
 }
@@ -85,7 +85,7 @@
   options.new_connection = true;
   const ExchangeResult second = client.Run(server.endpoint(), options);
   CHECK(second.end == AttemptEnd::kAnswered);
-  CHECK_FALSE(second.reused);
+  CHECK_FALSE(second.reused());
   CHECK(client.pool.counts().opened == 2);
 }
 
@@ -96,7 +96,7 @@
   CHECK(client.Run(server.endpoint()).response.body == "ok");
   const ExchangeResult second = client.Run(server.endpoint());
   CHECK(second.response.body == "ok");
-  CHECK_FALSE(second.reused);
+  CHECK_FALSE(second.reused());
   CHECK(client.pool.counts().surplus_bytes > 0);
 }
 
@@ -116,7 +116,7 @@
   CHECK(result.get().end == AttemptEnd::kAnswered);
   const ExchangeResult next = client.Run(server.endpoint());
   CHECK(next.end == AttemptEnd::kAnswered);
-  CHECK_FALSE(next.reused);
+  CHECK_FALSE(next.reused());
 }
 
 TEST_CASE("a truncated response is broken") {
--- a/tests/forward/response_end_test.cc
+++ b/tests/forward/response_end_test.cc
@@ -127,7 +127,7 @@
   const ExchangeResult result = Run(loop, pool, server.endpoint(), 0, "2");
   CHECK(result.end == AttemptEnd::kAnswered);
   CHECK(result.response.status == 500);
-  CHECK_FALSE(result.reused);
+  CHECK_FALSE(result.reused());
 }
 
 }  // namespace toucanknot
