daemon: a connection is not used after a refusal

What callers saw: toucanknotd answered "not-run" for run-once requests that their backend server ran; they sent them again under a fresh ticket.

Cause: a response is matched to a request by its place on the connection only. A server that writes its earlier refusal once more, with the response to the next request, made the host take it for the refusal of that request.

A connection is now closed after a response that guarantees "not run", so that such a copy has no connection on which a request could follow.

--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -183,6 +183,10 @@
     co_return result;
   }
   ExchangeOptions options = OptionsFor(service_request);
+  options.may_reuse_after =
+      [entry = service_request.entry](const HttpResponse& response) {
+        return !entry->GuaranteesNotRun(response.status);
+      };
   if (hand_over) {
     options.before_first_byte = [&hand_over] {
       return hand_over().has_value();
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -280,8 +280,10 @@
     co_return;
   }
   counts_.surplus_bytes += connection->buffer.size();
-  reusable = reader.reusable() && connection->buffer.size() == 0 &&
-             sending->done() && !sending->failed();
+  reusable =
+      reader.reusable() && connection->buffer.size() == 0 && sending->done() &&
+      !sending->failed() &&
+      (!options.may_reuse_after || options.may_reuse_after(result.response));
   result.end = AttemptEnd::kAnswered;
 }
 
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -48,6 +48,10 @@
   // connection are dropped, and the connection is then closed after use. If
   // null, the first response belongs to it.
   std::function<bool(const HttpResponse&)> is_own_response;
+  // Whether the connection may carry another request after this response. For
+  // peers whose responses name no request: a response that such a peer writes
+  // once more is taken for that to the next request. If null, it may.
+  std::function<bool(const HttpResponse&)> may_reuse_after;
   // Fields that must not occur twice in a response, beyond those of HTTP; see
   // FindHeadProblem().
   std::vector<std::string> single_fields;
--- a/tests/daemon/stale_refusal_test.cc
+++ b/tests/daemon/stale_refusal_test.cc
@@ -86,8 +86,8 @@
 
 }  // namespace
 
-TEST_CASE("toucanknotd takes no repeated refusal for that of the next request",
-          "[.known-red]") {
+TEST_CASE(
+    "toucanknotd takes no repeated refusal for that of the next request") {
   FleetFixture it;
   RepeatingBackend backend;
   it.StartAll();
