entry: no path refuses a request that may have run

503 promises that a request did not run. Each path that gave it decided by itself whether the promise holds; one did not: an idempotent request that had been sent once and waited for its second attempt was answered 503 when its caller ended its half of the connection.

Refuse() now gives 502 instead if the request may have run, whatever its caller asks for.

--- a/src/entry/request_access.cc
+++ b/src/entry/request_access.cc
@@ -70,8 +70,6 @@
   unused.end = ServerAttemptEnd::kCancelled;
   parts_.placements.Finish(unused);
   run.attempt_summary += " revoked";
-  if (run.may_have_run)
-    return Fail(run, ServerAttemptEnd::kBroken, "the API key was removed");
   return Refuse(run, 503, "the API key may have been removed",
                 kUnconfiguredRetryAfter);
 }
--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -132,6 +132,8 @@
                                    int status,
                                    const std::string& why,
                                    Duration retry_after) {
+  if (run.may_have_run)
+    return Fail(run, ServerAttemptEnd::kBroken, why);
   HttpResponse response = TextResponse(status, why);
   if (!run.id.empty())
     response.fields.Add(parts_.names.request_id, run.id);
