http: a request begins when its bytes arrive, not when they are read

What callers and servers saw: a host that was held up (not scheduled beside load, or busy) handed requests to servers with more time than their callers had left, by as much as it was late; so did a request that was read together with two earlier ones of its connection.

Cause: a request's time was counted from the read of its first byte. The kernel knows when the bytes came (TCP_INFO, tcpi_last_data_recv): that is used now, and is kept for bytes that are left in the buffer.

--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -76,7 +76,7 @@
   std::string remote_ip;
   // When the connection was accepted.
   Instant connected_at;
-  // When the first byte of the request was read.
+  // When the first byte of the request had arrived at the host.
   Instant began_at;
   // Null for a request that did not arrive over a connection.
   std::shared_ptr<CallerWatch> caller;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -198,7 +198,8 @@
 }
 
 asio::awaitable<bool> ServerConnection::AwaitFirstByte() {
-  began_at_ = SteadyNow();
+  // Bytes that are left were read with those of an earlier request.
+  began_at_ = buffer_.size() > 0 ? arrived_at_ : SteadyNow();
   reading_head_ = true;
   UpdateHeld();
   // Idle connections keep only a small buffer.
@@ -214,7 +215,7 @@
   StartReadLimit(ReadPhase::kIdle);
   const ErrorCode ec = co_await Receive();
   awaiting_ = false;
-  began_at_ = SteadyNow();
+  began_at_ = arrived_at_;
   UpdateHeld();
   if (ec)
     OnClientLeft();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -114,6 +114,8 @@
                                            ErrorCode& ec);
   // Reads into the buffer what has arrived, at least one byte.
   boost::asio::awaitable<ErrorCode> Receive();
+  // Sets `arrived_at_` after a read.
+  void NoteArrival();
   std::string_view Buffered() const;
   // The number of bytes to reserve for the body; negative when it exceeds the
   // limit.
@@ -192,7 +194,9 @@
   std::atomic<int64_t> held_since_ms_{0};
   // When the response was last written to.
   std::atomic<int64_t> progress_at_ms_{0};
-  // When the first byte of the current request was read.
+  // When the last bytes that were read had arrived.
+  Instant arrived_at_;
+  // When the first byte of the current request had arrived.
   Instant began_at_;
   ReadPhase phase_ = ReadPhase::kIdle;
   Instant read_by_ = Instant::Never();
--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <utility>
 
+#include "src/http/arrival_time.h"
 #include "src/http/head_scanner.h"
 
 namespace toucanknot {
@@ -41,9 +42,14 @@
   auto [ec, n] =
       co_await stream_.async_read_some(buffer_.prepare(free_bytes), kAwait);
   buffer_.commit(n);
+  NoteArrival();
   co_return ec;
 }
 
+void ServerConnection::NoteArrival() {
+  arrived_at_ = ArrivalTime(stream_.socket().native_handle(), SteadyNow());
+}
+
 asio::awaitable<ServerConnection::Reading>
 ServerConnection::ReadHead(Parser& parser, Exchange& exchange, ErrorCode& ec) {
   HeadScanner scanner;
@@ -246,10 +252,12 @@
         const auto to = self->buffer_.prepare(max_bytes);
         const ssize_t received = ::recv(self->stream_.socket().native_handle(),
                                         to.data(), to.size(), MSG_DONTWAIT);
-        if (received > 0)
+        if (received > 0) {
           self->buffer_.commit(static_cast<size_t>(received));
-        else if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+          self->NoteArrival();
+        } else if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
           self->OnClientLeft();
+        }
         // Wakes AwaitTurn(), which calls ReadAhead() again.
         self->wake_up_.Notify();
       });
