daemon: nor after a refused health probe

Health probes share the connections of requests, and a server that rejects a probe and writes that refusal once more with its next response makes the host take it for the refusal of the run-once request that follows.

--- a/src/daemon/prober.cc
+++ b/src/daemon/prober.cc
@@ -113,7 +113,7 @@
   options.deadline = SteadyNow() + kProbeTimeout;
   options.max_answer_bytes = kMaxReportBytes;
   const ExchangeResult result =
-      co_await sender_.Exchange(endpoint, std::move(request), options);
+      co_await sender_.Probe(entry, endpoint, std::move(request), options);
   ServerProbe probe;
   probe.server = server;
   const bool responded = result.end == AttemptEnd::kAnswered;
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -48,6 +48,15 @@
     result.end = AttemptEnd::kBroken;
 }
 
+// Whether a connection may carry another request after a response of a backend
+// server of `entry`. Not after a refusal, probes included: the server may write
+// it once more, and the copy would be taken for that of the next request.
+std::function<bool(const HttpResponse&)> UnlessRefused(ServiceEntryPtr entry) {
+  return [entry = std::move(entry)](const HttpResponse& response) {
+    return !entry->GuaranteesNotRun(response.status);
+  };
+}
+
 }  // namespace
 
 // Counts and limits the connections to each endpoint over all workers.
@@ -183,10 +192,7 @@
     co_return result;
   }
   ExchangeOptions options = OptionsFor(service_request);
-  options.may_reuse_after =
-      [entry = service_request.entry](const HttpResponse& response) {
-        return !entry->GuaranteesNotRun(response.status);
-      };
+  options.may_reuse_after = UnlessRefused(service_request.entry);
   if (hand_over) {
     options.before_first_byte = [&hand_over] {
       return hand_over().has_value();
@@ -282,10 +288,11 @@
   service_request.entry->dispatcher->Finish(attempt);
 }
 
-boost::asio::awaitable<ExchangeResult> Sender::Exchange(
-    Endpoint endpoint,
-    HttpRequest request,
-    ExchangeOptions options) {
+boost::asio::awaitable<ExchangeResult> Sender::Probe(ServiceEntryPtr entry,
+                                                     Endpoint endpoint,
+                                                     HttpRequest request,
+                                                     ExchangeOptions options) {
+  options.may_reuse_after = UnlessRefused(std::move(entry));
   return CurrentPool().Exchange(std::move(endpoint), std::move(request),
                                 std::move(options));
 }
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -68,10 +68,12 @@
       HostId owner,
       Instant until);
 
-  // Sends a request without retries or reporting, for probes.
-  boost::asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
-                                                  HttpRequest request,
-                                                  ExchangeOptions options);
+  // Sends a health probe to a backend server of `entry`, without retries or
+  // reporting.
+  boost::asio::awaitable<ExchangeResult> Probe(ServiceEntryPtr entry,
+                                               Endpoint endpoint,
+                                               HttpRequest request,
+                                               ExchangeOptions options);
 
   // The number of open connections to `endpoint`, over all workers.
   int OpenConnections(const Endpoint& endpoint) const;
