soak: servers that refuse in many ways, profiles, and evidence by request

Half of the servers at once now shed requests, write late copies of their responses, whole or broken off, or answer 408, 429 and 503 to what they ran; a profile applies one of these to all servers. New invariant: requests on more servers than their route's attempts.

The tests of the checker name the server and the time in each call, as the checker now needs them; what they check is unchanged.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -93,6 +93,8 @@
     co_await SendCrashingRequests(fault);
   } else if (fault.kind == FaultKind::kWriteOddEntries) {
     co_await WriteOddEntries(fault);
+  } else if (fault.kind >= FaultKind::kShedRequests) {
+    co_await refusals_.Inject(fault);
   } else if (fault.kind == FaultKind::kChangeConfig) {
     fleet_.ChangeConfig();
   } else {
@@ -221,9 +223,9 @@
   const ScopedFault span(fleet_.fault_history(),
                          {it.entry().id.str(), FaultHistory::kUnplanned});
   if (fault.kind == FaultKind::kRepeatRefusals) {
-    it.link().SetRepeatingRefusals(true);
+    it.link().SetLateCopies({1, true, false});
     co_await SleepFor(fault.length * kNoticeLengthFactor);
-    it.link().SetRepeatingRefusals(false);
+    it.link().SetLateCopies({});
   } else if (fault.kind == FaultKind::kSlowServer) {
     it.SetSlowdown(kSlowdownFactor);
     co_await SleepFor(fault.length);
@@ -240,9 +242,11 @@
     it.Restart(it.entry().id);
     fleet_.WriteServerEntry(server);
   } else {
+    it.MarkLost();
     co_await InjectLinkFault(it.link(),
                              LinkFaultOf(fault.kind, FaultKind::kDelayServer),
                              fault.length);
+    it.MarkLost();
   }
   server.fault_in_progress = false;
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "soak/fault_plan.h"
+#include "soak/refusal_faults.h"
 #include "soak/soak_fleet.h"
 
 namespace toucanknot::soak {
@@ -11,7 +12,7 @@
 // Injects the faults of a plan into a fleet. Used on the fleet's loop only.
 class FaultInjector {
  public:
-  explicit FaultInjector(SoakFleet& fleet) : fleet_(fleet) {}
+  explicit FaultInjector(SoakFleet& fleet) : fleet_(fleet), refusals_(fleet) {}
 
   // Begins a fault, waits for its length, and ends it. Skips a fault of a host
   // process or server that is already affected by another one, and an
@@ -40,6 +41,7 @@
                                             Duration length);
 
   SoakFleet& fleet_;
+  RefusalFaults refusals_;
 };
 
 }  // namespace toucanknot::soak
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -21,9 +21,12 @@
 // Mean time between planned changes, which are independent of the episodes.
 constexpr int64_t kMeanPlannedGapMs = 5'000;
 // The kinds that episodes consist of, and the mean time between faults of the
-// others.
+// others, which were added in two steps.
 constexpr int64_t kEpisodeKinds = static_cast<int64_t>(FaultKind::kLimitServer);
+constexpr int64_t kRefusalKinds =
+    static_cast<int64_t>(FaultKind::kShedRequests);
 constexpr int64_t kMeanLateKindGapMs = 6'000;
+constexpr int64_t kMeanRefusalGapMs = 10'000;
 constexpr FaultKind kPlannedKinds[] = {
     FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
     FaultKind::kEvacuateZone, FaultKind::kReloadHost};
@@ -52,10 +55,14 @@
        at += draw(1, 2 * kMeanPlannedGapMs)) {
     add(at, kPlannedKinds[draw(0, std::size(kPlannedKinds) - 1)]);
   }
-  // Drawn after all others, so that earlier seeds keep those.
+  // Each step is drawn after all before, so that earlier seeds keep those.
   for (int64_t at = draw(0, kMeanLateKindGapMs); at < end;
        at += draw(1, 2 * kMeanLateKindGapMs)) {
-    add(at, static_cast<FaultKind>(draw(kEpisodeKinds, kFaultKindCount - 1)));
+    add(at, static_cast<FaultKind>(draw(kEpisodeKinds, kRefusalKinds - 1)));
+  }
+  for (int64_t at = draw(0, kMeanRefusalGapMs); at < end;
+       at += draw(1, 2 * kMeanRefusalGapMs)) {
+    add(at, static_cast<FaultKind>(draw(kRefusalKinds, kFaultKindCount - 1)));
   }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -63,9 +63,16 @@
   kSendCrashingRequest,
   // Another writer: odd entries in the store, among those of servers and hosts.
   kWriteOddEntries,
+  // Half of the servers: reject a part of their requests; besides, write a late
+  // copy of responses, whole or broken off; respond with 408, 429 or 503 to a
+  // part of what they have run.
+  kShedRequests,
+  kLateCopies,
+  kBrokenCopies,
+  kRunThenRefuse,
 };
 
-inline constexpr size_t kFaultKindCount = 34;
+inline constexpr size_t kFaultKindCount = 38;
 inline constexpr EnumNames<FaultKind, kFaultKindCount> kFaultKindNames{
     {"kill-host",           "pause-host",          "stop-host",
      "reload-host",         "delay-callers",       "reset-callers",
@@ -78,7 +85,8 @@
      "slow-server",         "fail-server",         "replace-server",
      "change-config",       "evacuate-zone",       "limit-server",
      "pause-server",        "repeat-refusals",     "send-crashing-request",
-     "write-odd-entries"}};
+     "write-odd-entries",   "shed-requests",       "late-copies",
+     "broken-copies",       "run-then-refuse"}};
 
 struct Fault {
   // Begin of the fault, from the start of the plan.
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -29,8 +29,11 @@
 
 }  // namespace
 
-FaultProxy::FaultProxy(asio::io_context& loop, Endpoint target)
-    : loop_(loop), target_(std::move(target)), endpoint_{"127.0.0.1", 0} {
+FaultProxy::FaultProxy(asio::io_context& loop, Endpoint target, uint64_t seed)
+    : loop_(loop),
+      target_(std::move(target)),
+      endpoint_{"127.0.0.1", 0},
+      random_(seed) {
   Open();
 }
 
@@ -116,6 +119,33 @@
   }
 }
 
+void FaultProxy::KeepResponse(Session& session, std::string_view bytes) {
+  std::string& kept = session.last_response;
+  if (!bytes.starts_with("HTTP/1.1 ")) {
+    if (!kept.empty())
+      kept += bytes;
+    return;
+  }
+  const bool eligible =
+      late_copies_.rate > 0 &&
+      (!late_copies_.refusals_only || bytes.starts_with("HTTP/1.1 503"));
+  kept = eligible ? bytes : "";
+}
+
+asio::awaitable<void> FaultProxy::WriteLateCopy(SessionPtr session) {
+  std::string copy = std::exchange(session->last_response, {});
+  if (copy.empty() ||
+      std::uniform_real_distribution<double>()(random_) >= late_copies_.rate) {
+    co_return;
+  }
+  if (late_copies_.broken_off) {
+    copy.resize(
+        std::uniform_int_distribution<size_t>(1, copy.size() - 1)(random_));
+  }
+  // An error shows when the next response is relayed.
+  co_await asio::async_write(session->client, asio::buffer(copy), kAwait);
+}
+
 asio::awaitable<void> FaultProxy::Relay(SessionPtr session, bool to_target) {
   Socket& from = to_target ? session->client : session->target;
   Socket& to = to_target ? session->target : session->client;
@@ -131,14 +161,10 @@
       Reset(*session);
       co_return;
     }
-    if (to_target && repeating_refusals_ && !session->refusal.empty()) {
-      // An error shows when the next response is relayed.
-      co_await asio::async_write(from, asio::buffer(session->refusal), kAwait);
-      session->refusal.clear();
-    }
-    const std::string_view bytes(buf.data(), n);
-    if (!to_target)
-      session->refusal = bytes.starts_with("HTTP/1.1 503") ? bytes : "";
+    if (to_target)
+      co_await WriteLateCopy(session);
+    else
+      KeepResponse(*session, {buf.data(), n});
     auto [write_ec, written] =
         co_await asio::async_write(to, asio::buffer(buf.data(), n), kAwait);
     if (write_ec) {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -5,8 +5,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
@@ -23,12 +25,24 @@
   bool from_target = true;
 };
 
+// How a faulty target writes its last response once more, when the next request
+// follows on its connection.
+struct LateCopies {
+  // Share of the responses, 0 to 1.
+  double rate = 0;
+  // Only those with status 503.
+  bool refusals_only = true;
+  // Broken off at a random byte, which the next response follows at once.
+  bool broken_off = false;
+};
+
 // A TCP proxy to one target that injects network faults on demand. Used on its
 // loop only, which must be stopped before this object is destroyed.
 class FaultProxy {
  public:
-  // Listens on a free port of 127.0.0.1.
-  FaultProxy(boost::asio::io_context& loop, Endpoint target);
+  // Listens on a free port of 127.0.0.1. `seed` determines which responses are
+  // written again, and where the copies break off.
+  FaultProxy(boost::asio::io_context& loop, Endpoint target, uint64_t seed = 1);
   ~FaultProxy();
 
   const Endpoint& endpoint() const { return endpoint_; }
@@ -39,9 +53,7 @@
   // Stops relaying on all open connections, in both directions; new connections
   // work.
   void SilenceOpenConnections();
-  // Whether each refusal (503) of the target is written once more when the next
-  // request follows on its connection.
-  void SetRepeatingRefusals(bool repeating) { repeating_refusals_ = repeating; }
+  void SetLateCopies(const LateCopies& copies) { late_copies_ = copies; }
   // Resets all connections and stops listening.
   void Close();
   // Listens again on the same port. Does nothing while it listens.
@@ -57,8 +69,8 @@
     Socket client;
     Socket target;
     bool silenced = false;
-    // The target's last refusal, if nothing followed it.
-    std::string refusal;
+    // The target's last response, if it may be written again.
+    std::string last_response;
   };
   using SessionPtr = std::shared_ptr<Session>;
 
@@ -66,6 +78,10 @@
       std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
   boost::asio::awaitable<void> Connect(SessionPtr session);
   boost::asio::awaitable<void> Relay(SessionPtr session, bool to_target);
+  // Keeps the bytes of a response that may be written again.
+  void KeepResponse(Session& session, std::string_view bytes);
+  // Writes the last response again, if that is drawn.
+  boost::asio::awaitable<void> WriteLateCopy(SessionPtr session);
   boost::asio::awaitable<void> WaitUntilUnblocked(const Session& session,
                                                   bool to_target);
   static void Reset(Session& session);
@@ -74,7 +90,8 @@
   const Endpoint target_;
   Endpoint endpoint_;
   LinkState state_;
-  bool repeating_refusals_ = false;
+  LateCopies late_copies_;
+  std::mt19937_64 random_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::set<SessionPtr> sessions_;
 };
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -12,6 +12,9 @@
 // disconnected.
 constexpr size_t kMaxSentAfterDisconnect = 3;
 
+// No request takes longer, counted from a run of it.
+constexpr Duration kLongestRequest{3'000};
+
 // Number of times in [from, to). `times` is sorted.
 int CountBetween(const std::vector<Instant>& times, Instant from, Instant to) {
   const auto first = std::lower_bound(times.begin(), times.end(), from);
@@ -22,7 +25,11 @@
 }  // namespace
 
 void InvariantChecker::Report(InvariantViolation violation,
-                              const std::string& what) {
+                              const std::string& what,
+                              const std::string& id) {
+  ++violation_counts_[violation];
+  if (!id.empty())
+    violating_requests_.insert(id);
   violations_.push_back(
       fmt::format("{}: {}", kInvariantViolationNames.Name(violation), what));
 }
@@ -34,45 +41,75 @@
                               uint64_t digest,
                               Instant now) {
   ++counts_.sent;
-  requests_[id] = {service, idempotent, host,  digest,      now,
-                   0,       0,          false, std::nullopt};
+  Request& request = requests_[id];
+  request.service = service;
+  request.idempotent = idempotent;
+  request.host = host;
+  request.digest = digest;
+  request.sent_at = now;
+  request.events.push_back({"sent", host, now});
   services_[service].sent.push_back(now);
 }
 
-void InvariantChecker::OnArrived(const std::string& id, Instant now) {
+void InvariantChecker::OnArrived(const std::string& id,
+                                 const std::string& server,
+                                 Instant now) {
   const auto it = requests_.find(id);
   if (it == requests_.end())
     return;
+  it->second.events.push_back({"arrived", server, now});
   if (++it->second.arrivals > 1)
     services_[it->second.service].retries.push_back(now);
 }
 
-void InvariantChecker::OnRun(const std::string& id, uint64_t digest) {
+void InvariantChecker::OnRun(const std::string& id,
+                             uint64_t digest,
+                             const std::string& server,
+                             Instant now) {
   ++counts_.runs;
   const auto it = requests_.find(id);
   if (it == requests_.end()) {
     Report(InvariantViolation::kUnknownRequest,
-           id + " was not sent by any caller");
+           id + " was not sent by any caller", id);
     return;
   }
   Request& request = it->second;
+  request.events.push_back({"ran", server, now});
   if (request.digest != digest)
     Report(InvariantViolation::kUnknownRequest,
-           id + " differs from what the caller sent");
+           id + " differs from what the caller sent", id);
   if (++request.runs > 1 && !request.idempotent)
-    Report(InvariantViolation::kRanTwice, id + ", sent to " + request.host);
+    Report(InvariantViolation::kRanTwice, id + ", sent to " + request.host, id);
   if (request.rejected && !request.idempotent)
     Report(InvariantViolation::kRejectedButRan,
-           id + " ran after it was rejected");
+           id + " ran after it was rejected", id);
 }
 
-void InvariantChecker::OnRejected(const std::string& id) {
+void InvariantChecker::OnServerLost(const std::string& server, Instant now) {
+  lost_[server].push_back(now);
+}
+
+void InvariantChecker::OnResponse(const std::string& id,
+                                  int status,
+                                  Instant now) {
+  Request& request = requests_[id];
+  request.events.push_back({std::to_string(status), request.host, now});
+}
+
+std::vector<InvariantChecker::Event> InvariantChecker::EventsOf(
+    const std::string& id) const {
+  const auto it = requests_.find(id);
+  return it == requests_.end() ? std::vector<Event>() : it->second.events;
+}
+
+void InvariantChecker::OnRejected(const std::string& id, Instant now) {
   ++counts_.rejected;
   Request& request = requests_[id];
+  request.events.push_back({"rejected", request.host, now});
   request.rejected = true;
   if (request.runs > 0 && !request.idempotent)
     Report(InvariantViolation::kRejectedButRan,
-           id + ", sent to " + request.host);
+           id + ", sent to " + request.host, id);
 }
 
 void InvariantChecker::OnDisconnected(const std::string& id, Instant now) {
@@ -106,10 +143,35 @@
     Report(InvariantViolation::kSentAfterDisconnect,
            fmt::format("{}", fmt::join(sent_after_disconnect_, ", ")));
   }
+  CheckAttempts();
   for (const auto& [name, service] : services_)
     CheckBudget(name, service);
 }
 
+bool InvariantChecker::LostAfter(const std::string& server,
+                                 Instant run_at) const {
+  const auto lost = lost_.find(server);
+  return lost != lost_.end() &&
+         CountBetween(lost->second, run_at, run_at + kLongestRequest) > 0;
+}
+
+void InvariantChecker::CheckAttempts() {
+  std::vector<std::string> over;
+  for (const auto& [id, request] : requests_) {
+    std::set<std::string> servers;
+    for (const Event& it : request.events) {
+      if (it.what == "ran" && !LostAfter(it.place, it.time))
+        servers.insert(it.place);
+    }
+    if (std::ssize(servers) > (request.idempotent ? kAttempts : 1))
+      over.push_back(id);
+  }
+  if (over.size() <= kMaxOverAttempts)
+    return;
+  for (const std::string& id : over)
+    Report(InvariantViolation::kTooManyAttempts, id, id);
+}
+
 void InvariantChecker::CheckBudget(const std::string& name,
                                    const Service& service) {
   for (size_t i = 0; i < service.retries.size(); ++i) {
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,13 +48,15 @@
   kSentInPause,
   // A request that crashes servers was sent to servers although that was known.
   kCrashedTooMany,
+  // Requests ran on more servers than the attempts of their route.
+  kTooManyAttempts,
 };
 
-inline constexpr EnumNames<InvariantViolation, 14> kInvariantViolationNames{
+inline constexpr EnumNames<InvariantViolation, 15> kInvariantViolationNames{
     {"ran-twice", "refused-and-ran", "wrong-answer", "unasked", "cut-by-stop",
      "sent-to-leaver", "sent-after-left", "old-config", "over-budget",
      "host-ended", "not-recovered", "over-limit", "sent-in-pause",
-     "crashed-too-many"}};
+     "crashed-too-many", "too-many-attempts"}};
 
 // Records every request of a run, what the caller sent and what response it
 // got, how often it reached a server and how often it ran, and finds violations
@@ -67,6 +70,18 @@
     int slack = 30;
     Duration window{10'000};
   };
+  // Attempts of the routes of idempotent requests; others have one.
+  static constexpr int kAttempts = 2;
+  // Requests of a run that may run on more servers than that.
+  static constexpr size_t kMaxOverAttempts = 3;
+
+  // An event in the life of a request: "sent", "arrived", "ran", "rejected" (by
+  // the host) or the status of the response, and the server or host.
+  struct Event {
+    std::string what;
+    std::string place;
+    Instant time;
+  };
 
   explicit InvariantChecker(Budget budget) : budget_(budget) {}
 
@@ -79,12 +94,19 @@
               uint64_t digest,
               Instant now);
   // The request reached a server, which may still reject it.
-  void OnArrived(const std::string& id, Instant now);
+  void OnArrived(const std::string& id, const std::string& server, Instant now);
   // A server begins to run the request.
-  void OnRun(const std::string& id, uint64_t digest);
+  void OnRun(const std::string& id,
+             uint64_t digest,
+             const std::string& server,
+             Instant now);
+  // A server ended or was cut off, so that its runs don't count as attempts.
+  void OnServerLost(const std::string& server, Instant now);
   // The caller got a response saying that the request didn't run and never
   // will.
-  void OnRejected(const std::string& id);
+  void OnRejected(const std::string& id, Instant now);
+  // The caller got a response with this status; 0 if its connection ended.
+  void OnResponse(const std::string& id, int status, Instant now);
 
   // The caller closed its connection before it got a response.
   void OnDisconnected(const std::string& id, Instant now);
@@ -100,8 +122,11 @@
   // The host that the caller sent it to; empty for an unknown request.
   std::string HostOf(const std::string& id) const;
 
-  // Adds a violation that was found elsewhere.
-  void Report(InvariantViolation violation, const std::string& what);
+  // Adds a violation that was found elsewhere, by the request `id` if it
+  // concerns one.
+  void Report(InvariantViolation violation,
+              const std::string& what,
+              const std::string& id = {});
   // Runs the checks that need the whole run. Call once, after all requests have
   // ended.
   void Finish();
@@ -113,6 +138,14 @@
   };
   const Counts& counts() const { return counts_; }
   const std::vector<std::string>& violations() const { return violations_; }
+  const std::map<InvariantViolation, int>& violation_counts() const {
+    return violation_counts_;
+  }
+  // The requests that violated an invariant, and what is recorded of them.
+  const std::set<std::string>& violating_requests() const {
+    return violating_requests_;
+  }
+  std::vector<Event> EventsOf(const std::string& id) const;
 
  private:
   struct Request {
@@ -125,6 +158,7 @@
     int runs = 0;
     bool rejected = false;
     std::optional<Instant> disconnected_at;
+    std::vector<Event> events;
   };
   // Times of one service's requests, and of the arrivals after the first of
   // each.
@@ -133,6 +167,10 @@
     std::vector<Instant> retries;
   };
 
+  // Whether the server was lost while the request that it ran at that time may
+  // have been in progress.
+  bool LostAfter(const std::string& server, Instant run_at) const;
+  void CheckAttempts();
   void CheckBudget(const std::string& name, const Service& service);
 
   const Budget budget_;
@@ -140,7 +178,11 @@
   std::map<std::string, Service> services_;
   Counts counts_;
   std::vector<std::string> sent_after_disconnect_;
+  // When each server was lost.
+  std::map<std::string, std::vector<Instant>> lost_;
   std::vector<std::string> violations_;
+  std::map<InvariantViolation, int> violation_counts_;
+  std::set<std::string> violating_requests_;
 };
 
 }  // namespace toucanknot::soak
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -138,11 +138,16 @@
   }
   checker_.Report(
       InvariantViolation::kWrongResponse,
-      fmt::format("{} got a wrong response from {}", request.id, request.host));
+      fmt::format("{} got a wrong response from {}", request.id, request.host),
+      request.id);
 }
 
 SoakCallers::Outcome SoakCallers::Classify(const Request& request,
                                            const ExchangeResult& result) {
+  checker_.OnResponse(
+      request.id,
+      result.end == AttemptEnd::kAnswered ? result.response.status : 0,
+      SteadyNow());
   const bool responded = result.end == AttemptEnd::kAnswered;
   const int status = result.response.status;
   if (responded && status < 300) {
@@ -150,13 +155,14 @@
     return Outcome::kServed;
   }
   if (responded && GuaranteesNotRun(status)) {
-    checker_.OnRejected(request.id);
+    checker_.OnRejected(request.id, SteadyNow());
     return Outcome::kRejected;
   }
   if (responded && status < 500) {
     checker_.Report(InvariantViolation::kStaleConfig,
                     fmt::format("{} was rejected by {} with status {}",
-                                request.id, request.host, status));
+                                request.id, request.host, status),
+                    request.id);
   }
   if (result.end == AttemptEnd::kTimedOut)
     checker_.OnDisconnected(request.id, SteadyNow());
@@ -178,7 +184,8 @@
     checker_.Report(
         InvariantViolation::kCutOffByStop,
         fmt::format("{} was cut off by {} {} ms after its SIGTERM", request.id,
-                    request.host, (now - *host->stopped_at).ms()));
+                    request.host, (now - *host->stopped_at).ms()),
+        request.id);
   }
   return Outcome::kFailed;
 }
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -52,7 +52,8 @@
   route.timeout = Duration(1'500);
   route.target_latency = Duration(400);
   route.priority = kind == RequestKind::kIdempotent ? 1 : 0;
-  route.attempts = kind == RequestKind::kIdempotent ? 2 : 1;
+  route.attempts =
+      kind == RequestKind::kIdempotent ? InvariantChecker::kAttempts : 1;
   route.sticky = true;
   route.targets = {{ServiceId(service), 1}};
   return route;
@@ -229,7 +230,8 @@
     checker_.Report(
         InvariantViolation::kSentToDrainedServer,
         fmt::format("{} from {} reached {} {} ms after it began to drain", id,
-                    host, server, (now - *it->draining_since).ms()));
+                    host, server, (now - *it->draining_since).ms()),
+        id);
   }
   const auto zone = evacuated_.find(it->server->entry().zone);
   if (zone != evacuated_.end() && now - zone->second > kEvacuationLimit) {
@@ -237,7 +239,8 @@
         InvariantViolation::kSentToDrainedServer,
         fmt::format(
             "{} from {} reached {} {} ms after the evacuation of its zone", id,
-            host, server, (now - zone->second).ms()));
+            host, server, (now - zone->second).ms()),
+        id);
   }
 }
 
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "include/base/enum_names.h"
 #include "include/entry/entry_wire.h"
 #include "include/routing/route_config.h"
 #include "soak/fault_history.h"
@@ -21,6 +22,21 @@
 
 namespace toucanknot::soak {
 
+// What is injected: the faults of the seed's plan, or nothing but one kind of
+// faulty responses, by all servers throughout.
+enum class Profile {
+  kMixed,
+  kCalm,
+  // kLateCopies and kRunThenRefuse at once.
+  kRefusals,
+  kLateCopies,
+  kBrokenCopies,
+  kRunThenRefuse,
+};
+inline constexpr EnumNames<Profile, 6> kProfileNames{
+    {"mixed", "calm", "refusals", "late-copies", "broken-copies",
+     "run-then-refuse"}};
+
 struct SoakOptions {
   // The real program, and a folder for settings files and logs.
   std::string program;
@@ -30,6 +46,7 @@
   int hosts = 5;
   int servers = 10;
   int callers = 40;
+  Profile profile = Profile::kMixed;
   // Each host listens on this port and the next four, at an address of its own.
   uint16_t first_port = 26'000;
 };
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -7,8 +7,10 @@
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <optional>
 #include <string>
 
+#include "include/base/error.h"
 #include "soak/fault_plan.h"
 #include "soak/soak_run.h"
 
@@ -38,6 +40,10 @@
   add("servers", po::value<int>()->default_value(12),
       "number of backend servers");
   add("callers", po::value<int>()->default_value(40), "number of callers");
+  add("profile", po::value<std::string>()->default_value("mixed"),
+      "mixed: the faults of the seed; calm: none; or one kind of faulty "
+      "responses, by all servers throughout: refusals, late-copies, "
+      "broken-copies, run-then-refuse");
   add("first-port", po::value<uint16_t>()->default_value(26'000),
       "the hosts listen on this port and the next four");
   add("keep", po::value<std::string>()->default_value("soak-logs"),
@@ -81,6 +87,11 @@
   soak.servers = values["servers"].as<int>();
   soak.callers = values["callers"].as<int>();
   soak.first_port = values["first-port"].as<uint16_t>();
+  const std::string profile = values["profile"].as<std::string>();
+  const std::optional<Profile> parsed = kProfileNames.Parse(profile);
+  if (!parsed)
+    throw Error("unknown profile " + profile);
+  soak.profile = *parsed;
   const uint64_t first = values["seed"].as<uint64_t>();
   bool passed = true;
   for (int i = 0; i < values["seeds"].as<int>(); ++i) {
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -6,7 +6,9 @@
 #include <memory>
 
 #include "platform/wire_decoder.h"
+#include "soak/evidence.h"
 #include "soak/fault_injector.h"
+#include "soak/refusal_faults.h"
 #include "soak/soak_callers.h"
 #include "src/http/one_shot.h"
 
@@ -75,12 +77,19 @@
     report.counts = checker_.counts();
     report.max_resident_bytes = fleet_.max_resident_bytes();
     report.violations = checker_.violations();
+    report.violation_counts = checker_.violation_counts();
+    WriteEvidence(checker_, options_.folder);
     co_return report;
   }
 
  private:
   // Injects the faults of the plan; returns their number after all have ended.
   asio::awaitable<int> InjectFaults() {
+    if (options_.profile != Profile::kMixed) {
+      co_await RefusalFaults(fleet_).InjectProfile(options_.profile,
+                                                   options_.length);
+      co_return 0;
+    }
     const std::vector<Fault> plan =
         GenerateFaultPlan(options_.seed, options_.length);
     const Instant begun = SteadyNow();
@@ -140,6 +149,9 @@
   boost::json::array violations;
   for (const std::string& it : report.violations)
     violations.emplace_back(it);
+  boost::json::object violated;
+  for (const auto& [kind, n] : report.violation_counts)
+    violated[kInvariantViolationNames.Name(kind)] = n;
   return boost::json::serialize(
       boost::json::value{{"seed", report.seed},
                          {"faults", report.faults},
@@ -149,6 +161,7 @@
                          {"served", report.served},
                          {"served_after", report.served_after},
                          {"most_resident_mb", report.max_resident_bytes >> 20},
+                         {"violated", std::move(violated)},
                          {"breaches", std::move(violations)}});
 }
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_SOAK_RUN_H_
 #define SOAK_SOAK_RUN_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
   double served = 0;
   double served_after = 0;
   int64_t max_resident_bytes = 0;
+  std::map<InvariantViolation, int> violation_counts;
   // Violated invariants, one line each.
   std::vector<std::string> violations;
 };
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include "src/http/one_shot.h"
@@ -63,13 +64,18 @@
           [this](HttpRequest request) {
             return HandleRequest(std::move(request));
           }) {
-  link_ = std::make_unique<FaultProxy>(workers.loop(0),
-                                       server_.Listen({"127.0.0.1", 0}));
+  link_ = std::make_unique<FaultProxy>(
+      workers.loop(0), server_.Listen({"127.0.0.1", 0}), options_.seed);
   options_.entry.endpoint = link_->endpoint();
   options_.entry.incarnation = static_cast<Incarnation>(UnixMillis());
 }
 
+void SoakServer::MarkLost() {
+  checker_.OnServerLost(options_.entry.id.str(), SteadyNow());
+}
+
 void SoakServer::Crash() {
+  MarkLost();
   up_ = false;
   link_->Close();
 }
@@ -115,13 +121,21 @@
   co_return running_ < options_.entry.slots && !request.caller->left();
 }
 
+int SoakServer::DrawStatus() {
+  constexpr int kRefusals[] = {408, 429, 503};
+  if (run_then_refuse_rate_ > 0 && Draw(run_then_refuse_rate_))
+    return kRefusals[random_() % std::size(kRefusals)];
+  return Draw(failure_rate_) ? 500 : 200;
+}
+
 asio::awaitable<HttpResponse> SoakServer::HandleRequest(HttpRequest request) {
   const std::string id(request.fields.Get(names_.request_id));
   if (request.fields.Get(names_.target_server) != options_.entry.id.str())
     co_return NotRunResponse(421, id);
-  checker_.OnArrived(id, SteadyNow());
-  on_arrival_(options_.entry.id.str(), id);
-  if (SteadyNow() < paused_until_)
+  const std::string server = options_.entry.id.str();
+  checker_.OnArrived(id, server, SteadyNow());
+  on_arrival_(server, id);
+  if (SteadyNow() < paused_until_ || (shed_rate_ > 0 && Draw(shed_rate_)))
     co_return NotRunResponse(503, id);
   const std::string_view text = request.fields.Get(names_.deadline_ms);
   int64_t remaining_ms = kDefaultDeadlineMs;
@@ -133,7 +147,8 @@
   }
   const Incarnation started_incarnation = options_.entry.incarnation;
   checker_.OnRun(id,
-                 RequestDigest(request.method, request.target, request.body));
+                 RequestDigest(request.method, request.target, request.body),
+                 server, SteadyNow());
   if (request.target.find(kCrashingTarget) != std::string::npos) {
     if (on_crashing_request_(request.target, id))
       co_await SleepFor(kCrashTime);
@@ -145,12 +160,10 @@
       1 / static_cast<double>(options_.mean_run_time.ms() * slowdown_));
   co_await SleepFor(Duration(static_cast<int64_t>(run_time(random_)) + 1));
   --running_;
-  const bool failed =
-      started_incarnation != options_.entry.incarnation ||
-      std::uniform_real_distribution<double>()(random_) < failure_rate_;
   std::uniform_int_distribution<size_t> bytes(1, kMaxResponseBytes);
   HttpResponse response;
-  response.status = failed ? 500 : 200;
+  response.status =
+      started_incarnation == options_.entry.incarnation ? DrawStatus() : 500;
   response.body = ResponseBody(id, bytes(random_));
   response.fields.Add("Content-Type", "text/plain");
   response.fields.Add(names_.request_id, id);
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -57,6 +57,8 @@
   FaultProxy& link() { return *link_; }
   bool up() const { return up_; }
 
+  // Its runs in progress no longer count as attempts, because it was cut off.
+  void MarkLost();
   // Resets all connections and stops listening, without notice.
   void Crash();
   // Starts again as a new incarnation, under the same id or another one.
@@ -76,6 +78,11 @@
   void set_on_crashing_request(CrashHook hook) {
     on_crashing_request_ = std::move(hook);
   }
+  // Share of the requests, 0 to 1, that are rejected though slots are free.
+  void SetShedRate(double rate) { shed_rate_ = rate; }
+  // Share of the requests that are run but get a response with 408, 429 or 503,
+  // which does not state that they weren't.
+  void SetRunThenRefuseRate(double rate) { run_then_refuse_rate_ = rate; }
   // Share of the requests, 0 to 1, that are run but get an error response.
   void SetFailureRate(double rate) { failure_rate_ = rate; }
 
@@ -85,6 +92,11 @@
   boost::asio::awaitable<bool> WaitForSlot(const HttpRequest& request,
                                            Instant deadline);
   HttpResponse NotRunResponse(int status, const std::string& id) const;
+  // Status of the response to a request that was run.
+  int DrawStatus();
+  bool Draw(double rate) {
+    return std::uniform_real_distribution<double>()(random_) < rate;
+  }
   // Adds what the server states about itself.
   void AddNotices(HttpResponse& response) const;
 
@@ -96,6 +108,8 @@
   bool up_ = true;
   int64_t slowdown_ = 1;
   double failure_rate_ = 0;
+  double shed_rate_ = 0;
+  double run_then_refuse_rate_ = 0;
   std::optional<double> limit_;
   Instant paused_until_;
   CrashHook on_crashing_request_;
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
+#include <string>
 
 namespace toucanknot::soak {
 
@@ -36,4 +37,39 @@
   CHECK(overlaps > 100);
 }
 
+TEST_CASE(
+    "kinds that were added later leave the faults of a seed as they are") {
+  std::vector<Fault> plan = GenerateFaultPlan(7, Duration(20'000));
+  std::erase_if(plan, [](const Fault& it) {
+    return it.kind >= FaultKind::kShedRequests;
+  });
+  std::string kinds;
+  for (const Fault& it : plan) {
+    kinds += kFaultKindNames.Name(it.kind);
+    kinds += ' ';
+  }
+  CHECK(kinds ==
+        "limit-server "
+        "evacuate-zone "
+        "fail-server "
+        "slow-server "
+        "store-drops-watches "
+        "reload-host "
+        "slow-server "
+        "reload-host "
+        "stop-host "
+        "evacuate-zone "
+        "change-config "
+        "repeat-refusals "
+        "replace-server "
+        "evacuate-zone "
+        "cut-store-one-way "
+        "write-odd-entries "
+        "store-silent "
+        "delay-callers "
+        "delay-store "
+        "repeat-refusals "
+        "evacuate-zone ");
+}
+
 }  // namespace toucanknot::soak
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -26,7 +26,7 @@
             [](std::string_view) { return uint64_t{1'000}; },
             [this](HttpRequest) -> asio::awaitable<HttpResponse> {
               ++arrivals;
-              co_return TextResponse(200, "here");
+              co_return TextResponse(200, "here " + std::to_string(arrivals));
             }),
         proxy(workers.loop(0), server.Listen({"127.0.0.1", 0})),
         client(workers.loop(0)) {}
@@ -47,6 +47,7 @@
                  options.deadline = SteadyNow() + limit;
                  const ExchangeResult result = co_await client.Exchange(
                      proxy.endpoint(), std::move(request), std::move(options));
+                 last_body = result.response.body;
                  co_return result.end;
                },
                asio::use_future)
@@ -55,6 +56,7 @@
 
   WorkerPool workers{1};
   int arrivals = 0;
+  std::string last_body;
   HttpServer server;
   FaultProxy proxy;
   ConnectionPool client;
@@ -99,6 +101,30 @@
   CHECK(it.proxy.endpoint() == before);
 }
 
+TEST_CASE("a late copy precedes the next response, whole or broken off") {
+  const bool broken_off = GENERATE(false, true);
+  Fixture it;
+  it.proxy.SetLateCopies({1, false, broken_off});
+  CHECK(it.SendRequest([] {}) == AttemptEnd::kAnswered);
+  CHECK(it.last_body == "here 1\n");
+  // The client takes the first bytes for the response.
+  const AttemptEnd end = it.SendRequest([] {}, Duration(300));
+  if (!broken_off) {
+    CHECK(end == AttemptEnd::kAnswered);
+    CHECK(it.last_body == "here 1\n");
+  } else {
+    CHECK((end != AttemptEnd::kAnswered || it.last_body != "here 2\n"));
+  }
+}
+
+TEST_CASE("only refusals are written again if only they are to be") {
+  Fixture it;
+  it.proxy.SetLateCopies({1, true, false});
+  CHECK(it.SendRequest([] {}) == AttemptEnd::kAnswered);
+  CHECK(it.SendRequest([] {}) == AttemptEnd::kAnswered);
+  CHECK(it.last_body == "here 2\n");
+}
+
 TEST_CASE("a subject is free of faults after the settling time") {
   FaultHistory it;
   const Instant t(1'000'000);
--- a/tests/soak/invariant_checker_test.cc
+++ b/tests/soak/invariant_checker_test.cc
@@ -27,8 +27,8 @@
 TEST_CASE("an ordinary request violates no invariant") {
   InvariantChecker it({});
   Send(it, "a", false);
-  it.OnArrived("a", TimeAt(1));
-  it.OnRun("a", 7);
+  it.OnArrived("a", "server-0", TimeAt(1));
+  it.OnRun("a", 7, "server-0", TimeAt(2));
   CHECK(it.HasArrived("a"));
   CHECK(it.HostOf("a") == "host-0");
   it.Finish();
@@ -38,13 +38,13 @@
 TEST_CASE("a second run is a violation only if not idempotent") {
   InvariantChecker once({});
   Send(once, "a", false);
-  once.OnRun("a", 7);
-  once.OnRun("a", 7);
+  once.OnRun("a", 7, "server-0", TimeAt(2));
+  once.OnRun("a", 7, "server-0", TimeAt(2));
   CHECK(FoundOnly(once, InvariantViolation::kRanTwice));
   InvariantChecker often({});
   Send(often, "a", true);
-  often.OnRun("a", 7);
-  often.OnRun("a", 7);
+  often.OnRun("a", 7, "server-0", TimeAt(2));
+  often.OnRun("a", 7, "server-0", TimeAt(2));
   often.Finish();
   CHECK(often.violations().empty());
 }
@@ -52,23 +52,23 @@
 TEST_CASE("a rejection is a violation both after and before a run") {
   InvariantChecker after({});
   Send(after, "a", false);
-  after.OnRun("a", 7);
-  after.OnRejected("a");
+  after.OnRun("a", 7, "server-0", TimeAt(2));
+  after.OnRejected("a", TimeAt(3));
   CHECK(FoundOnly(after, InvariantViolation::kRejectedButRan));
   InvariantChecker before({});
   Send(before, "a", false);
-  before.OnRejected("a");
-  before.OnRun("a", 7);
+  before.OnRejected("a", TimeAt(3));
+  before.OnRun("a", 7, "server-0", TimeAt(2));
   CHECK(FoundOnly(before, InvariantViolation::kRejectedButRan));
 }
 
 TEST_CASE("a run of an unknown or altered request is a violation") {
   InvariantChecker unknown({});
-  unknown.OnRun("a", 7);
+  unknown.OnRun("a", 7, "server-0", TimeAt(2));
   CHECK(FoundOnly(unknown, InvariantViolation::kUnknownRequest));
   InvariantChecker changed({});
   Send(changed, "a", true);
-  changed.OnRun("a", 8);
+  changed.OnRun("a", 8, "server-0", TimeAt(2));
   CHECK(FoundOnly(changed, InvariantViolation::kUnknownRequest));
 }
 
@@ -92,11 +92,43 @@
   for (int i = 0; i < 100; ++i)
     Send(it, std::to_string(i), true);
   for (int i = 0; i < retries; ++i) {
-    it.OnArrived(std::to_string(i), TimeAt(1));
-    it.OnArrived(std::to_string(i), TimeAt(2));
+    it.OnArrived(std::to_string(i), "server-0", TimeAt(1));
+    it.OnArrived(std::to_string(i), "server-0", TimeAt(2));
   }
   it.Finish();
   CHECK(it.violations().size() == (retries > 25 ? 1 : 0));
 }
 
+TEST_CASE("requests on more servers than attempts are allowed three times") {
+  const int requests = GENERATE(3, 4);
+  const bool lost = GENERATE(false, true);
+  InvariantChecker it({});
+  for (int i = 0; i < requests; ++i) {
+    const std::string id = std::to_string(i);
+    Send(it, id, true);
+    for (const char* server : {"a", "b", "c", "c"})
+      it.OnRun(id, 7, server, TimeAt(10));
+  }
+  // A server that is lost meanwhile doesn't count, a later loss changes
+  // nothing.
+  it.OnServerLost("b", TimeAt(lost ? 500 : 60'000));
+  it.Finish();
+  CHECK(it.violations().size() == (requests > 3 && !lost ? 4U : 0U));
+  CHECK(it.violating_requests().contains("0") == (requests > 3 && !lost));
+}
+
+TEST_CASE("a violation is counted and its request's events are kept") {
+  InvariantChecker it({});
+  Send(it, "a", false);
+  it.OnArrived("a", "server-0", TimeAt(1));
+  it.OnRun("a", 7, "server-0", TimeAt(2));
+  it.OnRejected("a", TimeAt(3));
+  CHECK(it.violation_counts().at(InvariantViolation::kRejectedButRan) == 1);
+  CHECK(it.violating_requests().contains("a"));
+  std::string events;
+  for (const InvariantChecker::Event& e : it.EventsOf("a"))
+    events += e.what + " " + e.place + ";";
+  CHECK(events == "sent host-0;arrived server-0;ran server-0;rejected host-0;");
+}
+
 }  // namespace toucanknot::soak
