soak: backend servers as processes of their own

What reaches a server is in its ledger before it acts on it, so that a SIGKILL loses nothing; the checker reads the ledgers.

The check of crashing requests and the settings of hosts have files of their own.

--- a/soak/host_process.cc
+++ b/soak/child_process.cc
@@ -1,4 +1,4 @@
-#include "soak/host_process.h"
+#include "soak/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -19,21 +19,17 @@
 
 }  // namespace
 
-HostProcess::HostProcess(std::string program,
-                         std::string settings,
-                         std::string log)
-    : program_(std::move(program)),
-      settings_(std::move(settings)),
-      log_(std::move(log)) {}
+ChildProcess::ChildProcess(std::vector<std::string> command, std::string log)
+    : command_(std::move(command)), log_(std::move(log)) {}
 
-HostProcess::~HostProcess() {
+ChildProcess::~ChildProcess() {
   if (!running())
     return;
   Signal(SIGKILL);
   ::waitpid(pid_, nullptr, 0);
 }
 
-void HostProcess::Start() {
+void ChildProcess::Start() {
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_.c_str(),
@@ -42,27 +38,27 @@
   // The child must not inherit sockets: they would stay open after this process
   // has closed them.
   posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
-  std::string option = "--settings";
-  std::string program = program_;
-  std::string settings = settings_;
-  char* const argv[] = {program.data(), option.data(), settings.data(),
-                        nullptr};
+  std::vector<std::string> command = command_;
+  std::vector<char*> argv;
+  for (std::string& it : command)
+    argv.push_back(it.data());
+  argv.push_back(nullptr);
   const int error =
-      ::posix_spawn(&pid_, program_.c_str(), &files, nullptr, argv, environ);
+      ::posix_spawn(&pid_, argv[0], &files, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&files);
   if (error != 0) {
     pid_ = 0;
-    throw Error("cannot start " + program_ + ": error " +
+    throw Error("cannot start " + command_[0] + ": error " +
                 std::to_string(error));
   }
 }
 
-void HostProcess::Signal(int signal) {
+void ChildProcess::Signal(int signal) {
   if (running())
     ::kill(pid_, signal);
 }
 
-std::optional<int> HostProcess::Reap() {
+std::optional<int> ChildProcess::Reap() {
   int status = 0;
   if (!running() || ::waitpid(pid_, &status, WNOHANG) != pid_)
     return std::nullopt;
@@ -70,7 +66,7 @@
   return status;
 }
 
-int64_t HostProcess::ResidentBytes() const {
+int64_t ChildProcess::ResidentBytes() const {
   if (!running())
     return 0;
   std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "soak/server_process_faults.h"
+#include "src/forward/connection_pool.h"
 #include "src/http/one_shot.h"
 
 namespace toucanknot::soak {
@@ -32,6 +34,7 @@
 constexpr int64_t kNoticeLengthFactor = 3;
 constexpr double kLimits[] = {0.5, 2, 5};
 constexpr Duration kCrashingInterval{120};
+constexpr Duration kCrashingTimeout{2'000};
 
 // Faults of a link, in the order in which FaultKind lists them for each link.
 enum class LinkFault { kDelay, kReset, kCutOneWay, kSilence };
@@ -90,7 +93,9 @@
   } else if (fault.kind <= FaultKind::kStoreExpiresServers) {
     co_await InjectStoreFault(fault);
   } else if (fault.kind == FaultKind::kSendCrashingRequest) {
-    co_await SendCrashingRequests(fault);
+    // Server processes are killed by other faults.
+    if (server.local)
+      co_await SendCrashingRequests(fault);
   } else if (fault.kind == FaultKind::kWriteOddEntries) {
     co_await WriteOddEntries(fault);
   } else if (fault.kind >= FaultKind::kShedRequests) {
@@ -204,12 +209,17 @@
   if (server.fault_in_progress)
     co_return;
   server.fault_in_progress = true;
-  SoakServer& it = *server.server;
   if (fault.kind == FaultKind::kReplaceServer) {
     co_await ReplaceServer(server, fault.length);
     server.fault_in_progress = false;
     co_return;
   }
+  if (server.process) {
+    co_await InjectServerProcessFault(fleet_, server, fault);
+    server.fault_in_progress = false;
+    co_return;
+  }
+  SoakServer& it = *server.local;
   if (fault.kind == FaultKind::kLimitServer) {
     co_await LimitServer(server, fault.length * kNoticeLengthFactor);
     server.fault_in_progress = false;
@@ -239,7 +249,7 @@
     co_await SleepFor(std::min(fault.length, kEntryLifetime));
     if (fault.length > kEntryLifetime)
       fleet_.RemoveServerEntry(server);
-    it.Restart(it.entry().id);
+    it.Restart(it.entry().id, it.entry().service);
     fleet_.WriteServerEntry(server);
   } else {
     it.MarkLost();
@@ -253,11 +263,11 @@
 
 asio::awaitable<void> FaultInjector::LimitServer(SoakFleet::Server& server,
                                                  Duration length) {
-  server.server->SetLimit(kLimits[length.ms() % std::size(kLimits)]);
+  server.local->SetLimit(kLimits[length.ms() % std::size(kLimits)]);
   server.limited_since = SteadyNow();
   server.limited_arrivals.clear();
   co_await SleepFor(length);
-  server.server->SetLimit(std::nullopt);
+  server.local->SetLimit(std::nullopt);
   server.limited_since.reset();
 }
 
@@ -266,10 +276,28 @@
   server.paused_hosts.clear();
   server.sent_in_pause.clear();
   server.paused_until = SteadyNow() + length;
-  server.server->SetPausedUntil(server.paused_until);
+  server.local->SetPausedUntil(server.paused_until);
   co_await SleepFor(length);
 }
 
+asio::awaitable<void> FaultInjector::SendCrashingRequest(SoakFleet::Host& host,
+                                                         std::string target,
+                                                         std::string id) {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = target;
+  request.fields.Add("Host", "soak.example");
+  request.fields.Add(fleet_.names().request_id, id);
+  fleet_.checker().OnSent(id, "lookup", true, host.id.str(),
+                          RequestDigest(request.method, target, {}),
+                          SteadyNow());
+  ConnectionPool connections(fleet_.loop());
+  ExchangeOptions options;
+  options.deadline = SteadyNow() + kCrashingTimeout;
+  co_await connections.Exchange(host.caller_link->endpoint(),
+                                std::move(request), std::move(options));
+}
+
 asio::awaitable<void> FaultInjector::SendCrashingRequests(const Fault& fault) {
   const std::string target =
       "/lookup" + std::string(kCrashingTarget) + std::to_string(fault.subject);
@@ -279,7 +307,7 @@
     auto& hosts = fleet_.hosts();
     SoakFleet::Host& host = hosts[(fault.subject + n) % hosts.size()];
     if (host.process->running() && !host.stop_requested && !host.paused) {
-      co_await fleet_.SendCrashingRequest(
+      co_await SendCrashingRequest(
           host, target,
           std::to_string(fault.subject) + "-" + std::to_string(n));
     }
@@ -306,7 +334,7 @@
 
 asio::awaitable<void> FaultInjector::ReplaceServer(SoakFleet::Server& server,
                                                    Duration length) {
-  SoakServer& it = *server.server;
+  BackendServer& it = *server.server;
   it.SetLeaving();
   // Some servers remove their entry at once instead of marking it as draining.
   if (length.ms() % 3 == 0)
@@ -322,7 +350,8 @@
   ++server.generation;
   const std::string name = it.entry().id.str();
   it.Restart(ServerId(name.substr(0, name.rfind('-') + 1) +
-                      std::to_string(server.generation)));
+                      std::to_string(server.generation)),
+             it.entry().service);
   fleet_.WriteServerEntry(server);
 }
 
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <string>
+
 #include "soak/fault_plan.h"
 #include "soak/refusal_faults.h"
 #include "soak/soak_fleet.h"
@@ -33,6 +35,10 @@
                                            Duration length);
   boost::asio::awaitable<void> PauseServer(SoakFleet::Server& server,
                                            Duration length);
+  // Sends a request that crashes the servers that run it to `host`.
+  boost::asio::awaitable<void> SendCrashingRequest(SoakFleet::Host& host,
+                                                   std::string target,
+                                                   std::string id);
   boost::asio::awaitable<void> SendCrashingRequests(const Fault& fault);
   boost::asio::awaitable<void> WriteOddEntries(const Fault& fault);
   boost::asio::awaitable<void> ReplaceServer(SoakFleet::Server& server,
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace toucanknot::soak {
 namespace {
@@ -85,6 +86,32 @@
            id + " ran after it was rejected", id);
 }
 
+void InvariantChecker::OnRejectedByServer(const std::string& id,
+                                          const std::string& server,
+                                          Instant now) {
+  AddEvent(id, {"rejected by server", server, now});
+}
+
+void InvariantChecker::OnBrokenOff(const std::string& id,
+                                   const std::string& server,
+                                   Instant now) {
+  AddEvent(id, {"broken off", server, now});
+}
+
+void InvariantChecker::AddEvent(const std::string& id, Event event) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end())
+    it->second.events.push_back(std::move(event));
+}
+
+void InvariantChecker::OnLateBody(const std::string& id, uint64_t digest) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.digest != digest) {
+    Report(InvariantViolation::kUnknownRequest,
+           id + " has other bytes where the rest of its body is due", id);
+  }
+}
+
 void InvariantChecker::OnServerLost(const std::string& server, Instant now) {
   lost_[server].push_back(now);
 }
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -100,6 +100,16 @@
              uint64_t digest,
              const std::string& server,
              Instant now);
+  // A server process rejected the request, or breaks its response off, by its
+  // own ledger.
+  void OnRejectedByServer(const std::string& id,
+                          const std::string& server,
+                          Instant now);
+  void OnBrokenOff(const std::string& id,
+                   const std::string& server,
+                   Instant now);
+  // After a server's early response, the rest of the body arrived.
+  void OnLateBody(const std::string& id, uint64_t digest);
   // A server ended or was cut off, so that its runs don't count as attempts.
   void OnServerLost(const std::string& server, Instant now);
   // The caller got a response saying that the request didn't run and never
@@ -170,6 +180,8 @@
   // Whether the server was lost while the request that it ran at that time may
   // have been in progress.
   bool LostAfter(const std::string& server, Instant run_at) const;
+  // Adds an event of the request, if it is known.
+  void AddEvent(const std::string& id, Event event);
   void CheckAttempts();
   void CheckBudget(const std::string& name, const Service& service);
 
--- a/soak/refusal_faults.cc
+++ b/soak/refusal_faults.cc
@@ -25,8 +25,8 @@
     return std::uniform_real_distribution<double>(low, high)(random);
   };
   for (SoakFleet::Server& it : fleet_.servers()) {
-    if (draw(0, 1) < kRefusingShare)
-      Set(*it.server, kind, draw(kMinShedRate, kMaxShedRate),
+    if (it.local && draw(0, 1) < kRefusingShare)
+      Set(*it.local, kind, draw(kMinShedRate, kMaxShedRate),
           draw(0, 1) < kRefusingShare);
   }
 }
@@ -48,9 +48,11 @@
 
 void RefusalFaults::EndAll() {
   for (SoakFleet::Server& it : fleet_.servers()) {
-    it.server->SetShedRate(0);
-    it.server->SetRunThenRefuseRate(0);
-    it.server->link().SetLateCopies({});
+    if (!it.local)
+      continue;
+    it.local->SetShedRate(0);
+    it.local->SetRunThenRefuseRate(0);
+    it.local->link().SetLateCopies({});
   }
 }
 
@@ -70,7 +72,8 @@
   const auto set = [&](FaultKind kind) {
     bool refusals_only = true;
     for (SoakFleet::Server& it : fleet_.servers()) {
-      Set(*it.server, kind, kProfileRate, refusals_only);
+      if (it.local)
+        Set(*it.local, kind, kProfileRate, refusals_only);
       refusals_only = !refusals_only;
     }
   };
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "include/base/error.h"
+#include "soak/server_process_faults.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/one_shot.h"
 #include "tests/platform/platform_texts.h"
@@ -25,6 +26,8 @@
 constexpr int kZonesPerRegion = 2;
 constexpr int kServerSlots = 4;
 constexpr Duration kProcessPollInterval{20};
+// Where server processes listen, one port each; no host has this address.
+constexpr char kServerIp[] = "127.0.200.1";
 // What scheduling on a busy machine may add to the exit of a process.
 constexpr Duration kExitSlack{1'000};
 constexpr uint64_t kVersionStep = 3;
@@ -32,39 +35,9 @@
 // there to the server's restart.
 constexpr Duration kCrashDelay{50};
 constexpr Duration kCrashedFor{1'500};
-constexpr Duration kCrashingTimeout{2'000};
-// After so many crashes it is known which request causes them.
-constexpr size_t kCrashesUntilKnown = 3;
-
-// Loopback addresses from 127.0.1.1 on, 200 for each value of the third octet.
-std::string HostIp(int i) {
-  return fmt::format("127.0.{}.{}", 1 + i / 200, 1 + i % 200);
-}
-
-Route MakeRoute(const std::string& prefix,
-                RequestKind kind,
-                const std::string& service) {
-  Route route;
-  route.name = "route" + prefix;
-  route.host_name = "soak.example";
-  route.prefix = prefix;
-  route.kind = kind;
-  route.timeout = Duration(1'500);
-  route.target_latency = Duration(400);
-  route.priority = kind == RequestKind::kIdempotent ? 1 : 0;
-  route.attempts =
-      kind == RequestKind::kIdempotent ? InvariantChecker::kAttempts : 1;
-  route.sticky = true;
-  route.targets = {{ServiceId(service), 1}};
-  return route;
-}
 
 }  // namespace
 
-std::string VersionPath(uint64_t version) {
-  return fmt::format("/version-{}/", version);
-}
-
 SoakFleet::SoakFleet(SoakOptions options,
                      WorkerPool& workers,
                      const EntryWire& names,
@@ -74,7 +47,8 @@
       workers_(workers),
       names_(names),
       checker_(checker),
-      budget_(budget) {
+      budget_(budget),
+      crashes_(checker) {
   for (int region = 0; region < kRegions; ++region) {
     for (int zone = 0; zone < kZonesPerRegion; ++zone) {
       zones_[ZoneId(fmt::format("zone-{}-{}", region, zone))] =
@@ -89,29 +63,65 @@
 
 void SoakFleet::AddServer(int i) {
   const auto zone = std::next(zones_.begin(), i % std::ssize(zones_));
-  SoakServer::Options server;
-  server.entry.id = ServerId(fmt::format("server-{}-0", i));
+  ServerEntry entry;
+  entry.id = ServerId(fmt::format("server-{}-0", i));
   // Both services have servers in every zone.
-  server.entry.service =
+  entry.service =
       ServiceId(i / std::ssize(zones_) % 2 == 0 ? "lookup" : "confirm");
-  server.entry.zone = zone->first;
-  server.entry.slots = kServerSlots;
-  server.seed = options_.seed * 1'000 + static_cast<uint64_t>(i);
-  servers_.push_back(
-      {std::make_unique<SoakServer>(
-           workers_, names_, checker_,
-           [this](const std::string& id, const std::string& request) {
-             OnArrival(id, request);
-           },
-           std::move(server)),
-       0, std::nullopt, false});
-  servers_.back().server->set_on_crashing_request(
+  entry.zone = zone->first;
+  entry.slots = kServerSlots;
+  const auto index = static_cast<size_t>(i);
+  servers_.push_back(options_.server_processes
+                         ? MakeServerProcess(index, std::move(entry))
+                         : MakeLocalServer(index, entry));
+}
+
+SoakFleet::Server SoakFleet::MakeLocalServer(size_t i,
+                                             const ServerEntry& entry) {
+  SoakServer::Options options;
+  options.entry = entry;
+  options.seed = options_.seed * 1'000 + i;
+  auto server = std::make_unique<SoakServer>(
+      workers_, names_, checker_,
+      [this](const std::string& id, const std::string& request) {
+        OnArrival(id, request, SteadyNow());
+      },
+      std::move(options));
+  server->set_on_crashing_request(
       [this, i](const std::string& target, const std::string& id) {
-        if (!CrashBriefly(servers_[static_cast<size_t>(i)]))
+        if (!CrashBriefly(servers_[i]))
           return false;
-        OnCrash(target, id);
+        const Instant now = SteadyNow();
+        const std::string host = checker_.HostOf(id);
+        crashes_.OnCrash(target, host, InTouch(host, now), now);
         return true;
       });
+  Server result;
+  result.local = server.get();
+  result.server = std::move(server);
+  return result;
+}
+
+SoakFleet::Server SoakFleet::MakeServerProcess(size_t i, ServerEntry entry) {
+  entry.endpoint = {kServerIp, static_cast<uint16_t>(options_.first_port + i)};
+  const std::string base = fmt::format("{}/server-{}", options_.folder, i);
+  ServerProgramOptions program = FaultyServerOptions(options_.profile);
+  program.ledger = base + ".ledger";
+  program.seed = (options_.seed * 1'000 + i) * 1'000;
+  program.slots = kServerSlots;
+  program.max_connections = 2 * options_.hosts + kServerSlots * 2;
+  program.faulty_until_ms = (SteadyNow() + kWarmUpTime + options_.length).ms();
+  auto server = std::make_unique<ServerProcess>(
+      checker_,
+      [this](const std::string& id, const std::string& request, Instant now) {
+        OnArrival(id, request, now);
+      },
+      ServerProcess::Options{std::move(entry), std::move(program),
+                             base + ".out"});
+  Server result;
+  result.process = server.get();
+  result.server = std::move(server);
+  return result;
 }
 
 void SoakFleet::AddHost(int i) {
@@ -128,39 +138,14 @@
   host.caller_link =
       std::make_unique<FaultProxy>(workers_.loop(0), host.caller_endpoint);
   const std::string base = options_.folder + "/" + host.id.str();
-  std::ofstream(base + ".json") << SettingsOf(host);
+  std::ofstream(base + ".json") << HostSettings(
+      {host.id, host.zone, host.region, zones_, host.caller_endpoint.ip,
+       options_.first_port, host.store_link->endpoint(), budget_});
   host.process = std::make_unique<HostProcess>(options_.program, base + ".json",
                                                base + ".log");
   hosts_.push_back(std::move(host));
 }
 
-std::string SoakFleet::SettingsOf(const Host& host) const {
-  boost::json::object regions;
-  for (const auto& [zone, region] : zones_)
-    regions[zone.str()] = region.str();
-  const std::string& ip = host.caller_endpoint.ip;
-  const auto port = [&](int offset) {
-    return Endpoint{ip, static_cast<uint16_t>(options_.first_port + offset)}
-        .ToString();
-  };
-  return boost::json::serialize(boost::json::value{
-      {"host", host.id.str()},
-      {"zone", host.zone.str()},
-      {"region", host.region.str()},
-      {"regions", std::move(regions)},
-      {"callers", port(0)},
-      {"directory", port(1)},
-      {"readiness", port(2)},
-      {"peer_port", options_.first_port + 3},
-      {"metrics_port", options_.first_port + 4},
-      {"store", host.store_link->endpoint().ToString()},
-      {"retry_ratio", budget_.ratio},
-      {"retry_slack", budget_.slack},
-      {"retry_window", fmt::format("{}ms", budget_.window.ms())},
-      {"news_within", fmt::format("{}ms", kDrainLimit.ms())},
-      {"stop_within", fmt::format("{}ms", kGracePeriod.ms())}});
-}
-
 void SoakFleet::Start() {
   config_.version = kVersionStep;
   config_.services[ServiceId("lookup")] = {};
@@ -173,17 +158,17 @@
 }
 
 void SoakFleet::WriteConfig() {
-  config_.routes = {
-      MakeRoute("/lookup/", RequestKind::kIdempotent, "lookup"),
-      MakeRoute("/confirm/", RequestKind::kNonIdempotent, "confirm"),
-      MakeRoute(VersionPath(config_.version), RequestKind::kIdempotent,
-                "lookup")};
+  config_.routes = SoakRoutes(config_.version);
   store_.Put(platform::ConfigKey(), platform::EncodeConfig(config_));
   version_written_at_ = SteadyNow();
 }
 
 void SoakFleet::RemoveServerEntry(const Server& server) {
-  store_.Remove(platform::ServerKeyInStore(server.server->entry().id));
+  RemoveServerEntry(server.server->entry().id);
+}
+
+void SoakFleet::RemoveServerEntry(const ServerId& id) {
+  store_.Remove(platform::ServerKeyInStore(id));
 }
 
 void SoakFleet::WriteServerEntry(const Server& server) {
@@ -203,6 +188,15 @@
   fault_history_.End(host.id.str(), SteadyNow());
 }
 
+void SoakFleet::ReadLedgers() {
+  for (Server& it : servers_) {
+    if (!it.process)
+      continue;
+    it.process->CheckRunning();
+    it.process->ReadLedger();
+  }
+}
+
 SoakFleet::Host* SoakFleet::FindHost(const Endpoint& endpoint) {
   const auto it = std::find_if(
       hosts_.begin(), hosts_.end(),
@@ -210,8 +204,9 @@
   return it == hosts_.end() ? nullptr : &*it;
 }
 
-void SoakFleet::OnArrival(const std::string& server, const std::string& id) {
-  const Instant now = SteadyNow();
+void SoakFleet::OnArrival(const std::string& server,
+                          const std::string& id,
+                          Instant now) {
   const std::string host = checker_.HostOf(id);
   const auto it = std::find_if(
       servers_.begin(), servers_.end(),
@@ -252,11 +247,9 @@
 void SoakFleet::CheckLimit(Server& server,
                            const std::string& host,
                            Instant now) {
-  const std::optional<double> limit = server.server->limit();
-  if (!limit || !server.limited_since ||
-      now - *server.limited_since < kLimitNotice) {
+  if (!server.limited_since || now - *server.limited_since < kLimitNotice)
     return;
-  }
+  const std::optional<double> limit = server.local->limit();
   std::deque<Instant>& arrivals = server.limited_arrivals;
   arrivals.push_back(now);
   while (now - arrivals.front() > kLimitWindow)
@@ -305,48 +298,16 @@
   co_await SleepFor(kCrashDelay);
   server.server->Crash();
   co_await SleepFor(kCrashedFor);
-  server.server->Restart(server.server->entry().id);
+  const ServerEntry& entry = server.server->entry();
+  server.server->Restart(entry.id, entry.service);
   WriteServerEntry(server);
   server.fault_in_progress = false;
 }
 
-asio::awaitable<void> SoakFleet::SendCrashingRequest(Host& host,
-                                                     std::string target,
-                                                     std::string id) {
-  HttpRequest request;
-  request.method = "GET";
-  request.target = target;
-  request.fields.Add("Host", "soak.example");
-  request.fields.Add(names_.request_id, id);
-  checker_.OnSent(id, "lookup", true, host.id.str(),
-                  RequestDigest(request.method, target, {}), SteadyNow());
-  ConnectionPool connections(workers_.loop(0));
-  ExchangeOptions options;
-  options.deadline = SteadyNow() + kCrashingTimeout;
-  co_await connections.Exchange(host.caller_link->endpoint(),
-                                std::move(request), std::move(options));
-}
-
-void SoakFleet::OnCrash(const std::string& target, const std::string& id) {
-  std::vector<Instant>& crashes = crashes_[target];
-  const Instant now = SteadyNow();
-  const std::string host = checker_.HostOf(id);
-  if (crashes.size() < kCrashesUntilKnown) {
-    crashes.push_back(now);
-    return;
-  }
-  if (now - crashes.back() <= FaultHistory::kSettleTime || !InTouch(host, now))
-    return;
-  if (++late_crashes_[target] == kMaxLateCrashes + 1) {
-    checker_.Report(InvariantViolation::kCrashedTooMany,
-                    fmt::format("{} from {} ran {} ms after its third crash",
-                                target, host, (now - crashes.back()).ms()));
-  }
-}
-
 asio::awaitable<void> SoakFleet::Supervise(const bool& stop) {
   while (!stop) {
     co_await SleepFor(kProcessPollInterval);
+    ReadLedgers();
     for (Host& it : hosts_) {
       max_resident_bytes_ =
           std::max(max_resident_bytes_, it.process->ResidentBytes());
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -12,10 +12,13 @@
 #include "include/base/enum_names.h"
 #include "include/entry/entry_wire.h"
 #include "include/routing/route_config.h"
+#include "soak/crash_limit.h"
 #include "soak/fault_history.h"
 #include "soak/fault_proxy.h"
+#include "soak/fleet_settings.h"
 #include "soak/host_process.h"
 #include "soak/invariant_checker.h"
+#include "soak/server_process.h"
 #include "soak/soak_server.h"
 #include "src/http/worker_pool.h"
 #include "tests/platform/store_standin.h"
@@ -47,6 +50,8 @@
   int servers = 10;
   int callers = 40;
   Profile profile = Profile::kMixed;
+  // Whether each backend server is a process of its own.
+  bool server_processes = false;
   // Each host listens on this port and the next four, at an address of its own.
   uint16_t first_port = 26'000;
 };
@@ -57,16 +62,19 @@
 // must be stopped before this object is destroyed.
 class SoakFleet {
  public:
+  // From the start of the processes to the first fault.
+  static constexpr Duration kWarmUpTime{4'000};
+
   // Time limits of the invariants.
 
   // After this a draining server receives no more requests.
-  static constexpr Duration kDrainLimit{2'500};
+  static constexpr Duration kDrainLimit = soak::kDrainLimit;
   // After this an evacuated zone receives no more requests.
   static constexpr Duration kEvacuationLimit{5'000};
   // After this a new configuration is in force.
   static constexpr Duration kConfigLimit{2'500};
   // After this a host has exited upon SIGTERM.
-  static constexpr Duration kGracePeriod{6'000};
+  static constexpr Duration kGracePeriod = soak::kGracePeriod;
   // After this a host has noticed that a caller disconnected.
   static constexpr Duration kDisconnectNoticeLimit{500};
   // After this a server's limit, or its pause, is in force.
@@ -79,9 +87,6 @@
   static constexpr int kLimitSlack = 5;
   // Requests that may reach a server from one host in its pause.
   static constexpr int kMaxSentInPause = 2;
-  // Runs of a request that crashes servers, later than kSettleTime after the
-  // third of them.
-  static constexpr int kMaxLateCrashes = 3;
 
   struct Host {
     HostId id;
@@ -104,7 +109,10 @@
   };
 
   struct Server {
-    std::unique_ptr<SoakServer> server;
+    std::unique_ptr<BackendServer> server;
+    // The same object, depending on where the server runs; else null.
+    SoakServer* local = nullptr;
+    ServerProcess* process = nullptr;
     int generation = 0;
     std::optional<Instant> draining_since;
     // A fault or a replacement of it is in progress.
@@ -132,6 +140,8 @@
   // Watches the host processes until `stop` is set: reports one that exited
   // unasked, and starts it again.
   boost::asio::awaitable<void> Supervise(const bool& stop);
+  // Hands what the server processes have recorded to the checker.
+  void ReadLedgers();
   // Starts a host's process.
   void StartHost(Host& host);
   // Sends SIGTERM and returns after the process has exited. Kills one that
@@ -142,17 +152,18 @@
   // Sends SIGKILL and waits for the exit.
   boost::asio::awaitable<void> KillHost(Host& host);
 
-  // Sends a request that crashes the servers that run it to `host`.
-  boost::asio::awaitable<void> SendCrashingRequest(Host& host,
-                                                   std::string target,
-                                                   std::string id);
   // Whether all of the host has been free of faults for long enough that time
   // bounds hold for it.
   bool InTouch(const std::string& host, Instant now) const;
 
+  const EntryWire& names() const { return names_; }
+  InvariantChecker& checker() { return checker_; }
+  boost::asio::io_context& loop() { return workers_.loop(0); }
+
   // Changes of the store as servers and operators make them.
   void WriteServerEntry(const Server& server);
   void RemoveServerEntry(const Server& server);
+  void RemoveServerEntry(const ServerId& id);
   void ChangeConfig();
   // Returns false if any zone is evacuated already.
   bool BeginEvacuation(const ZoneId& zone);
@@ -173,14 +184,13 @@
  private:
   void AddHost(int i);
   void AddServer(int i);
-  std::string SettingsOf(const Host& host) const;
   void WriteConfig();
-  void OnArrival(const std::string& server, const std::string& id);
+  void OnArrival(const std::string& server, const std::string& id, Instant now);
+  Server MakeLocalServer(size_t i, const ServerEntry& entry);
+  Server MakeServerProcess(size_t i, ServerEntry entry);
   // Check an arrival against the limit of the server and its pauses.
   void CheckLimit(Server& server, const std::string& host, Instant now);
   void CheckPause(Server& server, const std::string& host, Instant now);
-  // A run of a request crashed its server.
-  void OnCrash(const std::string& target, const std::string& id);
   // Crashes the server, which comes back later; false if another fault of it is
   // in progress.
   bool CrashBriefly(Server& server);
@@ -205,15 +215,9 @@
   Instant version_written_at_;
   std::map<ZoneId, Instant> evacuated_;
   int64_t max_resident_bytes_ = 0;
-  // For each request that crashes servers, the first crashes, and the number of
-  // those after it was known.
-  std::map<std::string, std::vector<Instant>> crashes_;
-  std::map<std::string, int> late_crashes_;
+  CrashLimit crashes_;
 };
 
-// The path prefix of the route that exists only in this configuration version.
-std::string VersionPath(uint64_t version);
-
 }  // namespace toucanknot::soak
 
 #endif  // SOAK_SOAK_FLEET_H_
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -12,6 +12,8 @@
 
 #include "include/base/error.h"
 #include "soak/fault_plan.h"
+#include "soak/server_process.h"
+#include "soak/server_program.h"
 #include "soak/soak_run.h"
 
 namespace toucanknot::soak {
@@ -44,6 +46,7 @@
       "mixed: the faults of the seed; calm: none; or one kind of faulty "
       "responses, by all servers throughout: refusals, late-copies, "
       "broken-copies, run-then-refuse");
+  add("server-processes", "run each backend server as a process of its own");
   add("first-port", po::value<uint16_t>()->default_value(26'000),
       "the hosts listen on this port and the next four");
   add("keep", po::value<std::string>()->default_value("soak-logs"),
@@ -92,6 +95,7 @@
   if (!parsed)
     throw Error("unknown profile " + profile);
   soak.profile = *parsed;
+  soak.server_processes = values.count("server-processes") > 0;
   const uint64_t first = values["seed"].as<uint64_t>();
   bool passed = true;
   for (int i = 0; i < values["seeds"].as<int>(); ++i) {
@@ -111,6 +115,11 @@
 
 int main(int argc, char** argv) {
   try {
+    using toucanknot::soak::ServerProcess;
+    if (argc == 3 && argv[1] == std::string(ServerProcess::kCommand)) {
+      toucanknot::soak::RunServerProgram(
+          toucanknot::soak::ServerProgramOptions::FromJson(argv[2]));
+    }
     return toucanknot::soak::Run(argc, argv);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "toucanknot-soak: %s\n", e.what());
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -17,8 +17,6 @@
 
 namespace asio = boost::asio;
 
-// From the start of the processes to the first fault.
-constexpr Duration kWarmUpTime{4'000};
 // Time after the last fault until the fleet must serve normally again.
 constexpr Duration kRecoveryTime{15'000};
 // How long it is then measured, and the share of requests that it must serve.
@@ -50,7 +48,7 @@
   asio::awaitable<SoakReport> Execute() {
     fleet_.Start();
     Spawn(fleet_.Supervise(stop_supervision_));
-    co_await SleepFor(kWarmUpTime);
+    co_await SleepFor(SoakFleet::kWarmUpTime);
     for (int i = 0; i < options_.callers; ++i)
       Spawn(callers_.RunCaller(i, stop_callers_));
     Spawn(callers_.ProbeConfig(stop_callers_));
@@ -73,6 +71,7 @@
     stop_supervision_ = true;
     while (running_ > 0)
       co_await SleepFor(kPollInterval);
+    fleet_.ReadLedgers();
     checker_.Finish();
     report.counts = checker_.counts();
     report.max_resident_bytes = fleet_.max_resident_bytes();
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -80,9 +80,10 @@
   link_->Close();
 }
 
-void SoakServer::Restart(const ServerId& id) {
+void SoakServer::Restart(const ServerId& id, const ServiceId& service) {
   up_ = true;
   options_.entry.id = id;
+  options_.entry.service = service;
   options_.entry.incarnation = static_cast<Incarnation>(UnixMillis());
   options_.entry.leaving = false;
   link_->Open();
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -11,6 +11,7 @@
 
 #include "include/entry/entry_wire.h"
 #include "include/placing/server_entry.h"
+#include "soak/backend_server.h"
 #include "soak/fault_proxy.h"
 #include "soak/invariant_checker.h"
 #include "src/http/http_server.h"
@@ -32,7 +33,7 @@
 
 // A backend server behind a proxy. It has slots and a short queue, and marks
 // the requests that it rejects as not run. Used on the loop of `workers` only.
-class SoakServer {
+class SoakServer : public BackendServer {
  public:
   struct Options {
     ServerEntry entry;
@@ -53,17 +54,14 @@
              Options options);
 
   // The entry that it registers in the store, with the address of the proxy.
-  const ServerEntry& entry() const { return options_.entry; }
+  const ServerEntry& entry() const override { return options_.entry; }
   FaultProxy& link() { return *link_; }
-  bool up() const { return up_; }
+  bool up() const override { return up_; }
 
-  // Its runs in progress no longer count as attempts, because it was cut off.
-  void MarkLost();
-  // Resets all connections and stops listening, without notice.
-  void Crash();
-  // Starts again as a new incarnation, under the same id or another one.
-  void Restart(const ServerId& id);
-  void SetLeaving() { options_.entry.leaving = true; }
+  void MarkLost() override;
+  void Crash() override;
+  void Restart(const ServerId& id, const ServiceId& service) override;
+  void SetLeaving() override { options_.entry.leaving = true; }
   // Requests take this many times as long.
   void SetSlowdown(int64_t factor) { slowdown_ = factor; }
   // Names this limit in its responses, or none.
