--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -3,7 +3,10 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <string>
+
 #include "soak/fault_plan.h"
+#include "soak/refusal_faults.h"
 #include "soak/soak_fleet.h"
 
 namespace toucanknot::soak {
@@ -11,7 +14,7 @@
 // Injects the faults of a plan into a fleet. Used on the fleet's loop only.
 class FaultInjector {
  public:
-  explicit FaultInjector(SoakFleet& fleet) : fleet_(fleet) {}
+  explicit FaultInjector(SoakFleet& fleet) : fleet_(fleet), refusals_(fleet) {}
 
   // Begins a fault, waits for its length, and ends it. Skips a fault of a host
   // process or server that is already affected by another one, and an
@@ -32,6 +35,10 @@
                                            Duration length);
   boost::asio::awaitable<void> PauseServer(SoakFleet::Server& server,
                                            Duration length);
+  // Sends a request that crashes the servers that run it to `host`.
+  boost::asio::awaitable<void> SendCrashingRequest(SoakFleet::Host& host,
+                                                   std::string target,
+                                                   std::string id);
   boost::asio::awaitable<void> SendCrashingRequests(const Fault& fault);
   boost::asio::awaitable<void> WriteOddEntries(const Fault& fault);
   boost::asio::awaitable<void> ReplaceServer(SoakFleet::Server& server,
@@ -40,6 +47,7 @@
                                             Duration length);
 
   SoakFleet& fleet_;
+  RefusalFaults refusals_;
 };
 
 }  // namespace toucanknot::soak
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -7,9 +7,13 @@
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <optional>
 #include <string>
 
+#include "include/base/error.h"
 #include "soak/fault_plan.h"
+#include "soak/server_process.h"
+#include "soak/server_program.h"
 #include "soak/soak_run.h"
 
 namespace toucanknot::soak {
@@ -38,6 +42,11 @@
   add("servers", po::value<int>()->default_value(12),
       "number of backend servers");
   add("callers", po::value<int>()->default_value(40), "number of callers");
+  add("profile", po::value<std::string>()->default_value("mixed"),
+      "mixed: the faults of the seed; calm: none; or one kind of faulty "
+      "responses, by all servers throughout: refusals, late-copies, "
+      "broken-copies, run-then-refuse");
+  add("server-processes", "run each backend server as a process of its own");
   add("first-port", po::value<uint16_t>()->default_value(26'000),
       "the hosts listen on this port and the next four");
   add("keep", po::value<std::string>()->default_value("soak-logs"),
@@ -81,6 +90,12 @@
   soak.servers = values["servers"].as<int>();
   soak.callers = values["callers"].as<int>();
   soak.first_port = values["first-port"].as<uint16_t>();
+  const std::string profile = values["profile"].as<std::string>();
+  const std::optional<Profile> parsed = kProfileNames.Parse(profile);
+  if (!parsed)
+    throw Error("unknown profile " + profile);
+  soak.profile = *parsed;
+  soak.server_processes = values.count("server-processes") > 0;
   const uint64_t first = values["seed"].as<uint64_t>();
   bool passed = true;
   for (int i = 0; i < values["seeds"].as<int>(); ++i) {
@@ -100,6 +115,11 @@
 
 int main(int argc, char** argv) {
   try {
+    using toucanknot::soak::ServerProcess;
+    if (argc == 3 && argv[1] == std::string(ServerProcess::kCommand)) {
+      toucanknot::soak::RunServerProgram(
+          toucanknot::soak::ServerProgramOptions::FromJson(argv[2]));
+    }
     return toucanknot::soak::Run(argc, argv);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "toucanknot-soak: %s\n", e.what());
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -6,7 +6,9 @@
 #include <memory>
 
 #include "platform/wire_decoder.h"
+#include "soak/evidence.h"
 #include "soak/fault_injector.h"
+#include "soak/refusal_faults.h"
 #include "soak/soak_callers.h"
 #include "src/http/one_shot.h"
 
@@ -15,8 +17,6 @@
 
 namespace asio = boost::asio;
 
-// From the start of the processes to the first fault.
-constexpr Duration kWarmUpTime{4'000};
 // Time after the last fault until the fleet must serve normally again.
 constexpr Duration kRecoveryTime{15'000};
 // How long it is then measured, and the share of requests that it must serve.
@@ -48,7 +48,7 @@
   asio::awaitable<SoakReport> Execute() {
     fleet_.Start();
     Spawn(fleet_.Supervise(stop_supervision_));
-    co_await SleepFor(kWarmUpTime);
+    co_await SleepFor(SoakFleet::kWarmUpTime);
     for (int i = 0; i < options_.callers; ++i)
       Spawn(callers_.RunCaller(i, stop_callers_));
     Spawn(callers_.ProbeConfig(stop_callers_));
@@ -71,16 +71,24 @@
     stop_supervision_ = true;
     while (running_ > 0)
       co_await SleepFor(kPollInterval);
+    fleet_.ReadLedgers();
     checker_.Finish();
     report.counts = checker_.counts();
     report.max_resident_bytes = fleet_.max_resident_bytes();
     report.violations = checker_.violations();
+    report.violation_counts = checker_.violation_counts();
+    WriteEvidence(checker_, options_.folder);
     co_return report;
   }
 
  private:
   // Injects the faults of the plan; returns their number after all have ended.
   asio::awaitable<int> InjectFaults() {
+    if (options_.profile != Profile::kMixed) {
+      co_await RefusalFaults(fleet_).InjectProfile(options_.profile,
+                                                   options_.length);
+      co_return 0;
+    }
     const std::vector<Fault> plan =
         GenerateFaultPlan(options_.seed, options_.length);
     const Instant begun = SteadyNow();
@@ -140,6 +148,9 @@
   boost::json::array violations;
   for (const std::string& it : report.violations)
     violations.emplace_back(it);
+  boost::json::object violated;
+  for (const auto& [kind, n] : report.violation_counts)
+    violated[kInvariantViolationNames.Name(kind)] = n;
   return boost::json::serialize(
       boost::json::value{{"seed", report.seed},
                          {"faults", report.faults},
@@ -149,6 +160,7 @@
                          {"served", report.served},
                          {"served_after", report.served_after},
                          {"most_resident_mb", report.max_resident_bytes >> 20},
+                         {"violated", std::move(violated)},
                          {"breaches", std::move(violations)}});
 }
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -11,6 +11,7 @@
 
 #include "include/entry/entry_wire.h"
 #include "include/placing/server_entry.h"
+#include "soak/backend_server.h"
 #include "soak/fault_proxy.h"
 #include "soak/invariant_checker.h"
 #include "src/http/http_server.h"
@@ -32,7 +33,7 @@
 
 // A backend server behind a proxy. It has slots and a short queue, and marks
 // the requests that it rejects as not run. Used on the loop of `workers` only.
-class SoakServer {
+class SoakServer : public BackendServer {
  public:
   struct Options {
     ServerEntry entry;
@@ -53,15 +54,14 @@
              Options options);
 
   // The entry that it registers in the store, with the address of the proxy.
-  const ServerEntry& entry() const { return options_.entry; }
+  const ServerEntry& entry() const override { return options_.entry; }
   FaultProxy& link() { return *link_; }
-  bool up() const { return up_; }
+  bool up() const override { return up_; }
 
-  // Resets all connections and stops listening, without notice.
-  void Crash();
-  // Starts again as a new incarnation, under the same id or another one.
-  void Restart(const ServerId& id);
-  void SetLeaving() { options_.entry.leaving = true; }
+  void MarkLost() override;
+  void Crash() override;
+  void Restart(const ServerId& id, const ServiceId& service) override;
+  void SetLeaving() override { options_.entry.leaving = true; }
   // Requests take this many times as long.
   void SetSlowdown(int64_t factor) { slowdown_ = factor; }
   // Names this limit in its responses, or none.
@@ -76,6 +76,11 @@
   void set_on_crashing_request(CrashHook hook) {
     on_crashing_request_ = std::move(hook);
   }
+  // Share of the requests, 0 to 1, that are rejected though slots are free.
+  void SetShedRate(double rate) { shed_rate_ = rate; }
+  // Share of the requests that are run but get a response with 408, 429 or 503,
+  // which does not state that they weren't.
+  void SetRunThenRefuseRate(double rate) { run_then_refuse_rate_ = rate; }
   // Share of the requests, 0 to 1, that are run but get an error response.
   void SetFailureRate(double rate) { failure_rate_ = rate; }
 
@@ -85,6 +90,11 @@
   boost::asio::awaitable<bool> WaitForSlot(const HttpRequest& request,
                                            Instant deadline);
   HttpResponse NotRunResponse(int status, const std::string& id) const;
+  // Status of the response to a request that was run.
+  int DrawStatus();
+  bool Draw(double rate) {
+    return std::uniform_real_distribution<double>()(random_) < rate;
+  }
   // Adds what the server states about itself.
   void AddNotices(HttpResponse& response) const;
 
@@ -96,6 +106,8 @@
   bool up_ = true;
   int64_t slowdown_ = 1;
   double failure_rate_ = 0;
+  double shed_rate_ = 0;
+  double run_then_refuse_rate_ = 0;
   std::optional<double> limit_;
   Instant paused_until_;
   CrashHook on_crashing_request_;
