soak: servers' entries have a sequence that grows with each write

Servers count their heartbeats there, the stand-in did not.

A seed's folder is emptied before its run, since the ledgers of an earlier one counted as its own.

--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -172,7 +172,8 @@
 }
 
 void SoakFleet::WriteServerEntry(const Server& server) {
-  const ServerEntry& entry = server.server->entry();
+  ServerEntry entry = server.server->entry();
+  entry.sequence = ++last_sequence_;
   store_.Put(platform::ServerKeyInStore(entry.id),
              platform::EncodeServer(entry));
 }
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -212,6 +212,8 @@
   std::vector<Host> hosts_;
   std::vector<Server> servers_;
   RouteConfig config_;
+  // Of the servers' entries; higher with each write, as with heartbeats.
+  uint64_t last_sequence_ = 0;
   Instant version_written_at_;
   std::map<ZoneId, Instant> evacuated_;
   int64_t max_resident_bytes_ = 0;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -66,6 +66,8 @@
 
 // Runs one seed and prints its report. Returns whether all invariants held.
 bool RunSeed(const SoakOptions& options) {
+  // Logs and ledgers of an earlier run would count as those of this one.
+  std::filesystem::remove_all(options.folder);
   std::filesystem::create_directories(options.folder);
   const SoakReport report = RunSoak(options);
   std::cout << WriteReport(report) << std::endl;
