forward: fields of a trailer are not taken for those of the header

Callers could see a request run twice, or refused though it ran: a chunked response that broke off within its trailer, followed by the head of a refusal of another request on the same connection, counted as a statement that the request did not run. The parser adds the fields of a trailer to those of the header, and the check that a head is that of one message ran before the trailer.

Shown by tests/entry/unproven_response_test.cc: before, both cases were judged "refused" and sent a second time (the caller got 504 in place of 502 and 200). The response now has the fields that its header had (RFC 9110, 6.5.1), and a trailer that holds a status line or a single-valued field again ends the exchange as broken: the request may have run.

--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -67,9 +67,13 @@
         std::make_shared<MemoryReservation>(memory_, MemoryUse::kResponse);
     if (!reserved->Resize(FieldMemoryOf(parser.get())))
       co_return http::error::header_limit;
+    // Without the fields of a trailer, which the parser adds to the header.
+    HttpResponse response = HeadFromBeast(parser.get());
     const ErrorCode body_ec = co_await ReadBody(parser, *reserved);
     if (body_ec)
       co_return body_ec;
+    if (const ErrorCode ec = CheckFields(parser, result))
+      co_return ec;
     reusable_ = reusable_ && parser.get().keep_alive() && !parser.need_eof();
     const bool last = parser.need_eof();
     if (last) {
@@ -77,8 +81,9 @@
       if (!clean)
         co_return asio::error::connection_reset;
     }
-    result.response = FromBeast(parser.release());
-    result.response.memory = reserved;
+    response.body = std::move(parser.get().body());
+    response.memory = reserved;
+    result.response = std::move(response);
     if (!options_.is_own_response || options_.is_own_response(result.response))
       co_return ErrorCode{};
     reusable_ = false;
@@ -98,12 +103,17 @@
       result.response_started || n > 0 || connection_->buffer.size() > 0;
   if (ec)
     co_return ec;
+  co_return CheckFields(parser, result);
+}
+
+beast::error_code ResponseReader::CheckFields(const Parser& parser,
+                                              ExchangeResult& result) {
   result.error = FindHeadProblem(parser.get().reason(), parser.get(),
                                  options_.single_fields);
   if (result.error.empty())
-    co_return ErrorCode{};
+    return {};
   mixed_head_ = true;
-  co_return http::error::bad_value;
+  return http::error::bad_value;
 }
 
 bool ResponseReader::GrowBody(Parser& parser, MemoryReservation& memory) {
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -46,6 +46,9 @@
   // Reads a head. Returns an error also if it is not that of one message.
   boost::asio::awaitable<ErrorCode> ReadHead(Parser& parser,
                                              ExchangeResult& result);
+  // Returns an error if the fields read so far, with those of a trailer, are
+  // not those of one message.
+  ErrorCode CheckFields(const Parser& parser, ExchangeResult& result);
   // Reads the body. Grows it itself, since a string that grows by itself holds
   // two copies uncounted.
   boost::asio::awaitable<ErrorCode> ReadBody(Parser& parser,
--- a/src/http/beast_messages.cc
+++ b/src/http/beast_messages.cc
@@ -42,14 +42,13 @@
          request.method == "POST" || request.method == "PUT";
 }
 
-HttpResponse FromBeast(BeastResponse&& in) {
+HttpResponse HeadFromBeast(const BeastResponse& in) {
   HttpResponse response;
   response.status = static_cast<int>(in.result_int());
   response.fields.Reserve(CountOf(in));
   for (const auto& it : in) {
     response.fields.Add(std::string(it.name_string()), std::string(it.value()));
   }
-  response.body = std::move(in.body());
   return response;
 }
 
--- a/src/http/beast_messages.h
+++ b/src/http/beast_messages.h
@@ -17,7 +17,8 @@
 
 // `version` is the HTTP version of the request: 10 or 11.
 BeastResponse ToBeast(HttpResponse&& response, unsigned version);
-HttpResponse FromBeast(BeastResponse&& in);
+// The status and the fields of a response, without its body.
+HttpResponse HeadFromBeast(const BeastResponse& in);
 
 // Whether a request with a body of `body_bytes` carries Content-Length: if
 // there is a body or the method normally has one.
