entry: a misdirected status counts as not run only with the server's statement

A 421 was taken for "did not run" by its status alone: a server that ran a request and ended with 421 led to a second run at another server, and to a refusal with a promise (503) for what had run. asked for the statement with 408, 429 and 503 but not with 421, though no response without it states anything (PROTOCOL, Workers).

--- a/src/entry/request_fields.cc
+++ b/src/entry/request_fields.cc
@@ -28,7 +28,7 @@
 }
 
 bool PromisesNotRun(int status) {
-  return status == 408 || status == 429 || status == 503;
+  return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 void ParseLoad(std::string_view text, PlacedAttemptResult& out) {
--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -40,10 +40,10 @@
       break;
   }
   const HttpResponse& response = exchange.response;
-  if (response.status == 421)
-    return ServerAttemptEnd::kMisdirected;
-  if (response.fields.Has(parts_.names.not_run))
-    return ServerAttemptEnd::kRefused;
+  if (response.fields.Has(parts_.names.not_run)) {
+    return response.status == 421 ? ServerAttemptEnd::kMisdirected
+                                  : ServerAttemptEnd::kRefused;
+  }
   // Only backend servers of the platform stamp their responses. One that states
   // with its status alone that it did not run the request may have run it, and
   // the caller would repeat it.
--- a/tests/entry/unproven_response_test.cc
+++ b/tests/entry/unproven_response_test.cc
@@ -39,4 +39,12 @@
   CHECK(out.find("X-Not-Run") == std::string::npos);
 }
 
+TEST_CASE("a misdirected status without the statement proves nothing") {
+  const std::string out = FetchFrom(
+      "HTTP/1.1 421 X\r\nX-Id: 42\r\nX-Stamp: s\r\n"
+      "Content-Length: 3\r\n\r\nran");
+  CHECK(out.substr(9, 3) == "502");
+  CHECK(out.find("X-Stamp") == std::string::npos);
+}
+
 }  // namespace toucanknot
