entry: a success that states that it did not run proves nothing

A 2xx or 3xx response with the "not run" field counted as a refusal, so that a non-idempotent request was sent again. Such a response contradicts itself, as one with parts of two messages does, and the request may have run. Shown by "a success that states that it did not run proves nothing" (200, 204, 302): 504 after a second send before, 502 with this change.

--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -41,6 +41,9 @@
   }
   const HttpResponse& response = exchange.response;
   if (response.fields.Has(parts_.names.not_run)) {
+    // A success contradicts the statement.
+    if (response.status < 400)
+      return ServerAttemptEnd::kBroken;
     return response.status == 421 ? ServerAttemptEnd::kMisdirected
                                   : ServerAttemptEnd::kRefused;
   }
--- a/tests/entry/unproven_response_test.cc
+++ b/tests/entry/unproven_response_test.cc
@@ -47,4 +47,13 @@
   CHECK(out.find("X-Stamp") == std::string::npos);
 }
 
+TEST_CASE("a success that states that it did not run proves nothing") {
+  const std::string status = GENERATE("200 OK", "204 No Content", "302 Found");
+  const std::string out =
+      FetchFrom("HTTP/1.1 " + status +
+                "\r\nX-Id: 42\r\nX-Not-Run: 1\r\nX-Stamp: s\r\n"
+                "Content-Length: 0\r\n\r\n");
+  CHECK(out.substr(9, 3) == "502");
+}
+
 }  // namespace toucanknot
