forward: a response in an unknown transfer coding is broken

A response whose Transfer-Encoding the parser does not know (gzip, a misspelt "chunked", chunks in HTTP/1.0) was read as one without a length. Callers got a 200 whose body was still coded, or the chunk headers as its text, framed as whole, since the field itself ends at the host.

"a response whose framing is not known is not taken for whole": four of nine kinds were answered before, none is now. The others (length and chunks, two lengths, bare line feeds, a NUL, another version) were broken already.

--- a/src/forward/response_head.cc
+++ b/src/forward/response_head.cc
@@ -57,4 +57,17 @@
   return {};
 }
 
+std::string FindFramingProblem(unsigned version,
+                               const boost::beast::http::fields& fields) {
+  const auto coding = fields.find(boost::beast::http::field::transfer_encoding);
+  if (coding == fields.end())
+    return {};
+  // HTTP/1.0 has no transfer codings.
+  if (version < 11)
+    return "a transfer coding in HTTP/1.0";
+  if (!boost::beast::iequals(coding->value(), "chunked"))
+    return "the transfer coding is not \"chunked\"";
+  return {};
+}
+
 }  // namespace toucanknot
--- a/src/forward/response_head.h
+++ b/src/forward/response_head.h
@@ -21,6 +21,13 @@
                             const boost::beast::http::fields& fields,
                             const std::vector<std::string>& single_fields);
 
+// Checks that the parser knows where the body ends: it takes a body in a
+// transfer coding other than "chunked" for one without a length, or leaves the
+// coding in place. `version` is 10 or 11. Returns what is wrong, or an empty
+// string.
+std::string FindFramingProblem(unsigned version,
+                               const boost::beast::http::fields& fields);
+
 }  // namespace toucanknot
 
 #endif  // SRC_FORWARD_RESPONSE_HEAD_H_
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -110,10 +110,10 @@
                                               ExchangeResult& result) {
   result.error = FindHeadProblem(parser.get().reason(), parser.get(),
                                  options_.single_fields);
+  mixed_head_ = !result.error.empty();
   if (result.error.empty())
-    return {};
-  mixed_head_ = true;
-  return http::error::bad_value;
+    result.error = FindFramingProblem(parser.get().version(), parser.get());
+  return result.error.empty() ? ErrorCode{} : http::error::bad_value;
 }
 
 bool ResponseReader::GrowBody(Parser& parser, MemoryReservation& memory) {
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -47,7 +47,7 @@
   boost::asio::awaitable<ErrorCode> ReadHead(Parser& parser,
                                              ExchangeResult& result);
   // Returns an error if the fields read so far, with those of a trailer, are
-  // not those of one message.
+  // not those of one message with a known framing.
   ErrorCode CheckFields(const Parser& parser, ExchangeResult& result);
   // Reads the body. Grows it itself, since a string that grows by itself holds
   // two copies uncounted.
--- a/tests/forward/cut_response_test.cc
+++ b/tests/forward/cut_response_test.cc
@@ -175,4 +175,41 @@
   }
 }
 
+TEST_CASE("a response whose framing is not known is not taken for whole") {
+  const Message message = GENERATE(
+      Message{"coding", "GET",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "zzzz"},
+      Message{"chunks in a coding", "GET",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+              "2\r\nzz\r\n0\r\n\r\n"},
+      Message{"misspelt", "GET",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunke\r\n\r\n",
+              "2\r\nok\r\n0\r\n\r\n"},
+      Message{"chunks in HTTP/1.0", "GET",
+              "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "2\r\nok\r\n0\r\n\r\n"},
+      Message{"another version", "GET",
+              "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n", "ok"},
+      Message{"length and chunks", "GET",
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n",
+              "2\r\nok\r\n0\r\n\r\n"},
+      Message{"two lengths", "GET",
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+              "Content-Length: 2\r\n\r\n",
+              "ok"},
+      Message{"line feeds only", "GET",
+              "HTTP/1.1 200 OK\nContent-Length: 2\n\n", "ok"},
+      Message{"a NUL in a field", "GET",
+              "HTTP/1.1 200 OK\r\nX-Note: a" + std::string(1, '\0') +
+                  "b\r\nContent-Length: 2\r\n\r\n",
+              "ok"});
+  CutExchanges exchanges(message, Ending::kClose, 0);
+  const size_t size = message.head.size() + message.body.size();
+  const ExchangeResult result = exchanges.Run(size, size + 1).front();
+  INFO(message.name << ": " << result.error);
+  CHECK(result.end == AttemptEnd::kBroken);
+  CHECK(result.error.find("incomplete") != std::string::npos);
+}
+
 }  // namespace toucanknot
