forward: a body that covers the start of another response is broken

A server broke off its response in the body, kept the connection, and sent a part of another response: the host filled the length with the start of that one. Callers got a success or failure with the server's stamp and a body that was not the server's, framed as whole (MIXED). Now such a response is broken when a status line begins in the body and bytes follow after it; without bytes after it, the bytes are those of one message.

--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -81,7 +81,7 @@
   uint64_t surplus_bytes = 0;
   // Responses aborted because of their size or number.
   uint64_t endless = 0;
-  // Responses whose head was not that of one message.
+  // Responses that were not those of one message.
   uint64_t mixed_heads = 0;
   // Memory reserved for responses.
   int64_t buffered_bytes = 0;
--- a/src/forward/response_head.cc
+++ b/src/forward/response_head.cc
@@ -11,24 +11,45 @@
 
 // What a status line has after its protocol's name, and the length of that up
 // to the status.
+constexpr std::string_view kProtocol = "HTTP";
 constexpr std::string_view kVersion = "/1.";
 constexpr size_t kStatusLineBytes = 8;
+// What of that, with the name, can lie on one side of an end of a body.
+constexpr size_t kMaxPart = kProtocol.size() + kStatusLineBytes - 1;
 
 bool IsDigit(char c) {
   return std::isdigit(static_cast<unsigned char>(c)) != 0;
 }
 
-// Whether `text` contains a status line, except for the first letters of its
-// protocol name, which the message before it may have taken.
-bool ContainsStatusLine(std::string_view text) {
-  for (size_t at = text.find(kVersion); at != std::string_view::npos;
+// Position after the protocol name of the first status line in `text` from
+// `begin` on, or npos.
+size_t FindStatusLine(std::string_view text, size_t begin = 0) {
+  for (size_t at = text.find(kVersion, begin); at != std::string_view::npos;
        at = text.find(kVersion, at + 1)) {
     const std::string_view line = text.substr(at, kStatusLineBytes);
     if (line.size() == kStatusLineBytes && IsDigit(line[3]) && line[4] == ' ' &&
         std::all_of(line.begin() + 5, line.end(), IsDigit)) {
-      return true;
+      return at;
     }
   }
+  return std::string_view::npos;
+}
+
+// Whether `text` contains a status line, except for the first letters of its
+// protocol name, which the message before it may have taken.
+bool ContainsStatusLine(std::string_view text) {
+  return FindStatusLine(text) != std::string_view::npos;
+}
+
+// Whether a status line with its protocol name begins in the first `end` bytes
+// of `text`.
+bool StatusLineBegins(std::string_view text, size_t end) {
+  for (size_t at = FindStatusLine(text); at != std::string_view::npos;
+       at = FindStatusLine(text, at + 1)) {
+    const std::string_view before = text.substr(0, at);
+    if (before.ends_with(kProtocol) && at - kProtocol.size() < end)
+      return true;
+  }
   return false;
 }
 
@@ -70,4 +91,13 @@
   return {};
 }
 
+bool RunsIntoNextResponse(std::string_view body, std::string_view after) {
+  const std::string_view last =
+      body.substr(body.size() - std::min(body.size(), kMaxPart));
+  std::string joint(last);
+  joint += after.substr(0, kMaxPart);
+  return StatusLineBegins(body, body.size()) ||
+         StatusLineBegins(joint, last.size());
+}
+
 }  // namespace toucanknot
--- a/src/forward/response_head.h
+++ b/src/forward/response_head.h
@@ -28,6 +28,11 @@
 std::string FindFramingProblem(unsigned version,
                                const boost::beast::http::fields& fields);
 
+// Whether a status line begins in `body`, which `after` follows on the
+// connection: the response broke off, and its length covers a part of another
+// one.
+bool RunsIntoNextResponse(std::string_view body, std::string_view after);
+
 }  // namespace toucanknot
 
 #endif  // SRC_FORWARD_RESPONSE_HEAD_H_
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -84,8 +84,10 @@
     response.body = std::move(parser.get().body());
     response.memory = reserved;
     result.response = std::move(response);
-    if (!options_.is_own_response || options_.is_own_response(result.response))
-      co_return ErrorCode{};
+    if (!options_.is_own_response ||
+        options_.is_own_response(result.response)) {
+      co_return CheckEnd(parser, result);
+    }
     reusable_ = false;
     if (last)
       co_return http::error::end_of_stream;
@@ -116,6 +118,20 @@
   return result.error.empty() ? ErrorCode{} : http::error::bad_value;
 }
 
+beast::error_code ResponseReader::CheckEnd(const Parser& parser,
+                                           ExchangeResult& result) {
+  const auto surplus = connection_->buffer.cdata();
+  if (surplus.size() == 0 || !parser.content_length() ||
+      !RunsIntoNextResponse(
+          result.response.body,
+          {static_cast<const char*>(surplus.data()), surplus.size()})) {
+    return {};
+  }
+  mixed_head_ = true;
+  result.error = "the body contains the start of another response";
+  return http::error::bad_value;
+}
+
 bool ResponseReader::GrowBody(Parser& parser, MemoryReservation& memory) {
   std::string& body = parser.get().body();
   if (body.capacity() - body.size() >= PooledConnection::kMaxBufferBytes)
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -31,7 +31,7 @@
   // Whether the connection may carry another request, as far as the response
   // tells.
   bool reusable() const { return reusable_; }
-  // Whether a head consisted of parts of several messages.
+  // Whether a response consisted of parts of several messages.
   bool mixed_head() const { return mixed_head_; }
 
   // Whether a response was aborted because of its size or number: the limits of
@@ -49,6 +49,9 @@
   // Returns an error if the fields read so far, with those of a trailer, are
   // not those of one message with a known framing.
   ErrorCode CheckFields(const Parser& parser, ExchangeResult& result);
+  // Returns an error if bytes follow the response that show that its body is
+  // not that of one message.
+  ErrorCode CheckEnd(const Parser& parser, ExchangeResult& result);
   // Reads the body. Grows it itself, since a string that grows by itself holds
   // two copies uncounted.
   boost::asio::awaitable<ErrorCode> ReadBody(Parser& parser,
