--- a/src/http/beast_messages.cc
+++ b/src/http/beast_messages.cc
@@ -26,14 +26,13 @@
   return out;
 }
 
-HttpRequest FromBeast(BeastRequest&& in) {
+HttpRequest HeadFromBeast(const BeastRequest& in) {
   HttpRequest request;
   request.method = std::string(in.method_string());
   request.target = std::string(in.target());
   request.fields.Reserve(CountOf(in));
   for (const auto& it : in)
     request.fields.Add(std::string(it.name_string()), std::string(it.value()));
-  request.body = std::move(in.body());
   return request;
 }
 
--- a/src/http/beast_messages.h
+++ b/src/http/beast_messages.h
@@ -23,7 +23,8 @@
 // Whether a request with a body of `body_bytes` carries Content-Length: if
 // there is a body or the method normally has one.
 bool NeedsLength(const HttpRequest& request, size_t body_bytes);
-HttpRequest FromBeast(BeastRequest&& in);
+// The method, the target and the fields of a request, without its body.
+HttpRequest HeadFromBeast(const BeastRequest& in);
 
 }  // namespace toucanknot
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -163,6 +163,8 @@
       !co_await SendContinue(exchange->version)) {
     co_return false;
   }
+  // Without the fields of a trailer, which the parser adds to the header.
+  HttpRequest request = HeadFromBeast(parser.get());
   beast::error_code body_ec;
   const Reading body = co_await ReadBody(parser, *exchange, body_ec);
   if (body != Reading::kDone) {
@@ -177,7 +179,7 @@
   }
   exchange->keep_alive = parser.get().keep_alive();
   exchange->head = parser.get().method() == http::verb::head;
-  HttpRequest request = FromBeast(parser.release());
+  request.body = std::move(parser.release().body());
   request.remote_ip = remote_ip_;
   request.connected_at = connected_at_;
   request.began_at = began_at_;
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -148,4 +148,28 @@
   CHECK(Status(it.Send(kClosingRequest)) == "200");
 }
 
+TEST_CASE("a field of a request's trailer is not taken for one of its header") {
+  WorkerPool workers(1);
+  HttpServer server(
+      workers, {}, [](std::string_view) { return uint64_t{64}; },
+      [](HttpRequest it) -> asio::awaitable<HttpResponse> {
+        co_return TextResponse(200, std::string(it.fields.Get("X-Id")) + ";" +
+                                        std::string(it.fields.Get("X-Late")));
+      });
+  const Endpoint to = server.Listen({"127.0.0.1", 0});
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address(to.ip), to.port});
+  asio::write(socket,
+              asio::buffer(std::string(
+                  "POST / HTTP/1.1\r\nHost: x\r\nX-Id: 1\r\nConnection: close"
+                  "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+                  "X-Late: 2\r\n\r\n")));
+  std::string out;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(out), ec);
+  workers.Stop();
+  CHECK(out.ends_with("\r\n\r\n1;\n"));
+}
+
 }  // namespace toucanknot
