--- a/src/daemon/prober.cc
+++ b/src/daemon/prober.cc
@@ -64,6 +64,20 @@
   return report;
 }
 
+ServerProbe ToServerProbe(const ServerId& server,
+                          const ExchangeResult& result,
+                          const std::optional<LoadReport>& load) {
+  ServerProbe probe;
+  probe.server = server;
+  const bool broke_off = !load && result.response.body.starts_with('{');
+  probe.healthy = result.end == AttemptEnd::kAnswered && !broke_off &&
+                  result.response.status / 100 == 2 && (!load || load->healthy);
+  probe.leaving = load && load->leaving;
+  if (load)
+    probe.age = load->age;
+  return probe;
+}
+
 Prober::Prober(WorkerPool& workers,
                Sender& sender,
                const HostTables& tables,
@@ -114,18 +128,10 @@
   options.max_answer_bytes = kMaxReportBytes;
   const ExchangeResult result =
       co_await sender_.Exchange(endpoint, std::move(request), options);
-  ServerProbe probe;
-  probe.server = server;
-  const bool responded = result.end == AttemptEnd::kAnswered;
   std::optional<LoadReport> load;
-  if (responded)
+  if (result.end == AttemptEnd::kAnswered)
     load = ParseLoadReport(server, result.response.body);
-  probe.healthy = responded && result.response.status / 100 == 2 &&
-                  (!load || load->healthy);
-  probe.leaving = load && load->leaving;
-  if (load)
-    probe.age = load->age;
-  on_result_(*entry, probe, load);
+  on_result_(*entry, ToServerProbe(server, result, load), load);
 }
 
 }  // namespace toucanknot
--- a/src/daemon/prober.h
+++ b/src/daemon/prober.h
@@ -47,6 +47,12 @@
 std::optional<LoadReport> ParseLoadReport(const ServerId& server,
                                           const std::string& body);
 
+// The result of a probe that ended with `result`, whose body `load` was parsed
+// from. Not healthy if the body is the start of a report that broke off.
+ServerProbe ToServerProbe(const ServerId& server,
+                          const ExchangeResult& result,
+                          const std::optional<LoadReport>& load);
+
 }  // namespace toucanknot
 
 #endif  // SRC_DAEMON_PROBER_H_
