--- a/src/http/beast_messages.h
+++ b/src/http/beast_messages.h
@@ -17,12 +17,14 @@
 
 // `version` is the HTTP version of the request: 10 or 11.
 BeastResponse ToBeast(HttpResponse&& response, unsigned version);
-HttpResponse FromBeast(BeastResponse&& in);
+// The status and the fields of a response, without its body.
+HttpResponse HeadFromBeast(const BeastResponse& in);
 
 // Whether a request with a body of `body_bytes` carries Content-Length: if
 // there is a body or the method normally has one.
 bool NeedsLength(const HttpRequest& request, size_t body_bytes);
-HttpRequest FromBeast(BeastRequest&& in);
+// The method, the target and the fields of a request, without its body.
+HttpRequest HeadFromBeast(const BeastRequest& in);
 
 }  // namespace toucanknot
 
