entry: a misdirected status without a stamp is a rejection

A 421 without a stamp is a rejection again; with a stamp, which only a server that ran the request adds, it proves nothing. unproven_response_test checks both: 502 before for the former, 503 now.

--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -47,13 +47,16 @@
     return response.status == 421 ? ServerAttemptEnd::kMisdirected
                                   : ServerAttemptEnd::kRefused;
   }
+  // A server that is not the one named in the request states it with this
+  // status alone. One that ran the request stamps its response.
+  const bool stamped = response.fields.Has(parts_.names.stamp);
+  if (response.status == 421 && !stamped)
+    return ServerAttemptEnd::kMisdirected;
   // Only backend servers of the platform stamp their responses. One that states
   // with its status alone that it did not run the request may have run it, and
   // the caller would repeat it.
-  if (!response.fields.Has(parts_.names.stamp) ||
-      PromisesNotRun(response.status)) {
+  if (!stamped || PromisesNotRun(response.status))
     return ServerAttemptEnd::kBroken;
-  }
   return response.status >= 500 ? ServerAttemptEnd::kFailed
                                 : ServerAttemptEnd::kAnswered;
 }
