soak: uploads in parts, also late in the grace period of a host

Callers sent bodies of 1.2 kB in one write, so no host had to wait for a body or for a server's window, and no request ended late in a grace period.

--- a/soak/server_program.cc
+++ b/soak/server_program.cc
@@ -16,11 +16,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
-#include <chrono>
 #include <iterator>
 #include <map>
 #include <memory>
@@ -30,6 +28,7 @@
 
 #include "include/base/error.h"
 #include "platform/wire_decoder.h"
+#include "soak/cancel_timer.h"
 #include "soak/server_ledger.h"
 #include "soak/soak_server.h"
 #include "src/http/one_shot.h"
@@ -194,11 +193,7 @@
   // Returns the number of bytes of the head; 0 at the end of the connection and
   // when it was idle for too long.
   asio::awaitable<size_t> ReadHead(Connection& it, int64_t idle_ms) {
-    asio::steady_timer timer(loop_, std::chrono::milliseconds(idle_ms));
-    timer.async_wait([&it](const boost::system::error_code& ec) {
-      if (!ec)
-        it.socket.cancel();
-    });
+    const CancelTimer timer(loop_, it.socket, Duration(idle_ms));
     auto [ec, n] = co_await asio::async_read_until(
         it.socket, asio::dynamic_buffer(it.buf, kMaxHeadBytes), "\r\n\r\n",
         kAwait);
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -40,15 +40,6 @@
   };
   ServedCounts TakeServedCounts() { return std::exchange(served_counts_, {}); }
 
- private:
-  struct Caller {
-    explicit Caller(boost::asio::io_context& loop) : connections(loop) {}
-
-    std::string region;
-    ConnectionPool connections;
-    std::vector<Endpoint> addresses;
-    Instant looked_up_at;
-  };
   struct Request {
     std::string id;
     std::string path;
@@ -60,12 +51,23 @@
   };
   enum class Outcome { kServed, kRejected, kFailed };
 
+  // Judges how a request ended, and reports what it violates.
+  Outcome Classify(const Request& request, const ExchangeResult& result);
+  std::string NextId();
+
+ private:
+  struct Caller {
+    explicit Caller(boost::asio::io_context& loop) : connections(loop) {}
+
+    std::string region;
+    ConnectionPool connections;
+    std::vector<Endpoint> addresses;
+    Instant looked_up_at;
+  };
   boost::asio::awaitable<void> LookUp(Caller& caller);
   boost::asio::awaitable<ExchangeResult> Send(Caller& caller, Request& request);
-  Outcome Classify(const Request& request, const ExchangeResult& result);
   void VerifyResponse(const Request& request, const HttpResponse& response);
   boost::asio::awaitable<void> Probe(SoakFleet::Host& host, uint64_t version);
-  std::string NextId();
   int64_t Draw(int64_t low, int64_t high) {
     return std::uniform_int_distribution<int64_t>(low, high)(random_);
   }
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -25,6 +25,7 @@
 // Time for requests of callers and runs of servers in progress to end.
 constexpr Duration kFinishTime{4'000};
 constexpr Duration kPollInterval{20};
+constexpr int kCallersPerUploader = 10;
 // The retry budget, both in the hosts' settings and in the check.
 constexpr InvariantChecker::Budget kRetryBudget;
 
@@ -43,7 +44,8 @@
         checker_(kRetryBudget),
         fleet_(options, workers, names_, checker_, kRetryBudget),
         injector_(fleet_),
-        callers_(loop_, fleet_, names_, checker_, options.seed) {}
+        callers_(loop_, fleet_, names_, checker_, options.seed),
+        uploads_(fleet_, callers_, options.seed) {}
 
   asio::awaitable<SoakReport> Execute() {
     fleet_.Start();
@@ -51,6 +53,8 @@
     co_await SleepFor(SoakFleet::kWarmUpTime);
     for (int i = 0; i < options_.callers; ++i)
       Spawn(callers_.RunCaller(i, stop_callers_));
+    for (int i = 0; i < options_.callers; i += kCallersPerUploader)
+      Spawn(uploads_.RunCaller(stop_callers_));
     Spawn(callers_.ProbeConfig(stop_callers_));
     SoakReport report;
     report.seed = options_.seed;
@@ -74,6 +78,7 @@
     fleet_.ReadLedgers();
     checker_.Finish();
     report.counts = checker_.counts();
+    report.uploads = uploads_.counts();
     report.max_resident_bytes = fleet_.max_resident_bytes();
     report.violations = checker_.violations();
     report.violation_counts = checker_.violation_counts();
@@ -121,6 +126,7 @@
   SoakFleet fleet_;
   FaultInjector injector_;
   SoakCallers callers_;
+  SoakUploads uploads_;
   bool stop_callers_ = false;
   bool stop_supervision_ = false;
   int running_ = 0;
@@ -157,6 +163,8 @@
                          {"requests", report.counts.sent},
                          {"runs", report.counts.runs},
                          {"refused", report.counts.rejected},
+                         {"uploads", report.uploads.sent},
+                         {"uploads_served", report.uploads.served},
                          {"served", report.served},
                          {"served_after", report.served_after},
                          {"most_resident_mb", report.max_resident_bytes >> 20},
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "soak/soak_fleet.h"
+#include "soak/soak_uploads.h"
 
 namespace toucanknot::soak {
 
@@ -13,6 +14,7 @@
   uint64_t seed = 0;
   int faults = 0;
   InvariantChecker::Counts counts;
+  SoakUploads::Counts uploads;
   // Share of the callers' requests that were served: while the faults were
   // injected, and after the recovery time.
   double served = 0;
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -16,7 +16,7 @@
 
 namespace asio = boost::asio;
 
-constexpr uint64_t kMaxRequestBytes = 1 << 20;
+constexpr uint64_t kMaxRequestBytes = 4 << 20;
 constexpr size_t kMaxResponseBytes = 20'000;
 // How often a waiting request checks for a free slot.
 constexpr Duration kSlotPollInterval{5};
