--- a/soak/fleet_settings.cc
+++ b/soak/fleet_settings.cc
@@ -8,6 +8,9 @@
 namespace toucanknot::soak {
 namespace {
 
+// Longer than an upload takes, which counts from the head of the request.
+constexpr Duration kUploadTimeout{8'000};
+
 Route MakeRoute(const std::string& prefix,
                 RequestKind kind,
                 const std::string& service) {
@@ -37,8 +40,11 @@
 }
 
 std::vector<Route> SoakRoutes(uint64_t version) {
+  Route upload = MakeRoute("/upload/", RequestKind::kNonIdempotent, "confirm");
+  upload.timeout = kUploadTimeout;
   return {MakeRoute("/lookup/", RequestKind::kIdempotent, "lookup"),
           MakeRoute("/confirm/", RequestKind::kNonIdempotent, "confirm"),
+          upload,
           MakeRoute(VersionPath(version), RequestKind::kIdempotent, "lookup")};
 }
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -10,6 +10,7 @@
 #include "soak/fault_injector.h"
 #include "soak/refusal_faults.h"
 #include "soak/soak_callers.h"
+#include "soak/soak_uploads.h"
 #include "src/http/one_shot.h"
 
 namespace toucanknot::soak {
@@ -163,8 +164,7 @@
                          {"requests", report.counts.sent},
                          {"runs", report.counts.runs},
                          {"refused", report.counts.rejected},
-                         {"uploads", report.uploads.sent},
-                         {"uploads_served", report.uploads.served},
+                         {"uploads", boost::json::value_from(report.uploads)},
                          {"served", report.served},
                          {"served_after", report.served_after},
                          {"most_resident_mb", report.max_resident_bytes >> 20},
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "soak/soak_fleet.h"
-#include "soak/soak_uploads.h"
 
 namespace toucanknot::soak {
 
@@ -14,7 +13,7 @@
   uint64_t seed = 0;
   int faults = 0;
   InvariantChecker::Counts counts;
-  SoakUploads::Counts uploads;
+  std::map<std::string, int> uploads;
   // Share of the callers' requests that were served: while the faults were
   // injected, and after the recovery time.
   double served = 0;
--- a/soak/soak_uploads.cc
+++ b/soak/soak_uploads.cc
@@ -95,7 +95,7 @@
   const Duration length = end - SteadyNow() + kResponseTime;
   SoakCallers::Request request;
   request.id = callers_.NextId();
-  request.path = fmt::format("/confirm/{}", Draw(1, 1'000'000));
+  request.path = fmt::format("/upload/{}", Draw(1, 1'000'000));
   request.body.assign(static_cast<size_t>(Draw(kMinBodyBytes, kMaxBodyBytes)),
                       static_cast<char>(Draw('a', 'z')));
   request.idempotent = false;
@@ -132,9 +132,11 @@
   }
   if (result.end != AttemptEnd::kAnswered && (timer.expired() || leave))
     result.end = AttemptEnd::kTimedOut;
-  ++counts_.sent;
-  if (callers_.Classify(request, result) == SoakCallers::Outcome::kServed)
-    ++counts_.served;
+  callers_.Classify(request, result);
+  const bool answered = result.end == AttemptEnd::kAnswered;
+  ++counts_[leave      ? "left"
+            : answered ? std::to_string(result.response.status)
+                       : std::string(kAttemptEndNames.Name(result.end))];
   if (!keep) {
     boost::system::error_code ignored;
     connection.socket.close(ignored);
--- a/soak/soak_uploads.h
+++ b/soak/soak_uploads.h
@@ -4,7 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <optional>
+#include <map>
 #include <random>
 #include <string>
 
@@ -25,11 +25,8 @@
   // Sends uploads, one after the other, until `stop` is set.
   boost::asio::awaitable<void> RunCaller(const bool& stop);
 
-  struct Counts {
-    int sent = 0;
-    int served = 0;
-  };
-  const Counts& counts() const { return counts_; }
+  // Number of uploads by how they ended.
+  const std::map<std::string, int>& counts() const { return counts_; }
 
  private:
   struct Connection {
@@ -57,7 +54,7 @@
   SoakFleet& fleet_;
   SoakCallers& callers_;
   std::mt19937_64 random_;
-  Counts counts_;
+  std::map<std::string, int> counts_;
 };
 
 }  // namespace toucanknot::soak
