soak: a profile of planned stops, and uploads that are held and cut

Episodes of other faults leave little time in which only hosts stop, so that no request of the soak had ever ended late in a grace period.

An upload that was read completely and is closed later than loss_slack without a response counts as well, whether or not it was passed on.

--- a/soak/child_process.cc
+++ b/soak/child_process.cc
@@ -40,6 +40,7 @@
   posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   std::vector<std::string> command = command_;
   std::vector<char*> argv;
+  argv.reserve(command.size() + 1);
   for (std::string& it : command)
     argv.push_back(it.data());
   argv.push_back(nullptr);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -27,6 +27,7 @@
     static_cast<int64_t>(FaultKind::kShedRequests);
 constexpr int64_t kMeanLateKindGapMs = 6'000;
 constexpr int64_t kMeanRefusalGapMs = 10'000;
+constexpr Duration kStopInterval{3'000};
 constexpr FaultKind kPlannedKinds[] = {
     FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
     FaultKind::kEvacuateZone, FaultKind::kReloadHost};
@@ -69,4 +70,12 @@
   return plan;
 }
 
+std::vector<Fault> GenerateStopPlan(Duration length) {
+  std::vector<Fault> plan;
+  uint64_t host = 0;
+  for (Duration at; at < length; at = at + kStopInterval)
+    plan.push_back({at, FaultKind::kStopHost, host++, kStopInterval});
+  return plan;
+}
+
 }  // namespace toucanknot::soak
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -105,6 +105,9 @@
 // the same plan.
 std::vector<Fault> GenerateFaultPlan(uint64_t seed, Duration length);
 
+// Generates planned stops of one host after the other, which overlap.
+std::vector<Fault> GenerateStopPlan(Duration length);
+
 }  // namespace toucanknot::soak
 
 #endif  // SOAK_FAULT_PLAN_H_
--- a/soak/server_process_faults.cc
+++ b/soak/server_process_faults.cc
@@ -46,7 +46,7 @@
   const ServerId gone = it.entry().id;
   it.Crash();
   co_await SleepFor(kReuseAfter);
-  const std::string name = gone.str();
+  const std::string& name = gone.str();
   ++server.generation;
   it.Restart(ServerId(name.substr(0, name.rfind('-') + 1) +
                       std::to_string(server.generation)),
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -35,6 +35,9 @@
 // A request that fails within this time after the grace period counts as cut
 // off by the planned stop.
 constexpr Duration kCutOffSlack{1'000};
+// A host may close a connection for so long after the last byte of a request
+// that it hasn't passed on.
+constexpr Duration kLossSlack{200};
 
 bool GuaranteesNotRun(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -173,10 +176,13 @@
       hosts.begin(), hosts.end(),
       [&](const SoakFleet::Host& it) { return it.id.str() == request.host; });
   const Instant now = SteadyNow();
+  fleet_.ReadLedgers();
   const bool stopping =
       host->stopped_at &&
       now - *host->stopped_at < SoakFleet::kGracePeriod + kCutOffSlack;
-  if (stopping && checker_.HasArrived(request.id) &&
+  const bool held =
+      request.last_byte_at && now - *request.last_byte_at > kLossSlack;
+  if (stopping && (held || checker_.HasArrived(request.id)) &&
       fleet_.fault_history().FaultFreeSince(FaultHistory::kUnplanned,
                                             request.sent_at) &&
       fleet_.fault_history().FaultFreeSince(FaultHistory::kStore,
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -48,6 +49,8 @@
     std::string host;
     Instant sent_at;
     Duration timeout;
+    // When a long body was sent completely, if it was.
+    std::optional<Instant> last_byte_at;
   };
   enum class Outcome { kServed, kRejected, kFailed };
 
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -35,10 +35,12 @@
   kLateCopies,
   kBrokenCopies,
   kRunThenRefuse,
+  // Planned stops of one host after the other.
+  kStops,
 };
-inline constexpr EnumNames<Profile, 6> kProfileNames{
+inline constexpr EnumNames<Profile, 7> kProfileNames{
     {"mixed", "calm", "refusals", "late-copies", "broken-copies",
-     "run-then-refuse"}};
+     "run-then-refuse", "stops"}};
 
 struct SoakOptions {
   // The real program, and a folder for settings files and logs.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -43,7 +43,8 @@
       "number of backend servers");
   add("callers", po::value<int>()->default_value(40), "number of callers");
   add("profile", po::value<std::string>()->default_value("mixed"),
-      "mixed: the faults of the seed; calm: none; or one kind of faulty "
+      "mixed: the faults of the seed; calm: none; stops: planned stops of "
+      "hosts; or one kind of faulty "
       "responses, by all servers throughout: refusals, late-copies, "
       "broken-copies, run-then-refuse");
   add("server-processes", "run each backend server as a process of its own");
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -90,13 +90,16 @@
  private:
   // Injects the faults of the plan; returns their number after all have ended.
   asio::awaitable<int> InjectFaults() {
-    if (options_.profile != Profile::kMixed) {
+    if (options_.profile != Profile::kMixed &&
+        options_.profile != Profile::kStops) {
       co_await RefusalFaults(fleet_).InjectProfile(options_.profile,
                                                    options_.length);
       co_return 0;
     }
     const std::vector<Fault> plan =
-        GenerateFaultPlan(options_.seed, options_.length);
+        options_.profile == Profile::kStops
+            ? GenerateStopPlan(options_.length)
+            : GenerateFaultPlan(options_.seed, options_.length);
     const Instant begun = SteadyNow();
     const int before = running_;
     for (const Fault& it : plan) {
--- a/soak/soak_uploads.cc
+++ b/soak/soak_uploads.cc
@@ -115,6 +115,8 @@
   result.end = AttemptEnd::kBroken;
   const CancelTimer timer(fleet_.loop(), connection.socket, length);
   bool keep = co_await WriteParts(connection.socket, text, end, leave);
+  if (keep)
+    request.last_byte_at = SteadyNow();
   if (!leave) {
     // A host may have responded before the end of the upload.
     boost::beast::flat_buffer buf;
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -37,6 +37,17 @@
   CHECK(overlaps > 100);
 }
 
+TEST_CASE(
+    "a plan of stops stops each host in turn, before the last has ended") {
+  const std::vector<Fault> plan = GenerateStopPlan(Duration(10'000));
+  REQUIRE(plan.size() == 4);
+  for (size_t i = 0; i < plan.size(); ++i) {
+    CHECK(plan[i].kind == FaultKind::kStopHost);
+    CHECK(plan[i].subject == i);
+    CHECK(plan[i].at == Duration(3'000) * static_cast<int64_t>(i));
+  }
+}
+
 TEST_CASE(
     "kinds that were added later leave the faults of a seed as they are") {
   std::vector<Fault> plan = GenerateFaultPlan(7, Duration(20'000));
