--- a/soak/soak_uploads.cc
+++ b/soak/soak_uploads.cc
@@ -35,15 +35,24 @@
 // From the last byte to the response: longer than a route's timeout.
 constexpr Duration kResponseTime{2'500};
 // Where in the grace period of a host uploads end.
-constexpr int64_t kMinEndInGraceMs = 3'500;
+constexpr int64_t kMinEndInGraceMs = 4'500;
+// Callers may have looked up a host shortly before it stops.
+constexpr Duration kStillKnown{1'000};
 
 }  // namespace
 
 asio::awaitable<bool> SoakUploads::Connect(Connection& connection) {
   auto& hosts = fleet_.hosts();
-  SoakFleet::Host& host = hosts[static_cast<size_t>(
-      Draw(0, static_cast<int64_t>(hosts.size()) - 1))];
-  if (!host.process->running() || host.stop_requested)
+  const Instant now = SteadyNow();
+  const auto stopping =
+      std::find_if(hosts.begin(), hosts.end(), [&](const SoakFleet::Host& it) {
+        return it.stopped_at && now - *it.stopped_at < kStillKnown;
+      });
+  SoakFleet::Host& host =
+      stopping != hosts.end()
+          ? *stopping
+          : hosts[static_cast<size_t>(Draw(0, std::ssize(hosts) - 1))];
+  if (!host.process->running() || (host.stop_requested && !host.stopped_at))
     co_return false;
   connection = {Tcp::socket(fleet_.loop()), &host};
   const Endpoint& endpoint = host.caller_link->endpoint();
--- a/soak/soak_uploads.h
+++ b/soak/soak_uploads.h
@@ -34,7 +34,8 @@
     SoakFleet::Host* host = nullptr;
   };
 
-  // Connects to a host that isn't stopping; returns whether that worked.
+  // Connects to a host, one that has just begun to stop if there is one;
+  // returns whether that worked.
   boost::asio::awaitable<bool> Connect(Connection& connection);
   // Sends one upload and reads the response. Closes the connection unless it
   // may be used again.
