--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -40,15 +41,6 @@
   };
   ServedCounts TakeServedCounts() { return std::exchange(served_counts_, {}); }
 
- private:
-  struct Caller {
-    explicit Caller(boost::asio::io_context& loop) : connections(loop) {}
-
-    std::string region;
-    ConnectionPool connections;
-    std::vector<Endpoint> addresses;
-    Instant looked_up_at;
-  };
   struct Request {
     std::string id;
     std::string path;
@@ -57,15 +49,28 @@
     std::string host;
     Instant sent_at;
     Duration timeout;
+    // When a long body was sent completely, if it was.
+    std::optional<Instant> last_byte_at;
   };
   enum class Outcome { kServed, kRejected, kFailed };
 
+  // Judges how a request ended, and reports what it violates.
+  Outcome Classify(const Request& request, const ExchangeResult& result);
+  std::string NextId();
+
+ private:
+  struct Caller {
+    explicit Caller(boost::asio::io_context& loop) : connections(loop) {}
+
+    std::string region;
+    ConnectionPool connections;
+    std::vector<Endpoint> addresses;
+    Instant looked_up_at;
+  };
   boost::asio::awaitable<void> LookUp(Caller& caller);
   boost::asio::awaitable<ExchangeResult> Send(Caller& caller, Request& request);
-  Outcome Classify(const Request& request, const ExchangeResult& result);
   void VerifyResponse(const Request& request, const HttpResponse& response);
   boost::asio::awaitable<void> Probe(SoakFleet::Host& host, uint64_t version);
-  std::string NextId();
   int64_t Draw(int64_t low, int64_t high) {
     return std::uniform_int_distribution<int64_t>(low, high)(random_);
   }
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -10,6 +10,7 @@
 #include "soak/fault_injector.h"
 #include "soak/refusal_faults.h"
 #include "soak/soak_callers.h"
+#include "soak/soak_uploads.h"
 #include "src/http/one_shot.h"
 
 namespace toucanknot::soak {
@@ -25,6 +26,7 @@
 // Time for requests of callers and runs of servers in progress to end.
 constexpr Duration kFinishTime{4'000};
 constexpr Duration kPollInterval{20};
+constexpr int kCallersPerUploader = 10;
 // The retry budget, both in the hosts' settings and in the check.
 constexpr InvariantChecker::Budget kRetryBudget;
 
@@ -43,7 +45,8 @@
         checker_(kRetryBudget),
         fleet_(options, workers, names_, checker_, kRetryBudget),
         injector_(fleet_),
-        callers_(loop_, fleet_, names_, checker_, options.seed) {}
+        callers_(loop_, fleet_, names_, checker_, options.seed),
+        uploads_(fleet_, callers_, options.seed) {}
 
   asio::awaitable<SoakReport> Execute() {
     fleet_.Start();
@@ -51,6 +54,8 @@
     co_await SleepFor(SoakFleet::kWarmUpTime);
     for (int i = 0; i < options_.callers; ++i)
       Spawn(callers_.RunCaller(i, stop_callers_));
+    for (int i = 0; i < options_.callers; i += kCallersPerUploader)
+      Spawn(uploads_.RunCaller(stop_callers_));
     Spawn(callers_.ProbeConfig(stop_callers_));
     SoakReport report;
     report.seed = options_.seed;
@@ -74,6 +79,7 @@
     fleet_.ReadLedgers();
     checker_.Finish();
     report.counts = checker_.counts();
+    report.uploads = uploads_.counts();
     report.max_resident_bytes = fleet_.max_resident_bytes();
     report.violations = checker_.violations();
     report.violation_counts = checker_.violation_counts();
@@ -84,13 +90,16 @@
  private:
   // Injects the faults of the plan; returns their number after all have ended.
   asio::awaitable<int> InjectFaults() {
-    if (options_.profile != Profile::kMixed) {
+    if (options_.profile != Profile::kMixed &&
+        options_.profile != Profile::kStops) {
       co_await RefusalFaults(fleet_).InjectProfile(options_.profile,
                                                    options_.length);
       co_return 0;
     }
     const std::vector<Fault> plan =
-        GenerateFaultPlan(options_.seed, options_.length);
+        options_.profile == Profile::kStops
+            ? GenerateStopPlan(options_.length)
+            : GenerateFaultPlan(options_.seed, options_.length);
     const Instant begun = SteadyNow();
     const int before = running_;
     for (const Fault& it : plan) {
@@ -121,6 +130,7 @@
   SoakFleet fleet_;
   FaultInjector injector_;
   SoakCallers callers_;
+  SoakUploads uploads_;
   bool stop_callers_ = false;
   bool stop_supervision_ = false;
   int running_ = 0;
@@ -157,6 +167,7 @@
                          {"requests", report.counts.sent},
                          {"runs", report.counts.runs},
                          {"refused", report.counts.rejected},
+                         {"uploads", boost::json::value_from(report.uploads)},
                          {"served", report.served},
                          {"served_after", report.served_after},
                          {"most_resident_mb", report.max_resident_bytes >> 20},
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -13,6 +13,7 @@
   uint64_t seed = 0;
   int faults = 0;
   InvariantChecker::Counts counts;
+  std::map<std::string, int> uploads;
   // Share of the callers' requests that were served: while the faults were
   // injected, and after the recovery time.
   double served = 0;
