--- a/tests/http/response_framing_test.cc
+++ b/tests/http/response_framing_test.cc
@@ -16,6 +16,9 @@
 
 namespace asio = boost::asio;
 
+// More than the buffers of a connection hold.
+constexpr size_t kBytes = 32 << 20;
+
 // Responds with the status and the number of body bytes of "/STATUS/BYTES".
 struct Fixture {
   explicit Fixture(HttpServerLimits limits = {})
@@ -79,7 +82,6 @@
 
 TEST_CASE("a response that the host breaks off does not look complete") {
   const std::string version = GENERATE("HTTP/1.0", "HTTP/1.1");
-  constexpr size_t kBytes = 32 << 20;
   HttpServerLimits limits;
   limits.write = Duration(100);
   Fixture it(limits);
