forward: faulty servers take no memory from the callers of others

What callers saw: while a server sent a body without end, or announced one that it did not deliver, responses of other servers ended as broken (502; of a request that may not be repeated, the answer was lost).

Cause: the memory for responses went to whoever asked first. A response up to 64 MiB long could take all of it (25 % of memory_mb), and the next response to ask, however small, was the one that ended. Besides, heads of servers were parsed before anything was reserved for them, and read buffers not counted.

Why it works: ResponseMemory compares the responses that a pool reads. While memory is short, the heaviest one gives way and the lightest one that waits is served first. The weight is bytes times time times what the server takes, which counts the bytes that recently came to nothing and is reduced by those that were delivered, so that it does not depend on who asks. ResponseReader reads heads as the listener does: found first, reserved, then parsed.

toucanknot_answers_evicted counts the responses that gave way.

--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -305,6 +305,7 @@
     sum.surplus_bytes += counts.surplus_bytes;
     sum.endless += counts.endless;
     sum.mixed_heads += counts.mixed_heads;
+    sum.evicted += counts.evicted;
     sum.buffered_bytes += counts.buffered_bytes;
     sum.idle += counts.idle;
   }
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -23,6 +23,7 @@
   set("toucanknot_connections_idle", connections.idle);
   set("toucanknot_answers_endless", connections.endless);
   set("toucanknot_answers_mixed", connections.mixed_heads);
+  set("toucanknot_answers_evicted", connections.evicted);
   set("toucanknot_answer_bytes_buffered", connections.buffered_bytes);
   set("toucanknot_requests_overlapping", callers.overlapping);
   set("toucanknot_callers_evicted", callers.evicted);
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -112,7 +112,8 @@
             counts_.surplus_bytes + counts_.surplus_idle,
             counts_.endless,
             counts_.mixed_heads,
-            memory->reserved(MemoryUse::kResponse),
+            counts_.evicted,
+            memory->account()->reserved(MemoryUse::kResponse),
             counts_.idle};
   }
   // Copies the counts of the idle connections, which other threads may read.
@@ -120,7 +121,8 @@
 
   ConnectionLimit limit;
   size_t max_connections = SIZE_MAX;
-  std::shared_ptr<MemoryAccount> memory = AccountFor(kDefaultBufferedBytes);
+  std::shared_ptr<ResponseMemory> memory =
+      std::make_shared<ResponseMemory>(AccountFor(kDefaultBufferedBytes));
 
   static std::shared_ptr<MemoryAccount> AccountFor(int64_t bytes) {
     return std::make_shared<MemoryAccount>(
@@ -138,6 +140,7 @@
     std::atomic<uint64_t> surplus_idle{0};
     std::atomic<uint64_t> endless{0};
     std::atomic<uint64_t> mixed_heads{0};
+    std::atomic<uint64_t> evicted{0};
     std::atomic<uint64_t> idle{0};
   };
   asio::awaitable<ExchangeResult> Exchange(Endpoint endpoint,
@@ -265,9 +268,12 @@
   if (reader.mixed_head())
     ++counts_.mixed_heads;
   if (ec) {
-    if (ResponseReader::IsEndless(ec))
+    if (reader.evicted())
+      ++counts_.evicted;
+    else if (ResponseReader::IsEndless(ec))
       ++counts_.endless;
-    result.end = ToAttemptEnd(ec, options.deadline);
+    result.end = reader.evicted() ? AttemptEnd::kBroken
+                                  : ToAttemptEnd(ec, options.deadline);
     if (sending->nothing_sent())
       result.end = AttemptEnd::kNotSent;
     result.response = {};
@@ -324,6 +330,7 @@
     connection->last_used = now;
     connection->idle_until = now + ReuseTime(result.response);
     connection->stream.expires_never();
+    connection->buffer.shrink_to_fit();
     idle_.Keep(std::move(connection));
   }
   UpdateIdleCounts();
@@ -343,11 +350,11 @@
 }
 
 void ConnectionPool::set_max_buffered_bytes(int64_t bytes) {
-  impl_->memory = Impl::AccountFor(bytes);
+  set_memory(Impl::AccountFor(bytes));
 }
 
 void ConnectionPool::set_memory(std::shared_ptr<MemoryAccount> account) {
-  impl_->memory = std::move(account);
+  impl_->memory = std::make_shared<ResponseMemory>(std::move(account));
 }
 
 void ConnectionPool::set_max_connections(size_t n) {
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -83,6 +83,8 @@
   uint64_t endless = 0;
   // Responses whose head was not that of one message.
   uint64_t mixed_heads = 0;
+  // Responses that gave way to others while memory was short.
+  uint64_t evicted = 0;
   // Memory reserved for responses.
   int64_t buffered_bytes = 0;
   uint64_t idle = 0;
@@ -106,7 +108,8 @@
 
   void set_connection_limit(ConnectionLimit limit);
   // Limits the memory for responses, over all exchanges, until the response is
-  // destroyed. An exchange that would exceed it ends as kBroken.
+  // destroyed. While it is short, exchanges wait for it, and those of the
+  // servers that hold most end as kBroken; see ResponseMemory.
   void set_max_buffered_bytes(int64_t bytes);
   // Counts that memory in `account`, which is shared with other users.
   void set_memory(std::shared_ptr<MemoryAccount> account);
