tests: a crowd of callers of faulty servers does not end a host

What callers saw: the memory of a host that called servers which send a head of short lines grew far beyond memory_mb, and ordinary requests to other servers were not answered.

Cause: heads of servers were parsed as they arrived, up to 64 KiB on each connection, and reserved afterwards; the fields of a line of 4 bytes take many times that.

--- a/tests/crowd/crowd_host.cc
+++ b/tests/crowd/crowd_host.cc
@@ -63,7 +63,7 @@
 
 }  // namespace
 
-CrowdHost::CrowdHost()
+CrowdHost::CrowdHost(const std::vector<Endpoint>& faulty_servers)
     : names_(platform::PlatformWire()),
       server_(
           workers_,
@@ -77,7 +77,7 @@
       callers_(FreeAddress(SOCK_STREAM)),
       readiness_(FreeAddress(SOCK_STREAM)),
       peers_(FreeAddress(SOCK_DGRAM)) {
-  WriteStore();
+  WriteStore(faulty_servers);
   WriteSettings();
   process_ = std::make_unique<soak::HostProcess>(
       ProgramPath(), folder_ + "/host.json", folder_ + "/host.log");
@@ -105,25 +105,39 @@
   return response;
 }
 
-void CrowdHost::WriteStore() {
+void CrowdHost::WriteStore(const std::vector<Endpoint>& faulty_servers) {
   RouteConfig config;
   config.version = 1;
   config.services[ServiceId("s")] = {};
+  config.services[ServiceId("faulty")] = {};
   Route route;
-  route.name = "all";
+  route.name = "faulty";
   route.host_name = kHostName;
-  route.prefix = "/";
+  route.prefix = "/faulty/";
   route.kind = RequestKind::kIdempotent;
   route.timeout = Duration(4'000);
   route.target_latency = Duration(1'000);
   route.attempts = 2;
+  route.targets = {{ServiceId("faulty"), 1}};
+  config.routes.push_back(route);
+  route.name = "all";
+  route.prefix = "/";
   route.targets = {{ServiceId("s"), 1}};
   config.routes.push_back(route);
   store_.Put(platform::ConfigKey(), platform::EncodeConfig(config));
+  WriteServer("server-0", "s", server_endpoint_);
+  int n = 0;
+  for (const Endpoint& it : faulty_servers)
+    WriteServer("faulty-" + std::to_string(n++), "faulty", it);
+}
+
+void CrowdHost::WriteServer(const std::string& id,
+                            const std::string& service,
+                            const Endpoint& server) {
   ServerEntry entry;
-  entry.id = ServerId("server-0");
-  entry.service = ServiceId("s");
-  entry.endpoint = server_endpoint_;
+  entry.id = ServerId(id);
+  entry.service = ServiceId(service);
+  entry.endpoint = server;
   entry.zone = ZoneId("z");
   entry.slots = kSlots;
   entry.incarnation = 1;
@@ -190,11 +204,14 @@
          names_.request_id + ": 42\r\n";
 }
 
+std::string CrowdHost::ExchangeOrdinaryRequest() const {
+  return Exchange(
+      callers_, RequestHead("GET", "/ordinary") + "Connection: close\r\n\r\n");
+}
+
 bool CrowdHost::AnswersOrdinaryRequest() const {
-  const std::string request =
-      RequestHead("GET", "/ordinary") + "Connection: close\r\n\r\n";
   for (int i = 0; i < kOrdinaryAttempts; ++i) {
-    if (Exchange(callers_, request).starts_with("HTTP/1.1 200"))
+    if (ExchangeOrdinaryRequest().starts_with("HTTP/1.1 200"))
       return true;
     Sleep(100);
   }
--- a/tests/crowd/crowd_host.h
+++ b/tests/crowd/crowd_host.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "include/entry/entry_wire.h"
 #include "soak/host_process.h"
@@ -14,7 +15,8 @@
 namespace toucanknot::crowd {
 
 // A process of toucanknot-entry on loopback with lowered limits, the stand-in
-// of the store, and one backend server. The environment variable
+// of the store, and one backend server; requests below /faulty/ go to
+// `faulty_servers`. The environment variable
 // TOUCANKNOT_ENTRY names another program than the one that was built.
 class CrowdHost {
  public:
@@ -22,7 +24,7 @@
   static constexpr int64_t kMemoryMb = 64;
   static constexpr int64_t kMaxDescriptors = 1'000;
 
-  CrowdHost();
+  explicit CrowdHost(const std::vector<Endpoint>& faulty_servers = {});
   ~CrowdHost();
 
   const Endpoint& callers() const { return callers_; }
@@ -34,13 +36,18 @@
   // The head of an ordinary request, without the empty line at its end.
   std::string RequestHead(const std::string& method,
                           const std::string& path) const;
+  // Sends one ordinary request. Returns what arrives.
+  std::string ExchangeOrdinaryRequest() const;
   // Whether one ordinary request gets a 200, in one of a few attempts. The
   // host may refuse some of them.
   bool AnswersOrdinaryRequest() const;
 
  private:
   HttpResponse Respond(const HttpRequest& request) const;
-  void WriteStore();
+  void WriteStore(const std::vector<Endpoint>& faulty_servers);
+  void WriteServer(const std::string& id,
+                   const std::string& service,
+                   const Endpoint& server);
   void WriteSettings();
   void AwaitReady();
 
