--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -317,6 +317,7 @@
     sum.endless += counts.endless;
     sum.mixed_heads += counts.mixed_heads;
     sum.other_responses += counts.other_responses;
+    sum.evicted += counts.evicted;
     sum.buffered_bytes += counts.buffered_bytes;
     sum.idle += counts.idle;
   }
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -96,6 +96,8 @@
   uint64_t mixed_heads = 0;
   // Complete responses that belonged to other requests than the one sent.
   uint64_t other_responses = 0;
+  // Responses that gave way to others while memory was short.
+  uint64_t evicted = 0;
   // Memory reserved for responses.
   int64_t buffered_bytes = 0;
   uint64_t idle = 0;
@@ -119,7 +121,8 @@
 
   void set_connection_limit(ConnectionLimit limit);
   // Limits the memory for responses, over all exchanges, until the response is
-  // destroyed. An exchange that would exceed it ends as kBroken.
+  // destroyed. While it is short, exchanges wait for it, and those of the
+  // servers that hold most end as kBroken; see ResponseMemory.
   void set_max_buffered_bytes(int64_t bytes);
   // Counts that memory in `account`, which is shared with other users.
   void set_memory(std::shared_ptr<MemoryAccount> account);
--- a/tests/forward/mixed_response_test.cc
+++ b/tests/forward/mixed_response_test.cc
@@ -182,7 +182,7 @@
         "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nok"};
     ExchangeResult it = exchanges.Run(reply, "0");
     // The peer may have ended a connection after the last response.
-    if (it.end != AttemptEnd::kAnswered && it.reused)
+    if (it.end != AttemptEnd::kAnswered && it.reused())
       it = exchanges.Run(reply, "0");
     CHECK(it.end == AttemptEnd::kAnswered);
   }
