entry: a planned stop cuts no request that it could have refused

What callers saw: in a planned stop, requests that were read late in the grace were passed on to a server and cut without a response when the process ended, among them some that may not be repeated. Uploads, second attempts and requests that waited for a connection are alike.

Cause: nothing on a request's way knew when the process ends; each wait went by the route's timeout or the caller's deadline.

Fix: PlannedStop holds the end from the stop signal on. A request is passed on only if its deadline comes before the end, or, while callers may not know of the stop yet, if its expected time fits several times. The check is made before and after the queue, in the queue, after the connection is open, and before a second attempt; a body that cannot be complete in time is refused at once. Refusals are 503 without Retry-After. Requests that are cut nevertheless are logged.

--- a/include/placing/placer.h
+++ b/include/placing/placer.h
@@ -39,10 +39,12 @@
   kNoServer,
   // It could not be answered before its deadline.
   kTooLate,
+  // It could not be answered before the host stops.
+  kStopping,
 };
 
-inline constexpr EnumNames<PlacementRefusal, 3> kPlacementRefusalNames{
-    {"none", "no-server", "too-late"}};
+inline constexpr EnumNames<PlacementRefusal, 4> kPlacementRefusalNames{
+    {"none", "no-server", "too-late", "stopping"}};
 
 // A request as the placer sees it.
 struct PlacementRequest {
@@ -176,6 +178,8 @@
   // the registry, and every kAdvanceEvery while anything waits.
   std::vector<Placement> Advance(Instant now);
   size_t waiting() const { return queue_.size(); }
+  // Mean service time of the route's requests; zero while it is unknown.
+  Duration MeanTime(const std::string& route_name) const;
   // Whether within kCrowdedMemory some service was found to be nearly out of
   // slots.
   bool crowded(Instant now) const { return now < crowded_until_; }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -32,6 +32,7 @@
 #include "src/forward/connection_pool.h"
 #include "src/http/http_server.h"
 #include "src/http/one_shot.h"
+#include "src/http/planned_stop.h"
 #include "src/http/worker_pool.h"
 
 namespace toucanknot {
@@ -113,6 +114,7 @@
   AccessControl access_;
   ServerRegistry registry_;
   Placer placer_;
+  PlannedStop stop_;
   PlacementQueue placement_queue_;
   ConnectionPool connections_;
   CrashTracker crashes_;
@@ -163,11 +165,12 @@
                settings_.pace_servers},
               registry_,
               SteadyNow()),
-      placement_queue_(loop_, placer_),
+      placement_queue_(loop_, placer_, stop_),
       connections_(loop_),
       roster_(OwnRecord(), settings_.regions),
       runner_({loop_, settings_, names_, routes_, registry_, placement_queue_,
-               connections_, crashes_, metrics_, placer_, *store_, access_}),
+               connections_, crashes_, metrics_, placer_, *store_, access_,
+               stop_}),
       reports_(settings_.host, incarnation_, placer_, crashes_),
       load_exchange_(loop_, settings_.peers, ExchangeHooks()),
       callers_(
@@ -215,6 +218,9 @@
         routes_.Find(request.fields.Get("Host"), request.target);
     return route != nullptr && route->kind == RequestKind::kIdempotent;
   });
+  callers_.SetBodyTimeLimit(
+      {[this](const HttpRequest& head) { return runner_.BodyCompleteBy(head); },
+       [this](const HttpRequest& head) { return runner_.RefuseBody(head); }});
   settings_.callers = callers_.Listen(settings_.callers);
   settings_.readiness = readiness_.Listen(settings_.readiness);
   settings_.directory = directory_.Listen(settings_.directory);
@@ -453,15 +459,18 @@
                           access_.keys().size(),    access_.IsProven(BootNow()),
                           memory_->total_reserved()};
   gauges.WriteTo(metrics_);
+  metrics_.SetGauge("toucanknot_requests_refused_stopping",
+                    static_cast<double>(runner_.refused_stopping()));
   return TextResponse(200, metrics_.ToPrometheusText());
 }
 
 void EntryDaemon::Impl::BeginStop() {
   asio::post(loop_, [this] {
-    LogChange("stop", {{"in_flight", runner_.in_flight()}});
+    LogChange("stop", {{"in_flight", runner_.in_flight()},
+                       {"waiting", placer_.waiting()},
+                       {"grace_ms", settings_.stop_within.ms()}});
     leaving_ = true;
     UpdateReady();
-    callers_.BeginStop();
     asio::co_spawn(loop_, FinishStop(), asio::detached);
   });
 }
@@ -469,14 +478,20 @@
 asio::awaitable<void> EntryDaemon::Impl::FinishStop() {
   const Instant begun = SteadyNow();
   const Instant end = begun + settings_.stop_within - kExitMargin;
-  co_await SleepFor(std::min(kLeaveNotice, settings_.stop_within / 2));
+  const Duration notice = std::min(kLeaveNotice, settings_.stop_within / 2);
+  stop_.Begin(begun + notice, end);
+  callers_.BeginStop();
+  co_await SleepFor(notice);
   callers_.StopAccepting();
   directory_.StopAccepting();
   while ((runner_.in_flight() > 0 || callers_.OpenConnections() > 0) &&
          SteadyNow() < end) {
     co_await SleepFor(kStopPoll);
   }
+  runner_.LogCut();
   LogChange("stopped", {{"in_flight", runner_.in_flight()},
+                        {"refused", runner_.refused_stopping()},
+                        {"connections", callers_.OpenConnections()},
                         {"took_ms", (SteadyNow() - begun).ms()}});
   stopped_.set_value(runner_.in_flight() == 0);
 }
--- a/src/entry/placement_queue.cc
+++ b/src/entry/placement_queue.cc
@@ -4,17 +4,32 @@
 
 namespace toucanknot {
 
-PlacementQueue::PlacementQueue(boost::asio::io_context& loop, Placer& placer)
-    : loop_(loop), placer_(placer), timer_(loop) {}
+namespace {
+
+Placement Refused(uint64_t request_id, PlacementRefusal refusal) {
+  Placement placement;
+  placement.request_id = request_id;
+  placement.step = PlacementStep::kRefuse;
+  placement.refusal = refusal;
+  return placement;
+}
+
+}  // namespace
+
+PlacementQueue::PlacementQueue(boost::asio::io_context& loop,
+                               Placer& placer,
+                               const PlannedStop& stop)
+    : loop_(loop), placer_(placer), stop_(stop), timer_(loop) {}
 
 boost::asio::awaitable<std::optional<Placement>> PlacementQueue::Place(
     PlacementRequest request,
+    PlannedStop::Work work,
     std::shared_ptr<CallerWatch> caller) {
   const Placement first = placer_.Offer(request, SteadyNow());
   if (first.step != PlacementStep::kWait)
     co_return first;
   const auto waiter = std::make_shared<PlacementWaiter>(loop_);
-  waiting_[request.id] = waiter;
+  waiting_[request.id] = {waiter, work};
   if (caller)
     caller->OnLeft([waiter] { waiter->Set(std::nullopt); });
   ArmTimer();
@@ -23,7 +38,7 @@
   if (caller)
     caller->Clear();
   waiting_.erase(request.id);
-  if (decision && *decision)
+  if (decision && *decision && (*decision)->step == PlacementStep::kSend)
     co_return **decision;
   // Withdraws the request, or cancels a decision that came too late.
   placer_.Withdraw(request.id);
@@ -31,13 +46,8 @@
   unused.request_id = request.id;
   unused.end = ServerAttemptEnd::kCancelled;
   placer_.Finish(unused, SteadyNow());
-  if (decision)
-    co_return std::nullopt;
-  Placement late;
-  late.request_id = request.id;
-  late.step = PlacementStep::kRefuse;
-  late.refusal = PlacementRefusal::kTooLate;
-  co_return late;
+  co_return decision ? *decision
+                     : Refused(request.id, PlacementRefusal::kTooLate);
 }
 
 void PlacementQueue::Finish(const PlacedAttemptResult& result) {
@@ -52,11 +62,25 @@
 
 void PlacementQueue::Deliver() {
   for (Placement& it : placer_.Advance(SteadyNow())) {
-    const auto waiter = waiting_.find(it.request_id);
-    if (waiter == waiting_.end())
+    const auto waiting = waiting_.find(it.request_id);
+    if (waiting == waiting_.end())
+      continue;
+    waiting->second.waiter->Set(it);
+    waiting_.erase(waiting);
+  }
+  if (stop_.begun())
+    RefuseStopping();
+}
+
+void PlacementQueue::RefuseStopping() {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const auto& [id, waiting] = *it;
+    if (stop_.MaySend(waiting.work)) {
+      ++it;
       continue;
-    waiter->second->Set(it);
-    waiting_.erase(waiter);
+    }
+    waiting.waiter->Set(Refused(id, PlacementRefusal::kStopping));
+    it = waiting_.erase(it);
   }
 }
 
--- a/src/entry/request_access.cc
+++ b/src/entry/request_access.cc
@@ -64,11 +64,7 @@
 
 HttpResponse RequestRunner::RefuseRevoked(Run& run,
                                           const Placement& placement) {
-  PlacedAttemptResult unused;
-  unused.request_id = placement.request_id;
-  unused.server = placement.server;
-  unused.end = ServerAttemptEnd::kCancelled;
-  parts_.placements.Finish(unused);
+  Unplace(placement);
   run.attempt_summary += " revoked";
   if (run.may_have_run)
     return Fail(run, ServerAttemptEnd::kBroken, "the API key was removed");
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -40,6 +40,10 @@
 // for sliding windows and the hosts count in steps.
 constexpr double kRetryShare = 0.85;
 
+Duration ExpectedAt(const Placement& placement) {
+  return Duration(static_cast<int64_t>(placement.expected_ms));
+}
+
 }  // namespace
 
 RequestRunner::RequestRunner(const Parts& parts) : parts_(parts) {}
@@ -73,21 +77,23 @@
   std::erase_if(caller_budgets_,
                 [&](const auto& it) { return !routes.contains(it.first); });
   std::erase_if(retries_, [&](const auto& it) {
-    return !config.services.contains(it.first) && in_flight_ == 0;
+    return !config.services.contains(it.first) && running_->empty();
   });
 }
 
 asio::awaitable<HttpResponse> RequestRunner::Handle(HttpRequest request) {
-  ++in_flight_;
-  // Also decrements the count if the handler throws.
-  const auto end = [this](void*) { --in_flight_; };
-  const std::unique_ptr<void, decltype(end)> counted(this, end);
-  co_return co_await HandleCounted(std::move(request));
+  Run run;
+  running_->insert(&run);
+  // Also removes it if the handler throws, or ends with the loop, which
+  // outlives the runner.
+  const auto end = [running = running_](const Run* it) { running->erase(it); };
+  const std::unique_ptr<const Run, decltype(end)> counted(&run, end);
+  co_return co_await HandleCounted(run, std::move(request));
 }
 
 asio::awaitable<HttpResponse> RequestRunner::HandleCounted(
+    Run& run,
     HttpRequest request) {
-  Run run;
   run.request = std::move(request);
   const HttpFields& fields = run.request.fields;
   run.id = std::string(fields.Get(parts_.names.request_id));
@@ -126,7 +132,7 @@
   const Instant until = std::min(request.began_at + kConfigurationWait,
                                  started_at_ + kConfigurationRead);
   while (parts_.routes.version() == 0 && SteadyNow() < until &&
-         !(request.caller && request.caller->left())) {
+         !parts_.stop.begun() && !(request.caller && request.caller->left())) {
     co_await SleepFor(kConfigurationPoll);
   }
 }
@@ -134,11 +140,11 @@
 asio::awaitable<HttpResponse> RequestRunner::Serve(Run& run) {
   const Instant began = run.request.began_at;
   const HttpFields& fields = run.request.fields;
-  run.deadline = began + run.route.timeout;
+  std::optional<Duration> budget;
+  run.deadline = DeadlineOf(run.request, run.route, budget);
   Duration spent;
-  if (const auto ms = ParseInteger(fields.Get(parts_.names.deadline_ms))) {
-    run.deadline = std::min(run.deadline, began + Duration(*ms));
-    spent = caller_budgets_[run.route.name].TimeSpent(Duration(*ms));
+  if (budget) {
+    spent = caller_budgets_[run.route.name].TimeSpent(*budget);
     run.caller_retried = spent > Duration(0);
   }
   run.fingerprint = FingerprintOf(run.request);
@@ -152,15 +158,18 @@
   }
   run.placement_request = MakePlacementRequest(
       run.route, run.service, fields.Get(parts_.names.object), began - spent);
-  run.placement_request.deadline = run.deadline - kResponseMargin;
   run.placement_request.returned = run.caller_retried;
   ApplyAccess(run.access, run.placement_request);
-  parts_.metrics.SetGauge("toucanknot_requests_in_flight", in_flight_);
+  parts_.metrics.SetGauge("toucanknot_requests_in_flight", in_flight());
   RetriesOf(run.service).budget.OnSuccess(SteadyNow());
   for (;;) {
+    if (!parts_.stop.MaySend(WorkOf(run)))
+      co_return RefuseStopping(run);
     run.placement_request.id = parts_.placements.NextRequestId();
+    run.placement_request.deadline =
+        std::min(run.deadline, parts_.stop.answer_by()) - kResponseMargin;
     const std::optional<Placement> placement = co_await parts_.placements.Place(
-        run.placement_request, run.request.caller);
+        run.placement_request, WorkOf(run), run.request.caller);
     if (!placement) {
       run.caller_left = true;
       co_return Refuse(run, 503, "the caller left", Duration(0));
@@ -171,16 +180,25 @@
           kPlacementRefusalNames.Name(placement->refusal), placement->queued,
           placement->utilization, placement->busy, placement->fresh_peers,
           placement->other_hosts);
+      if (placement->refusal == PlacementRefusal::kStopping)
+        co_return RefuseStopping(run);
       if (run.may_have_run)
         co_return Fail(run, ServerAttemptEnd::kTimedOut,
                        "no time for another attempt");
-      co_return Refuse(run, 503, "no backend server can answer in time",
-                       placement->retry_after);
+      co_return Refuse(
+          run, 503, "no backend server can answer in time",
+          parts_.stop.begun() ? Duration(0) : placement->retry_after);
+    }
+    if (!parts_.stop.MaySend(WorkOf(run, ExpectedAt(*placement)))) {
+      Unplace(*placement);
+      co_return RefuseStopping(run);
     }
     if (!MayStillRun(run))
       co_return RefuseRevoked(run, *placement);
     parts_.access.OnRun(run.access, SteadyNow());
     Attempt attempt = co_await Send(run, *placement);
+    if (attempt.too_late)
+      co_return RefuseStopping(run);
     RemoveHopByHop(attempt.response.fields);
     if (attempt.end == ServerAttemptEnd::kAnswered)
       co_return std::move(attempt.response);
@@ -196,7 +214,9 @@
       co_return std::move(attempt.response);
     if (!run.may_have_run)
       co_return Refuse(run, 503, "the backend servers did not run it",
-                       RetryAfterRejection(placement->utilization));
+                       parts_.stop.begun()
+                           ? Duration(0)
+                           : RetryAfterRejection(placement->utilization));
     co_return Fail(run, attempt.end, attempt.error);
   }
 }
@@ -224,7 +244,8 @@
   out.fields = run.request.fields;
   RemoveHopByHop(out.fields);
   out.fields.Remove("Expect");
-  const Duration left = run.deadline - SteadyNow() - kResponseMargin;
+  const Instant end = std::min(run.deadline, parts_.stop.answer_by());
+  const Duration left = end - SteadyNow() - kResponseMargin;
   out.fields.Set(parts_.names.deadline_ms,
                  std::to_string(std::max<int64_t>(left.ms(), 1)));
   out.fields.Set(parts_.names.target_server, server.str());
@@ -251,6 +272,16 @@
   }
   ExchangeOptions options;
   options.deadline = run.deadline;
+  // The request is not sent after this.
+  const PlannedStop::Work work = WorkOf(run, ExpectedAt(placement));
+  options.connect_limit = std::min(
+      options.connect_limit,
+      std::max(parts_.stop.LatestSend(work) - SteadyNow(), Duration(1)));
+  options.before_first_byte = [&, this] {
+    attempt.too_late = !parts_.stop.MaySend(work);
+    run.passed_on = run.passed_on || !attempt.too_late;
+    return !attempt.too_late;
+  };
   options.silent_after = kSilentAfter;
   options.max_answer_bytes = kMaxResponseBytes;
   options.id_hash = HashText(run.id, 0);
@@ -290,10 +321,13 @@
                                          : Classify(exchange);
   attempt.response = std::move(exchange.response);
   attempt.error = std::move(exchange.error);
-  const bool did_not_run = attempt.end == ServerAttemptEnd::kRefused ||
+  const bool did_not_run = attempt.too_late ||
+                           attempt.end == ServerAttemptEnd::kRefused ||
                            attempt.end == ServerAttemptEnd::kMisdirected ||
                            attempt.end == ServerAttemptEnd::kNotConnected;
   run.may_have_run = run.may_have_run || !did_not_run;
+  if (attempt.too_late)
+    attempt.end = ServerAttemptEnd::kCancelled;
   if (attempt.end == ServerAttemptEnd::kBroken && !exchange.response_started &&
       exchange.end == AttemptEnd::kBroken) {
     RecordCrash(run, placement.server, incarnation);
@@ -325,6 +359,8 @@
     return false;
   if (parts_.crashes.IsCrasher(run.fingerprint, SteadyNow()))
     return false;
+  if (!parts_.stop.MaySend(WorkOf(run)))
+    return false;
   // A refused connection puts no load on the service.
   if (end == ServerAttemptEnd::kNotConnected)
     return true;
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -25,6 +25,7 @@
 #include "src/entry/placement_queue.h"
 #include "src/forward/connection_pool.h"
 #include "src/http/http_message.h"
+#include "src/http/planned_stop.h"
 
 namespace toucanknot {
 
@@ -47,6 +48,7 @@
     Placer& placer;
     const FleetStore& store;
     AccessControl& access;
+    const PlannedStop& stop;
   };
 
   explicit RequestRunner(const Parts& parts);
@@ -62,7 +64,16 @@
   // Sets the number of hosts that share the retry limit.
   void SetHostCount(int n);
   // Number of requests in progress.
-  int in_flight() const { return in_flight_; }
+  int in_flight() const { return static_cast<int>(running_->size()); }
+
+  // While the host stops: when the body of a request must have been read for
+  // the request to be served, and the response to one that is later.
+  Instant BodyCompleteBy(const HttpRequest& head);
+  HttpResponse RefuseBody(const HttpRequest& head);
+  // Number of requests refused since the host stops.
+  uint64_t refused_stopping() const { return refused_stopping_; }
+  // Logs the requests in progress, which end with the process.
+  void LogCut() const;
 
  private:
   // A request in progress.
@@ -84,6 +95,8 @@
     Instant deadline;
     // Whether it may have run on some server.
     bool may_have_run = false;
+    // Whether any byte of it was sent to a server.
+    bool passed_on = false;
     bool caller_left = false;
     // Whether this is a retry of the caller after a refusal.
     bool caller_retried = false;
@@ -103,9 +116,12 @@
     // As in PlacedAttemptResult.
     Duration connect_took;
     std::string error;
+    // Nothing was sent, since the host stops too soon.
+    bool too_late = false;
   };
 
-  boost::asio::awaitable<HttpResponse> HandleCounted(HttpRequest request);
+  boost::asio::awaitable<HttpResponse> HandleCounted(Run& run,
+                                                     HttpRequest request);
   // Waits for the first configuration if the host has just started.
   boost::asio::awaitable<void> AwaitConfiguration(const HttpRequest& request);
   // Sets `run.access`, and returns the response if the request may not be
@@ -117,6 +133,18 @@
     return run.request.fields.Get(parts_.names.api_key);
   }
   boost::asio::awaitable<HttpResponse> Serve(Run& run);
+  // When a request of `route` ends at the latest; sets `budget` to the time
+  // that the caller states, if it does.
+  Instant DeadlineOf(const HttpRequest& request,
+                     const Route& route,
+                     std::optional<Duration>& budget) const;
+  // What the host's stop has to leave time for. `expected` is the time to the
+  // response if it is known for a server.
+  PlannedStop::Work WorkOf(const Run& run, Duration expected = {}) const;
+  // The response to a request that can't be answered before the host stops.
+  HttpResponse RefuseStopping(Run& run);
+  // Withdraws a decision to send the request.
+  void Unplace(const Placement& placement);
   boost::asio::awaitable<Attempt> Send(Run& run, const Placement& placement);
   // Builds the placement request for a request of `route` that arrived at
   // `began`.
@@ -172,7 +200,9 @@
 
   const Parts parts_;
   const Instant started_at_ = SteadyNow();
-  int in_flight_ = 0;
+  const std::shared_ptr<std::set<const Run*>> running_ =
+      std::make_shared<std::set<const Run*>>();
+  uint64_t refused_stopping_ = 0;
   int host_count_ = 1;
   std::map<ServiceId, Retries> retries_;
   // By the route's name.
--- a/src/http/beast_messages.cc
+++ b/src/http/beast_messages.cc
@@ -26,13 +26,18 @@
   return out;
 }
 
-HttpRequest FromBeast(BeastRequest&& in) {
+HttpRequest HeadFromBeast(const BeastRequest& in) {
   HttpRequest request;
   request.method = std::string(in.method_string());
   request.target = std::string(in.target());
   request.fields.Reserve(CountOf(in));
   for (const auto& it : in)
     request.fields.Add(std::string(it.name_string()), std::string(it.value()));
+  return request;
+}
+
+HttpRequest FromBeast(BeastRequest&& in) {
+  HttpRequest request = HeadFromBeast(in);
   request.body = std::move(in.body());
   return request;
 }
--- a/src/http/beast_messages.h
+++ b/src/http/beast_messages.h
@@ -23,6 +23,8 @@
 // there is a body or the method normally has one.
 bool NeedsLength(const HttpRequest& request, size_t body_bytes);
 HttpRequest FromBeast(BeastRequest&& in);
+// A copy of the request without its body.
+HttpRequest HeadFromBeast(const BeastRequest& in);
 
 }  // namespace toucanknot
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -58,7 +58,10 @@
     state_->memory = std::move(account);
   }
   Endpoint Listen(const Endpoint& endpoint);
-  void BeginStop() { state_->stopping = true; }
+  void SetBodyTimeLimit(BodyTimeLimit limit) {
+    state_->body_time_limit = std::move(limit);
+  }
+  void BeginStop();
   void StopAccepting();
   void Abort();
   void SetTimeouts(Duration idle, Duration header) {
@@ -218,6 +221,14 @@
   connections_.erase(keep);
 }
 
+void HttpServer::Listener::BeginStop() {
+  if (state_->stopping.exchange(true) || !state_->body_time_limit.complete_by)
+    return;
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : connections_)
+    it->OnStopBegun();
+}
+
 void HttpServer::Listener::StopAccepting() {
   BeginStop();
   if (!accepting_.exchange(false))
@@ -298,6 +309,10 @@
   listener_->SetMayOverlap(std::move(hook));
 }
 
+void HttpServer::SetBodyTimeLimit(BodyTimeLimit limit) {
+  listener_->SetBodyTimeLimit(std::move(limit));
+}
+
 void HttpServer::SetMemory(std::shared_ptr<MemoryAccount> account) {
   listener_->SetMemory(std::move(account));
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -71,6 +71,14 @@
   // connection. Such a request must be safe to repeat: when the response to an
   // earlier one closes the connection, the client sends it again.
   using MayOverlap = std::function<bool(const HttpRequest&)>;
+  // Limits how long bodies of requests are read after BeginStop(). Both get the
+  // request without its body, on the connection's worker.
+  struct BodyTimeLimit {
+    // When the body must be complete; Never() if there is no limit.
+    std::function<Instant(const HttpRequest& head)> complete_by;
+    // The response to a request whose body is not complete by then.
+    std::function<HttpResponse(const HttpRequest& head)> refuse;
+  };
 
   HttpServer(WorkerPool& workers,
              HttpServerLimits limits,
@@ -82,6 +90,8 @@
 
   // Must be called before Listen(). By default no requests overlap.
   void SetMayOverlap(MayOverlap hook);
+  // Must be called before Listen(). By default a stop changes no limits.
+  void SetBodyTimeLimit(BodyTimeLimit limit);
   // Must be called before Listen(). Counts the memory of connections, requests
   // and responses in `account`, which is shared with other users.
   void SetMemory(std::shared_ptr<MemoryAccount> account);
--- a/src/http/listener_state.h
+++ b/src/http/listener_state.h
@@ -40,6 +40,9 @@
   const HttpServer::Handler handler;
   // Set before the listener accepts connections; null if no requests overlap.
   HttpServer::MayOverlap may_overlap;
+  // Set before the listener accepts connections; null if a stop has no effect
+  // on requests that are being read.
+  HttpServer::BodyTimeLimit body_time_limit;
   // Set before the listener accepts connections.
   std::shared_ptr<MemoryAccount> memory;
   // Closes connections that hold memory for `use` without a request that is
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -94,6 +94,11 @@
   });
 }
 
+void ServerConnection::OnStopBegun() {
+  asio::post(stream_.get_executor(),
+             [self = shared_from_this()] { self->LimitBodyTime(); });
+}
+
 void ServerConnection::Close() {
   stream_.close();
   read_timer_.cancel();
@@ -159,12 +164,10 @@
     co_return false;
   }
   StartReadLimit(ReadPhase::kBody);
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
-      !co_await SendContinue(exchange->version)) {
-    co_return false;
-  }
   beast::error_code body_ec;
-  const Reading body = co_await ReadBody(parser, *exchange, body_ec);
+  const Reading body = co_await ReceiveBody(parser, exchange, body_ec);
+  if (exchange->rejected)
+    co_return false;
   if (body != Reading::kDone) {
     exchange->body.Reset();
     exchange->fields.Reset();
@@ -245,7 +248,12 @@
 void ServerConnection::Reject(int status,
                               const std::string& why,
                               const ExchangePtr& exchange) {
-  exchange->response = RejectionResponse(status, why);
+  Reject(RejectionResponse(status, why), exchange);
+}
+
+void ServerConnection::Reject(HttpResponse response,
+                              const ExchangePtr& exchange) {
+  exchange->response = std::move(response);
   exchange->keep_alive = false;
   // The client may still send the rest of the request.
   discarding_ = true;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -32,7 +32,7 @@
 //
 // The response that closes the connection belongs to the last request that was
 // passed to the handler: later requests were never passed to it. Used only on
-// its worker, except for Interrupt().
+// its worker, except for Interrupt() and OnStopBegun().
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   // Maximum number of requests that are being handled or whose responses wait
@@ -50,6 +50,9 @@
   // Closes the connection if it is idle, or unconditionally if `force` is set.
   // Thread-safe.
   void Interrupt(bool force);
+  // Applies the time limit for bodies to a request that is being read.
+  // Thread-safe.
+  void OnStopBegun();
   // Memory that the connection holds and that closing it frees without breaking
   // off a request that is being handled.
   struct Held {
@@ -79,6 +82,8 @@
     // Set for a HEAD request, whose response has no body.
     bool head = false;
     bool may_overlap = false;
+    // Rejected before it was read completely.
+    bool rejected = false;
     // For the request, until the handler is done with it.
     MemoryReservation fields;
     MemoryReservation body;
@@ -118,11 +123,21 @@
   // The number of bytes to reserve for the body; negative when it exceeds the
   // limit.
   int64_t BodyRoom(Parser& parser) const;
+  // Reads the rest of the message, unless it is rejected meanwhile, after a 100
+  // (Continue) if the client waits for one.
+  boost::asio::awaitable<Reading> ReceiveBody(Parser& parser,
+                                              ExchangePtr exchange,
+                                              ErrorCode& ec);
   // Reads the rest of the message. For a body without Content-Length, reserves
   // memory as the body grows; returns kNoRoom when the limit is reached.
   boost::asio::awaitable<Reading> ReadBody(Parser& parser,
                                            Exchange& exchange,
                                            ErrorCode& ec);
+  // Rejects the request whose body is being read once it can no longer be
+  // served before the process ends.
+  void LimitBodyTime();
+  void RejectBody();
+  HttpRequest HeadOfBody() const;
   // Makes room for what one read can add to a body of unknown length.
   bool GrowBody(Parser& parser, Exchange& exchange);
   boost::asio::awaitable<bool> SendContinue(unsigned version);
@@ -141,6 +156,7 @@
   // connection, or notes that the client left.
   void FailRead(ErrorCode ec, const ExchangePtr& exchange);
   void Reject(int status, const std::string& why, const ExchangePtr& exchange);
+  void Reject(HttpResponse response, const ExchangePtr& exchange);
 
   boost::asio::awaitable<void> ServeRequest(ExchangePtr exchange,
                                             HttpRequest request);
@@ -179,6 +195,11 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   boost::asio::steady_timer read_timer_;
+  // The request whose body is being read, and the time limit for it.
+  const Parser* body_parser_ = nullptr;
+  ExchangePtr body_exchange_;
+  std::optional<boost::asio::steady_timer> body_timer_;
+  bool sending_continue_ = false;
   // Notified when a response was written, after ReadAhead() and on Close().
   WakeUp wake_up_;
   const Instant connected_at_ = SteadyNow();
--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <utility>
 
+#include "src/http/beast_messages.h"
 #include "src/http/head_scanner.h"
 
 namespace toucanknot {
@@ -149,6 +150,71 @@
   co_return Reading::kDone;
 }
 
+asio::awaitable<ServerConnection::Reading> ServerConnection::ReceiveBody(
+    Parser& parser,
+    ExchangePtr exchange,
+    ErrorCode& ec) {
+  body_parser_ = &parser;
+  body_exchange_ = exchange;
+  LimitBodyTime();
+  Reading reading = Reading::kDone;
+  if (!exchange->rejected &&
+      beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    sending_continue_ = true;
+    if (!co_await SendContinue(exchange->version)) {
+      ec = asio::error::broken_pipe;
+      reading = Reading::kFailed;
+    }
+    sending_continue_ = false;
+    LimitBodyTime();
+  }
+  if (reading == Reading::kDone && !exchange->rejected)
+    reading = co_await ReadBody(parser, *exchange, ec);
+  body_parser_ = nullptr;
+  body_exchange_.reset();
+  body_timer_.reset();
+  co_return reading;
+}
+
+void ServerConnection::LimitBodyTime() {
+  // Two writes must not overlap.
+  if (!state_->stopping || !state_->body_time_limit.complete_by ||
+      body_parser_ == nullptr || body_parser_->is_done() ||
+      body_exchange_->rejected || sending_continue_) {
+    return;
+  }
+  const Instant by = state_->body_time_limit.complete_by(HeadOfBody());
+  if (by == Instant::Never())
+    return;
+  const Duration left = by - SteadyNow();
+  if (left <= Duration(0)) {
+    RejectBody();
+    return;
+  }
+  body_timer_.emplace(stream_.get_executor(),
+                      std::chrono::milliseconds(left.ms()));
+  body_timer_->async_wait([self = shared_from_this(),
+                           exchange = body_exchange_](beast::error_code ec) {
+    if (!ec && self->body_exchange_ == exchange)
+      self->RejectBody();
+  });
+}
+
+void ServerConnection::RejectBody() {
+  if (body_exchange_->rejected || body_parser_->is_done())
+    return;
+  body_exchange_->rejected = true;
+  Reject(state_->body_time_limit.refuse(HeadOfBody()), body_exchange_);
+}
+
+HttpRequest ServerConnection::HeadOfBody() const {
+  HttpRequest head = HeadFromBeast(body_parser_->get());
+  head.remote_ip = remote_ip_;
+  head.connected_at = connected_at_;
+  head.began_at = began_at_;
+  return head;
+}
+
 Duration ServerConnection::TimeLimitOf(ReadPhase phase) const {
   switch (phase) {
     case ReadPhase::kIdle:
@@ -200,6 +266,8 @@
   // It must not be interleaved with an earlier response.
   while (!exchanges_.empty() && stream_.socket().is_open())
     co_await wake_up_.Wait();
+  if (closing_)
+    co_return false;
   http::response<http::empty_body> continue_response(http::status::continue_,
                                                      version);
   stream_.expires_after(std::chrono::milliseconds(state_->limits.body.ms()));
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -184,6 +184,13 @@
   return times.known() ? times.warm() : 0;
 }
 
+Duration Placer::MeanTime(const std::string& route_name) const {
+  const auto it = times_.find(route_name);
+  if (it == times_.end() || !it->second.known())
+    return {};
+  return Duration(static_cast<int64_t>(it->second.mean()));
+}
+
 bool Placer::IsLate(const QueuedRequest& waiting, Instant now) const {
   return Millis(waiting.request.target - now) < KnownServiceMs(waiting);
 }
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -87,7 +87,8 @@
 // An entry host on loopback with a FakeStore.
 class EntryFixture {
  public:
-  explicit EntryFixture(std::optional<Duration> revoke_within = {}) {
+  explicit EntryFixture(std::optional<Duration> revoke_within = {},
+                        Duration stop_within = Duration(1'500)) {
     EntrySettings settings;
     settings.revoke_within = revoke_within;
     settings.host = HostId("h");
@@ -100,7 +101,7 @@
     }
     settings.metrics = Endpoint{"127.0.0.1", 0};
     settings.retry_slack = 20;
-    settings.stop_within = Duration(1'500);
+    settings.stop_within = stop_within;
     daemon = std::make_unique<EntryDaemon>(
         settings, TestHeaders(),
         [this](boost::asio::io_context& loop, const EntrySettings&) {
@@ -114,7 +115,9 @@
 
   // Two routes: "/safe/" with two attempts, "/once/" non-idempotent; both to
   // service "s".
-  void Configure(uint64_t version = 1, Duration timeout = Duration(1'000)) {
+  void Configure(uint64_t version = 1,
+                 Duration timeout = Duration(1'000),
+                 Duration target_latency = Duration(300)) {
     auto config = std::make_shared<RouteConfig>();
     config->version = version;
     for (const char* prefix : {"/safe/", "/once/"}) {
@@ -126,7 +129,7 @@
                        ? RequestKind::kIdempotent
                        : RequestKind::kNonIdempotent;
       route.timeout = timeout;
-      route.target_latency = Duration(300);
+      route.target_latency = target_latency;
       route.attempts = 2;
       route.targets = {{ServiceId("s"), 1}};
       config->routes.push_back(std::move(route));
