daemon: a planned stop cuts no upload that ends late

What callers saw: an upload to a stopping toucanknotd that ended late was passed on with its whole deadline, counted from the end of the body, and cut when the host ended after leave_notice and drain_limit. One that never ended was closed without a response.

Fix: BeginStop() fixes the end in PlannedStop. A request whose deadline is later is refused before its ticket's run begins or an attempt is made (503, host-leaving, without Retry-After); a body that can't be complete in time is refused at once. What waits for another copy's run or a ticket's owner ends before the process. A stop that cuts something logs how much.

--- a/src/daemon/caller_handler.cc
+++ b/src/daemon/caller_handler.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/caller_handler.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/daemon/responses.h"
@@ -84,26 +85,76 @@
     response =
         HostResponse(e.status(), Verdict::kNotRun, "bad-request", e.what());
   }
+  Count(response, SteadyNow() - start);
+  co_return response;
+}
+
+void CallerHandler::Count(const HttpResponse& response, Duration took) {
   const auto verdict = kVerdictNames.Parse(response.fields.Get(kVerdictHeader));
   dependencies_.metrics->CountRequest(verdict.value_or(Verdict::kUnknown),
-                                      SteadyNow() - start);
+                                      took);
   if (const auto refusal =
           kRefusalNames.Parse(response.fields.Get(kReasonHeader))) {
     dependencies_.metrics->CountRefusal(*refusal);
   }
-  co_return response;
+}
+
+ServiceRequestPtr CallerHandler::ParseHead(const HttpRequest& head,
+                                           Instant now) const {
+  RoutingTablesPtr tables = dependencies_.tables->Get();
+  if (!tables || !head.target.starts_with(kServicesPrefix))
+    return nullptr;
+  try {
+    return ParseServiceRequest(head, std::move(tables), std::nullopt, now);
+  } catch (const BadRequestError&) {
+    return nullptr;
+  }
+}
+
+Instant CallerHandler::BodyCompleteBy(const HttpRequest& head) const {
+  const Instant now = SteadyNow();
+  const ServiceRequestPtr parsed = ParseHead(head, now);
+  if (!parsed || !dependencies_.stop->begun())
+    return Instant::Never();
+  // The deadline counts from the end of the body.
+  return std::max(dependencies_.stop->answer_by() - (parsed->deadline - now),
+                  dependencies_.stop->LatestSend({Instant::Never(), {}, true}));
+}
+
+HttpResponse CallerHandler::RefuseBody(const HttpRequest& head) {
+  const ServiceRequestPtr parsed = ParseHead(head, SteadyNow());
+  // An earlier copy of a request with a ticket may have run.
+  const bool may_have_run =
+      parsed && !parsed->idempotent && head.fields.Has(kTicketHeader);
+  HttpResponse response =
+      may_have_run
+          ? HostResponse(504, Verdict::kUnknown,
+                         kRefusalNames.Name(Refusal::kHostLeaving),
+                         "this entry host is shutting down; send the request "
+                         "to another one with the same Idempotency-Key")
+          : RefusalResponse(Refusal::kHostLeaving);
+  Count(response, SteadyNow() - head.began_at);
+  return response;
+}
+
+boost::asio::awaitable<HttpResponse> CallerHandler::ServeIdempotent(
+    ServiceRequestPtr service_request) {
+  if (!dependencies_.stop->MaySend({service_request->deadline, {}, true}))
+    co_return RefusalResponse(Refusal::kHostLeaving);
+  co_return co_await dependencies_.idempotent->Serve(
+      std::move(service_request));
 }
 
 boost::asio::awaitable<HttpResponse> CallerHandler::Dispatch(
     ServiceRequestPtr service_request) {
   if (!service_request->forwarding_token) {
     if (service_request->idempotent)
-      return dependencies_.idempotent->Serve(std::move(service_request));
+      return ServeIdempotent(std::move(service_request));
     return dependencies_.once->Serve(std::move(service_request));
   }
   switch (service_request->forwarding_token->kind) {
     case ForwardingKind::kServe:
-      return dependencies_.idempotent->Serve(std::move(service_request));
+      return ServeIdempotent(std::move(service_request));
     case ForwardingKind::kRunOnce:
       return dependencies_.once->ServeForwarded(std::move(service_request));
     case ForwardingKind::kAskOwner:
--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -26,6 +26,7 @@
 #include "src/daemon/shared_forwarding_limits.h"
 #include "src/daemon/status_page.h"
 #include "src/http/http_server.h"
+#include "src/http/planned_stop.h"
 
 namespace toucanknot {
 namespace {
@@ -119,6 +120,9 @@
   const std::shared_ptr<const FleetKeys> keys_;
   const std::shared_ptr<Store> store_;
   std::atomic<bool> leaving_{false};
+  PlannedStop stop_;
+  // When the process ends at the latest; set by BeginStop().
+  Instant stop_end_;
   std::atomic<uint64_t> next_item_{1};
   // When the next active exception ends.
   std::atomic<int64_t> next_end_unix_ms_{kNoEnd};
@@ -167,7 +171,7 @@
     OnAttempt(service_request, result);
   });
   once_ = std::make_unique<OnceRunner>(workers_, *sender_, tickets_,
-                                       crash_admission_, next_item_);
+                                       crash_admission_, next_item_, stop_);
   IdempotentRunner::Hooks attempts;
   attempts.try_acquire_retry = [this](const ServiceEntry& entry) {
     return states_.Get(entry.service.id)->TryAcquireRetry(SteadyNow());
@@ -189,6 +193,7 @@
   dependencies.once = once_.get();
   dependencies.tickets = &tickets_;
   dependencies.metrics = &metrics_;
+  dependencies.stop = &stop_;
   callers_ = std::make_unique<CallerHandler>(std::move(dependencies));
   admin_ =
       std::make_unique<AdminHandler>(settings_.admin_token, AdminSources());
@@ -243,6 +248,11 @@
       [this](HttpRequest request) {
         return callers_->Handle(std::move(request));
       });
+  caller_server_->SetBodyTimeLimit(
+      {[this](const HttpRequest& head) {
+         return callers_->BodyCompleteBy(head);
+       },
+       [this](const HttpRequest& head) { return callers_->RefuseBody(head); }});
   admin_server_ = std::make_unique<HttpServer>(
       workers_, HttpServerLimits(),
       [](std::string_view) { return kMaxOtherBodyBytes; },
@@ -388,7 +398,14 @@
 void HostDaemon::Impl::BeginStop() {
   if (leaving_.exchange(true))
     return;
-  spdlog::info("state=leaving host={}", settings_.host.str());
+  const RoutingTablesPtr tables = tables_.Get();
+  const Duration limit =
+      tables ? tables->tunables.drain_limit : Tunables().drain_limit;
+  const Instant notice_until = SteadyNow() + settings_.leave_notice;
+  stop_end_ = notice_until + limit;
+  stop_.Begin(notice_until, stop_end_);
+  spdlog::info("state=leaving host={} ends_within_ms={}", settings_.host.str(),
+               (stop_end_ - SteadyNow()).ms());
   caller_server_->BeginStop();
   fleet_->AnnounceLeaving();
   boost::asio::co_spawn(workers_.loop(0), AnnounceThenClose(),
@@ -403,15 +420,16 @@
 }
 
 bool HostDaemon::Impl::WaitStopped() {
-  const RoutingTablesPtr tables = tables_.Get();
-  const Duration limit =
-      tables ? tables->tunables.drain_limit : Tunables().drain_limit;
-  const Instant end = SteadyNow() + settings_.leave_notice + limit;
   std::this_thread::sleep_for(
       std::chrono::milliseconds(settings_.leave_notice.ms()));
   while (caller_server_->OpenConnections() > 0 || tickets_.unfinished() > 0) {
-    if (SteadyNow() >= end)
+    if (SteadyNow() >= stop_end_) {
+      spdlog::warn(
+          "state=stopped host={} connections={} unfinished_runs={} cut",
+          settings_.host.str(), caller_server_->OpenConnections(),
+          tickets_.unfinished());
       return false;
+    }
     std::this_thread::sleep_for(
         std::chrono::milliseconds(kStopPollInterval.ms()));
   }
--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -103,12 +103,14 @@
                        Sender& sender,
                        SharedTicketRecords& tickets,
                        CrashAdmission& crash_admission,
-                       std::atomic<uint64_t>& next_item)
+                       std::atomic<uint64_t>& next_item,
+                       const PlannedStop& stop)
     : workers_(workers),
       sender_(sender),
       tickets_(tickets),
       crash_admission_(crash_admission),
-      next_item_(next_item) {}
+      next_item_(next_item),
+      stop_(stop) {}
 
 SharedTicketRecords::WaiterPtr OnceRunner::NewWaiter() const {
   return std::make_shared<SharedTicketRecords::Waiter>(
@@ -174,6 +176,10 @@
   DispatchRequest item = service_request->ToDispatchRequest(0);
   Refusal refusal = Refusal::kNoServer;
   for (int i = 0; i < kMaxTargets; ++i) {
+    if (!stop_.MaySend({service_request->deadline, {}, false})) {
+      refusal = Refusal::kHostLeaving;
+      break;
+    }
     item.id = next_item_.fetch_add(1);
     const DispatchDecision decision =
         co_await crash_admission_.Decide(service_request, item);
@@ -217,8 +223,10 @@
 boost::asio::awaitable<HttpResponse> OnceRunner::AwaitRun(
     SharedTicketRecords::WaiterPtr waiter,
     ServiceRequestPtr service_request) {
-  if (const auto end = co_await waiter->Wait(service_request->deadline))
+  if (const auto end = co_await waiter->Wait(
+          std::min(service_request->deadline, stop_.answer_by()))) {
     co_return ResponseForEnd(*end);
+  }
   co_return HostResponse(
       504, Verdict::kUnknown, "running",
       "the request is still running; repeat it with the same "
@@ -231,7 +239,8 @@
   OwnerQuery::Options options;
   if (tickets_.HasTakenOver(ticket.owner))
     options.successors = {tickets_.self()};
-  OwnerQuery query(ticket, std::move(options), service_request->deadline);
+  const Instant until = std::min(service_request->deadline, stop_.answer_by());
+  OwnerQuery query(ticket, std::move(options), until);
   OwnerQueryAction action = query.Start(SteadyNow());
   while (action.step != OwnerQueryStep::kReply) {
     if (action.step == OwnerQueryStep::kQueryWitness &&
@@ -244,7 +253,7 @@
         action.target.host != tickets_.self().host) {
       // The owner delays its reply until a run in progress has ended.
       AttemptResponse result = co_await sender_.QueryOwner(
-          *service_request, action.target.host, service_request->deadline);
+          *service_request, action.target.host, until);
       if (result.has_response) {
         HttpResponse response =
             ToCallerResponse(std::move(result.response), result.verdict);
--- a/src/daemon/once_runner.h
+++ b/src/daemon/once_runner.h
@@ -9,6 +9,7 @@
 #include "src/daemon/sender.h"
 #include "src/daemon/service_request.h"
 #include "src/daemon/shared_ticket_records.h"
+#include "src/http/planned_stop.h"
 
 namespace toucanknot {
 
@@ -21,7 +22,8 @@
              Sender& sender,
              SharedTicketRecords& tickets,
              CrashAdmission& crash_admission,
-             std::atomic<uint64_t>& next_item);
+             std::atomic<uint64_t>& next_item,
+             const PlannedStop& stop);
 
   boost::asio::awaitable<HttpResponse> Serve(ServiceRequestPtr service_request);
   // The kind of the request's forwarding token must be kRunOnce.
@@ -58,6 +60,7 @@
   SharedTicketRecords& tickets_;
   CrashAdmission& crash_admission_;
   std::atomic<uint64_t>& next_item_;
+  const PlannedStop& stop_;
 };
 
 }  // namespace toucanknot
--- a/src/daemon/responses.cc
+++ b/src/daemon/responses.cc
@@ -48,7 +48,9 @@
   HttpResponse response = HostResponse(
       503, Verdict::kNotRun, kRefusalNames.Name(refusal),
       std::string(kRefusalSentences[static_cast<size_t>(refusal)]));
-  response.fields.Add("Retry-After", std::to_string(kRetryAfterSeconds));
+  // Another host can serve the request at once.
+  if (refusal != Refusal::kHostLeaving)
+    response.fields.Add("Retry-After", std::to_string(kRetryAfterSeconds));
   return response;
 }
 
--- a/tests/daemon/fleet_fixture.h
+++ b/tests/daemon/fleet_fixture.h
@@ -91,6 +91,8 @@
     }
   }
 
+  // Where host `n` listens for callers.
+  static Endpoint Callers(int n) { return {Ip(n), 25100}; }
   static HttpClientResult Send(int n, const HttpClientRequest& request) {
     return Exchange(Callers(n), request, kMaxWait);
   }
@@ -152,7 +154,6 @@
   inline static const Endpoint kStore{"127.0.77.100", 25000};
 
   static std::string Ip(int n) { return "127.0.77." + std::to_string(n); }
-  static Endpoint Callers(int n) { return {Ip(n), 25100}; }
   static Endpoint Peers(int n) { return {Ip(n), 25200}; }
 
   static std::string ConfigText() {
