tests: a stopping process of toucanknot-entry cuts no late upload

The process gets SIGTERM while uploads of a route that may not be repeated are read; their last bytes come 0.2 to 5.6 s after it (grace 6 s, server busy 0.9 s, route's timeout 4 s).

CrowdHost: a route that may not be repeated, BeginStop(), Arrivals(); its server answers in a coroutine. LateUpload is shared by the tests of both programs.

--- a/tests/crowd/crowd_host.cc
+++ b/tests/crowd/crowd_host.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 #include "include/base/error.h"
 #include "include/routing/route_config.h"
 #include "platform/wire_decoder.h"
+#include "src/http/one_shot.h"
 #include "tests/crowd/crowd.h"
 #include "tests/platform/platform_texts.h"
 
@@ -69,9 +71,7 @@
           workers_,
           {},
           [](std::string_view) { return uint64_t{1} << 20; },
-          [this](HttpRequest request) -> boost::asio::awaitable<HttpResponse> {
-            co_return Respond(request);
-          }),
+          [this](HttpRequest request) { return Respond(std::move(request)); }),
       server_endpoint_(server_.Listen({kIp, 0})),
       folder_(MakeFolder()),
       callers_(FreeAddress(SOCK_STREAM)),
@@ -91,7 +91,13 @@
   std::filesystem::remove_all(folder_);
 }
 
-HttpResponse CrowdHost::Respond(const HttpRequest& request) const {
+boost::asio::awaitable<HttpResponse> CrowdHost::Respond(HttpRequest request) {
+  {
+    const std::lock_guard lock(mutex_);
+    ++arrivals_[request.target];
+  }
+  if (request.target.starts_with("/once/slow"))
+    co_await SleepFor(kSlow);
   const bool large = request.target.starts_with("/large");
   HttpResponse response =
       TextResponse(200, large ? std::string(kLargeBytes, 'x') : "ran");
@@ -102,7 +108,7 @@
     for (int i = 0; i < kManyFields; ++i)
       response.fields.Add("a", "");
   }
-  return response;
+  co_return response;
 }
 
 void CrowdHost::WriteStore() {
@@ -114,11 +120,15 @@
   route.host_name = kHostName;
   route.prefix = "/";
   route.kind = RequestKind::kIdempotent;
-  route.timeout = Duration(4'000);
+  route.timeout = kTimeout;
   route.target_latency = Duration(1'000);
   route.attempts = 2;
   route.targets = {{ServiceId("s"), 1}};
   config.routes.push_back(route);
+  route.name = "once";
+  route.prefix = "/once/";
+  route.kind = RequestKind::kNonIdempotent;
+  config.routes.push_back(route);
   store_.Put(platform::ConfigKey(), platform::EncodeConfig(config));
   ServerEntry entry;
   entry.id = ServerId("server-0");
@@ -160,6 +170,16 @@
   throw Error("the host is not ready");
 }
 
+void CrowdHost::BeginStop() {
+  process_->Signal(SIGTERM);
+}
+
+int CrowdHost::Arrivals(const std::string& path) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = arrivals_.find(path);
+  return it == arrivals_.end() ? 0 : it->second;
+}
+
 bool CrowdHost::Lives() {
   return !process_->Reap() && process_->running();
 }
--- a/tests/crowd/crowd_host.h
+++ b/tests/crowd/crowd_host.h
@@ -2,7 +2,9 @@
 #define TESTS_CROWD_CROWD_HOST_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "include/entry/entry_wire.h"
@@ -21,6 +23,11 @@
   // Bounds of the process, also stated in its settings.
   static constexpr int64_t kMemoryMb = 64;
   static constexpr int64_t kMaxDescriptors = 1'000;
+  // `stop_within` of the process, and the service time of paths that begin with
+  // "/once/slow". "/once/" is not idempotent.
+  static constexpr Duration kGrace{6'000};
+  static constexpr Duration kSlow{900};
+  static constexpr Duration kTimeout{4'000};
 
   CrowdHost();
   ~CrowdHost();
@@ -28,6 +35,10 @@
   const Endpoint& callers() const { return callers_; }
   const Endpoint& peers() const { return peers_; }
   bool Lives();
+  // Sends SIGTERM.
+  void BeginStop();
+  // Requests with `path` that reached the backend server.
+  int Arrivals(const std::string& path) const;
   // Largest resident memory since the start.
   int64_t PeakMemoryKb() const;
   int64_t OpenDescriptors() const;
@@ -39,12 +50,14 @@
   bool AnswersOrdinaryRequest() const;
 
  private:
-  HttpResponse Respond(const HttpRequest& request) const;
+  boost::asio::awaitable<HttpResponse> Respond(HttpRequest request);
   void WriteStore();
   void WriteSettings();
   void AwaitReady();
 
   const EntryWire names_;
+  mutable std::mutex mutex_;
+  std::map<std::string, int> arrivals_;
   platform::StoreStandin store_;
   WorkerPool workers_{1};
   HttpServer server_;
--- a/tests/entry/planned_stop_test.cc
+++ b/tests/entry/planned_stop_test.cc
@@ -16,6 +16,7 @@
 
 #include "src/http/one_shot.h"
 #include "tests/entry/entry_fixture.h"
+#include "tests/http/late_upload.h"
 
 namespace toucanknot {
 namespace {
@@ -25,11 +26,6 @@
 
 constexpr Duration kTimeout{5'000};
 
-void SleepUntil(Instant at) {
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(std::max<int64_t>((at - SteadyNow()).ms(), 0)));
-}
-
 // Responds after `busy` and counts the arrivals of each id. Rejects the first
 // `rejects` requests after half of that time.
 class BusyServer {
@@ -72,45 +68,26 @@
   Endpoint endpoint_;
 };
 
-// A request whose head is sent at one time and whose body ends at another,
-// relative to `origin`.
-struct Upload {
-  std::string id;
-  std::string path = "/once/a";
-  Duration head_at;
-  Duration end_at;
-  // What the caller received, and when its connection ended.
-  std::string reply = {};
-  Duration ended_at = {};
-
-  std::string Status() const {
-    return reply.size() < 12 ? "none" : reply.substr(9, 3);
-  }
-  void Play(const Endpoint& to, Instant origin) {
-    asio::io_context io;
-    Tcp::socket socket(io);
-    SleepUntil(origin + head_at);
-    boost::system::error_code ec;
-    socket.connect({asio::ip::make_address(to.ip), to.port}, ec);
-    const std::string head = "POST " + path +
-                             " HTTP/1.1\r\nHost: x\r\nX-Id: " + id +
-                             "\r\nContent-Length: 8\r\n\r\nhalf";
-    asio::write(socket, asio::buffer(head), ec);
-    SleepUntil(origin + end_at);
-    asio::write(socket, asio::buffer("half", 4), ec);
-    asio::read(socket, asio::dynamic_buffer(reply), ec);
-    ended_at = SteadyNow() - origin;
-  }
-};
+// A request whose times are relative to `origin` in PlayDuringStop().
+LateUpload Upload(const std::string& id,
+                  const std::string& path,
+                  Duration head_at,
+                  Duration end_at) {
+  return {id, "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Id: " + id + "\r\n",
+          Instant(head_at.ms()), Instant(end_at.ms())};
+}
 
 // Plays `uploads`, stops the host at `origin` and ends it when it has stopped.
 void PlayDuringStop(EntryFixture& it,
                     Instant origin,
-                    std::vector<Upload>& uploads) {
+                    std::vector<LateUpload>& uploads) {
   const Endpoint to = it.daemon->callers();
   std::vector<std::thread> threads;
-  for (Upload& upload : uploads)
-    threads.emplace_back([&upload, to, origin] { upload.Play(to, origin); });
+  for (LateUpload& upload : uploads) {
+    upload.head_at = origin + Duration(upload.head_at.ms());
+    upload.end_at = origin + Duration(upload.end_at.ms());
+    threads.emplace_back([&upload, to] { upload.Play(to); });
+  }
   SleepUntil(origin);
   it.daemon->BeginStop();
   it.daemon->WaitStopped();
@@ -120,11 +97,11 @@
 }
 
 // Each upload was answered by the server, or refused and sent to none.
-void CheckNothingCut(const std::vector<Upload>& uploads, BusyServer& server) {
-  for (const Upload& upload : uploads) {
+void CheckNothingCut(const std::vector<LateUpload>& uploads,
+                     BusyServer& server) {
+  for (const LateUpload& upload : uploads) {
     const bool served = upload.reply.find("whole") != std::string::npos;
-    INFO("upload " << upload.id << " ended after " << upload.ended_at.ms()
-                   << " ms: " << upload.reply);
+    INFO("upload " << upload.id << ": " << upload.reply);
     CHECK(upload.Status() == (served ? "200" : "503"));
     CHECK(server.Arrivals(upload.id) == (served ? 1 : 0));
   }
@@ -139,12 +116,13 @@
   BusyServer server(Duration(900));
   it.AddServer("a", server.endpoint());
   const Duration notice = std::min(Duration(2'500), grace / 2);
-  std::vector<Upload> uploads{
-      {"early", "/once/a", Duration(0), grace / 10},
-      {"early-safe", "/safe/a", Duration(0), grace / 10}};
+  std::vector<LateUpload> uploads{
+      Upload("early", "/once/a", Duration(0), grace / 10),
+      Upload("early-safe", "/safe/a", Duration(0), grace / 10)};
   for (int i = 0; i < 12; ++i) {
-    uploads.push_back({std::to_string(i), i % 3 == 0 ? "/safe/a" : "/once/a",
-                       notice - Duration(200), notice + grace * i / 24});
+    uploads.push_back(Upload(std::to_string(i),
+                             i % 3 == 0 ? "/safe/a" : "/once/a",
+                             notice - Duration(200), notice + grace * i / 24));
   }
   PlayDuringStop(it, SteadyNow() + Duration(50), uploads);
   CheckNothingCut(uploads, server);
@@ -158,9 +136,10 @@
   it.Configure(1, kTimeout);
   BusyServer server(Duration(10));
   it.AddServer("a", server.endpoint());
-  std::vector<Upload> uploads{{"a", "/once/a", Duration(0), Duration(9'000)}};
-  std::thread caller(
-      [&] { uploads[0].Play(it.daemon->callers(), SteadyNow()); });
+  std::vector<LateUpload> uploads{
+      Upload("a", "/once/a", Duration(0), Duration(9'000))};
+  uploads[0].end_at = SteadyNow() + Duration(9'000);
+  std::thread caller([&] { uploads[0].Play(it.daemon->callers()); });
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
   const Instant begun = SteadyNow();
   it.daemon->BeginStop();
@@ -176,8 +155,8 @@
   it.Configure(1, Duration(1'000));
   BusyServer server(Duration(300));
   it.AddServer("a", server.endpoint());
-  std::vector<Upload> uploads{
-      {"late", "/once/a", Duration(1'900), Duration(2'200)}};
+  std::vector<LateUpload> uploads{
+      Upload("late", "/once/a", Duration(1'900), Duration(2'200))};
   PlayDuringStop(it, SteadyNow() + Duration(50), uploads);
   CheckNothingCut(uploads, server);
   CHECK(uploads[0].Status() == "200");
@@ -188,11 +167,11 @@
   it.Configure(1, kTimeout, kTimeout);
   BusyServer server(Duration(500));
   it.AddServer("a", server.endpoint());
-  std::vector<Upload> uploads;
+  std::vector<LateUpload> uploads;
   const auto add = [&](int count, Duration at) {
     for (int i = 0; i < count; ++i) {
       const std::string id = std::to_string(uploads.size());
-      uploads.push_back({id, i % 2 == 0 ? "/once/a" : "/safe/a", at, at});
+      uploads.push_back(Upload(id, i % 2 == 0 ? "/once/a" : "/safe/a", at, at));
     }
   };
   // Requests wait only once the host knows how long they take.
@@ -221,10 +200,11 @@
               static_cast<socklen_t>(to.size()));
   }
   it.AddServer("a", {"127.0.0.1", acceptor.local_endpoint().port()});
-  std::vector<Upload> uploads{{"a", "/once/a", Duration(0), Duration(400)},
-                              {"b", "/safe/a", Duration(0), Duration(500)}};
+  std::vector<LateUpload> uploads{
+      Upload("a", "/once/a", Duration(0), Duration(400)),
+      Upload("b", "/safe/a", Duration(0), Duration(500))};
   PlayDuringStop(it, SteadyNow() + Duration(50), uploads);
-  for (const Upload& upload : uploads)
+  for (const LateUpload& upload : uploads)
     CHECK(upload.Status() == "503");
 }
 
@@ -234,7 +214,8 @@
   BusyServer server(Duration(1'800), 2);
   it.AddServer("a", server.endpoint());
   it.AddServer("b", server.endpoint());
-  std::vector<Upload> uploads{{"a", "/once/a", Duration(900), Duration(1'000)}};
+  std::vector<LateUpload> uploads{
+      Upload("a", "/once/a", Duration(900), Duration(1'000))};
   PlayDuringStop(it, SteadyNow() + Duration(50), uploads);
   CHECK(uploads[0].Status() == "503");
   CHECK(server.Arrivals("a") == 1);
