--- a/soak/server_program.cc
+++ b/soak/server_program.cc
@@ -57,7 +57,6 @@
 constexpr size_t kLongBodyBytes = 16 << 10;
 constexpr size_t kMaxHeadBytes = 64 << 10;
 constexpr int64_t kMaxResponseBytes = 20'000;
-constexpr int kRefusals[] = {408, 429, 503};
 
 struct Request {
   std::string method;
@@ -287,10 +286,11 @@
                                 const std::string& id,
                                 int64_t idle_ms) {
     HttpResponse response;
-    response.status = Draw(options_.run_then_refuse)
-                          ? kRefusals[random_() % std::size(kRefusals)]
-                      : Draw(options_.fail) ? 500
-                                            : 200;
+    response.status =
+        Draw(options_.run_then_refuse)
+            ? kRefusalStatuses[random_() % std::size(kRefusalStatuses)]
+        : Draw(options_.fail) ? 500
+                              : 200;
     response.body = ResponseBody(
         id, static_cast<size_t>(Draw(int64_t{1}, kMaxResponseBytes)));
     response.fields.Add(names_.request_id, id);
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -123,9 +123,8 @@
 }
 
 int SoakServer::DrawStatus() {
-  constexpr int kRefusals[] = {408, 429, 503};
   if (run_then_refuse_rate_ > 0 && Draw(run_then_refuse_rate_))
-    return kRefusals[random_() % std::size(kRefusals)];
+    return kRefusalStatuses[random_() % std::size(kRefusalStatuses)];
   return Draw(failure_rate_) ? 500 : 200;
 }
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -28,6 +28,9 @@
 std::string ResponseBody(const std::string& id, size_t bytes);
 std::string ResponseStamp(const std::string& server, const std::string& body);
 
+// What a faulty server responds to a request that it has run.
+inline constexpr int kRefusalStatuses[] = {408, 429, 503};
+
 // A request for a target that contains this crashes the servers that run it.
 inline constexpr std::string_view kCrashingTarget = "/crashes-servers-";
 
