--- a/src/entry/request_stop.cc
+++ b/src/entry/request_stop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "src/entry/decision_log.h"
 #include "src/entry/request_fields.h"
@@ -47,14 +48,16 @@
           parts_.routes.Find(head.fields.Get("Host"), head.target)) {
     run.route = *route;
   }
-  run.attempt_summary = "body incomplete";
+  run.attempt_summary = "body:incomplete";
   HttpResponse response = RefuseStopping(run);
   LogOutcome(run, response);
   return response;
 }
 
 HttpResponse RequestRunner::RefuseStopping(Run& run) {
-  run.attempt_summary += " stopping";
+  constexpr std::string_view kRefused = " refused:stopping";
+  if (run.attempt_summary.find(kRefused) == std::string::npos)
+    run.attempt_summary += kRefused;
   if (run.may_have_run) {
     return Fail(run, ServerAttemptEnd::kBroken,
                 "this host stops before another attempt could end");
--- a/tests/entry/planned_stop_test.cc
+++ b/tests/entry/planned_stop_test.cc
@@ -162,6 +162,35 @@
   CHECK(uploads[0].Status() == "200");
 }
 
+TEST_CASE("a stop answers a request whose head ends late") {
+  EntryFixture it({}, Duration(3'000));
+  it.Configure(1, kTimeout);
+  BusyServer server(Duration(900));
+  it.AddServer("a", server.endpoint());
+  asio::io_context io;
+  Tcp::socket caller(io);
+  const Endpoint to = it.daemon->callers();
+  caller.connect({asio::ip::make_address(to.ip), to.port});
+  // The first response keeps the connection open; the next head ends late.
+  const std::string request = "GET /safe/a HTTP/1.1\r\nHost: x\r\nX-Id: ";
+  asio::write(caller, asio::buffer(request + "first\r\n\r\n"));
+  std::string reply;
+  boost::system::error_code ec;
+  while (reply.find("whole") == std::string::npos && !ec)
+    asio::read(caller, asio::dynamic_buffer(reply), asio::transfer_at_least(1),
+               ec);
+  asio::write(caller, asio::buffer(request));
+  it.daemon->BeginStop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'300));
+  asio::write(caller, asio::buffer(std::string("second\r\n\r\n")), ec);
+  reply.clear();
+  asio::read(caller, asio::dynamic_buffer(reply), ec);
+  CHECK(reply.starts_with("HTTP/1.1 503"));
+  CHECK(reply.find("Retry-After") == std::string::npos);
+  CHECK(server.Arrivals("second") == 0);
+  it.daemon->WaitStopped();
+}
+
 TEST_CASE("a stop refuses requests that wait for a place at a full server") {
   EntryFixture it({}, Duration(2'000));
   it.Configure(1, kTimeout, kTimeout);
@@ -177,7 +206,7 @@
   // Requests wait only once the host knows how long they take.
   for (const int at : {-4'800, -3'900, -3'000, -2'100})
     add(4, Duration(at));
-  add(24, Duration(-300));
+  add(48, Duration(-150));
   PlayDuringStop(it, SteadyNow() + Duration(4'900), uploads);
   CheckNothingCut(uploads, server);
 }
