--- a/src/entry/request_stop.cc
+++ b/src/entry/request_stop.cc
@@ -1,5 +1,7 @@
 // The part of RequestRunner that serves requests while the host stops.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string>
 #include <string_view>
@@ -9,6 +11,12 @@
 #include "src/entry/request_runner.h"
 
 namespace toucanknot {
+namespace {
+
+// As the log names a refusal of the placer.
+constexpr std::string_view kRefusedStopping = "refused:stopping";
+
+}  // namespace
 
 Instant RequestRunner::DeadlineOf(const HttpRequest& request,
                                   const Route& route,
@@ -55,9 +63,10 @@
 }
 
 HttpResponse RequestRunner::RefuseStopping(Run& run) {
-  constexpr std::string_view kRefused = " refused:stopping";
-  if (run.attempt_summary.find(kRefused) == std::string::npos)
-    run.attempt_summary += kRefused;
+  if (run.attempt_summary.find(kRefusedStopping) == std::string::npos) {
+    run.attempt_summary +=
+        fmt::format(" {} queued:{}", kRefusedStopping, parts_.placer.waiting());
+  }
   if (run.may_have_run) {
     return Fail(run, ServerAttemptEnd::kBroken,
                 "this host stops before another attempt could end");
