--- a/tests/crowd/planned_stop_test.cc
+++ b/tests/crowd/planned_stop_test.cc
@@ -29,6 +29,7 @@
   add(Duration(2'300),
       {2'400, 2'600, 3'500, 4'750, 5'000, 5'200, 5'400, 5'600});
   std::vector<std::thread> callers;
+  callers.reserve(uploads.size());
   for (LateUpload& it : uploads)
     callers.emplace_back([&] { it.Play(host.callers()); });
   SleepUntil(origin);
--- a/tests/daemon/planned_stop_test.cc
+++ b/tests/daemon/planned_stop_test.cc
@@ -47,6 +47,7 @@
     uploads.push_back(Upload("safe" + id, "GET", "", end_at));
   }
   std::vector<std::thread> threads;
+  threads.reserve(uploads.size());
   for (LateUpload& upload : uploads)
     threads.emplace_back([&upload] { upload.Play(FleetFixture::Callers(1)); });
   SleepUntil(origin);
--- a/tests/entry/planned_stop_test.cc
+++ b/tests/entry/planned_stop_test.cc
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "src/http/one_shot.h"
@@ -36,7 +37,9 @@
             workers_,
             {},
             [](std::string_view) { return uint64_t{1} << 20; },
-            [this, busy](HttpRequest it) { return Respond(it, busy); }),
+            [this, busy](HttpRequest it) {
+              return Respond(std::move(it), busy);
+            }),
         endpoint_(server_.Listen({"127.0.0.1", 0})) {}
   ~BusyServer() { workers_.Stop(); }
 
@@ -83,6 +86,7 @@
                     std::vector<LateUpload>& uploads) {
   const Endpoint to = it.daemon->callers();
   std::vector<std::thread> threads;
+  threads.reserve(uploads.size());
   for (LateUpload& upload : uploads) {
     upload.head_at = origin + Duration(upload.head_at.ms());
     upload.end_at = origin + Duration(upload.end_at.ms());
@@ -225,8 +229,8 @@
     full.emplace_back(io, Tcp::v4());
     full.back().native_non_blocking(true);
     const auto to = acceptor.local_endpoint();
-    ::connect(full.back().native_handle(), to.data(),
-              static_cast<socklen_t>(to.size()));
+    static_cast<void>(::connect(full.back().native_handle(), to.data(),
+                                static_cast<socklen_t>(to.size())));
   }
   it.AddServer("a", {"127.0.0.1", acceptor.local_endpoint().port()});
   std::vector<LateUpload> uploads{
