--- a/src/entry/request_stop.cc
+++ b/src/entry/request_stop.cc
@@ -1,13 +1,22 @@
 // The part of RequestRunner that serves requests while the host stops.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "src/entry/decision_log.h"
 #include "src/entry/request_fields.h"
 #include "src/entry/request_runner.h"
 
 namespace toucanknot {
+namespace {
+
+// As the log names a refusal of the placer.
+constexpr std::string_view kRefusedStopping = "refused:stopping";
+
+}  // namespace
 
 Instant RequestRunner::DeadlineOf(const HttpRequest& request,
                                   const Route& route,
@@ -47,14 +56,17 @@
           parts_.routes.Find(head.fields.Get("Host"), head.target)) {
     run.route = *route;
   }
-  run.attempt_summary = "body incomplete";
+  run.attempt_summary = "body:incomplete";
   HttpResponse response = RefuseStopping(run);
   LogOutcome(run, response);
   return response;
 }
 
 HttpResponse RequestRunner::RefuseStopping(Run& run) {
-  run.attempt_summary += " stopping";
+  if (run.attempt_summary.find(kRefusedStopping) == std::string::npos) {
+    run.attempt_summary +=
+        fmt::format(" {} queued:{}", kRefusedStopping, parts_.placer.waiting());
+  }
   if (run.may_have_run) {
     return Fail(run, ServerAttemptEnd::kBroken,
                 "this host stops before another attempt could end");
--- a/tests/entry/planned_stop_test.cc
+++ b/tests/entry/planned_stop_test.cc
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "src/http/one_shot.h"
@@ -36,7 +37,9 @@
             workers_,
             {},
             [](std::string_view) { return uint64_t{1} << 20; },
-            [this, busy](HttpRequest it) { return Respond(it, busy); }),
+            [this, busy](HttpRequest it) {
+              return Respond(std::move(it), busy);
+            }),
         endpoint_(server_.Listen({"127.0.0.1", 0})) {}
   ~BusyServer() { workers_.Stop(); }
 
@@ -83,6 +86,7 @@
                     std::vector<LateUpload>& uploads) {
   const Endpoint to = it.daemon->callers();
   std::vector<std::thread> threads;
+  threads.reserve(uploads.size());
   for (LateUpload& upload : uploads) {
     upload.head_at = origin + Duration(upload.head_at.ms());
     upload.end_at = origin + Duration(upload.end_at.ms());
@@ -162,6 +166,35 @@
   CHECK(uploads[0].Status() == "200");
 }
 
+TEST_CASE("a stop answers a request whose head ends late") {
+  EntryFixture it({}, Duration(3'000));
+  it.Configure(1, kTimeout);
+  BusyServer server(Duration(900));
+  it.AddServer("a", server.endpoint());
+  asio::io_context io;
+  Tcp::socket caller(io);
+  const Endpoint to = it.daemon->callers();
+  caller.connect({asio::ip::make_address(to.ip), to.port});
+  // The first response keeps the connection open; the next head ends late.
+  const std::string request = "GET /safe/a HTTP/1.1\r\nHost: x\r\nX-Id: ";
+  asio::write(caller, asio::buffer(request + "first\r\n\r\n"));
+  std::string reply;
+  boost::system::error_code ec;
+  while (reply.find("whole") == std::string::npos && !ec)
+    asio::read(caller, asio::dynamic_buffer(reply), asio::transfer_at_least(1),
+               ec);
+  asio::write(caller, asio::buffer(request));
+  it.daemon->BeginStop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'300));
+  asio::write(caller, asio::buffer(std::string("second\r\n\r\n")), ec);
+  reply.clear();
+  asio::read(caller, asio::dynamic_buffer(reply), ec);
+  CHECK(reply.starts_with("HTTP/1.1 503"));
+  CHECK(reply.find("Retry-After") == std::string::npos);
+  CHECK(server.Arrivals("second") == 0);
+  it.daemon->WaitStopped();
+}
+
 TEST_CASE("a stop refuses requests that wait for a place at a full server") {
   EntryFixture it({}, Duration(2'000));
   it.Configure(1, kTimeout, kTimeout);
@@ -177,7 +210,7 @@
   // Requests wait only once the host knows how long they take.
   for (const int at : {-4'800, -3'900, -3'000, -2'100})
     add(4, Duration(at));
-  add(24, Duration(-300));
+  add(48, Duration(-150));
   PlayDuringStop(it, SteadyNow() + Duration(4'900), uploads);
   CheckNothingCut(uploads, server);
 }
@@ -196,8 +229,8 @@
     full.emplace_back(io, Tcp::v4());
     full.back().native_non_blocking(true);
     const auto to = acceptor.local_endpoint();
-    ::connect(full.back().native_handle(), to.data(),
-              static_cast<socklen_t>(to.size()));
+    static_cast<void>(::connect(full.back().native_handle(), to.data(),
+                                static_cast<socklen_t>(to.size())));
   }
   it.AddServer("a", {"127.0.0.1", acceptor.local_endpoint().port()});
   std::vector<LateUpload> uploads{
