--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -188,7 +188,8 @@
   // Whether the request may be sent to another server after `end`.
   bool MayRetry(Run& run, ServerAttemptEnd end);
   // The response when no server's response can be given: `status`, which
-  // promises that the request did not run, or that of Fail() if it may have run.
+  // promises that the request did not run, or that of Fail() if it may have
+  // run.
   HttpResponse Refuse(const Run& run,
                       int status,
                       const std::string& why,
