daemon: a rejected owner query does not mean that the request did not run

What callers saw: "not-run" and a fresh ticket from toucanknotd for a run-once request that had run; sent again under it, it runs twice.

Cause: a host that does not own a ticket asks the owner, and took the verdict of whatever came back for that of the request. An owner that rejects the query itself (no configuration yet after a restart, no memory, a head that is too large with the token of forwarding, a service it does not know yet) says "not-run" about the query.

An owner's reply now names the ticket; a response without it counts as none, and the caller is told "unknown".

owner_query_test: 200 "ran" at the owner, then 431 "not-run" with a new ticket at another host before; passes now.

--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -162,9 +162,13 @@
   const auto waiter = NewWaiter();
   const TicketReply reply =
       tickets_.QueryTicket(ticket, service_request->fingerprint, waiter);
+  HttpResponse response;
   if (reply.step == TicketStep::kJoin)
-    co_return co_await AwaitRun(waiter, service_request);
-  co_return ResponseFor(reply, *service_request);
+    response = co_await AwaitRun(waiter, service_request);
+  else
+    response = ResponseFor(reply, *service_request);
+  response.fields.Set(kTicketHeader, ticket);
+  co_return response;
 }
 
 boost::asio::awaitable<HttpResponse> OnceRunner::Run(
--- a/src/daemon/sender.cc
+++ b/src/daemon/sender.cc
@@ -266,9 +266,14 @@
   result = ToAttemptResponse(co_await CurrentPool().Exchange(
       host->second.address, std::move(request), std::move(options)));
   ApplyForwardedVerdict(result);
-  // A query that failed gives no information about the request itself.
+  // A query that failed or was rejected gives no information about the request
+  // itself. Only a reply from the records of the owner names the ticket.
+  result.has_response = result.has_response &&
+                        result.response.fields.Get(kTicketHeader) ==
+                            service_request.original.fields.Get(kTicketHeader);
   if (!result.has_response)
     result.verdict = Verdict::kUnknown;
+  result.response.fields.Remove(kTicketHeader);
   co_return result;
 }
 
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -62,7 +62,8 @@
       HandOver hand_over);
 
   // Sends `service_request` as a query to the owner of its ticket, which does
-  // not run it.
+  // not run it. The result has a response only if the owner replied from its
+  // records.
   boost::asio::awaitable<AttemptResponse> QueryOwner(
       const ServiceRequest& service_request,
       HostId owner,
