daemon: a repeat that its host rejects may have run

What callers saw: a run-once request ran, the caller repeated it with its ticket, and toucanknotd answered "not-run" (503 while it had no configuration yet after a restart, 404 after the service was removed), upon which callers start again with a fresh ticket.

Cause: these rejections concern the message that has just arrived; the verdict is a promise about the ticket. They are given without a look at its record.

A caller's request with a ticket gets "unknown" there. Requests that other hosts forward keep "not-run": each is sent once, and its sender needs the verdict to go elsewhere. Rejections by the listener (head or body too large, no memory) still say "not-run".

--- a/src/daemon/caller_handler.cc
+++ b/src/daemon/caller_handler.cc
@@ -10,8 +10,18 @@
 
 constexpr std::string_view kLookupPath = "/v1/lookup";
 
-HttpResponse NoConfiguration() {
-  return HostResponse(503, Verdict::kNotRun, "no-configuration",
+// The verdict on a request that is rejected without a look at the records. A
+// caller's request with a ticket may be a repeat of one that ran; one that a
+// host forwards under a ticket arrives here for the first time.
+Verdict VerdictWithoutRecords(const HttpRequest& request) {
+  return request.fields.Has(kTicketHeader) &&
+                 !request.fields.Has(kForwardingHeader)
+             ? Verdict::kUnknown
+             : Verdict::kNotRun;
+}
+
+HttpResponse NoConfiguration(Verdict verdict) {
+  return HostResponse(503, verdict, "no-configuration",
                       "this entry host has no configuration yet");
 }
 
@@ -42,7 +52,7 @@
   const LookupTablePtr lookups = dependencies_.lookups->load();
   const RoutingTablesPtr tables = dependencies_.tables->Get();
   if (!lookups || !tables)
-    return NoConfiguration();
+    return NoConfiguration(Verdict::kNotRun);
   const std::string service = QueryValue(request.target, "service");
   const std::string* json = lookups->Find(
       service, next_rotation_.fetch_add(1, std::memory_order_relaxed));
@@ -62,9 +72,10 @@
 
 boost::asio::awaitable<HttpResponse> CallerHandler::Serve(HttpRequest request) {
   const Instant start = SteadyNow();
+  const Verdict rejected = VerdictWithoutRecords(request);
   RoutingTablesPtr tables = dependencies_.tables->Get();
   if (!tables)
-    co_return NoConfiguration();
+    co_return NoConfiguration(rejected);
   bool forged = false;
   auto forwarding_token = VerifyForwardingToken(request, dependencies_.self,
                                                 *dependencies_.keys, &forged);
@@ -81,8 +92,7 @@
         std::move(request), std::move(tables), forwarding_token, start);
     response = co_await Dispatch(service_request);
   } catch (const BadRequestError& e) {
-    response =
-        HostResponse(e.status(), Verdict::kNotRun, "bad-request", e.what());
+    response = HostResponse(e.status(), rejected, "bad-request", e.what());
   }
   const auto verdict = kVerdictNames.Parse(response.fields.Get(kVerdictHeader));
   dependencies_.metrics->CountRequest(verdict.value_or(Verdict::kUnknown),
