--- a/tests/crowd/crowd_host.h
+++ b/tests/crowd/crowd_host.h
@@ -29,6 +29,7 @@
 
   const Endpoint& callers() const { return callers_; }
   const Endpoint& peers() const { return peers_; }
+  platform::StoreStandin& store() { return store_; }
   bool Lives();
   // Largest resident memory since the start.
   int64_t PeakMemoryKb() const;
--- a/tests/platform/store_standin.cc
+++ b/tests/platform/store_standin.cc
@@ -72,6 +72,11 @@
   reject_with_ = status;
 }
 
+void StoreStandin::RespondWith(std::string body) {
+  const std::lock_guard lock(mutex_);
+  respond_with_ = std::move(body);
+}
+
 void StoreStandin::SetSilent(bool silent) {
   const std::lock_guard lock(mutex_);
   silent_ = silent;
@@ -134,6 +139,8 @@
         calls_.push_back(request.method + " " + request.target);
         if (reject_with_ != 0)
           co_return TextResponse(reject_with_, "refused");
+        if (!respond_with_.empty())
+          co_return JsonResponse(200, respond_with_);
         break;
       }
     }
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -33,6 +33,8 @@
   void DropWatches();
   // While `status` is not 0, responds to all calls with it.
   void RejectWith(int status);
+  // While `body` is not empty, responds to all calls with it.
+  void RespondWith(std::string body);
   // While set, calls get no response.
   void SetSilent(bool silent);
   // Delays every response by `delay`.
@@ -89,6 +91,7 @@
   uint64_t next_lease_ = 0;
   uint64_t watch_round_ = 0;
   int reject_with_ = 0;
+  std::string respond_with_;
   bool silent_ = false;
   Duration delay_;
   bool losing_responses_ = false;
