--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -58,6 +58,9 @@
     if (ec && held.reservation.evicted()) {
       evicted_ = true;
       result.error = "its memory was needed for other responses";
+    } else if (IsEndless(ec) && SteadyNow() >= options_.deadline) {
+      // It waited for memory until then.
+      ec = beast::error::timeout;
     }
     if (ec) {
       // Not if the caller left.
@@ -65,7 +68,9 @@
         held.reservation.CountWaste();
       co_return ec;
     }
-    reusable_ = reusable_ && parser.get().keep_alive() && !parser.need_eof();
+    // Its connection is closed even if the response was just complete.
+    reusable_ = reusable_ && parser.get().keep_alive() && !parser.need_eof() &&
+                !held.reservation.evicted();
     const bool last = parser.need_eof();
     if (last) {
       const bool clean = co_await EndedCleanly();
@@ -198,7 +203,7 @@
   };
   parser.on_chunk_header(on_chunk);
   const auto length = parser.content_length();
-  if (length) {
+  if (length && !parser.is_done()) {
     held.body_bytes = static_cast<int64_t>(*length);
     if (!co_await Reserve(held, 0))
       co_return http::error::body_limit;
