--- a/tests/crowd/crowd_host.h
+++ b/tests/crowd/crowd_host.h
@@ -36,6 +36,7 @@
 
   const Endpoint& callers() const { return callers_; }
   const Endpoint& peers() const { return peers_; }
+  platform::StoreStandin& store() { return store_; }
   bool Lives();
   // Sends SIGTERM.
   void BeginStop();
