daemon: a request that was not sent has no response to pass on

Found by the review, by reading: a run-once request whose connection broke before its first byte had left, after it had been handed over, ended with an empty response, which is a 200 with the verdict "not-run".

It is withdrawn now and may go to another server, as when no connection could be opened. 104 resets right after accept did not bring a request into that state, so that no test shows it; daemon_test passes (19 cases).

--- a/src/daemon/once_runner.cc
+++ b/src/daemon/once_runner.cc
@@ -201,7 +201,7 @@
     }
     if (result.verdict == Verdict::kUnknown && record->handed_over())
       co_return ResponseForEnd(record->RecordBroken());
-    if (decision.step == Step::kSend && record->handed_over()) {
+    if (decision.step == Step::kSend && result.has_response) {
       // The request was sent to a backend server, which refused to run it; it
       // must not be sent to another one under this ticket.
       HttpResponse response =
