--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -31,8 +31,8 @@
 // default of common servers, 5 s.
 constexpr Duration kDefaultIdle{4'000};
 constexpr int64_t kDefaultBufferedBytes = 1LL << 30;
-// Requests whose ids a connection remembers; twice, for those that were
-// refused. After more refusals it is closed.
+// Ids that a connection remembers: those of its last requests, and as many of
+// refused ones. It is closed after one more refusal.
 constexpr size_t kMaxCarried = 32;
 
 AttemptEnd ToAttemptEnd(const beast::error_code& ec, Instant deadline) {
