--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -243,7 +243,9 @@
   }
 }
 
-std::string ConfigText(int version, const std::vector<RouteSpec>& routes) {
+std::string ConfigText(int version,
+                       const std::vector<RouteSpec>& routes,
+                       int idle_timeout_ms) {
   std::string route_text;
   std::map<std::string, std::string> services;
   for (const RouteSpec& it : routes) {
@@ -266,7 +268,8 @@
   return "{\"version\":\"r" + std::to_string(version) + "\",\"routes\":{" +
          route_text + "},\"services\":{" + service_text +
          "},\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
-         "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
+         "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"" +
+         std::to_string(idle_timeout_ms) + "ms\"}}";
 }
 
 Backend::Backend(Store& store,
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -76,7 +76,9 @@
 inline constexpr char kHostName[] = "shop.example";
 
 // The value of op/config.
-std::string ConfigText(int version, const std::vector<RouteSpec>& routes);
+std::string ConfigText(int version,
+                       const std::vector<RouteSpec>& routes,
+                       int idle_timeout_ms = 15'000);
 
 // A backend server: registers in the store and renews its entry.
 class Backend {
