review: case 8, odd entries that keep a host from starting

Cause: a host reads the whole store in one listing and gives up, without applying any page, when all pages together exceed a share of its memory. Entries of another writer that name no server count towards that.

The stand-ins outlive the threads that use them, and the store answers in pages.

--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -14,6 +14,9 @@
 constexpr int64_t kLeaseMs = 4'000;
 constexpr int64_t kHeartbeatMs = 1'500;
 constexpr int64_t kConnectionMs = 120'000;
+// Of a page of a listing, and of the events of a watch.
+constexpr int kPageItems = 500;
+constexpr size_t kPageBytes = 1'000'000;
 
 std::string EncodeBase64(const std::string& in) {
   static constexpr char kDigits[] =
@@ -146,12 +149,20 @@
   const std::lock_guard lock(mutex_);
   ExpireLeases();
   std::string items;
+  int count = 0;
+  bool truncated = false;
   for (const auto& [key, item] : items_) {
-    if (key.rfind(prefix, 0) == 0 && key > after)
-      items += (items.empty() ? "" : ",") + ItemJson(key, item);
+    if (key.rfind(prefix, 0) != 0 || key <= after)
+      continue;
+    truncated = count >= kPageItems || items.size() >= kPageBytes;
+    if (truncated)
+      break;
+    items += (items.empty() ? "" : ",") + ItemJson(key, item);
+    ++count;
   }
-  return "{\"items\":[" + items + "],\"truncated\":false,\"store_revision\":" +
-         std::to_string(revision_) + "}";
+  return "{\"items\":[" + items +
+         "],\"truncated\":" + (truncated ? "true" : "false") +
+         ",\"store_revision\":" + std::to_string(revision_) + "}";
 }
 
 std::string Store::Watch(const std::string& prefix,
@@ -162,14 +173,20 @@
   for (;;) {
     ExpireLeases();
     std::string events;
+    uint64_t until = revision_;
     for (const Change& it : changes_) {
-      if (it.revision > after && it.key.rfind(prefix, 0) == 0)
-        events += (events.empty() ? "" : ",") + it.event;
+      if (it.revision <= after || it.key.rfind(prefix, 0) != 0)
+        continue;
+      if (events.size() >= kPageBytes) {
+        until = it.revision - 1;
+        break;
+      }
+      events += (events.empty() ? "" : ",") + it.event;
     }
     const int64_t left = until_ms - NowMs();
     if (!events.empty() || left <= 0) {
       return "{\"events\":[" + events +
-             "],\"store_revision\":" + std::to_string(revision_) + "}";
+             "],\"store_revision\":" + std::to_string(until) + "}";
     }
     changed_.wait_for(lock,
                       std::chrono::milliseconds(std::min<int64_t>(left, 100)));
@@ -254,7 +271,8 @@
                   it.prefix + "\",\"kind\":\"" + it.kind + "\",\"timeout\":\"" +
                   std::to_string(it.timeout_ms) + "ms\",\"target_latency\":\"" +
                   std::to_string(it.target_ms) +
-                  "ms\",\"priority\":1,\"service\":\"" + it.service +
+                  "ms\",\"priority\":" + std::to_string(it.priority) +
+                  ",\"service\":\"" + it.service +
                   "\",\"attempts\":" + std::to_string(it.attempts) +
                   ",\"sticky_sessions\":true,\"allowed_regions\":[]}";
     services[it.service] =
@@ -340,7 +358,9 @@
              const EntryOptions& options,
              const std::string& store_ip,
              uint16_t store_port)
-    : options_(options),
+    : program_(program),
+      folder_(folder),
+      options_(options),
       port_(FreePort(options.ip)),
       ready_port_(FreePort(options.ip)) {
   const auto address = [&](uint16_t port) {
@@ -367,9 +387,15 @@
       << options.max_descriptors
       << ",\n  \"retry_ratio\": 0.2,\n  \"retry_slack\": 58,\n  "
          "\"retry_window\": \"10s\"\n}\n";
+  Restart();
+}
+
+void Entry::Restart() {
   process_ = std::make_unique<Process>(
-      program, std::vector<std::string>{"TOUCANKNOT_BOOT=" + path},
-      folder + "/" + options.host + ".log");
+      program_,
+      std::vector<std::string>{"TOUCANKNOT_BOOT=" + folder_ + "/" +
+                               options_.host + ".json"},
+      folder_ + "/" + options_.host + ".log");
 }
 
 bool Entry::AwaitReady(int64_t ms) {
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -71,6 +71,7 @@
   int timeout_ms = 2'000;
   int target_ms = 500;
   int attempts = 2;
+  int priority = 1;
 };
 
 inline constexpr char kHostName[] = "shop.example";
@@ -127,11 +128,15 @@
 
   // Waits until the host says that it is ready.
   bool AwaitReady(int64_t ms);
+  // Starts the process again with the same settings, after it has ended.
+  void Restart();
   Process& process() { return *process_; }
   const std::string& ip() const { return options_.ip; }
   uint16_t port() const { return port_; }
 
  private:
+  const std::string program_;
+  const std::string folder_;
   const EntryOptions options_;
   const uint16_t port_;
   const uint16_t ready_port_;
