--- a/review/standins-2/loopback.cc
+++ b/review/standins-2/loopback.cc
@@ -230,8 +230,16 @@
   }
 }
 
-Listener::Listener(const std::string& ip, uint16_t port, Serve serve)
+Listener::Listener(const std::string& ip,
+                   uint16_t port,
+                   Serve serve,
+                   int receive_bytes)
     : fd_(Bind(ip, port)) {
+  // Connections take it over when they are accepted.
+  if (receive_bytes > 0) {
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                 sizeof receive_bytes);
+  }
   ::listen(fd_, 1024);
   std::thread([fd = fd_, serve = std::move(serve)] {
     for (;;) {
--- a/review/standins-2/loopback.h
+++ b/review/standins-2/loopback.h
@@ -111,7 +111,12 @@
  public:
   using Serve = std::function<void(std::shared_ptr<Connection>)>;
 
-  Listener(const std::string& ip, uint16_t port, Serve serve);
+  // `receive_bytes` sets the size of the connections' receive buffers if it is
+  // not 0.
+  Listener(const std::string& ip,
+           uint16_t port,
+           Serve serve,
+           int receive_bytes = 0);
 
  private:
   int fd_;
--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -290,26 +290,12 @@
          std::to_string(idle_timeout_ms) + "ms\"}}";
 }
 
-Backend::Backend(Store& store,
-                 const std::string& ip,
-                 const std::string& id,
-                 const std::string& service,
-                 const std::string& zone,
-                 Handle handle)
-    : id_(id) {
-  const uint16_t port = FreePort(ip);
-  listener_ = std::make_unique<Listener>(
-      ip, port, [this, handle](std::shared_ptr<Connection> connection) {
-        MessageReader reader(*connection);
-        Message request;
-        while (reader.Read(request, NowMs() + kConnectionMs) ==
-               MessageReader::End::kMessage) {
-          if (Misdirected(*connection, request))
-            continue;
-          if (!handle(*this, *connection, request))
-            return;
-        }
-      });
+void RegisterServer(Store& store,
+                    const std::string& ip,
+                    uint16_t port,
+                    const std::string& id,
+                    const std::string& service,
+                    const std::string& zone) {
   const int64_t born = std::chrono::duration_cast<std::chrono::milliseconds>(
                            std::chrono::system_clock::now().time_since_epoch())
                            .count();
@@ -332,6 +318,29 @@
   }).detach();
 }
 
+Backend::Backend(Store& store,
+                 const std::string& ip,
+                 const std::string& id,
+                 const std::string& service,
+                 const std::string& zone,
+                 Handle handle)
+    : id_(id) {
+  const uint16_t port = FreePort(ip);
+  listener_ = std::make_unique<Listener>(
+      ip, port, [this, handle](std::shared_ptr<Connection> connection) {
+        MessageReader reader(*connection);
+        Message request;
+        while (reader.Read(request, NowMs() + kConnectionMs) ==
+               MessageReader::End::kMessage) {
+          if (Misdirected(*connection, request))
+            continue;
+          if (!handle(*this, *connection, request))
+            return;
+        }
+      });
+  RegisterServer(store, ip, port, id, service, zone);
+}
+
 bool Backend::Misdirected(Connection& connection,
                           const Message& request) const {
   const std::string expected = request.Field("toucanknot-target-instance");
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -81,7 +81,16 @@
                        const std::vector<RouteSpec>& routes,
                        int idle_timeout_ms = 15'000);
 
-// A backend server: registers in the store and renews its entry.
+// Registers a backend server in the store, and renews its entry until the
+// program ends.
+void RegisterServer(Store& store,
+                    const std::string& ip,
+                    uint16_t port,
+                    const std::string& id,
+                    const std::string& service,
+                    const std::string& zone);
+
+// A backend server that is registered.
 class Backend {
  public:
   // Handles one request on the connection; returns whether to keep it open.
