review: case 6, hosts that end with SIGSEGV after servers left

Cause: Placer::Tick() goes each 100 ms through the views of all services, whose entries point to nodes of ServerRegistry that are erased when a server is removed; only the next request for that service rebuilds the view.

Change: review/6, a script with 24 hosts, with stand-ins in review/standins-3. The servers of a zone go down and come back together, while uploads make the heap grow and shrink; the erased entries then lie in memory that the allocator has given back.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,13 +5,15 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
+compile() {
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread "$@"
+}
 for it in review/standins-2/*.cc; do
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "$it" \
-    -o "$out/$(basename "$it" .cc).o"
+  compile -c "$it" -o "$out/$(basename "$it" .cc).o"
 done
-for it in review/{6,7,8,9,10}/case.cc; do
-  [ -f "$it" ] || continue
-  n=$(basename "$(dirname "$it")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread "$it" \
-    "$out/loopback.o" "$out/platform.o" -o "$out/case-$n"
+compile -c review/standins-3/fleet.cc -o "$out/fleet.o"
+compile review/6/case.cc "$out/fleet.o" -o "$out/case-6"
+for n in 7 8 9 10; do
+  compile "review/$n/case.cc" "$out/loopback.o" "$out/platform.o" \
+    -o "$out/case-$n"
 done
--- a/review/standins-3/fleet.cc
+++ b/review/standins-3/fleet.cc
@@ -137,15 +137,21 @@
 constexpr int kFirstPort = 12'000;
 constexpr int kPorts = 16'000;
 
-// A port that is free now.
+std::atomic<int> next_port{kFirstPort};
+
+// A port that is free at `ip` now.
 int FreePort(const std::string& ip, int type = SOCK_STREAM) {
-  const int fd = socket(AF_INET, type, 0);
-  sockaddr_in address = Address(ip, 0);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-  socklen_t size = sizeof address;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  for (int tries = 0; tries < kPorts; ++tries) {
+    const int port = kFirstPort + next_port++ % kPorts;
+    const int fd = socket(AF_INET, type, 0);
+    sockaddr_in address = Address(ip, port);
+    const bool free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (free)
+      return port;
+  }
+  End(kNotRun, "no free port");
 }
 
 }  // namespace
@@ -255,10 +261,6 @@
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
 }
 
-void Connection::Shutdown() {
-  shutdown(fd_, SHUT_RDWR);
-}
-
 std::unique_ptr<Connection> Connect(const std::string& ip,
                                     int port,
                                     int64_t limit_ms,
@@ -294,24 +296,16 @@
 };
 
 int Listener::Start(int port) {
-  static std::atomic<int> next_port{kFirstPort + getpid() % kPorts};
   state_ = std::make_shared<State>();
-  for (int tries = 0;; ++tries) {
-    state_->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(state_->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    port_ = port != 0 ? port : next_port++;
-    if (port_ >= kFirstPort + kPorts)
-      next_port = kFirstPort;
-    sockaddr_in address = Address(ip_, port_);
-    if (bind(state_->fd, reinterpret_cast<sockaddr*>(&address),
-             sizeof address) == 0 &&
-        listen(state_->fd, 512) == 0) {
-      break;
-    }
-    close(state_->fd);
-    if (port != 0 || tries == kPorts)
-      End(kNotRun, "no port to listen on");
+  port_ = port != 0 ? port : FreePort(ip_);
+  state_->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(state_->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = Address(ip_, port_);
+  if (bind(state_->fd, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+          0 ||
+      listen(state_->fd, 512) != 0) {
+    End(kNotRun, "cannot listen on " + std::to_string(port_));
   }
   std::thread([state = state_, serve = serve_] {
     while (!state->stopped) {
@@ -370,11 +364,6 @@
   listener_.Stop();
 }
 
-void Store::SetMode(Mode mode) {
-  mode_ = mode;
-  changed_.notify_all();
-}
-
 void Store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   PutLocked(key, value, 0);
@@ -412,12 +401,6 @@
   while (!ended_) {
     SleepMs(20);
     const std::lock_guard lock(mutex_);
-    // Leases pause while the store is down.
-    if (mode_ != Mode::kUp) {
-      for (auto& [id, lease] : leases_)
-        lease.until_ms += 20;
-      continue;
-    }
     for (auto it = leases_.begin(); it != leases_.end();) {
       if (NowMs() < it->second.until_ms) {
         ++it;
@@ -438,14 +421,7 @@
 void Store::Serve(Connection& connection) {
   Message request;
   while (connection.Read(request)) {
-    if (mode_ == Mode::kSilent) {
-      while (mode_ == Mode::kSilent && !ended_)
-        SleepMs(20);
-      return;
-    }
-    Message response = mode_ == Mode::kBusy ? JsonMessage(503, json::object())
-                                            : Handle(request);
-    if (mode_ == Mode::kSilent || !connection.Write(ToText(response)))
+    if (!connection.Write(ToText(Handle(request))))
       return;
   }
 }
@@ -531,8 +507,6 @@
       return JsonMessage(200,
                          {{"events", events}, {"store_revision", revision_}});
     }
-    if (mode_ == Mode::kBusy)
-      return JsonMessage(503, json::object());
     changed_.wait_for(lock, std::chrono::milliseconds(
                                 std::clamp<int64_t>(until - NowMs(), 1, 50)));
   }
@@ -564,21 +538,11 @@
       200, {{"lease", last_lease_}, {"ttl_time", std::to_string(ttl) + "ms"}});
 }
 
-void Ledger::Arrived(const Arrival& arrival) {
-  const std::lock_guard lock(mutex_);
-  arrivals_.push_back(arrival);
-}
-
 void Ledger::Ran(const std::string& id) {
   const std::lock_guard lock(mutex_);
   ++runs_[id];
 }
 
-std::vector<Arrival> Ledger::arrivals() const {
-  const std::lock_guard lock(mutex_);
-  return arrivals_;
-}
-
 int Ledger::RunsOf(const std::string& id) const {
   const std::lock_guard lock(mutex_);
   const auto it = runs_.find(id);
@@ -592,7 +556,6 @@
       listener_("127.0.0.1", [this](Connection& c) { Serve(c); }) {}
 
 Server::~Server() {
-  up_ = false;
   ++boot_;
   listener_.Stop();
 }
@@ -603,18 +566,15 @@
   {
     const std::lock_guard lock(mutex_);
     running_ = 0;
-    cold_arrivals_.clear();
   }
   born_ = UnixMs();
   sequence_ = 0;
   cold_until_ms_ = cold ? NowMs() + options_.cold_ms : 0;
-  up_ = true;
   WriteEntry();
   Record("server " + options_.id + " starts" + (cold ? " cold" : ""));
 }
 
 void Server::Crash() {
-  up_ = false;
   ++boot_;
   listener_.Stop();
   freed_.notify_all();
@@ -622,9 +582,6 @@
 }
 
 void Server::WriteEntry() {
-  written_ = store_.mode() == Store::Mode::kUp;
-  if (!written_)
-    return;
   const int64_t cold = std::max<int64_t>(cold_until_ms_ - NowMs(), 0);
   store_.Put("servers/" + options_.id,
              json::serialize(
@@ -639,27 +596,6 @@
                              {"born", born_}}));
 }
 
-void Server::Beat() {
-  // A heartbeat that changes nothing but the sequence is no change of the
-  // store.
-  if (up_ && !written_)
-    WriteEntry();
-}
-
-bool Server::IsTooMuch() {
-  const std::lock_guard lock(mutex_);
-  const int64_t now = NowMs();
-  cold_arrivals_.push_back(now);
-  while (now - cold_arrivals_.front() >= 1000)
-    cold_arrivals_.pop_front();
-  if (options_.crashes_above == 0 ||
-      cold_arrivals_.size() != options_.crashes_above + 1) {
-    return false;
-  }
-  Record("server " + options_.id + " is overloaded while cold");
-  return true;
-}
-
 void Server::Expire() {
   store_.Delete("servers/" + options_.id);
 }
@@ -684,15 +620,6 @@
       response.status = 421;
       response.fields["toucanknot-instance-id"] = options_.id;
     } else {
-      ledger_.Arrived({NowMs(), options_.id, id, cold});
-      if (cold && IsTooMuch()) {
-        std::thread([this] {
-          Crash();
-          SleepMs(options_.down_ms);
-          Start(true);
-        }).detach();
-        return;
-      }
       bool runs = false;
       {
         std::unique_lock lock(mutex_);
@@ -763,16 +690,16 @@
                                     ? options_.peer_port
                                     : FreePort(options_.ip, SOCK_DGRAM)},
                   {"metrics_port", 0},
-                  {"news_within", "2500ms"},
+                  {"news_within", "3000ms"},
                   {"server_heartbeat", "1500ms"},
                   {"memory_mb", options_.memory_mb},
-                  {"link_mbps", 1000.0},
-                  {"cpu_share", 0.4},
+                  {"link_mbps", 200.0},
+                  {"cpu_share", 0.23},
                   {"stop_within", "6s"},
                   {"lookup_lifetime", "5s"},
-                  {"max_descriptors", 4100},
+                  {"max_descriptors", 8192},
                   {"retry_ratio", 0.2},
-                  {"retry_slack", 58},
+                  {"retry_slack", 160},
                   {"retry_window", "10s"}});
   const std::string log = options_.folder + "/" + options_.name + ".log";
   pid_ = fork();
@@ -802,17 +729,17 @@
   return false;
 }
 
-void Host::Signal(int signal) {
-  Record("host " + options_.name + " gets signal " + std::to_string(signal));
-  kill(pid_, signal);
-}
-
 bool Host::Runs() {
   if (pid_ <= 0)
     return false;
-  if (waitpid(pid_, nullptr, WNOHANG) == 0)
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) == 0)
     return true;
   pid_ = 0;
+  Record("host " + options_.name + " ended, " +
+         (WIFSIGNALED(status)
+              ? "signal " + std::to_string(WTERMSIG(status))
+              : "exit code " + std::to_string(WEXITSTATUS(status))));
   return false;
 }
 
@@ -837,18 +764,18 @@
       {"tls", false},
       {"cold_start", std::to_string(options.cold_ms) + "ms"},
       {"cold_per_s", options.cold_rate}};
-  return json::serialize(json::value{
-      {"version", "r" + std::to_string(options.version)},
-      {"routes",
-       {{"read", route("/read/", "safe", 1, "work")},
-        {"write", route("/write/", "unsafe", 0, "work")},
-        {"report", route("/report/", "safe", 2, "report")}}},
-      {"services", {{"work", service}, {"report", service}}},
-      {"limits",
-       {{"max_header_bytes", options.max_header_bytes},
-        {"max_body_bytes", 67108864},
-        {"header_timeout", "3000ms"},
-        {"idle_timeout", std::to_string(options.idle_ms) + "ms"}}}});
+  return json::serialize(
+      json::value{{"version", "r" + std::to_string(options.version)},
+                  {"routes",
+                   {{"read", route("/read/", "safe", 1, "work")},
+                    {"write", route("/write/", "unsafe", 0, "work")},
+                    {"report", route("/report/", "safe", 2, "report")}}},
+                  {"services", {{"work", service}, {"report", service}}},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 67108864},
+                    {"header_timeout", "3000ms"},
+                    {"idle_timeout", "15000ms"}}}});
 }
 
 std::string MakeRequest(const std::string& method,
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -8,7 +8,6 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -57,7 +56,6 @@
   bool Write(const std::string& bytes);
   // Closes with a reset.
   void Reset();
-  void Shutdown();
   int fd() const { return fd_; }
 
  private:
@@ -100,17 +98,12 @@
 // The platform's store: keys, leases and watches.
 class Store {
  public:
-  enum class Mode { kUp, kBusy, kSilent };
-
   Store();
   ~Store();
 
   int port() const { return listener_.port(); }
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
-  // While it is not up, calls get 503 or no answer.
-  void SetMode(Mode mode);
-  Mode mode() const { return mode_; }
 
  private:
   struct Item {
@@ -148,31 +141,19 @@
   std::map<uint64_t, Lease> leases_;
   uint64_t revision_ = 100;
   uint64_t last_lease_ = 7000;
-  std::atomic<Mode> mode_{Mode::kUp};
   std::atomic<bool> ended_{false};
   std::thread expiry_;
   Listener listener_;
 };
 
-// A request as a backend server saw it.
-struct Arrival {
-  int64_t at_ms = 0;
-  std::string server;
-  std::string id;
-  bool cold = false;
-};
-
 // What backend servers did, for the checks.
 class Ledger {
  public:
-  void Arrived(const Arrival& arrival);
   void Ran(const std::string& id);
-  std::vector<Arrival> arrivals() const;
   int RunsOf(const std::string& id) const;
 
  private:
   mutable std::mutex mutex_;
-  std::vector<Arrival> arrivals_;
   std::map<std::string, int> runs_;
 };
 
@@ -188,10 +169,6 @@
     // Time for which a start during traffic leaves it cold.
     int64_t cold_ms = 0;
     size_t response_bytes = 200;
-    // Requests in one second under which it crashes while it is cold; 0 for
-    // any number. It starts again after `down_ms`.
-    size_t crashes_above = 0;
-    int64_t down_ms = 1600;
   };
 
   Server(Store& store, Ledger& ledger, Options options);
@@ -204,15 +181,10 @@
   // Takes its entry away, as the store's registry does after three heartbeats
   // of silence.
   void Expire();
-  // Writes its entry again if the store does not have it.
-  void Beat();
-  int64_t cold_until_ms() const { return cold_until_ms_; }
 
  private:
   void Serve(Connection& connection);
   void WriteEntry();
-  // Notes an arrival while it is cold. Returns whether the server crashes.
-  bool IsTooMuch();
 
   Store& store_;
   Ledger& ledger_;
@@ -221,14 +193,10 @@
   std::mutex mutex_;
   std::condition_variable freed_;
   int running_ = 0;
-  // Arrivals of the last second while it is cold.
-  std::deque<int64_t> cold_arrivals_;
   int port_ = 0;
   int64_t born_ = 0;
   int sequence_ = 0;
   std::atomic<int> boot_{0};
-  std::atomic<bool> up_{false};
-  std::atomic<bool> written_{false};
   std::atomic<int64_t> cold_until_ms_{0};
 };
 
@@ -244,7 +212,7 @@
     int store_port = 0;
     // The same at all hosts of a fleet; 0 takes a free one.
     int peer_port = 0;
-    int memory_mb = 260;
+    int memory_mb = 360;
   };
 
   explicit Host(Options options);
@@ -253,7 +221,6 @@
   void Start();
   // Waits until it is ready; false if it is not within `limit_ms`.
   bool AwaitReady(int64_t limit_ms);
-  void Signal(int signal);
   // Kills the process and waits for its end.
   void Kill();
   // Whether the process runs.
@@ -273,10 +240,8 @@
 struct ConfigOptions {
   int version = 1;
   int64_t timeout_ms = 4000;
-  int max_header_bytes = 16384;
   double cold_rate = 4.1;
   int64_t cold_ms = 3000;
-  int idle_ms = 15000;
 };
 std::string MakeConfig(const ConfigOptions& options);
 
