--- a/review/standins-3/one_host_day.cc
+++ b/review/standins-3/one_host_day.cc
@@ -11,12 +11,15 @@
 
 #include <arpa/inet.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
+#include <cctype>
 #include <chrono>
 #include <condition_variable>
 #include <cstdarg>
@@ -26,6 +29,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -617,6 +621,8 @@
       {"retry_window", "10s"}});
   host_ = ::fork();
   if (host_ == 0) {
+    // Ends with this process, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("TOUCANKNOT_BOOT", settings.c_str(), 1);
     if (std::freopen((folder_ + "/host.log").c_str(), "w", stdout) == nullptr)
       std::_Exit(2);
