soak: faults and letters are drawn in one order by every compiler

The draws are statements of their own, in the order of x86-64, which the test states. The same was found by a search for two draws in one expression in RefusalFaults::SetSome() and SoakUploads, and in the tests' BudgetWorld (twice).

soak_test "kinds that were added later*": failed on the untouched code here (aarch64), passes now, 20 of 20 test cases.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -48,8 +48,10 @@
   for (int64_t at = draw(0, kMinEpisodeGapMs); at < end;
        at += draw(kMinEpisodeGapMs, kMaxEpisodeGapMs)) {
     for (int64_t n = draw(1, kMaxFaultsPerEpisode); n > 0; --n) {
-      add(at + draw(0, kEpisodeLengthMs),
-          static_cast<FaultKind>(draw(0, kEpisodeKinds - 1)));
+      // Arguments of one call are evaluated in no particular order.
+      const auto kind = static_cast<FaultKind>(draw(0, kEpisodeKinds - 1));
+      const int64_t offset = draw(0, kEpisodeLengthMs);
+      add(at + offset, kind);
     }
   }
   for (int64_t at = draw(0, kMeanPlannedGapMs); at < end;
--- a/soak/refusal_faults.cc
+++ b/soak/refusal_faults.cc
@@ -25,9 +25,11 @@
     return std::uniform_real_distribution<double>(low, high)(random);
   };
   for (SoakFleet::Server& it : fleet_.servers()) {
-    if (it.local && draw(0, 1) < kRefusingShare)
-      Set(*it.local, kind, draw(kMinShedRate, kMaxShedRate),
-          draw(0, 1) < kRefusingShare);
+    if (it.local && draw(0, 1) < kRefusingShare) {
+      const bool copies_refusals_only = draw(0, 1) < kRefusingShare;
+      const double rate = draw(kMinShedRate, kMaxShedRate);
+      Set(*it.local, kind, rate, copies_refusals_only);
+    }
   }
 }
 
--- a/soak/soak_uploads.cc
+++ b/soak/soak_uploads.cc
@@ -105,8 +105,9 @@
   SoakCallers::Request request;
   request.id = callers_.NextId();
   request.path = fmt::format("/upload/{}", Draw(1, 1'000'000));
-  request.body.assign(static_cast<size_t>(Draw(kMinBodyBytes, kMaxBodyBytes)),
-                      static_cast<char>(Draw('a', 'z')));
+  const char letter = static_cast<char>(Draw('a', 'z'));
+  const int64_t size = Draw(kMinBodyBytes, kMaxBodyBytes);
+  request.body.assign(static_cast<size_t>(size), letter);
   request.idempotent = false;
   request.host = connection.host->id.str();
   request.timeout = length;
--- a/tests/limits/budget_world.cc
+++ b/tests/limits/budget_world.cc
@@ -125,8 +125,10 @@
     MakeHolder(static_cast<int>(Pick(0, n - 1)));
   if (Chance(options_.new_holder))
     hosts_[Pick(0, n - 1)].believed_holder = static_cast<int>(Pick(0, n - 1));
-  if (Chance(options_.pause))
-    Pause(static_cast<int>(Pick(0, n - 1)), Pick(10, 30'000));
+  if (Chance(options_.pause)) {
+    const int64_t length_ms = Pick(10, 30'000);
+    Pause(static_cast<int>(Pick(0, n - 1)), length_ms);
+  }
   if (Chance(options_.restart))
     Restart(static_cast<int>(Pick(0, n - 1)));
   if (Chance(options_.partition)) {
@@ -137,8 +139,11 @@
     for (Host& it : hosts_)
       it.side = 0;
   }
-  if (random_demand_ && Chance(2))
-    hosts_[Pick(0, n - 1)].demand = Pick(0, 1) * Pick(0, options_.cap);
+  if (random_demand_ && Chance(2)) {
+    const bool active = Pick(0, 1) == 1;
+    const int64_t demand = Pick(0, options_.cap);
+    hosts_[Pick(0, n - 1)].demand = active ? demand : 0;
+  }
 }
 
 void BudgetWorld::UpdateWork(Host* host) {
