platform: no bound of the decoder's own rejects a configuration

Cause: the decoder took a number above a bound of plausibility for an error, and an error rejects the version whole. Downstream, the time until a capped workspace may return and the sum of a server's load left their types; both are bounded now (on arm64 the former conversion saturates, so that its test passes there without the change).

--- a/include/entry/entry_settings.h
+++ b/include/entry/entry_settings.h
@@ -74,8 +74,8 @@
 // Reads settings from a file. Throws Error when it cannot be read.
 EntrySettings LoadEntrySettings(const std::string& path);
 
-// Parses "1500ms" or "2.5s". Throws Error when `text` is not a duration, or one
-// of more than a year.
+// Parses "1500ms" or "2.5s"; a duration of more than a year counts as a year.
+// Throws Error when `text` is not a duration.
 Duration ParseDuration(std::string_view text);
 
 }  // namespace toucanknot
--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -1,6 +1,7 @@
 #ifndef INCLUDE_ENTRY_FLEET_STORE_H_
 #define INCLUDE_ENTRY_FLEET_STORE_H_
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <set>
@@ -41,6 +42,10 @@
   uint64_t calls = 0;
   uint64_t failed = 0;
   uint64_t malformed_items = 0;
+  // Keys of the store whose latest value cannot be used, and whether the
+  // operators' latest configuration is one of them.
+  size_t unusable_items = 0;
+  bool config_unusable = false;
   // The calls by kind: watches, listings and reads of single keys, renewals of
   // the lease, and other writes.
   uint64_t watches = 0;
--- a/include/placing/machine_speed.h
+++ b/include/placing/machine_speed.h
@@ -27,7 +27,7 @@
     Instant at;
   };
 
-  // Reports outside of these bounds are taken for mistakes.
+  // Ratios outside of these bounds are taken for the nearest one.
   static constexpr double kMinWorkRatio = 0.05;
   static constexpr double kMaxWorkRatio = 20;
   // Older reports count for nothing.
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -1,9 +1,11 @@
 #include "include/entry/entry_settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -14,13 +16,17 @@
 namespace toucanknot {
 namespace {
 
-constexpr double kMaxRetries = 1e9;
-constexpr int64_t kMaxMemoryMb = 1 << 20;
-constexpr double kMaxLink = 1e7;
-constexpr double kMaxCores = 1'024;
+// Higher figures are kept as these, with which no product overflows. A host
+// cannot make use of more.
+constexpr double kMostRetries = 1e9;
+constexpr int64_t kMostMemoryMb = 1 << 30;
+constexpr double kMostLink = 1e9;
+constexpr double kMostCores = 1e6;
+constexpr int64_t kMostDescriptors = 1 << 30;
+// Lower figures of the link and the processor are kept as this one.
+constexpr double kLeastPart = 0.001;
 constexpr int64_t kMaxPort = 65'535;
-constexpr int64_t kMaxDescriptors = 1 << 30;
-// A year; sums of a time and a duration below it do not overflow.
+// A year; sums of a time and a duration up to it do not overflow.
 constexpr double kMaxDurationMs = 365.0 * 24 * 3'600 * 1'000;
 
 Duration Time(ObjectReader& in, std::string_view key, Duration fallback) {
@@ -33,6 +39,26 @@
   }
 }
 
+// Reads a number that is not negative; one above `most` is kept as `most`.
+double Amount(ObjectReader& in,
+              std::string_view key,
+              double most,
+              double fallback) {
+  return std::min(
+      in.Number(key, 0, std::numeric_limits<double>::max(), fallback), most);
+}
+
+// The same for whole numbers, from `min` on.
+int64_t Count(ObjectReader& in,
+              std::string_view key,
+              int64_t min,
+              int64_t most,
+              int64_t fallback) {
+  return std::min(
+      in.Integer(key, min, std::numeric_limits<int64_t>::max(), fallback),
+      most);
+}
+
 // Reads an object that maps zone names to regions.
 void ReadRegions(ObjectReader& in, EntrySettings& out) {
   const boost::json::value* member = in.Member("regions");
@@ -58,8 +84,8 @@
   const std::string_view unit(end, text.end() - end);
   const double ms = unit == "s" ? n * 1'000 : n;
   if (ec == std::errc() && (unit == "ms" || unit == "s") && ms >= 0 &&
-      ms <= kMaxDurationMs) {
-    return Duration(std::llround(ms));
+      std::isfinite(n)) {
+    return Duration(std::llround(std::min(ms, kMaxDurationMs)));
   }
   throw Error("\"" + std::string(text) + "\" is not a duration");
 }
@@ -87,22 +113,24 @@
   }
   out.heartbeat = Time(in, "server_heartbeat", out.heartbeat);
   out.news_within = Time(in, "news_within", out.news_within);
-  out.memory_bytes = in.Integer("memory_mb", 16, kMaxMemoryMb, 256) << 20;
-  out.link_mbps = in.Number("link_mbps", 0.001, kMaxLink, out.link_mbps);
-  out.cpu_share = in.Number("cpu_share", 0.001, kMaxCores, out.cpu_share);
+  out.memory_bytes = Count(in, "memory_mb", 16, kMostMemoryMb, 256) << 20;
+  out.link_mbps =
+      std::max(Amount(in, "link_mbps", kMostLink, out.link_mbps), kLeastPart);
+  out.cpu_share =
+      std::max(Amount(in, "cpu_share", kMostCores, out.cpu_share), kLeastPart);
   out.stop_within = Time(in, "stop_within", out.stop_within);
   out.lookup_lifetime = Time(in, "lookup_lifetime", out.lookup_lifetime);
-  out.retry_ratio = in.Number("retry_ratio", 0, 1, out.retry_ratio);
-  out.retry_slack = in.Number("retry_slack", 0, kMaxRetries, out.retry_slack);
+  out.retry_ratio = Amount(in, "retry_ratio", kMostRetries, out.retry_ratio);
+  out.retry_slack = Amount(in, "retry_slack", kMostRetries, out.retry_slack);
   out.retry_window = Time(in, "retry_window", out.retry_window);
   if (in.Member("revoke_within") != nullptr)
     out.revoke_within = Time(in, "revoke_within", Duration(0));
   out.cap_window = Time(in, "cap_window", out.cap_window);
-  out.cap_over = in.Number("cap_over", 0, 1, out.cap_over);
-  out.cap_slack = in.Number("cap_slack", 0, kMaxRetries, out.cap_slack);
+  out.cap_over = Amount(in, "cap_over", kMostRetries, out.cap_over);
+  out.cap_slack = Amount(in, "cap_slack", kMostRetries, out.cap_slack);
   out.pace_servers = in.Flag("pace_servers", out.pace_servers);
   out.max_descriptors =
-      in.Integer("max_descriptors", 0, kMaxDescriptors, out.max_descriptors);
+      Count(in, "max_descriptors", 0, kMostDescriptors, out.max_descriptors);
   in.Finish();
   if (!problems.empty())
     throw InvalidConfigError(source, std::move(problems));
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -14,6 +14,8 @@
   set("toucanknot_store_following", store.following ? 1 : 0);
   set("toucanknot_store_failed", store.failed);
   set("toucanknot_store_malformed", store.malformed_items);
+  set("toucanknot_store_unusable", store.unusable_items);
+  set("toucanknot_config_unusable", store.config_unusable ? 1 : 0);
   set("toucanknot_config_version", config_version);
   set("toucanknot_servers", servers);
   set("toucanknot_hosts", hosts);
--- a/src/limits/usage_caps.cc
+++ b/src/limits/usage_caps.cc
@@ -153,10 +153,12 @@
     return out;
   out.admitted = false;
   const double excess = std::max(0.0, it.used + 1 - it.allowed);
-  out.retry_after = std::clamp(
-      kReportDelay +
-          Duration(static_cast<int64_t>(excess / cap.rate * kMsPerSecond)),
-      kMinRetryAfter, kMaxRetryAfter);
+  // A low rate makes the time exceed what a Duration holds.
+  const double excess_ms = std::min(excess / cap.rate * kMsPerSecond,
+                                    static_cast<double>(kMaxRetryAfter.ms()));
+  out.retry_after =
+      std::clamp(kReportDelay + Duration(static_cast<int64_t>(excess_ms)),
+                 kMinRetryAfter, kMaxRetryAfter);
   return out;
 }
 
--- a/src/placing/server_load.cc
+++ b/src/placing/server_load.cc
@@ -41,7 +41,9 @@
 }
 
 void ServerLoad::OnReport(int running, int waiting, Instant now) {
-  others_in_flight_ = std::max(0, running + waiting - in_flight_);
+  // A server may state figures whose sum exceeds an int.
+  others_in_flight_ =
+      std::max(0.0, static_cast<double>(running) + waiting - in_flight_);
   others_at_ = now;
 }
 
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -8,6 +8,7 @@
 #include "include/entry/entry_settings.h"
 #include "include/entry/host_record.h"
 #include "include/entry/host_roster.h"
+#include "src/entry/host_capacity.h"
 #include "src/entry/load_exchange.h"
 
 namespace toucanknot {
@@ -58,10 +59,40 @@
   }
 }
 
+// A host does not start with settings that it cannot read.
+TEST_CASE("settings of any size are kept as the largest that is of use") {
+  const auto parse = [](const std::string& more) {
+    return ParseEntrySettings(
+        R"({"host":"h","zone":"z","region":"r","regions":{},"peer_port":84,)"
+        R"("callers":"127.0.0.1:1","readiness":"127.0.0.1:2",)"
+        R"("directory":"127.0.0.1:3","store":"127.0.0.1:4",)" +
+            more + "}",
+        "test");
+  };
+  const EntrySettings settings =
+      parse(R"("memory_mb":9223372036854775807,"link_mbps":1e300,)"
+            R"("cpu_share":1e300,"retry_ratio":1.5,"retry_slack":1e300,)"
+            R"("cap_over":1e300,"cap_slack":1e300,"stop_within":"1e300s",)"
+            R"("max_descriptors":9223372036854775807)");
+  CHECK(settings.memory_bytes >= int64_t{1} << 40);
+  CHECK(settings.link_mbps >= 1e7);
+  CHECK(settings.cpu_share >= 1'024);
+  CHECK(settings.retry_ratio == 1.5);
+  CHECK(settings.stop_within == Duration::Seconds(365 * 24 * 3'600));
+  CHECK(settings.max_descriptors >= 1 << 20);
+  // Other hosts read the record that follows from them.
+  const HostRecord record{settings.host, settings.zone, settings.callers, 7,
+                          CapacityOf(settings)};
+  CHECK(ReadHostRecord(WriteHostRecord(record)) == record);
+  CHECK_THROWS_AS(parse(R"("link_mbps":-1)"), InvalidConfigError);
+  CHECK_THROWS_AS(parse(R"("memory_mb":1.5)"), InvalidConfigError);
+}
+
 TEST_CASE("durations are parsed") {
   CHECK(ParseDuration("1500ms") == Duration(1'500));
   CHECK(ParseDuration("2.5s") == Duration(2'500));
   CHECK(ParseDuration("0ms") == Duration(0));
+  CHECK(ParseDuration("1e300s") == Duration::Seconds(365 * 24 * 3'600));
   const std::string bad =
       GENERATE("", "5", "s", "-1s", "1 s", "1m", "nans", "infs", "1ss");
   CHECK_THROWS_AS(ParseDuration(bad), Error);
--- a/tests/limits/usage_caps_test.cc
+++ b/tests/limits/usage_caps_test.cc
@@ -348,6 +348,22 @@
   CHECK_FALSE(caps.Admit(id, first + Duration(6'000)).admitted);
 }
 
+// The time until there is room exceeded what a Duration holds.
+TEST_CASE("caps of extreme rates admit, refuse and name a time in bounds") {
+  const auto [rate, burst] = GENERATE(table<double, double>(
+      {{1e-300, 0}, {1e-300, 1e9}, {5e-324, 0}, {1e9, 1e9}}));
+  Fleet fleet(1, {rate, burst}, 9);
+  UsageCaps& caps = fleet.caps(0);
+  UsageCaps::Admission admission;
+  for (int i = 0; i < 100 && admission.admitted; ++i)
+    admission = caps.Admit(WorkspaceId("w"), fleet.now());
+  CHECK(admission.admitted == (burst > 0));
+  if (!admission.admitted) {
+    CHECK(admission.retry_after > Duration(0));
+    CHECK(admission.retry_after <= Duration(5'000));
+  }
+}
+
 TEST_CASE("a workspace without a cap is never refused nor reported") {
   Fleet fleet(2, {10, 0}, 8);
   UsageCaps& caps = fleet.caps(0);
--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -104,6 +104,30 @@
   CHECK(it.WaitUntil([&] { return it.zones.empty(); }));
 }
 
+// Operators must see that hosts go on with an earlier version.
+TEST_CASE("a configuration that cannot be used is counted while it is there") {
+  Fixture it;
+  it.standin.Put("op/config", Config(3));
+  it.standin.Put("servers/x", "{");
+  it.Start();
+  REQUIRE(it.WaitUntil([&] { return it.version == 3 && it.listings == 1; }));
+  CHECK(it.WaitUntil([&] {
+    const FleetStoreCounts n = it.store.counts();
+    return n.unusable_items == 1 && !n.config_unusable;
+  }));
+  it.standin.Put("op/config", R"({"version":"r4"})");
+  CHECK(it.WaitUntil([&] {
+    const FleetStoreCounts n = it.store.counts();
+    return n.unusable_items == 2 && n.config_unusable;
+  }));
+  it.standin.Put("op/config", Config(5));
+  it.standin.Remove("servers/x");
+  CHECK(it.WaitUntil([&] {
+    const FleetStoreCounts n = it.store.counts();
+    return n.unusable_items == 0 && !n.config_unusable && it.version == 5;
+  }));
+}
+
 TEST_CASE("malformed items do not affect other items") {
   Fixture it;
   it.standin.Put("servers/good", kServer);
