http: a connection is closed when its client has the last response

Cause: a response counted as delivered when the kernel had taken it. The socket was closed then, or 500 ms later, and what the client sent after that was answered with a reset, which discards what is not read.

All places that close a connection to a caller ask it: the last response, refusals with a body unread, a planned stop, the limits of heads and bodies, want of memory; the idle time begins with the delivery. Connections that linger give way to new clients. toucanknot_callers_lingering and _undelivered show them.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -492,6 +492,7 @@
   LogChange("stopped", {{"in_flight", runner_.in_flight()},
                         {"refused", runner_.refused_stopping()},
                         {"connections", callers_.OpenConnections()},
+                        {"lingering", callers_.Counts().lingering},
                         {"took_ms", (SteadyNow() - begun).ms()}});
   stopped_.set_value(runner_.in_flight() == 0);
 }
--- a/src/forward/stall_monitor.cc
+++ b/src/forward/stall_monitor.cc
@@ -13,8 +13,8 @@
 #include <optional>
 #include <utility>
 
-#include "src/forward/send_window.h"
 #include "src/http/one_shot.h"
+#include "src/http/send_window.h"
 
 namespace toucanknot {
 namespace {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -85,6 +85,10 @@
   }
   void StartConnection(tcp::socket socket);
   void RemoveConnection(ServerConnection* connection);
+  // Closes a connection that only waits for its client to read the last
+  // response, since a new client comes first. Returns false if there is none.
+  // Must be called with the lock held.
+  bool EndOneLingering();
 
   WorkerPool& workers_;
   const std::shared_ptr<ListenerState> state_;
@@ -200,7 +204,8 @@
   {
     const std::lock_guard lock(mutex_);
     if (static_cast<int>(connections_.size()) >=
-        state_->limits.max_connections) {
+            state_->limits.max_connections &&
+        !EndOneLingering()) {
       ++refused_connections_;
       return;
     }
@@ -215,6 +220,12 @@
   connection->Start();
 }
 
+bool HttpServer::Listener::EndOneLingering() {
+  return state_->lingering > 0 &&
+         std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) { return it->GiveWay(); });
+}
+
 void HttpServer::Listener::RemoveConnection(ServerConnection* connection) {
   const std::shared_ptr<ServerConnection> keep = connection->shared_from_this();
   const std::lock_guard lock(mutex_);
@@ -284,6 +295,8 @@
   counts.buffered_bytes = state_->memory->reserved(MemoryUse::kRequestBody);
   counts.evicted = state_->evicted;
   counts.no_memory = state_->no_memory;
+  counts.lingering = state_->lingering;
+  counts.undelivered = state_->undelivered;
   const std::lock_guard lock(mutex_);
   counts.open_connections = static_cast<int64_t>(connections_.size());
   return counts;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -52,6 +52,11 @@
   // Connections closed, and requests rejected, for want of memory.
   uint64_t evicted = 0;
   uint64_t no_memory = 0;
+  // Open connections that will get no further response and wait for their
+  // clients to have the last one.
+  int64_t lingering = 0;
+  // Connections closed before their clients had acknowledged all responses.
+  uint64_t undelivered = 0;
 };
 
 // An HTTP/1.1 listener. Each request is read completely, within limits, and
--- a/src/http/listener_state.h
+++ b/src/http/listener_state.h
@@ -63,6 +63,10 @@
   // Connections closed, and requests rejected, for want of memory.
   std::atomic<uint64_t> evicted{0};
   std::atomic<uint64_t> no_memory{0};
+  // Connections that wait for their clients to have the last response, and
+  // connections closed before their clients had acknowledged everything.
+  std::atomic<int64_t> lingering{0};
+  std::atomic<uint64_t> undelivered{0};
 };
 
 }  // namespace toucanknot
--- a/src/forward/send_window.cc
+++ b/src/http/send_window.cc
@@ -1,4 +1,4 @@
-#include "src/forward/send_window.h"
+#include "src/http/send_window.h"
 
 #include <linux/sockios.h>
 // Has the peer's window in tcp_info, in contrast to netinet/tcp.h.
@@ -27,6 +27,11 @@
   return Duration(info.tcpi_last_ack_recv);
 }
 
+int64_t UnacknowledgedBytes(int socket) {
+  int bytes = 0;
+  return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 bool HasUnacknowledged(int socket) {
   int bytes = 0;
   return ::ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes > 0;
--- a/src/forward/send_window.h
+++ b/src/http/send_window.h
@@ -1,6 +1,7 @@
-#ifndef SRC_FORWARD_SEND_WINDOW_H_
-#define SRC_FORWARD_SEND_WINDOW_H_
+#ifndef SRC_HTTP_SEND_WINDOW_H_
+#define SRC_HTTP_SEND_WINDOW_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "include/base/clock.h"
@@ -12,9 +13,13 @@
 // If data is waiting because the peer's receive window is closed, the time
 // since the peer's last acknowledgement.
 std::optional<Duration> SilenceAtClosedWindow(int socket);
-// Whether the peer has not acknowledged everything that was written.
+// The number of bytes that were written and that the peer has not acknowledged;
+// 0 if it is not known.
+int64_t UnacknowledgedBytes(int socket);
+// Whether the peer has not acknowledged everything that was written, or it is
+// not known.
 bool HasUnacknowledged(int socket);
 
 }  // namespace toucanknot
 
-#endif  // SRC_FORWARD_SEND_WINDOW_H_
+#endif  // SRC_HTTP_SEND_WINDOW_H_
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -28,9 +28,6 @@
 constexpr size_t kReadAheadBytes = 16 << 10;
 // Smaller responses are part of kConnectionBytes.
 constexpr size_t kSmallResponseBytes = 2 << 10;
-// How long a closing connection waits for the client to close, and how many
-// received bytes it discards meanwhile.
-constexpr std::chrono::milliseconds kDiscardTime{500};
 
 HttpResponse RejectionResponse(int status, const std::string& why) {
   HttpResponse response = TextResponse(status, why);
@@ -84,27 +81,11 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void ServerConnection::Interrupt(bool force) {
-  asio::post(stream_.get_executor(), [self = shared_from_this(), force] {
-    // Requests that have arrived but were not read yet are still served.
-    if (force ||
-        (self->awaiting_ && self->exchanges_.empty() && !self->HasUnread())) {
-      self->Close();
-    }
-  });
-}
-
 void ServerConnection::OnStopBegun() {
   asio::post(stream_.get_executor(),
              [self = shared_from_this()] { self->LimitBodyTime(); });
 }
 
-void ServerConnection::Close() {
-  stream_.close();
-  read_timer_.cancel();
-  wake_up_.Notify();
-}
-
 asio::awaitable<void> ServerConnection::Read() {
   memory_ = MemoryReservation(state_->memory, MemoryUse::kRequestHead);
   if (co_await ReserveHead(memory_, kConnectionBytes)) {
@@ -113,11 +94,7 @@
   } else {
     Close();
   }
-  if (!client_left_ && stream_.socket().is_open())
-    co_await Discard();
-  // The last responses may not be written yet.
-  while (!exchanges_.empty() && stream_.socket().is_open())
-    co_await wake_up_.Wait();
+  co_await AwaitDelivery();
   DropExchanges();
   beast::error_code ec;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -212,7 +189,7 @@
   if (buffer_.size() > 0)
     co_return true;
   if (!co_await AwaitBuffer(kFirstReadBytes)) {
-    Close();
+    EndAfterDelivery();
     co_return false;
   }
   awaiting_ = true;
@@ -258,8 +235,6 @@
                               const ExchangePtr& exchange) {
   exchange->response = std::move(response);
   exchange->keep_alive = false;
-  // The client may still send the rest of the request.
-  discarding_ = true;
   exchanges_.push_back(exchange);
   asio::co_spawn(
       stream_.get_executor(),
@@ -277,7 +252,8 @@
     if (!response.memory->Resize(
             static_cast<int64_t>(response.body.capacity()))) {
       ++state_->no_memory;
-      Close();
+      response = HttpResponse();
+      EndAfterDelivery();
     }
   }
   exchange->response = std::move(response);
@@ -351,22 +327,6 @@
   co_return true;
 }
 
-void ServerConnection::Finish() {
-  beast::error_code ec;
-  stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-  if (client_left_ || (!discarding_ && buffer_.size() == 0)) {
-    Close();
-    return;
-  }
-  // Closing a socket with unread bytes sends a reset, which may make the client
-  // lose responses that it has not read yet.
-  read_timer_.expires_after(kDiscardTime);
-  read_timer_.async_wait([self = shared_from_this()](beast::error_code err) {
-    if (!err)
-      self->Close();
-  });
-}
-
 void ServerConnection::OnClientLeft() {
   client_left_ = true;
   for (const ExchangePtr& it : exchanges_) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -18,6 +18,7 @@
 #include "include/base/clock.h"
 #include "include/memory/memory_account.h"
 #include "src/http/http_message.h"
+#include "src/http/lingering_close.h"
 #include "src/http/listener_state.h"
 #include "src/http/wake_up.h"
 
@@ -47,9 +48,12 @@
                    ClosedHook on_closed);
 
   void Start();
-  // Closes the connection if it is idle, or unconditionally if `force` is set.
-  // Thread-safe.
+  // Closes the connection if it is idle, once the client has the last response,
+  // or unconditionally and at once if `force` is set. Thread-safe.
   void Interrupt(bool force);
+  // Closes the connection at once if it only waits for its client to have the
+  // last response. Returns whether it will. Thread-safe.
+  bool GiveWay();
   // Applies the time limit for bodies to a request that is being read.
   // Thread-safe.
   void OnStopBegun();
@@ -150,10 +154,13 @@
   // Reads once into the buffer, if it has space, to detect a close while
   // requests wait. Notifies `wake_up_` when done.
   void ReadAhead();
-  // Reads and discards everything that the client sends after the last request
-  // that is served, to detect its close and to avoid a reset, which would make
-  // the client lose responses.
+  // Reads and discards what the client sends after the last request that is
+  // served, to detect its close and to avoid a reset, which would make the
+  // client lose responses.
   boost::asio::awaitable<void> Discard();
+  // Discards until the client has closed, or the connection is closed after the
+  // client had time to read the last responses.
+  boost::asio::awaitable<void> AwaitDelivery();
   // Handles a read error: sends an error response, the last one of the
   // connection, or notes that the client left.
   void FailRead(ErrorCode ec, const ExchangePtr& exchange);
@@ -171,7 +178,15 @@
   boost::asio::awaitable<void> Flush();
   // Returns whether the response was written completely.
   boost::asio::awaitable<bool> Write(Exchange& exchange, bool keep_alive);
+  // Ends the sending half, and closes the connection as LingeringClose decides.
   void Finish();
+  void Linger();
+  void SetLingering(bool lingering);
+  // Closes the connection without a further response, once the client has the
+  // last one.
+  void EndAfterDelivery();
+  // Bytes of responses that the client has not acknowledged.
+  int64_t Undelivered();
   void DropExchanges();
   // Called when the client has closed the connection.
   void OnClientLeft();
@@ -239,8 +254,12 @@
   // Set when the end of the client's data was read. Another read may never
   // complete.
   bool client_left_ = false;
-  // Set when bytes after the last served request were received or are expected.
-  bool discarding_ = false;
+  // Set when the sending half has ended.
+  std::optional<LingeringClose> close_wait_;
+  std::atomic<bool> lingering_{false};
+  std::atomic<bool> giving_way_{false};
+  // As of the last time limit of an idle connection.
+  int64_t undelivered_ = 0;
 };
 
 }  // namespace toucanknot
--- a/src/http/server_connection_memory.cc
+++ b/src/http/server_connection_memory.cc
@@ -52,6 +52,11 @@
                                  !(self->awaiting_ && self->HasUnread());
     if (!evict || !self->stream_.socket().is_open())
       return;
+    // The client may still read the last response.
+    if (use == MemoryUse::kRequestHead && self->Undelivered() > 0 &&
+        SteadyNow() - self->write_began_at_ < kSlowWrite) {
+      return;
+    }
     ++self->state_->evicted;
     self->Close();
   });
--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -24,8 +24,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 // Size of the read buffer for bodies.
 constexpr size_t kBodyReadBytes = 16 << 10;
-constexpr size_t kDiscardBytes = 1 << 20;
-constexpr size_t kDiscardReadBytes = 2 << 10;
 // Fraction (1/n) of the memory for responses: a connection with more in
 // responses that are not written yet passes on no further request.
 constexpr int64_t kResponseShareDivisor = 64;
@@ -238,12 +236,14 @@
   // while responses are pending.
   stream_.expires_never();
   phase_ = phase;
+  undelivered_ = 0;
   read_by_ = SteadyNow() + TimeLimitOf(phase);
   ArmReadTimer();
 }
 
 void ServerConnection::ArmReadTimer() {
-  if (timer_at_ <= read_by_ || !stream_.socket().is_open())
+  // The timer serves Linger() once the connection is closing.
+  if (timer_at_ <= read_by_ || close_wait_ || !stream_.socket().is_open())
     return;
   timer_at_ = read_by_;
   const Duration left = std::max(read_by_ - SteadyNow(), Duration(1));
@@ -262,10 +262,22 @@
     return;
   }
   // The time limit restarts when the last response has been written.
-  if (!exchanges_.empty())
+  if (!exchanges_.empty() || closing_)
     return;
-  state_->timed_out += phase_ == ReadPhase::kIdle ? 0 : 1;
-  Close();
+  const int64_t undelivered = Undelivered();
+  if (phase_ == ReadPhase::kIdle) {
+    // A client that still reads the last response is not idle.
+    if (undelivered > 0 && undelivered != undelivered_) {
+      undelivered_ = undelivered;
+      read_by_ = SteadyNow() + TimeLimitOf(phase_);
+      ArmReadTimer();
+      return;
+    }
+    Close();
+    return;
+  }
+  ++state_->timed_out;
+  EndAfterDelivery();
 }
 
 asio::awaitable<bool> ServerConnection::SendContinue(unsigned version) {
@@ -331,18 +343,4 @@
       });
 }
 
-asio::awaitable<void> ServerConnection::Discard() {
-  std::string sink(kDiscardReadBytes, '\0');
-  for (size_t total = 0; total < kDiscardBytes;) {
-    stream_.expires_never();
-    auto [ec, n] = co_await stream_.async_read_some(asio::buffer(sink), kAwait);
-    if (ec) {
-      OnClientLeft();
-      co_return;
-    }
-    total += n;
-    discarding_ = true;
-  }
-}
-
 }  // namespace toucanknot
--- /dev/null
+++ b/tests/http/response_delivery_test.cc
@@ -0,0 +1,171 @@
+// Clients that read their last responses slowly. Guards against connections
+// that are reset before the client has read what its server sent whole.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/http/http_server.h"
+
+namespace toucanknot {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr size_t kBodyBytes = 600'000;
+constexpr int kReceiveBuffer = 32 << 10;
+constexpr auto kReadPause = std::chrono::milliseconds(20);
+constexpr size_t kReadBytes = 8 << 10;
+constexpr Duration kTestTimeout{15'000};
+
+// A server whose responses exceed the receive buffers of its clients, but not
+// its own send buffers.
+struct Fixture {
+  explicit Fixture(const HttpServerLimits& limits = {})
+      : server(
+            workers,
+            limits,
+            [](std::string_view) { return uint64_t{64} << 10; },
+            [](HttpRequest) -> asio::awaitable<HttpResponse> {
+              HttpResponse response = TextResponse(200, "");
+              response.body.assign(kBodyBytes, 'b');
+              co_return response;
+            }) {
+    server.SetMayOverlap([](const HttpRequest&) { return true; });
+    endpoint = server.Listen({"127.0.0.1", 0});
+  }
+  ~Fixture() { workers.Stop(); }
+
+  Tcp::socket Connect() {
+    Tcp::socket socket(io);
+    socket.open(Tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+    socket.connect({asio::ip::make_address(endpoint.ip), endpoint.port});
+    return socket;
+  }
+  bool WaitFor(const std::function<bool()>& done) const {
+    const Instant end = SteadyNow() + kTestTimeout;
+    while (!done() && SteadyNow() < end)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return done();
+  }
+
+  asio::io_context io;
+  WorkerPool workers{1};
+  HttpServer server;
+  Endpoint endpoint;
+};
+
+std::string Get(const std::string& more = "") {
+  return "GET /x HTTP/1.1\r\nHost: x\r\n" + more + "\r\n";
+}
+
+// Reads slowly until the connection ends, and sends `also` with each read.
+// Returns the number of bytes, or -1 after an error.
+int64_t ReadSlowly(Tcp::socket& socket, const std::string& also) {
+  std::string buf(kReadBytes, '\0');
+  int64_t total = 0;
+  for (;;) {
+    boost::system::error_code ec;
+    total += static_cast<int64_t>(socket.read_some(asio::buffer(buf), ec));
+    if (ec)
+      return ec == asio::error::eof ? total : -1;
+    if (!also.empty())
+      asio::write(socket, asio::buffer(also), ec);
+    std::this_thread::sleep_for(kReadPause);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a last response reaches a slow reader that sends on") {
+  Fixture it;
+  Tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(Get("Connection: close\r\n")));
+  CHECK(ReadSlowly(socket, Get()) > static_cast<int64_t>(kBodyBytes));
+}
+
+TEST_CASE("a stop cuts no response that a slow reader still reads") {
+  Fixture it;
+  const bool pipelines = GENERATE(false, true);
+  INFO("requests are pipelined: " << pipelines);
+  Tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(Get()));
+  // The response is handed to the kernel whole; the connection is idle then.
+  REQUIRE(it.WaitFor([&] { return it.server.Counts().requests == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  it.server.BeginStop();
+  it.server.StopAccepting();
+  CHECK(ReadSlowly(socket, pipelines ? Get() : "") >
+        static_cast<int64_t>(kBodyBytes));
+  socket.close();
+  CHECK(it.WaitFor([&] { return it.server.OpenConnections() == 0; }));
+  CHECK(it.server.Counts().lingering == 0);
+}
+
+TEST_CASE("a connection whose client still reads is not idle") {
+  Fixture it;
+  it.server.SetTimeouts(Duration(300), Duration(300));
+  Tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(Get()));
+  CHECK(ReadSlowly(socket, "") > static_cast<int64_t>(kBodyBytes));
+}
+
+TEST_CASE("a head that stays incomplete costs no earlier response") {
+  Fixture it;
+  it.server.SetTimeouts(Duration(60'000), Duration(200));
+  Tcp::socket socket = it.Connect();
+  asio::write(socket, asio::buffer(Get() + "GET /"));
+  CHECK(ReadSlowly(socket, "x") > static_cast<int64_t>(kBodyBytes));
+}
+
+TEST_CASE("a refused upload costs no earlier response") {
+  Fixture it;
+  Tcp::socket socket = it.Connect();
+  const std::string upload =
+      "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n";
+  asio::write(socket, asio::buffer(Get() + upload));
+  CHECK(ReadSlowly(socket, std::string(40'000, 'u')) >
+        static_cast<int64_t>(kBodyBytes));
+}
+
+TEST_CASE("clients that never read do not keep their connections") {
+  HttpServerLimits limits;
+  limits.write = Duration(500);
+  Fixture it(limits);
+  std::vector<Tcp::socket> sockets;
+  for (int i = 0; i < 20; ++i) {
+    sockets.push_back(it.Connect());
+    asio::write(sockets.back(),
+                asio::buffer(Get(i % 2 == 0 ? "Connection: close\r\n" : "")));
+  }
+  REQUIRE(it.WaitFor([&] { return it.server.Counts().requests == 20; }));
+  it.server.SetTimeouts(Duration(500), Duration(500));
+  it.server.StopAccepting();
+  CHECK(it.WaitFor([&] { return it.server.OpenConnections() == 0; }));
+}
+
+TEST_CASE("a new client takes the place of one that reads its last response") {
+  HttpServerLimits limits;
+  limits.max_connections = 4;
+  Fixture it(limits);
+  std::vector<Tcp::socket> sockets;
+  for (int i = 0; i < 4; ++i) {
+    sockets.push_back(it.Connect());
+    asio::write(sockets.back(), asio::buffer(Get("Connection: close\r\n")));
+  }
+  REQUIRE(it.WaitFor([&] { return it.server.Counts().lingering == 4; }));
+  for (int i = 0; i < 4; ++i) {
+    Tcp::socket socket = it.Connect();
+    asio::write(socket, asio::buffer(Get("Connection: close\r\n")));
+    CHECK(ReadSlowly(socket, "") > static_cast<int64_t>(kBodyBytes));
+  }
+}
+
+}  // namespace toucanknot
