platform: the store is read page by page, of any size

Cause: a listing was applied when its last page had come, so that all pages were kept, and their sum was bounded; beyond the bound, or after one failed page, all were dropped and the host started over.

Pages are applied as they come, the operators' keys first. During a long listing changes are asked for between the pages. What none held is gone at its end, unless it changed after the first page; watches go on from there. Ranges of others' keys are passed over, and of unreadable keys 1,000 at most are remembered.

--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -27,7 +27,11 @@
 
 // A PlatformStore on its own loop, and the state that it reported.
 struct Fixture {
-  Fixture() : store(loop, standin.endpoint(), {Duration(2'500), {}}, 1) {
+  explicit Fixture(int64_t memory_bytes = 256LL << 20)
+      : store(loop,
+              standin.endpoint(),
+              {Duration(2'500), {}, memory_bytes},
+              1) {
     thread = std::thread([this] { loop.run(); });
   }
   ~Fixture() {
@@ -253,4 +257,106 @@
   CHECK(ReadHostRecord(it.standin.Get("toucanknot/hosts/h")) == record);
 }
 
+// A host gave up on a listing that was larger than an eighth of its memory, and
+// started over for ever, without its configuration.
+TEST_CASE("unreadable entries of any size do not keep a host from starting") {
+  Fixture it(64 << 20);
+  it.standin.Put("op/config", Config(3));
+  for (int i = 0; i < 40; ++i)
+    it.standin.Put("servers/" + std::to_string(i),
+                   std::string(1 << 20, '\xff'));
+  it.standin.Put("servers/x", kServer);
+  it.Start();
+  REQUIRE(it.WaitUntil([&] { return it.listings == 1; }));
+  CHECK(it.version == 3);
+  CHECK(it.servers == std::set<ServerId>{ServerId("x")});
+  CHECK(it.store.counts().unusable_items == 40);
+}
+
+TEST_CASE("of unreadable keys, a bounded number is remembered") {
+  Fixture it;
+  it.standin.Put("op/config", Config(3));
+  for (int i = 0; i < 5'000; ++i)
+    it.standin.Put("servers/" + std::to_string(i), "{");
+  it.standin.Put("servers/x", kServer);
+  it.Start();
+  REQUIRE(it.WaitUntil([&] { return it.listings == 1; }));
+  CHECK(it.servers.contains(ServerId("x")));
+  CHECK(it.store.counts().unusable_items == 1'000);
+  // One that can be read later is, whether it was remembered or not.
+  for (const char* id : {"0", "999", "4999"})
+    it.standin.Put(std::string("servers/") + id, kServer);
+  CHECK(it.WaitUntil([&] { return it.servers.size() == 4; }));
+}
+
+TEST_CASE("keys of others are passed over, and come before no key of ours") {
+  Fixture it;
+  it.standin.SetPageSize(10);
+  for (int i = 0; i < 300; ++i) {
+    for (const char* prefix : {"a/", "p/", "t/", "z/"})
+      it.standin.Put(prefix + std::to_string(i), "?");
+  }
+  it.standin.Put("op/config", Config(3));
+  it.standin.Put("servers/x", kServer);
+  it.Start();
+  REQUIRE(it.WaitUntil([&] { return it.listings == 1; }));
+  CHECK(it.version == 3);
+  CHECK(it.servers.size() == 1);
+  CHECK(it.standin.CountCalls("GET /v1/kv-range") <= 5);
+}
+
+TEST_CASE("a page that fails costs none of the pages before it") {
+  Fixture it;
+  it.standin.SetPageSize(1);
+  it.standin.Put("op/config", Config(3));
+  for (int i = 10; i < 40; ++i)
+    it.standin.Put("servers/" + std::to_string(i), kServer);
+  it.standin.SetDelay(Duration(30));
+  it.Start();
+  const auto pages = [&] { return it.standin.CountCalls("GET /v1/kv-range"); };
+  REQUIRE(it.WaitUntil([&] { return pages() > 10; }));
+  it.standin.RejectWith(503);
+  CHECK(it.WaitUntil([&] { return it.version == 3; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  it.standin.RejectWith(0);
+  const int before = pages();
+  REQUIRE(it.WaitUntil([&] { return it.listings == 1; }));
+  CHECK(it.servers.size() == 30);
+  CHECK(pages() - before <= 22);
+}
+
+TEST_CASE("a long listing holds up no change, and what it lacks is gone") {
+  Fixture it;
+  it.standin.SetPageSize(1);
+  it.standin.Put("op/config", Config(3));
+  for (int i = 10; i < 40; ++i)
+    it.standin.Put("servers/" + std::to_string(i), kServer);
+  it.Start();
+  REQUIRE(it.WaitUntil([&] { return it.listings == 1; }));
+  // The next reading takes 31 pages of 150 ms.
+  it.standin.SetDelay(Duration(150));
+  it.standin.Compact();
+  it.standin.DropWatches();
+  const int reads = it.standin.CountCalls("GET /v1/kv-range");
+  it.standin.Put("servers/11", kServer);
+  it.standin.Compact();
+  REQUIRE(it.WaitUntil(
+      [&] { return it.standin.CountCalls("GET /v1/kv-range") > reads + 15; }));
+  // One that the listing has passed, one that it has not, and one of each that
+  // is new.
+  it.standin.Remove("servers/12");
+  it.standin.Remove("servers/38");
+  it.standin.Put("servers/00", kServer);
+  it.standin.Put("servers/zz", kServer);
+  it.standin.Put("op/config", Config(4));
+  REQUIRE(it.WaitUntil([&] { return it.version == 4; }));
+  CHECK(it.listings == 1);
+  REQUIRE(it.WaitUntil([&] { return it.listings == 2; }));
+  CHECK(it.WaitUntil([&] { return it.servers.size() == 30; }));
+  CHECK_FALSE(it.servers.contains(ServerId("12")));
+  CHECK_FALSE(it.servers.contains(ServerId("38")));
+  CHECK(it.servers.contains(ServerId("00")));
+  CHECK(it.servers.contains(ServerId("zz")));
+}
+
 }  // namespace toucanknot::platform
--- a/tests/platform/store_standin.cc
+++ b/tests/platform/store_standin.cc
@@ -25,6 +25,8 @@
   return out;
 }
 
+// Values after which a page of a listing ends.
+constexpr size_t kPageBytes = 1 << 20;
 // Polling interval of calls that wait.
 constexpr Duration kPollInterval{10};
 
@@ -227,15 +229,17 @@
   const std::string prefix = QueryValue(target, "prefix");
   const std::string after = QueryValue(target, "after");
   boost::json::array items;
+  size_t bytes = 0;
   bool truncated = false;
   for (const auto& [key, item] : items_) {
     if (!key.starts_with(prefix) || key <= after)
       continue;
-    if (items.size() == page_size_) {
+    if (items.size() == page_size_ || bytes > kPageBytes) {
       truncated = true;
       break;
     }
     items.push_back(ToJsonItem(key));
+    bytes += item.value.size();
   }
   return Json(200, {{"items", std::move(items)},
                     {"truncated", truncated},
