forward: a status that HTTP does not have is no response

Cause: the parser takes any three digits, and 1xx were all skipped as interim responses, 101 among them. FindStatusProblem() is asked for each head: 200 to 599, or an interim status other than 101; anything else breaks the exchange, like other bytes that are no response. The pool serves both programs, probes and the store's calls; HttpExchange, of the command line, asks the same function.

Statuses of two or four digits and other versions were refused before.

--- a/src/forward/response_head.cc
+++ b/src/forward/response_head.cc
@@ -78,6 +78,15 @@
   return {};
 }
 
+std::string FindStatusProblem(unsigned status) {
+  constexpr unsigned kLowest = 100;
+  constexpr unsigned kHighest = 599;
+  constexpr unsigned kSwitchingProtocols = 101;
+  if (status >= kLowest && status <= kHighest && status != kSwitchingProtocols)
+    return {};
+  return "the status " + std::to_string(status) + " answers no request";
+}
+
 std::string FindFramingProblem(unsigned version,
                                const boost::beast::http::fields& fields) {
   const auto coding = fields.find(boost::beast::http::field::transfer_encoding);
--- a/src/forward/response_head.h
+++ b/src/forward/response_head.h
@@ -21,6 +21,12 @@
                             const boost::beast::http::fields& fields,
                             const std::vector<std::string>& single_fields);
 
+// Checks that a status belongs to a response to a request that asked for no
+// other protocol: an interim one (1xx), but not 101 (Switching Protocols), or
+// one from 200 to 599 (RFC 9110, 15). Returns what is wrong, or an empty
+// string.
+std::string FindStatusProblem(unsigned status);
+
 // Checks that the parser knows where the body ends: it takes a body in a
 // transfer coding other than "chunked" for one without a length, or leaves the
 // coding in place. `version` is 10 or 11. Returns what is wrong, or an empty
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -179,6 +179,8 @@
   result.error = FindHeadProblem(parser.get().reason(), parser.get(),
                                  options_.single_fields);
   mixed_head_ = !result.error.empty();
+  if (result.error.empty())
+    result.error = FindStatusProblem(parser.get().result_int());
   if (result.error.empty())
     result.error = FindFramingProblem(parser.get().version(), parser.get());
   return result.error.empty() ? ErrorCode{} : http::error::bad_value;
--- a/src/store/http_exchange.cc
+++ b/src/store/http_exchange.cc
@@ -7,6 +7,8 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 
+#include "src/forward/response_head.h"
+
 namespace toucanknot {
 namespace {
 
@@ -70,9 +72,15 @@
   }
 
   void SaveResponse() {
+    const unsigned status = parser_.get().result_int();
+    result_.error = FindStatusProblem(status);
+    // An interim response is not awaited, since none is asked for.
+    if (result_.error.empty() && status < 200)
+      result_.error = "an interim response";
+    if (!result_.error.empty())
+      return;
     result_.stage = HttpClientStage::kCompleted;
-    result_.error.clear();
-    result_.status = parser_.get().result_int();
+    result_.status = status;
     for (const auto& it : parser_.get()) {
       result_.fields.push_back(
           {std::string(it.name_string()), std::string(it.value())});
