platform: a store that comes back from an older copy is a new era

Hosts compared revisions across that: what was written afterwards, under revisions that were given out before, was taken for old, and by followers too. A lease by the same number may be another host's.

With the era risen, all that was learned by revision is void (items, listing, readers' news, the host's lease and record), and all keys are read again; late responses of an earlier era count as none. Readers' news names its era.

--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -32,6 +32,10 @@
   std::function<void(const std::set<HostId>&)> hosts_listed;
   // The store became unreachable for this host, or reachable again.
   std::function<void(bool away)> store_unreachable;
+  // The store came back from an older copy. It may lack what it had
+  // acknowledged and hold what had been removed since, until its writers write
+  // again. All records follow, as after an outage. May be empty.
+  std::function<void()> store_restored;
   // `news` must be sent to the other hosts of this host's zone. May be empty:
   // each host reads the store itself then.
   std::function<void(const StoreNews& news)> send_news;
@@ -52,6 +56,8 @@
   uint64_t reads = 0;
   uint64_t renewals = 0;
   uint64_t writes = 0;
+  // How many times the store came back from an older copy.
+  uint64_t restorations = 0;
   // Whether the host relies on other hosts of its zone for changes.
   bool following = false;
   // When the store last responded to this host, or to a host on which it relies
--- a/include/entry/host_roster.h
+++ b/include/entry/host_roster.h
@@ -20,6 +20,11 @@
  public:
   // A host rewrites its record within this time of the store's return.
   static constexpr Duration kLapseGrace{2'000};
+  // After the store came back from an older copy, the records of hosts that
+  // have ended meanwhile expire within this time.
+  static constexpr Duration kLeaseTime{4'000};
+  // How long a removed record is remembered for that.
+  static constexpr Duration kRememberRemoved{60'000};
   // How long a maximum of the host count stays in effect in HostCount().
   static constexpr Duration kCountMemory{15'000};
 
@@ -30,6 +35,11 @@
   void OnRemoved(const HostId& host, Instant now);
   void OnListed(const std::set<HostId>& hosts, Instant now);
   void SetStoreUnreachable(bool unreachable, Instant now);
+  // Notes that the store came back from an older copy, which is then read in
+  // full. Records that it lacks stay in use until their hosts have written them
+  // again; those of hosts that had left are not used unless they outlive their
+  // lease.
+  void OnStoreRestored(Instant now);
   // Drops hosts whose grace period is over.
   void Advance(Instant now);
   // Replaces this host's record once its listen address is known.
@@ -60,6 +70,10 @@
     HostRecord record;
     std::optional<Instant> drop_at;
   };
+  struct Removed {
+    Incarnation incarnation = 0;
+    Instant at;
+  };
 
   void OnMissing(Host& host, Instant now);
   RegionId RegionOf(const ZoneId& zone) const;
@@ -67,6 +81,12 @@
   HostRecord self_;
   const std::map<ZoneId, RegionId> regions_;
   std::map<HostId, Host> hosts_;
+  // Hosts whose records were removed lately.
+  std::map<HostId, Removed> removed_;
+  // Records of the older copy that are not used yet.
+  std::map<HostId, HostRecord> held_;
+  // Until when records may have come with the older copy.
+  std::optional<Instant> held_until_;
   bool self_ready_ = false;
   bool self_proven_ = true;
   bool store_unreachable_ = false;
--- a/include/entry/store_news.h
+++ b/include/entry/store_news.h
@@ -28,6 +28,9 @@
 struct StoreNews {
   HostId host;
   Incarnation incarnation = 0;
+  // The copy of the store that the revisions belong to: one more each time that
+  // the store came back from an older copy. 0 if it is not known.
+  uint64_t era = 0;
   // `changes` leads from the state at revision `before` to the one at
   // `revision`.
   uint64_t before = 0;
--- a/include/entry/store_news_feed.h
+++ b/include/entry/store_news_feed.h
@@ -39,6 +39,9 @@
                  std::optional<Instant> known_at);
   // The host cannot reach the store, or must read it again.
   void OnLost();
+  // The store came back from an older copy, see StoreNews::era: revisions from
+  // before mean nothing in it.
+  void OnEra(uint64_t era);
 
   // The datagrams to send now: changes that were not sent often enough, and a
   // heartbeat. The sender's name is left out.
@@ -53,6 +56,7 @@
   void AddLink(StoreNews link);
 
   std::deque<Link> links_;
+  uint64_t era_ = 0;
   uint64_t revision_ = 0;
   std::optional<Instant> known_at_;
 };
--- a/include/entry/store_readers.h
+++ b/include/entry/store_readers.h
@@ -69,6 +69,10 @@
   // Returns the changes to apply, in order; none if they are old or do not
   // connect to what this host knows.
   std::vector<StoreChange> OnNews(const StoreNews& news, Instant now);
+  // The store came back from an older copy, or its era became known. Nothing
+  // that was known by revision holds any more, and the host must read the
+  // store.
+  void OnEra(uint64_t era);
   // A value could not be read: the host must read the store before it follows.
   void RequireRead() { read_required_ = true; }
   // Decides whether the host follows. `own_sound`: it has read the store and
@@ -107,6 +111,8 @@
   // Of the hosts in hosts_ only.
   std::map<HostId, Source> sources_;
   StoreRole role_ = StoreRole::kAlone;
+  // As in StoreNews.
+  uint64_t era_ = 0;
   uint64_t revision_ = 0;
   std::optional<Instant> known_until_;
   // Since when readers have been sound without interruption.
--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -58,6 +58,9 @@
   static constexpr Duration kRememberRemoved{60'000};
   // Removed entries remembered; of more, the oldest are forgotten.
   static constexpr size_t kMaxRemoved = 4'096;
+  // After the store came back from an older copy, its writers write again what
+  // it has lost within this time.
+  static constexpr Duration kRewriteTime{5'000};
   // A reconnect this soon after the previous one belongs to the same outage.
   static constexpr Duration kFlapWindow{1'500};
 
@@ -88,7 +91,10 @@
   //   writer's, since a server changes these only by a restart;
   // - does not follow the last entry of an incarnation that was removed, or
   // that
-  //   incarnation was leaving: a late write.
+  //   incarnation was leaving: a late write;
+  // - is of an earlier incarnation than one that was removed, while the store
+  // has
+  //   come back from an older copy.
   // The first two are accepted all the same once the known entry was not
   // renewed for kStaleHeartbeats: its server is gone, or restarted with its
   // clock behind.
@@ -109,8 +115,15 @@
                            Instant last_response_at,
                            Instant now);
 
+  // Notes that the store came back from an older copy, which is then read in
+  // full. Until its writers have written again, servers without an entry stay
+  // in use as after an outage, those that had left stay gone, and zones stay
+  // evacuated.
+  void OnStoreRestored(Instant now);
+
   // Stops new requests to the servers of `zone` until Restore().
   void Evacuate(const ZoneId& zone) {
+    unlisted_evacuations_.erase(zone);
     evacuated_.insert(zone);
     ++version_;
   }
@@ -153,6 +166,9 @@
     Instant at;
   };
 
+  bool IsBeingRewritten(Instant now) const {
+    return rewritten_at_ && now < *rewritten_at_;
+  }
   // Whether `entry` must be ignored; see OnEntry().
   bool IsIgnored(const ServerEntry& entry, Instant now) const;
   void ForgetRemoved(Instant now);
@@ -166,6 +182,9 @@
   std::map<ServerId, Server> servers_;
   std::map<ServiceId, std::map<ServerId, const Server*>> by_service_;
   std::set<ZoneId> evacuated_;
+  // Those that an older copy of the store does not have, until they are written
+  // again or restored.
+  std::set<ZoneId> unlisted_evacuations_;
   // Incarnations that stated in a response that they leave. Kept while their
   // entries are missing, since these may come back.
   std::map<ServerId, Incarnation> leaving_;
@@ -177,6 +196,8 @@
   // Time of the last response of the store before the outage.
   Instant store_last_response_at_;
   std::optional<Instant> store_returned_at_;
+  // Until when the store may not have been written again.
+  std::optional<Instant> rewritten_at_;
 };
 
 }  // namespace toucanknot
--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -26,6 +26,9 @@
 // Time until a server writes an expired entry again after the store is back,
 // and until a replaced server starts again.
 constexpr Duration kEntryRewriteDelay{1'500};
+// The age of the copy that the store comes back from, and how long it is away.
+constexpr Duration kMaxCopyAge{4'000};
+constexpr Duration kStoreAway{300};
 constexpr Duration kLinkDelay{120};
 constexpr Duration kStoreDelay{250};
 constexpr int64_t kSlowdownFactor = 6;
@@ -98,6 +101,8 @@
       co_await SendCrashingRequests(fault);
   } else if (fault.kind == FaultKind::kWriteOddEntries) {
     co_await WriteOddEntries(fault);
+  } else if (fault.kind == FaultKind::kRestoreStore) {
+    co_await RestoreStore(fault);
   } else if (fault.kind >= FaultKind::kShedRequests) {
     co_await refusals_.Inject(fault);
   } else if (fault.kind == FaultKind::kChangeConfig) {
@@ -203,6 +208,23 @@
   }
 }
 
+asio::awaitable<void> FaultInjector::RestoreStore(const Fault& fault) {
+  if (restoring_store_)
+    co_return;
+  restoring_store_ = true;
+  platform::StoreStandin& store = fleet_.store();
+  store.TakeCopy();
+  co_await SleepFor(std::min(fault.length, kMaxCopyAge));
+  const ScopedFault span(fleet_.fault_history(), {FaultHistory::kStore});
+  store.RejectWith(503);
+  co_await SleepFor(kStoreAway);
+  store.RestoreCopy();
+  store.RejectWith(0);
+  co_await SleepFor(kEntryRewriteDelay);
+  fleet_.WriteStoreAgain();
+  restoring_store_ = false;
+}
+
 asio::awaitable<void> FaultInjector::InjectServerFault(
     SoakFleet::Server& server,
     const Fault& fault) {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -29,6 +29,7 @@
   boost::asio::awaitable<void> InjectStoreLinkFault(SoakFleet::Host& host,
                                                     const Fault& fault);
   boost::asio::awaitable<void> InjectStoreFault(const Fault& fault);
+  boost::asio::awaitable<void> RestoreStore(const Fault& fault);
   boost::asio::awaitable<void> InjectServerFault(SoakFleet::Server& server,
                                                  const Fault& fault);
   boost::asio::awaitable<void> LimitServer(SoakFleet::Server& server,
@@ -48,6 +49,7 @@
 
   SoakFleet& fleet_;
   RefusalFaults refusals_;
+  bool restoring_store_ = false;
 };
 
 }  // namespace toucanknot::soak
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -21,12 +21,15 @@
 // Mean time between planned changes, which are independent of the episodes.
 constexpr int64_t kMeanPlannedGapMs = 5'000;
 // The kinds that episodes consist of, and the mean time between faults of the
-// others, which were added in two steps.
+// others, which were added in steps.
 constexpr int64_t kEpisodeKinds = static_cast<int64_t>(FaultKind::kLimitServer);
 constexpr int64_t kRefusalKinds =
     static_cast<int64_t>(FaultKind::kShedRequests);
+constexpr int64_t kRestoreKinds =
+    static_cast<int64_t>(FaultKind::kRestoreStore);
 constexpr int64_t kMeanLateKindGapMs = 6'000;
 constexpr int64_t kMeanRefusalGapMs = 10'000;
+constexpr int64_t kMeanRestoreGapMs = 15'000;
 constexpr Duration kStopInterval{3'000};
 constexpr FaultKind kPlannedKinds[] = {
     FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
@@ -65,7 +68,11 @@
   }
   for (int64_t at = draw(0, kMeanRefusalGapMs); at < end;
        at += draw(1, 2 * kMeanRefusalGapMs)) {
-    add(at, static_cast<FaultKind>(draw(kRefusalKinds, kFaultKindCount - 1)));
+    add(at, static_cast<FaultKind>(draw(kRefusalKinds, kRestoreKinds - 1)));
+  }
+  for (int64_t at = draw(0, kMeanRestoreGapMs); at < end;
+       at += draw(1, 2 * kMeanRestoreGapMs)) {
+    add(at, FaultKind::kRestoreStore);
   }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -70,9 +70,12 @@
   kLateCopies,
   kBrokenCopies,
   kRunThenRefuse,
+  // The store is away for a moment and comes back from a copy that is as old as
+  // the fault is long; operators and servers then write again.
+  kRestoreStore,
 };
 
-inline constexpr size_t kFaultKindCount = 38;
+inline constexpr size_t kFaultKindCount = 39;
 inline constexpr EnumNames<FaultKind, kFaultKindCount> kFaultKindNames{
     {"kill-host",           "pause-host",          "stop-host",
      "reload-host",         "delay-callers",       "reset-callers",
@@ -86,7 +89,7 @@
      "change-config",       "evacuate-zone",       "limit-server",
      "pause-server",        "repeat-refusals",     "send-crashing-request",
      "write-odd-entries",   "shed-requests",       "late-copies",
-     "broken-copies",       "run-then-refuse"}};
+     "broken-copies",       "run-then-refuse",     "restore-store"}};
 
 struct Fault {
   // Begin of the fault, from the start of the plan.
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -168,12 +168,14 @@
 }
 
 void SoakFleet::RemoveServerEntry(const ServerId& id) {
+  entered_.erase(id);
   store_.Remove(platform::ServerKeyInStore(id));
 }
 
 void SoakFleet::WriteServerEntry(const Server& server) {
   ServerEntry entry = server.server->entry();
   entry.sequence = ++last_sequence_;
+  entered_.insert(entry.id);
   store_.Put(platform::ServerKeyInStore(entry.id),
              platform::EncodeServer(entry));
 }
@@ -384,6 +386,25 @@
   WriteConfig();
 }
 
+void SoakFleet::WriteStoreAgain() {
+  store_.Put(platform::ConfigKey(), platform::EncodeConfig(config_));
+  for (const auto& [zone, since] : evacuated_)
+    store_.Put(platform::EvacuationKey(zone), "{}");
+  for (const auto& [zone, region] : zones_) {
+    if (!evacuated_.contains(zone))
+      store_.Remove(platform::EvacuationKey(zone));
+  }
+  for (const Server& it : servers_) {
+    if (it.server->up() && entered_.contains(it.server->entry().id))
+      WriteServerEntry(it);
+  }
+  const std::string prefix = platform::ServerKeyInStore(ServerId());
+  for (const std::string& it : store_.Keys(prefix)) {
+    if (!entered_.contains(ServerId(it.substr(prefix.size()))))
+      store_.Remove(it);
+  }
+}
+
 bool SoakFleet::BeginEvacuation(const ZoneId& zone) {
   if (!evacuated_.empty())
     return false;
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -167,6 +168,9 @@
   void RemoveServerEntry(const Server& server);
   void RemoveServerEntry(const ServerId& id);
   void ChangeConfig();
+  // Makes the store what its writers last made it, after it came back from an
+  // older copy. Entries that have left since are removed.
+  void WriteStoreAgain();
   // Returns false if any zone is evacuated already.
   bool BeginEvacuation(const ZoneId& zone);
   void EndEvacuation(const ZoneId& zone);
@@ -216,6 +220,8 @@
   RouteConfig config_;
   // Of the servers' entries; higher with each write, as with heartbeats.
   uint64_t last_sequence_ = 0;
+  // The servers that have an entry, unless the store has lost it.
+  std::set<ServerId> entered_;
   Instant version_written_at_;
   std::map<ZoneId, Instant> evacuated_;
   int64_t max_resident_bytes_ = 0;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -290,6 +290,10 @@
   listener.store_unreachable = [this](bool unreachable) {
     OnStoreUnreachable(unreachable);
   };
+  listener.store_restored = [this] {
+    registry_.OnStoreRestored(SteadyNow());
+    roster_.OnStoreRestored(SteadyNow());
+  };
   listener.send_news = [this](const StoreNews& news) {
     std::vector<Endpoint> peers = roster_.ZonePeerAddresses();
     for (Endpoint& it : peers)
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -15,6 +15,7 @@
   set("toucanknot_store_failed", store.failed);
   set("toucanknot_store_malformed", store.malformed_items);
   set("toucanknot_store_unusable", store.unusable_items);
+  set("toucanknot_store_restorations", store.restorations);
   set("toucanknot_config_unusable", store.config_unusable ? 1 : 0);
   set("toucanknot_config_version", config_version);
   set("toucanknot_servers", servers);
--- a/src/entry/host_roster.cc
+++ b/src/entry/host_roster.cc
@@ -7,11 +7,25 @@
 
 namespace toucanknot {
 
-void HostRoster::OnHost(const HostRecord& record, Instant) {
+void HostRoster::OnHost(const HostRecord& record, Instant now) {
+  const auto removed = removed_.find(record.host);
+  if (held_until_ && now < *held_until_ && removed != removed_.end() &&
+      record.incarnation <= removed->second.incarnation) {
+    held_[record.host] = record;
+    return;
+  }
+  held_.erase(record.host);
+  removed_.erase(record.host);
   hosts_[record.host] = {record, std::nullopt};
 }
 
+void HostRoster::OnStoreRestored(Instant now) {
+  store_returned_at_ = now + kLeaseTime - kLapseGrace;
+  held_until_ = now + kLeaseTime;
+}
+
 void HostRoster::OnRemoved(const HostId& host, Instant now) {
+  held_.erase(host);
   const auto it = hosts_.find(host);
   if (it == hosts_.end())
     return;
@@ -20,6 +34,8 @@
 }
 
 void HostRoster::OnListed(const std::set<HostId>& hosts, Instant now) {
+  std::erase_if(held_,
+                [&](const auto& it) { return !hosts.contains(it.first); });
   for (auto& [id, host] : hosts_) {
     if (!hosts.contains(id))
       OnMissing(host, now);
@@ -45,9 +61,21 @@
 void HostRoster::Advance(Instant now) {
   if (store_unreachable_)
     return;
-  std::erase_if(hosts_, [&](const auto& it) {
-    return it.second.drop_at && *it.second.drop_at <= now;
+  if (held_until_ && now >= *held_until_) {
+    for (const auto& [id, record] : std::exchange(held_, {}))
+      hosts_[id] = {record, std::nullopt};
+  }
+  std::erase_if(removed_, [&](const auto& it) {
+    return now - it.second.at > kRememberRemoved;
   });
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    if (it->second.drop_at && *it->second.drop_at <= now) {
+      removed_[it->first] = {it->second.record.incarnation, now};
+      it = hosts_.erase(it);
+    } else {
+      ++it;
+    }
+  }
 }
 
 RegionId HostRoster::RegionOf(const ZoneId& zone) const {
--- a/src/entry/store_news_codec.cc
+++ b/src/entry/store_news_codec.cc
@@ -27,6 +27,8 @@
   out.__set_incarnation(static_cast<int64_t>(news.incarnation));
   out.__set_before(static_cast<int64_t>(news.before));
   out.__set_revision(static_cast<int64_t>(news.revision));
+  if (news.era != 0)
+    out.__set_era(static_cast<int64_t>(news.era));
   if (news.age) {
     out.__set_age_ms(
         static_cast<int32_t>(std::clamp(*news.age, Duration(0), kMaxAge).ms()));
@@ -71,7 +73,7 @@
   if (!envelope.__isset.store_news || !in.__isset.host ||
       in.revisions.size() != n || in.removed.size() != n ||
       in.values.size() != n || in.valued.size() != n || in.before < 0 ||
-      in.revision < in.before) {
+      in.revision < in.before || in.era < 0) {
     return std::nullopt;
   }
   StoreNews news;
@@ -79,6 +81,8 @@
   news.incarnation = static_cast<Incarnation>(in.incarnation);
   news.before = static_cast<uint64_t>(in.before);
   news.revision = static_cast<uint64_t>(in.revision);
+  if (in.__isset.era)
+    news.era = static_cast<uint64_t>(in.era);
   if (in.__isset.age_ms)
     news.age = std::clamp(Duration(in.age_ms), Duration(0), kMaxAge);
   news.lost = in.lost;
--- a/src/entry/store_news_feed.cc
+++ b/src/entry/store_news_feed.cc
@@ -102,6 +102,13 @@
   known_at_.reset();
 }
 
+void StoreNewsFeed::OnEra(uint64_t era) {
+  era_ = era;
+  links_.clear();
+  revision_ = 0;
+  known_at_.reset();
+}
+
 std::vector<StoreNews> StoreNewsFeed::MakeNews(Instant now) {
   std::vector<StoreNews> out;
   for (Link& it : links_) {
@@ -115,6 +122,8 @@
   if (known_at_)
     heartbeat.age = std::max(now - *known_at_, Duration(0));
   out.push_back(std::move(heartbeat));
+  for (StoreNews& it : out)
+    it.era = era_;
   return out;
 }
 
--- a/src/entry/store_readers.cc
+++ b/src/entry/store_readers.cc
@@ -68,6 +68,17 @@
     gap_since_.reset();
 }
 
+void StoreReaders::OnEra(uint64_t era) {
+  era_ = era;
+  revision_ = gap_revision_ = 0;
+  gap_since_.reset();
+  known_until_.reset();
+  sound_since_.reset();
+  sources_.clear();
+  read_required_ = true;
+  following_ = false;
+}
+
 bool StoreReaders::IsPeer(const StoreNews& news) const {
   if (!self_ || news.host == self_->host)
     return false;
@@ -83,6 +94,11 @@
   // Before its first own read, a host has no state to which changes apply.
   if (!IsPeer(news) || revision_ == 0)
     return {};
+  if (news.era != 0 && era_ != 0 && news.era != era_) {
+    // The host learns of a later era from the store itself.
+    read_required_ = read_required_ || news.era > era_;
+    return {};
+  }
   NoteSuspension(now);
   std::vector<StoreChange> changes;
   // A host that watches gets a value that was left out from its own watch.
--- a/src/peer/gen/peer_types.cc
+++ b/src/peer/gen/peer_types.cc
@@ -3460,6 +3460,11 @@
   this->valued = val;
 __isset.valued = true;
 }
+
+void StoreNews::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -3636,6 +3641,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3748,6 +3761,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3766,6 +3784,7 @@
   swap(a.removed, b.removed);
   swap(a.values, b.values);
   swap(a.valued, b.valued);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3781,6 +3800,7 @@
   removed = other170.removed;
   values = other170.values;
   valued = other170.valued;
+  era = other170.era;
   __isset = other170.__isset;
 }
 StoreNews::StoreNews(StoreNews&& other171) noexcept {
@@ -3795,6 +3815,7 @@
   removed = std::move(other171.removed);
   values = std::move(other171.values);
   valued = std::move(other171.valued);
+  era = other171.era;
   __isset = other171.__isset;
 }
 StoreNews& StoreNews::operator=(const StoreNews& other172) {
@@ -3809,6 +3830,7 @@
   removed = other172.removed;
   values = other172.values;
   valued = other172.valued;
+  era = other172.era;
   __isset = other172.__isset;
   return *this;
 }
@@ -3824,6 +3846,7 @@
   removed = std::move(other173.removed);
   values = std::move(other173.values);
   valued = std::move(other173.valued);
+  era = other173.era;
   __isset = other173.__isset;
   return *this;
 }
@@ -3841,6 +3864,7 @@
   out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
   out << ", " << "values="; (__isset.values ? (out << to_string(values)) : (out << "<null>"));
   out << ", " << "valued="; (__isset.valued ? (out << to_string(valued)) : (out << "<null>"));
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1402,7 +1402,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : host(false), incarnation(false), before(false), revision(false), age_ms(false), lost(false), keys(false), revisions(false), removed(false), values(false), valued(false) {}
+  _StoreNews__isset() : host(false), incarnation(false), before(false), revision(false), age_ms(false), lost(false), keys(false), revisions(false), removed(false), values(false), valued(false), era(false) {}
   bool host :1;
   bool incarnation :1;
   bool before :1;
@@ -1414,6 +1414,7 @@
   bool removed :1;
   bool values :1;
   bool valued :1;
+  bool era :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -1429,7 +1430,8 @@
               before(0),
               revision(0),
               age_ms(0),
-              lost(0) {
+              lost(0),
+              era(0) {
   }
 
   virtual ~StoreNews() noexcept;
@@ -1444,6 +1446,7 @@
   std::vector<bool>  removed;
   std::vector<std::string>  values;
   std::vector<bool>  valued;
+  int64_t era;
 
   _StoreNews__isset __isset;
 
@@ -1469,6 +1472,8 @@
 
   void __set_valued(const std::vector<bool> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (__isset.host != rhs.__isset.host)
@@ -1515,6 +1520,10 @@
       return false;
     else if (__isset.valued && !(valued == rhs.valued))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -146,6 +146,8 @@
   // Empty where `valued` is false.
   10: optional list<binary> values
   11: optional list<bool> valued
+  // The copy of the store that the revisions belong to.
+  12: optional i64 era
 }
 
 // Load report of one host, sent to the others in a datagram: its requests in
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -8,10 +8,13 @@
   const auto it = servers_.find(entry.id);
   if (it == servers_.end()) {
     const auto removed = removed_.find(entry.id);
-    return removed != removed_.end() &&
-           removed->second.incarnation == entry.incarnation &&
-           (removed->second.leaving ||
-            entry.sequence <= removed->second.sequence);
+    if (removed == removed_.end())
+      return false;
+    const Removed& last = removed->second;
+    if (entry.incarnation < last.incarnation)
+      return IsBeingRewritten(now);
+    return entry.incarnation == last.incarnation &&
+           (last.leaving || entry.sequence <= last.sequence);
   }
   const ServerEntry& old = it->second.entry;
   const bool same = entry.incarnation == old.incarnation;
@@ -156,7 +159,16 @@
     store_returned_at_ = now;
 }
 
+void ServerRegistry::OnStoreRestored(Instant now) {
+  store_returned_at_ = now;
+  rewritten_at_ = now + kRewriteTime;
+  // None could be renewed while the store was away.
+  for (auto& [id, server] : servers_)
+    server.seen_at = now;
+}
+
 void ServerRegistry::Restore(const ZoneId& zone, Instant now) {
+  unlisted_evacuations_.erase(zone);
   if (evacuated_.erase(zone) == 0)
     return;
   ++version_;
@@ -172,7 +184,11 @@
   for (const ZoneId& it : zones)
     Evacuate(it);
   for (const ZoneId& it : before) {
-    if (!zones.contains(it))
+    if (zones.contains(it))
+      continue;
+    if (IsBeingRewritten(now))
+      unlisted_evacuations_.insert(it);
+    else
       Restore(it, now);
   }
 }
@@ -180,6 +196,10 @@
 void ServerRegistry::Advance(Instant now) {
   if (store_unreachable_)
     return;
+  if (!unlisted_evacuations_.empty() && !IsBeingRewritten(now)) {
+    for (const ZoneId& it : std::set<ZoneId>(unlisted_evacuations_))
+      Restore(it, now);
+  }
   for (auto it = servers_.begin(); it != servers_.end();) {
     const auto next = std::next(it);
     if (it->second.drop_at && *it->second.drop_at <= now)
--- a/tests/entry/entry_parts_test.cc
+++ b/tests/entry/entry_parts_test.cc
@@ -237,4 +237,39 @@
   CHECK(loads.InFlight(7) == 4);
 }
 
+// A caller that is sent to a host that has ended gets no connection.
+TEST_CASE("an older copy of the store brings back no host that had left") {
+  HostRoster roster(MakeHost("self", "a-1", 1),
+                    {{ZoneId("a-1"), RegionId("a")}});
+  roster.OnHost(MakeHost("gone", "a-1", 2), At(0));
+  roster.OnHost(MakeHost("again", "a-1", 3), At(0));
+  roster.OnHost(MakeHost("lost", "a-1", 4), At(0));
+  roster.OnRemoved(HostId("gone"), At(1'000));
+  roster.OnRemoved(HostId("again"), At(1'000));
+  roster.OnHost(MakeHost("again", "a-1", 3), At(1'500));
+  CHECK(roster.size() == 2);
+  roster.OnStoreRestored(At(2'000));
+  roster.OnHost(MakeHost("gone", "a-1", 2), At(2'100));
+  roster.OnHost(MakeHost("again", "a-1", 3), At(2'100));
+  roster.OnListed({HostId("gone"), HostId("again")}, At(2'100));
+  // The copy lacks one that has written its record since.
+  CHECK(roster.size() == 2);
+  CHECK(roster.FleetHosts().size() == 2);
+  roster.Advance(At(5'900));
+  CHECK(roster.size() == 2);
+  SECTION("unless its record outlives the lease") {
+    roster.Advance(At(6'000));
+    // The one that was lost has not come back.
+    CHECK(roster.size() == 2);
+    CHECK(Ports(roster.PeerAddresses(RegionId("a"), true)) ==
+          std::set<uint16_t>{2, 3});
+  }
+  SECTION("whose record expires with the lease") {
+    roster.OnRemoved(HostId("gone"), At(5'950));
+    roster.Advance(At(6'000));
+    CHECK(Ports(roster.PeerAddresses(RegionId("a"), true)) ==
+          std::set<uint16_t>{3});
+  }
+}
+
 }  // namespace toucanknot
--- a/tests/entry/store_readers_test.cc
+++ b/tests/entry/store_readers_test.cc
@@ -454,4 +454,40 @@
   CHECK(feed.MakeNews(Instant(800)).size() == 1);
 }
 
+// Revisions are given out again after the store came back from an older copy.
+TEST_CASE("news of another era of the store is not applied") {
+  StoreReaders readers(kMaxAge);
+  const auto record = [](const std::string& name) {
+    return HostRecord{HostId(name), ZoneId("z"), {"10.0.0.1", 80}, 1, 1};
+  };
+  readers.SetSelf(record("self"));
+  for (const char* it : {"self", "a", "b"})
+    readers.OnHost(record(it));
+  readers.OnEra(3);
+  readers.OnOwnRead(10);
+  StoreNews news;
+  news.host = HostId("a");
+  news.incarnation = 1;
+  news.before = 10;
+  news.revision = 11;
+  news.changes = {{"k", 11, false, "v"}};
+  for (const uint64_t era : {2, 4}) {
+    news.era = era;
+    CHECK(readers.OnNews(news, Instant(1'000)).empty());
+  }
+  CHECK(readers.revision() == 10);
+  news.era = 3;
+  CHECK(readers.OnNews(news, Instant(1'000)).size() == 1);
+  // What was known by revision is void; the host reads the store again.
+  readers.OnEra(4);
+  CHECK(readers.revision() == 0);
+  CHECK_FALSE(readers.known_until());
+  readers.OnOwnRead(7);
+  news.era = 4;
+  news.before = 7;
+  news.revision = 8;
+  news.changes = {{"k", 8, false, "v"}};
+  CHECK(readers.OnNews(news, Instant(1'000)).size() == 1);
+}
+
 }  // namespace toucanknot
--- a/tests/placing/server_registry_test.cc
+++ b/tests/placing/server_registry_test.cc
@@ -279,4 +279,85 @@
   CHECK(it.registry.remembered() <= ServerRegistry::kMaxRemoved);
 }
 
+TEST_CASE("an older copy of the store brings back no server that had left") {
+  Fixture it;
+  ServerEntry former = MakeEntry("a");
+  ServerEntry restarted = MakeEntry("a");
+  restarted.incarnation = 200;
+  it.registry.OnEntry(former, At(0));
+  it.registry.OnEntry(restarted, At(1'000));
+  it.registry.OnEntry(MakeEntry("b"), At(0));
+  ServerEntry leaving = MakeEntry("c");
+  it.registry.OnEntry(leaving, At(0));
+  leaving.leaving = true;
+  leaving.sequence = 6;
+  it.registry.OnEntry(leaving, At(1'500));
+  it.registry.OnRemoved(ServerId("a"), At(2'000));
+  it.registry.OnRemoved(ServerId("b"), At(2'000));
+  it.registry.OnStoreRestored(At(2'500));
+  for (const ServerEntry& entry :
+       {former, MakeEntry("a"), MakeEntry("b"), MakeEntry("c")}) {
+    it.registry.OnEntry(entry, At(2'600));
+  }
+  it.registry.OnListed({ServerId("a"), ServerId("b"), ServerId("c")},
+                       At(2'600));
+  CHECK(it.UsableCount() == 0);
+  // A later heartbeat shows that it is there after all.
+  ServerEntry later = MakeEntry("b");
+  later.sequence = 6;
+  it.registry.OnEntry(later, At(3'000));
+  CHECK(it.UsableCount() == 1);
+}
+
+TEST_CASE("servers that an older copy of the store lacks stay for a grace") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  it.registry.OnEntry(MakeEntry("b"), At(0));
+  it.registry.OnStoreRestored(At(1'000));
+  it.registry.OnListed({}, At(1'100));
+  CHECK(it.UsableCount() == 2);
+  ServerEntry later = MakeEntry("a");
+  later.sequence = 6;
+  it.registry.OnEntry(later, At(2'000));
+  it.registry.Advance(At(3'100));
+  CHECK(it.UsableCount() == 1);
+}
+
+TEST_CASE("a server is not taken back to its former start by an older copy") {
+  Fixture it;
+  ServerEntry restarted = MakeEntry("a");
+  restarted.incarnation = 200;
+  it.registry.OnEntry(restarted, At(0));
+  // Away for longer than an entry takes to count as stale.
+  it.registry.SetStoreUnreachable(true, At(0), At(500));
+  it.registry.OnStoreRestored(At(8'000));
+  it.registry.SetStoreUnreachable(false, At(0), At(8'000));
+  it.registry.OnEntry(MakeEntry("a"), At(8'100));
+  CHECK(it.registry.Find(ServerId("a"))->entry.incarnation == 200);
+}
+
+TEST_CASE("an evacuation that an older copy of the store lacks stays") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  it.registry.Evacuate(ZoneId("z"));
+  it.registry.OnStoreRestored(At(1'000));
+  it.registry.OnEvacuationsListed({}, At(1'100));
+  CHECK(it.registry.IsEvacuated(ZoneId("z")));
+  it.registry.Advance(At(5'900));
+  CHECK(it.registry.IsEvacuated(ZoneId("z")));
+  SECTION("until its operator restores the zone") {
+    it.registry.Restore(ZoneId("z"), At(5'900));
+    CHECK_FALSE(it.registry.IsEvacuated(ZoneId("z")));
+  }
+  SECTION("but for no longer than writing it again takes") {
+    it.registry.Advance(At(6'000));
+    CHECK_FALSE(it.registry.IsEvacuated(ZoneId("z")));
+  }
+  SECTION("and for good once it is written again") {
+    it.registry.Evacuate(ZoneId("z"));
+    it.registry.Advance(At(6'000));
+    CHECK(it.registry.IsEvacuated(ZoneId("z")));
+  }
+}
+
 }  // namespace toucanknot
--- a/tests/platform/store_standin.cc
+++ b/tests/platform/store_standin.cc
@@ -41,7 +41,9 @@
           workers_,
           {},
           [](std::string_view) { return uint64_t{1} << 20; },
-          [this](HttpRequest request) { return Respond(std::move(request)); }),
+          [this](HttpRequest request) {
+            return RespondInEra(std::move(request));
+          }),
       endpoint_(server_.Listen({"127.0.0.1", 0})) {}
 
 StoreStandin::~StoreStandin() {
@@ -100,6 +102,31 @@
   changes_.clear();
 }
 
+void StoreStandin::TakeCopy() {
+  const std::lock_guard lock(mutex_);
+  copy_ = {items_, revision_, leases_, next_lease_};
+}
+
+void StoreStandin::RestoreCopy() {
+  const std::lock_guard lock(mutex_);
+  items_ = copy_.items;
+  revision_ = compacted_ = copy_.revision;
+  leases_ = copy_.leases;
+  next_lease_ = copy_.next_lease;
+  changes_.clear();
+  ++era_;
+}
+
+std::vector<std::string> StoreStandin::Keys(const std::string& prefix) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> out;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(prefix))
+      out.push_back(key);
+  }
+  return out;
+}
+
 void StoreStandin::SetPageSize(size_t items) {
   const std::lock_guard lock(mutex_);
   page_size_ = items;
@@ -133,6 +160,13 @@
           {"lease", item.lease}};
 }
 
+asio::awaitable<HttpResponse> StoreStandin::RespondInEra(HttpRequest request) {
+  HttpResponse response = co_await Respond(std::move(request));
+  const std::lock_guard lock(mutex_);
+  response.fields.Add("Store-Era", std::to_string(era_));
+  co_return response;
+}
+
 asio::awaitable<HttpResponse> StoreStandin::Respond(HttpRequest request) {
   for (;;) {
     {
@@ -193,15 +227,19 @@
   const Instant end =
       SteadyNow() + Duration(std::stoll(QueryValue(target, "wait_ms")));
   uint64_t round = 0;
+  uint64_t era = 0;
   {
     const std::lock_guard lock(mutex_);
     round = watch_round_;
-    if (after < compacted_)
+    era = era_;
+    if (after < compacted_ || after > revision_)
       co_return Json(410, {{"store_revision", revision_}});
   }
   for (;;) {
     {
       const std::lock_guard lock(mutex_);
+      if (era != era_)
+        co_return TextResponse(503, "restored");
       ExpireLeases();
       boost::json::array events;
       for (const Change& it : changes_) {
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -41,6 +41,14 @@
   void SetDelay(Duration delay);
   // While set, writes take effect but get no response.
   void SetLosingResponses(bool losing);
+  // Keeps a copy of all items and leases as they are now.
+  void TakeCopy();
+  // Returns to that copy, as an older one that the store comes back with: all
+  // later changes are lost, their revisions and leases are given out again, and
+  // the era rises. Waiting watches are cut.
+  void RestoreCopy();
+  // All keys that begin with `prefix`.
+  std::vector<std::string> Keys(const std::string& prefix);
   // Discards the history of changes: watches from earlier revisions get 410.
   void Compact();
   // Sets the maximum number of items per page of a listing.
@@ -66,6 +74,8 @@
     bool removed = false;
   };
 
+  // Names the era in the response to any call.
+  boost::asio::awaitable<HttpResponse> RespondInEra(HttpRequest request);
   boost::asio::awaitable<HttpResponse> Respond(HttpRequest request);
   boost::asio::awaitable<HttpResponse> Watch(std::string target);
   // Executes any call other than a watch.
@@ -82,6 +92,14 @@
   void Erase(const std::string& key);
   boost::json::object ToJsonItem(const std::string& key) const;
 
+  // What a copy of the store holds.
+  struct Contents {
+    std::map<std::string, Item> items;
+    uint64_t revision = 1;
+    std::map<uint64_t, Lease> leases;
+    uint64_t next_lease = 0;
+  };
+
   std::mutex mutex_;
   std::map<std::string, Item> items_;
   std::vector<Change> changes_;
@@ -89,6 +107,8 @@
   uint64_t compacted_ = 0;
   std::map<uint64_t, Lease> leases_;
   uint64_t next_lease_ = 0;
+  Contents copy_;
+  uint64_t era_ = 1;
   uint64_t watch_round_ = 0;
   int reject_with_ = 0;
   std::string respond_with_;
