placing: another writer's heartbeat silences a server for seconds only

An entry under a server's id with a huge heartbeat number made all later entries of that server count as late writes, for good.

--- a/include/placing/server_registry.h
+++ b/include/placing/server_registry.h
@@ -72,6 +72,8 @@
     // changed.
     Instant appeared_at;
     Instant seen_at;
+    // Of the last entry that was ignored since `entry`; 0 if there was none.
+    uint64_t ignored_sequence = 0;
     // Set while its entry is missing: the time when the server is dropped
     // unless the entry comes back.
     std::optional<Instant> drop_at;
@@ -87,17 +89,15 @@
   // Handles an entry that was written. It is ignored if it
   // - is an earlier heartbeat, or of an earlier incarnation: a late write;
   // - names another service, zone or address under the same incarnation:
-  // another
-  //   writer's, since a server changes these only by a restart;
+  //   another writer's, since a server changes these only by a restart;
   // - does not follow the last entry of an incarnation that was removed, or
-  // that
-  //   incarnation was leaving: a late write;
+  //   that incarnation was leaving: a late write;
   // - is of an earlier incarnation than one that was removed, while the store
-  // has
-  //   come back from an older copy.
+  //   has come back from an older copy.
   // The first two are accepted all the same once the known entry was not
   // renewed for kStaleHeartbeats: its server is gone, or restarted with its
-  // clock behind.
+  // clock behind. An earlier heartbeat is, once a second one follows it, unless
+  // the server was leaving: the later one was another writer's.
   void OnEntry(const ServerEntry& entry, Instant now);
   // Handles the removal of an entry.
   void OnRemoved(const ServerId& id, Instant now);
--- a/src/placing/server_registry.cc
+++ b/src/placing/server_registry.cc
@@ -25,11 +25,13 @@
                      (same && entry.sequence < old.sequence);
   if (!foreign && !older)
     return false;
-  // An earlier heartbeat of the same server never replaces a later one.
+  const bool stale = static_cast<double>((now - it->second.seen_at).ms()) >=
+                     kStaleHeartbeats * static_cast<double>(heartbeat_.ms());
+  // One earlier heartbeat of the same server is a late write.
   if (same && !foreign)
-    return true;
-  return static_cast<double>((now - it->second.seen_at).ms()) <
-         kStaleHeartbeats * static_cast<double>(heartbeat_.ms());
+    return !stale || old.leaving || it->second.ignored_sequence == 0 ||
+           entry.sequence <= it->second.ignored_sequence;
+  return !stale;
 }
 
 void ServerRegistry::ForgetRemoved(Instant now) {
@@ -46,8 +48,11 @@
 void ServerRegistry::OnEntry(const ServerEntry& entry, Instant now) {
   const auto it = servers_.find(entry.id);
   const bool known = it != servers_.end();
-  if (IsIgnored(entry, now))
+  if (IsIgnored(entry, now)) {
+    if (known)
+      it->second.ignored_sequence = entry.sequence;
     return;
+  }
   removed_.erase(entry.id);
   const bool restarted =
       known && it->second.entry.incarnation != entry.incarnation;
@@ -62,6 +67,7 @@
       by_service_.erase(service);
   }
   server.entry = entry;
+  server.ignored_sequence = 0;
   server.seen_at = now;
   server.drop_at.reset();
   server.cold_until = now + entry.cold_left;
--- a/tests/placing/server_registry_test.cc
+++ b/tests/placing/server_registry_test.cc
@@ -279,6 +279,37 @@
   CHECK(it.registry.remembered() <= ServerRegistry::kMaxRemoved);
 }
 
+// No page sets a largest heartbeat: such an entry silenced its server for good.
+TEST_CASE("another writer's heartbeat outranks the server's own for seconds") {
+  Fixture it;
+  it.registry.OnEntry(MakeEntry("a"), At(0));
+  ServerEntry odd = MakeEntry("a");
+  odd.sequence = UINT64_MAX;
+  odd.slots = 1'000;
+  it.registry.OnEntry(odd, At(100));
+  ServerEntry own = MakeEntry("a");
+  for (int i = 1; i <= 3; ++i) {
+    CHECK(it.registry.Find(ServerId("a"))->entry.slots == 1'000);
+    ++own.sequence;
+    it.registry.OnEntry(own, At(1'500 * i));
+  }
+  CHECK(it.registry.Find(ServerId("a"))->entry.slots == 4);
+}
+
+TEST_CASE("late writes bring no leaving server back, however many") {
+  Fixture it;
+  ServerEntry leaving = MakeEntry("a");
+  leaving.sequence = 20;
+  leaving.leaving = true;
+  it.registry.OnEntry(leaving, At(0));
+  for (uint64_t i = 10; i < 20; ++i) {
+    ServerEntry late = MakeEntry("a");
+    late.sequence = i;
+    it.registry.OnEntry(late, At(static_cast<int64_t>(i) * 1'000));
+  }
+  CHECK(it.UsableCount() == 0);
+}
+
 TEST_CASE("an older copy of the store brings back no server that had left") {
   Fixture it;
   ServerEntry former = MakeEntry("a");
