--- a/src/forward/idle_connections.cc
+++ b/src/forward/idle_connections.cc
@@ -1,10 +1,11 @@
 #include "src/forward/idle_connections.h"
-#include "src/http/send_window.h"
 
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
+#include "src/http/send_window.h"
+
 namespace toucanknot {
 namespace {
 
