forward: peers that hold many connections leave some to the others

Cause: callers of servers that never end their responses hold all of the host's connections to servers. The ordinary server, to which none can be opened for want of a descriptor, counts as unreachable.

The pool leaves an eighth of its connections to peers that have less than four.

connection_pool_test "servers that keep all their connections*": failed before (not sent; 16 connections to the silent server), passes now.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <cstdlib>
+#include <map>
 #include <utility>
 
 #include "src/forward/idle_connections.h"
@@ -34,6 +35,10 @@
 // Ids that a connection remembers: those of its last requests, and as many of
 // refused ones. It is closed after one more refusal.
 constexpr size_t kMaxCarried = 32;
+// Fraction (1/n) of the connections that is left to peers with fewer than
+// kFewConnections.
+constexpr size_t kReserveDivisor = 8;
+constexpr size_t kFewConnections = 4;
 
 AttemptEnd ToAttemptEnd(const beast::error_code& ec, Instant deadline) {
   // At the deadline the timer of the write may close the connection first, and
@@ -179,10 +184,25 @@
   asio::io_context& loop_;
   AtomicCounts counts_;
   IdleConnections idle_;
+  size_t OpenTo(const Endpoint& endpoint) const {
+    const auto it = open_to_.find(endpoint);
+    return it == open_to_.end() ? 0 : it->second;
+  }
+  void CountClosed(const Endpoint& endpoint);
+
   // Connections that exist, idle ones and those of stall checks included.
   size_t open_ = 0;
+  // The same by peer, without those of stall checks.
+  std::map<Endpoint, size_t> open_to_;
 };
 
+void ConnectionPool::Impl::CountClosed(const Endpoint& endpoint) {
+  --open_;
+  const auto it = open_to_.find(endpoint);
+  if (--it->second == 0)
+    open_to_.erase(it);
+}
+
 void ConnectionPool::Impl::UpdateIdleCounts() {
   counts_.idle = idle_.size();
   counts_.discarded = idle_.discarded();
@@ -200,7 +220,12 @@
     const Endpoint& endpoint,
     const ExchangeOptions& options,
     ExchangeResult& result) {
-  if (open_ >= max_connections && !idle_.CloseOldest()) {
+  // The last ones are left to peers that have few, so that peers which keep all
+  // of theirs do not cost the others.
+  const size_t reserve = OpenTo(endpoint) < kFewConnections
+                             ? 0
+                             : max_connections / kReserveDivisor;
+  if (open_ >= max_connections - reserve && !idle_.CloseOldest()) {
     result.error = "no descriptor is left for servers";
     co_return nullptr;
   }
@@ -213,11 +238,12 @@
         const auto self = weak.lock();
         if (!self)
           return;
-        --self->open_;
+        self->CountClosed(endpoint);
         if (self->limit)
           self->limit(endpoint, -1);
       });
   ++open_;
+  ++open_to_[endpoint];
   const Duration left = options.deadline - SteadyNow();
   connection->stream.expires_after(
       std::chrono::milliseconds(std::min(left, options.connect_limit).ms()));
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -129,7 +129,8 @@
   // Counts that memory in `account`, which is shared with other users.
   void set_memory(std::shared_ptr<MemoryAccount> account);
   // Sets the maximum number of open connections to all endpoints. Beyond it, a
-  // new connection takes the place of an idle one, or is not opened.
+  // new connection takes the place of an idle one, or is not opened. An eighth
+  // of them is left to endpoints that have less than four.
   void set_max_connections(size_t n);
 
   // Sends `request` to `endpoint` and reads the complete response. Cancellation
--- a/tests/forward/connection_pool_test.cc
+++ b/tests/forward/connection_pool_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +18,8 @@
 
 #include "src/daemon/recent_latency.h"
 #include "tests/forward/fake_server.h"
+#include "tests/forward/faulty_server.h"
+#include "tests/forward/scripted_peer.h"
 
 namespace toucanknot {
 namespace {
@@ -222,6 +225,31 @@
   CHECK(client.pool.counts().connect_failed == 1);
 }
 
+// Callers of faulty servers held all connections, and sound servers of other
+// services counted as unreachable.
+TEST_CASE("servers that keep all their connections leave some to the others") {
+  Client client;
+  client.pool.set_max_connections(16);
+  const FaultyServer silent("", "");
+  const ScriptedPeer ordinary(client.loop, [](const std::string&) {
+    return ScriptedReply{kResponse, Ending::kClose};
+  });
+  ExchangeOptions options;
+  options.deadline = SteadyNow() + Duration(1'500);
+  for (int i = 0; i < 32; ++i) {
+    asio::co_spawn(client.loop,
+                   client.pool.Exchange(silent.endpoint(), Get(), options),
+                   asio::detached);
+  }
+  client.loop.run_for(std::chrono::milliseconds(300));
+  auto result = asio::co_spawn(
+      client.loop, client.pool.Exchange(ordinary.endpoint(), Get(), options),
+      asio::use_future);
+  client.loop.run_for(std::chrono::milliseconds(2'000));
+  CHECK(result.get().end == AttemptEnd::kAnswered);
+  CHECK(client.pool.counts().opened == 14 + 1);
+}
+
 TEST_CASE("an abandoned exchange resets its connection") {
   // A request held up by a partition used to reach a server 5 s after its
   // caller got a response; a reset discards such bytes.
