http: a connection lingers only if its client may still be sending

A client that waits for each response sends nothing after the last one, so that no reset can follow; its connection is closed at once again. What the client has not acknowledged is looked at only where a connection is cut.

http_test: all pass.

--- a/src/http/lingering_close.h
+++ b/src/http/lingering_close.h
@@ -30,7 +30,7 @@
   static constexpr Duration kMinQuiet{500};
   static constexpr Duration kMaxQuiet{10'000};
   // Bounds of the interval between two checks, which doubles.
-  static constexpr Duration kMinInterval{20};
+  static constexpr Duration kMinInterval{100};
   static constexpr Duration kMaxInterval{200};
 
   // `write_began_at`: when the first byte of the last response was written.
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -26,8 +26,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 // Buffer space for pipelined requests after the one being read.
 constexpr size_t kReadAheadBytes = 16 << 10;
-// Smaller responses are part of kConnectionBytes.
-constexpr size_t kSmallResponseBytes = 2 << 10;
 
 HttpResponse RejectionResponse(int status, const std::string& why) {
   HttpResponse response = TextResponse(status, why);
@@ -165,6 +163,7 @@
   request.began_at = began_at_;
   request.caller = exchange->caller = std::make_shared<CallerWatch>();
   exchange->may_overlap = state_->may_overlap && state_->may_overlap(request);
+  sent_on_ = sent_on_ || !exchanges_.empty();
   if (!co_await AwaitTurn(*exchange))
     co_return false;
   ++state_->requests;
@@ -235,6 +234,8 @@
                               const ExchangePtr& exchange) {
   exchange->response = std::move(response);
   exchange->keep_alive = false;
+  // The rest of the request.
+  sent_on_ = true;
   exchanges_.push_back(exchange);
   asio::co_spawn(
       stream_.get_executor(),
@@ -313,6 +314,7 @@
   }
   if (exchange.head)
     out.body().clear();
+  last_response_bytes_ = out.body().size();
   http::response_serializer<http::string_body> serializer(out);
   write_began_at_ = SteadyNow();
   progress_at_ms_ = write_began_at_.ms();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -178,8 +178,15 @@
   boost::asio::awaitable<void> Flush();
   // Returns whether the response was written completely.
   boost::asio::awaitable<bool> Write(Exchange& exchange, bool keep_alive);
-  // Ends the sending half, and closes the connection as LingeringClose decides.
+  // Ends the sending half, and closes the connection: at once if its client
+  // will send nothing that would be answered with a reset, else as
+  // LingeringClose decides.
   void Finish();
+  // Whether the client may send more before it has read the last response. One
+  // that waits for each response does not, unless a response takes long.
+  bool MaySendOn() const;
+  // Closes the connection and counts it if its client has not acknowledged all.
+  void Cut();
   void Linger();
   void SetLingering(bool lingering);
   // Closes the connection without a further response, once the client has the
@@ -203,6 +210,8 @@
   // What a connection takes apart from its buffer: objects, timers and the
   // frames of its coroutines; see docs/FORWARDING.md.
   static constexpr int64_t kConnectionBytes = 5 << 10;
+  // Smaller responses are part of kConnectionBytes, and have arrived soon.
+  static constexpr size_t kSmallResponseBytes = 2 << 10;
   static constexpr size_t kFirstReadBytes = 512;
   // Whether bytes of the client are waiting to be read.
   bool HasUnread();
@@ -254,6 +263,9 @@
   // Set when the end of the client's data was read. Another read may never
   // complete.
   bool client_left_ = false;
+  // The client sent something before it had all responses.
+  bool sent_on_ = false;
+  size_t last_response_bytes_ = 0;
   // Set when the sending half has ended.
   std::optional<LingeringClose> close_wait_;
   std::atomic<bool> lingering_{false};
--- a/src/http/server_connection_closing.cc
+++ b/src/http/server_connection_closing.cc
@@ -28,9 +28,13 @@
              : 0;
 }
 
-void ServerConnection::Close() {
+void ServerConnection::Cut() {
   if (Undelivered() > 0)
     ++state_->undelivered;
+  Close();
+}
+
+void ServerConnection::Close() {
   SetLingering(false);
   stream_.close();
   read_timer_.cancel();
@@ -52,7 +56,7 @@
 void ServerConnection::Interrupt(bool force) {
   asio::post(stream_.get_executor(), [self = shared_from_this(), force] {
     if (force) {
-      self->Close();
+      self->Cut();
       return;
     }
     // Requests that have arrived but were not read yet are still served.
@@ -72,10 +76,15 @@
     Close();
 }
 
+bool ServerConnection::MaySendOn() const {
+  return state_->stopping || sent_on_ || buffer_.size() > 0 ||
+         last_response_bytes_ > kSmallResponseBytes;
+}
+
 void ServerConnection::Finish() {
   boost::beast::error_code ec;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-  if (client_left_) {
+  if (client_left_ || !MaySendOn()) {
     Close();
     return;
   }
@@ -94,7 +103,7 @@
   if (!stream_.socket().is_open())
     return;
   if (close_wait_->IsOver(Undelivered(), arrived_at_, SteadyNow())) {
-    Close();
+    Cut();
     return;
   }
   read_timer_.expires_after(
@@ -115,6 +124,7 @@
       co_return;
     }
     total += n;
+    sent_on_ = true;
     arrived_at_ = SteadyNow();
   }
 }
--- a/src/http/server_connection_memory.cc
+++ b/src/http/server_connection_memory.cc
@@ -58,7 +58,7 @@
       return;
     }
     ++self->state_->evicted;
-    self->Close();
+    self->Cut();
   });
 }
 
--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -273,7 +273,7 @@
       ArmReadTimer();
       return;
     }
-    Close();
+    Cut();
     return;
   }
   ++state_->timed_out;
