--- a/src/forward/response_head.cc
+++ b/src/forward/response_head.cc
@@ -17,6 +17,10 @@
 // What of that, with the name, can lie on one side of an end of a body.
 constexpr size_t kMaxPart = kProtocol.size() + kStatusLineBytes - 1;
 
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
+
 bool IsDigit(char c) {
   return std::isdigit(static_cast<unsigned char>(c)) != 0;
 }
@@ -79,11 +83,10 @@
 }
 
 std::string FindStatusProblem(unsigned status) {
-  constexpr unsigned kLowest = 100;
-  constexpr unsigned kHighest = 599;
-  constexpr unsigned kSwitchingProtocols = 101;
-  if (status >= kLowest && status <= kHighest && status != kSwitchingProtocols)
+  if (status >= kMinStatus && status <= kMaxStatus &&
+      status != kSwitchingProtocols) {
     return {};
+  }
   return "the status " + std::to_string(status) + " answers no request";
 }
 
