platform: a configuration is taken over member by member

Cause: DecodeConfig() was all or nothing, so that one member that is absent, null or of another type rejected all routes, also one that no host uses.

Change: what cannot be used has the value that the same route, service or workspace had before, or a default (platform/config_decoder.h). Only a route without a host, a prefix or a service is left out. Versions are numbers of any size, r0 included; one without a number takes the place of the version before. What is not used shows in toucanknot_config_members_unusable and, by path, in config_members_unusable.

A key of two workspaces remains with the first one instead of rejecting the version, and still never lets one act as the other.

--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -50,6 +50,9 @@
   // operators' latest configuration is one of them.
   size_t unusable_items = 0;
   bool config_unusable = false;
+  // Members of the configuration in force that cannot be used; others take
+  // their place.
+  size_t config_members_unusable = 0;
   // The calls by kind: watches, listings and reads of single keys, renewals of
   // the lease, and other writes.
   uint64_t watches = 0;
--- a/include/routing/route_config.h
+++ b/include/routing/route_config.h
@@ -11,6 +11,7 @@
 #include "include/base/clock.h"
 #include "include/base/enum_names.h"
 #include "include/base/ids.h"
+#include "include/routing/config_version.h"
 
 namespace toucanknot {
 
@@ -106,8 +107,10 @@
 
 // One complete version of the routes and services.
 struct RouteConfig {
-  // Increases with each version; 0 means none yet.
-  uint64_t version = 0;
+  // Increases with each version. If the operator's text has none that can be
+  // read, that of the version before, and `version_is_assumed`.
+  ConfigVersion version;
+  bool version_is_assumed = false;
   std::vector<Route> routes;
   std::map<ServiceId, ServiceOptions> services;
   // If there are none, requests need no API key. No key occurs twice.
@@ -117,6 +120,10 @@
 
 using RouteConfigPtr = std::shared_ptr<const RouteConfig>;
 
+// Whether `next`, which was read later, takes the place of `current`; null if
+// there is none. An older version never does.
+bool Supersedes(const RouteConfig& next, const RouteConfig* current);
+
 }  // namespace toucanknot
 
 #endif  // INCLUDE_ROUTING_ROUTE_CONFIG_H_
--- a/include/routing/route_table.h
+++ b/include/routing/route_table.h
@@ -14,12 +14,13 @@
 // Never returns to an older version. Not thread-safe.
 class RouteTable {
  public:
-  // Applies `config` if it is newer than the current version. Returns whether
-  // it was.
+  // Applies `config` if it supersedes the current one. Returns whether it did.
   bool Apply(RouteConfigPtr config);
 
-  // The current version; 0 while there is none.
-  uint64_t version() const { return config_ ? config_->version : 0; }
+  // The current version; 0 while there is no configuration.
+  ConfigVersion version() const {
+    return config_ ? config_->version : ConfigVersion();
+  }
   // Null while there is none.
   const RouteConfigPtr& config() const { return config_; }
 
--- a/src/entry/decision_log.cc
+++ b/src/entry/decision_log.cc
@@ -105,6 +105,12 @@
   Log().Start(host);
 }
 
+boost::json::value VersionValue(const ConfigVersion& version) {
+  if (const std::optional<uint64_t> n = version.ToUint64())
+    return *n;
+  return boost::json::string(version.ToString());
+}
+
 void LogChange(std::string_view event, LogFields fields) {
   Log().Write(event, false, fields);
 }
--- a/src/entry/decision_log.h
+++ b/src/entry/decision_log.h
@@ -1,12 +1,15 @@
 #ifndef SRC_ENTRY_DECISION_LOG_H_
 #define SRC_ENTRY_DECISION_LOG_H_
 
+#include <boost/json/value.hpp>
 #include <boost/json/value_ref.hpp>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "include/routing/config_version.h"
+
 namespace toucanknot {
 
 // Fields of a log line.
@@ -18,6 +21,9 @@
 // and of those above the rate limit is logged later. For one thread.
 void StartDecisionLog(const std::string& host);
 
+// The version as a field: a number, or a string if it exceeds 64 bits.
+boost::json::value VersionValue(const ConfigVersion& version);
+
 // Logs a change of this process's state or of its view of the fleet.
 void LogChange(std::string_view event, LogFields fields);
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -329,11 +329,11 @@
 }
 
 void EntryDaemon::Impl::OnConfig(const RouteConfigPtr& config) {
-  const uint64_t before = routes_.version();
+  const ConfigVersion before = routes_.version();
   if (!routes_.Apply(config))
     return;
-  LogChange("config", {{"version", config->version},
-                       {"before", before},
+  LogChange("config", {{"version", VersionValue(config->version)},
+                       {"before", VersionValue(before)},
                        {"routes", config->routes.size()}});
   placer_.OnConfig(config);
   access_.OnConfig(config);
@@ -389,7 +389,8 @@
   if (proven == proven_)
     return;
   proven_ = proven;
-  LogChange("keys_proven", {{"proven", proven}, {"config", routes_.version()}});
+  LogChange("keys_proven",
+            {{"proven", proven}, {"config", VersionValue(routes_.version())}});
   roster_.SetSelfProven(proven_);
 }
 
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -17,7 +17,8 @@
   set("toucanknot_store_unusable", store.unusable_items);
   set("toucanknot_store_restorations", store.restorations);
   set("toucanknot_config_unusable", store.config_unusable ? 1 : 0);
-  set("toucanknot_config_version", config_version);
+  set("toucanknot_config_version", config_version.ToDouble());
+  set("toucanknot_config_members_unusable", store.config_members_unusable);
   set("toucanknot_servers", servers);
   set("toucanknot_hosts", hosts);
   set("toucanknot_requests_waiting", requests_waiting);
--- a/src/entry/host_gauges.h
+++ b/src/entry/host_gauges.h
@@ -17,7 +17,7 @@
   FleetStoreCounts store;
   ConnectionPoolCounts connections;
   HttpServerCounts callers;
-  uint64_t config_version = 0;
+  ConfigVersion config_version;
   size_t servers = 0;
   int hosts = 0;
   size_t requests_waiting = 0;
--- a/src/entry/request_explain.cc
+++ b/src/entry/request_explain.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "src/entry/decision_log.h"
 #include "src/entry/request_runner.h"
 
 namespace toucanknot {
@@ -53,8 +54,8 @@
 }
 
 std::string RequestRunner::Explain(const ExplainQuery& query) {
-  boost::json::object out{{"config", parts_.routes.version()}};
-  if (parts_.routes.version() == 0) {
+  boost::json::object out{{"config", VersionValue(parts_.routes.version())}};
+  if (!parts_.routes.config()) {
     out["decision"] =
         RefusalJson(503, "no-configuration", kUnconfiguredRetryAfter.ms());
     return boost::json::serialize(out);
--- a/src/entry/request_outcome.cc
+++ b/src/entry/request_outcome.cc
@@ -178,7 +178,7 @@
        {"caller", run.request.remote_ip},
        {"route", run.route.name},
        {"service", run.service.str()},
-       {"config", parts_.routes.version()},
+       {"config", VersionValue(parts_.routes.version())},
        {"store_heard_ms_ago", since_store_response.ms()},
        {"status", response.status},
        {"took_ms", took.ms()},
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -97,9 +97,9 @@
   run.request = std::move(request);
   const HttpFields& fields = run.request.fields;
   run.id = std::string(fields.Get(parts_.names.request_id));
-  if (parts_.routes.version() == 0)
+  if (!parts_.routes.config())
     co_await AwaitConfiguration(run.request);
-  if (parts_.routes.version() == 0) {
+  if (!parts_.routes.config()) {
     HttpResponse response = Refuse(run, 503, "this host has no configuration",
                                    kUnconfiguredRetryAfter);
     LogOutcome(run, response);
@@ -131,7 +131,7 @@
     const HttpRequest& request) {
   const Instant until = std::min(request.began_at + kConfigurationWait,
                                  started_at_ + kConfigurationRead);
-  while (parts_.routes.version() == 0 && SteadyNow() < until &&
+  while (!parts_.routes.config() && SteadyNow() < until &&
          !parts_.stop.begun() && !(request.caller && request.caller->left())) {
     co_await SleepFor(kConfigurationPoll);
   }
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -9,7 +9,7 @@
 namespace toucanknot {
 
 bool RouteTable::Apply(RouteConfigPtr config) {
-  if (!config || config->version <= version())
+  if (!config || !Supersedes(*config, config_.get()))
     return false;
   config_ = std::move(config);
   by_host_.clear();
