entry: a host waits for an address that another process still holds

Operators saw: in one of about 280 starts a host ended with "bind: Address already in use", which does not say of which address.

Cause: each address was bound once. A process that was killed a moment ago, or a connection to which the kernel gave the same number, may still hold it.

A failed Listen() leaves its acceptor closed, so that it can be called again.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -17,6 +17,7 @@
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
 #include "src/entry/caller_room.h"
+#include "src/entry/bind_retry.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/descriptor_budget.h"
 #include "src/entry/entry_metrics.h"
@@ -221,13 +222,20 @@
   callers_.SetBodyTimeLimit(
       {[this](const HttpRequest& head) { return runner_.BodyCompleteBy(head); },
        [this](const HttpRequest& head) { return runner_.RefuseBody(head); }});
-  settings_.callers = callers_.Listen(settings_.callers);
-  settings_.readiness = readiness_.Listen(settings_.readiness);
-  settings_.directory = directory_.Listen(settings_.directory);
+  const auto listen = [](const char* what, HttpServer& server, Endpoint& at) {
+    at = BindWhenFree(what, at, kBindPatience,
+                      [&] { return server.Listen(at); });
+  };
+  listen("callers", callers_, settings_.callers);
+  listen("readiness", readiness_, settings_.readiness);
+  listen("directory", directory_, settings_.directory);
   roster_.SetSelf(OwnRecord());
   if (settings_.metrics)
-    settings_.metrics = metrics_server_.Listen(*settings_.metrics);
-  load_exchange_.Start();
+    listen("metrics", metrics_server_, *settings_.metrics);
+  BindWhenFree("peers", settings_.peers, kBindPatience, [this] {
+    load_exchange_.Start();
+    return settings_.peers;
+  });
   registry_.SetHeartbeat(settings_.heartbeat);
   asio::post(loop_, [this] {
     LogChange("start", {{"zone", settings_.zone.str()},
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -244,9 +244,10 @@
 void LoadExchange::Start() {
   const asio::ip::udp::endpoint address(asio::ip::make_address(listen_.ip),
                                         listen_.port);
-  socket_.open(address.protocol());
-  socket_.bind(address);
-  socket_.non_blocking(true);
+  asio::ip::udp::socket socket(loop_, address.protocol());
+  socket.bind(address);
+  socket.non_blocking(true);
+  socket_ = std::move(socket);
   asio::co_spawn(loop_, ReceiveLoop(), asio::detached);
   asio::co_spawn(loop_, SendLoop(), asio::detached);
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -108,10 +108,12 @@
 Endpoint HttpServer::Listener::Listen(const Endpoint& endpoint) {
   const tcp::endpoint address(asio::ip::make_address(endpoint.ip),
                               endpoint.port);
-  acceptor_->open(address.protocol());
-  acceptor_->set_option(asio::socket_base::reuse_address(true));
-  acceptor_->bind(address);
-  acceptor_->listen();
+  // A failed call leaves the acceptor closed, for another one.
+  tcp::acceptor acceptor(acceptor_->get_executor(), address.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(address);
+  acceptor.listen();
+  *acceptor_ = std::move(acceptor);
   accepting_ = true;
   state_->make_room = [weak = weak_from_this()](MemoryUse use, int64_t bytes) {
     if (const auto self = weak.lock())
