http: a planned stop closes no connection before its client does

Causes, all of one kind: the host closes a socket whose client may still send, and the kernel answers what comes then with a reset. - What a client's kernel had acknowledged counted as read after a guessed time. - A kernel that does not answer SIOCOUTQ counted as one that has delivered all. - The end of the process closed sockets with unread bytes. - Beyond 1 MiB nothing more was read. - Connections that linger gave way to new ones in no order. - The end of a refused upload was read and then awaited once more.

Change: during a stop a connection that ends stays half closed until its client closes it or the process ends; what it sends is discarded without a limit. What is not known counts as undelivered, and in a metric. Before the process ends it reads what has arrived. The connection whose client has had everything for longest gives way first. Each connection that the host closes during a stop is logged with the reason and the undelivered bytes, and counted by reason. toucanknotd hands over its tickets without waiting for lingering connections.

Test changed: "a stop refuses an upload once it is certain that it comes too late" took a stop of less than 1.69 s for the early refusal. Its caller did not read; the host now waits for it to close. The caller reads now, and closes when it is refused; the bound of the stop stays, and the status is checked.

--- a/src/daemon/host_daemon.cc
+++ b/src/daemon/host_daemon.cc
@@ -422,22 +422,33 @@
 bool HostDaemon::Impl::WaitStopped() {
   std::this_thread::sleep_for(
       std::chrono::milliseconds(settings_.leave_notice.ms()));
-  while (caller_server_->OpenConnections() > 0 || tickets_.unfinished() > 0) {
+  const auto sleep = [](Duration d) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(d.ms()));
+  };
+  // Connections that linger get no further response.
+  const auto serving = [this] {
+    const HttpServerCounts counts = caller_server_->Counts();
+    return counts.open_connections - counts.lingering;
+  };
+  while (serving() > 0 || tickets_.unfinished() > 0) {
     if (SteadyNow() >= stop_end_) {
       spdlog::warn(
           "state=stopped host={} connections={} unfinished_runs={} cut",
           settings_.host.str(), caller_server_->OpenConnections(),
           tickets_.unfinished());
+      caller_server_->DiscardUnread();
       return false;
     }
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(kStopPollInterval.ms()));
+    sleep(kStopPollInterval);
   }
   fleet_->Send({fleet_->OtherHosts(), tickets_.CloseForHandoff()});
   fleet_->AnnounceStopped();
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(kFinalMessageTime.ms()));
-  spdlog::info("state=stopped host={}", settings_.host.str());
+  sleep(kFinalMessageTime);
+  while (caller_server_->OpenConnections() > 0 && SteadyNow() < stop_end_)
+    sleep(kStopPollInterval);
+  caller_server_->DiscardUnread();
+  spdlog::info("state=stopped host={} lingering={}", settings_.host.str(),
+               caller_server_->OpenConnections());
   return true;
 }
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <future>
 #include <random>
@@ -16,8 +17,8 @@
 #include "include/placing/placer.h"
 #include "include/routing/route_table.h"
 #include "include/workspaces/access_control.h"
-#include "src/entry/caller_room.h"
 #include "src/entry/bind_retry.h"
+#include "src/entry/caller_room.h"
 #include "src/entry/decision_log.h"
 #include "src/entry/descriptor_budget.h"
 #include "src/entry/entry_metrics.h"
@@ -28,6 +29,7 @@
 #include "src/entry/placement_queue.h"
 #include "src/entry/request_runner.h"
 #include "src/entry/server_change_log.h"
+#include "src/entry/stop_log.h"
 #include "src/entry/usage_sheets.h"
 #include "src/entry/workspace_explain.h"
 #include "src/forward/connection_pool.h"
@@ -219,6 +221,7 @@
         routes_.Find(request.fields.Get("Host"), request.target);
     return route != nullptr && route->kind == RequestKind::kIdempotent;
   });
+  callers_.SetOnClosedStopping(&LogClosedConnection);
   callers_.SetBodyTimeLimit(
       {[this](const HttpRequest& head) { return runner_.BodyCompleteBy(head); },
        [this](const HttpRequest& head) { return runner_.RefuseBody(head); }});
@@ -502,10 +505,15 @@
     co_await SleepFor(kStopPoll);
   }
   runner_.LogCut();
+  const HttpServerCounts counts = callers_.Counts();
+  callers_.DiscardUnread();
+  // It takes effect on this loop before the next statement.
+  co_await asio::post(loop_, asio::use_awaitable);
   LogChange("stopped", {{"in_flight", runner_.in_flight()},
                         {"refused", runner_.refused_stopping()},
-                        {"connections", callers_.OpenConnections()},
-                        {"lingering", callers_.Counts().lingering},
+                        {"connections", counts.open_connections},
+                        {"lingering", counts.lingering},
+                        {"closed", CountsByReason(counts)},
                         {"took_ms", (SteadyNow() - begun).ms()}});
   stopped_.set_value(runner_.in_flight() == 0);
 }
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -37,6 +37,7 @@
   set("toucanknot_callers_connected", callers.open_connections);
   set("toucanknot_callers_lingering", callers.lingering);
   set("toucanknot_callers_undelivered", callers.undelivered);
+  set("toucanknot_callers_send_queue_unknown", callers.send_queue_unknown);
   set("toucanknot_ready", ready ? 1 : 0);
   set("toucanknot_api_keys", api_keys);
   set("toucanknot_keys_proven", keys_proven ? 1 : 0);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -53,6 +53,10 @@
                                                std::move(handler))),
         acceptor_(std::in_place, workers.loop(0)) {}
 
+  void SetOnClosedStopping(ClosedHook hook) {
+    state_->on_closed_stopping = std::move(hook);
+  }
+  void DiscardUnread();
   void SetMayOverlap(MayOverlap hook) { state_->may_overlap = std::move(hook); }
   void SetMemory(std::shared_ptr<MemoryAccount> account) {
     state_->memory = std::move(account);
@@ -86,8 +90,9 @@
   void StartConnection(tcp::socket socket);
   void RemoveConnection(ServerConnection* connection);
   // Closes a connection that only waits for its client to read the last
-  // response, since a new client comes first. Returns false if there is none.
-  // Must be called with the lock held.
+  // response, since a new client comes first: the one whose client has had all
+  // of it for longest. Returns false if there is none. Must be called with the
+  // lock held.
   bool EndOneLingering();
 
   WorkerPool& workers_;
@@ -223,9 +228,18 @@
 }
 
 bool HttpServer::Listener::EndOneLingering() {
-  return state_->lingering > 0 &&
-         std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& it) { return it->GiveWay(); });
+  if (state_->lingering <= 0)
+    return false;
+  ServerConnection* first = nullptr;
+  Instant since;
+  for (const auto& it : connections_) {
+    const std::optional<Instant> lingering_since = it->LingeringSince();
+    if (!lingering_since || (first != nullptr && *lingering_since >= since))
+      continue;
+    first = it.get();
+    since = *lingering_since;
+  }
+  return first != nullptr && first->GiveWay();
 }
 
 void HttpServer::Listener::RemoveConnection(ServerConnection* connection) {
@@ -260,10 +274,16 @@
     self->acceptor_->close(ec);
     const std::lock_guard lock(self->mutex_);
     for (const auto& it : self->connections_)
-      it->Interrupt(false);
+      it->Interrupt();
   });
 }
 
+void HttpServer::Listener::DiscardUnread() {
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : connections_)
+    it->DiscardUnread();
+}
+
 void HttpServer::Listener::Abort() {
   BeginStop();
   accepting_ = false;
@@ -273,14 +293,14 @@
   });
   const std::lock_guard lock(mutex_);
   for (const auto& it : connections_)
-    it->Interrupt(true);
+    it->Abort();
 }
 
 void HttpServer::Listener::Release() {
   acceptor_.reset();
   const std::lock_guard lock(mutex_);
   for (const auto& it : connections_)
-    it->Close();
+    it->Close(CloseReason::kEnded);
   connections_.clear();
 }
 
@@ -299,6 +319,9 @@
   counts.no_memory = state_->no_memory;
   counts.lingering = state_->lingering;
   counts.undelivered = state_->undelivered;
+  counts.send_queue_unknown = state_->send_queue_unknown;
+  for (size_t i = 0; i < kCloseReasons; ++i)
+    counts.closed_stopping[i] = state_->closed_stopping[i];
   const std::lock_guard lock(mutex_);
   counts.open_connections = static_cast<int64_t>(connections_.size());
   return counts;
@@ -328,6 +351,10 @@
   listener_->SetBodyTimeLimit(std::move(limit));
 }
 
+void HttpServer::SetOnClosedStopping(ClosedHook hook) {
+  listener_->SetOnClosedStopping(std::move(hook));
+}
+
 void HttpServer::SetMemory(std::shared_ptr<MemoryAccount> account) {
   listener_->SetMemory(std::move(account));
 }
@@ -344,6 +371,10 @@
   listener_->StopAccepting();
 }
 
+void HttpServer::DiscardUnread() {
+  listener_->DiscardUnread();
+}
+
 void HttpServer::Abort() {
   listener_->Abort();
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,7 +1,9 @@
 #ifndef SRC_HTTP_HTTP_SERVER_H_
 #define SRC_HTTP_HTTP_SERVER_H_
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,6 +11,7 @@
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
 #include "include/memory/memory_account.h"
+#include "src/http/closed_connection.h"
 #include "src/http/http_message.h"
 #include "src/http/worker_pool.h"
 
@@ -57,6 +60,10 @@
   int64_t lingering = 0;
   // Connections closed before their clients had acknowledged all responses.
   uint64_t undelivered = 0;
+  // How often the kernel did not tell what clients have acknowledged.
+  uint64_t send_queue_unknown = 0;
+  // Connections closed after BeginStop(), by CloseReason.
+  std::array<uint64_t, kCloseReasons> closed_stopping{};
 };
 
 // An HTTP/1.1 listener. Each request is read completely, within limits, and
@@ -85,6 +92,9 @@
     std::function<HttpResponse(const HttpRequest& head)> refuse;
   };
 
+  // Called on a connection's worker.
+  using ClosedHook = std::function<void(const ClosedConnection&)>;
+
   HttpServer(WorkerPool& workers,
              HttpServerLimits limits,
              BodyLimit body_limit,
@@ -100,6 +110,9 @@
   // Must be called before Listen(). Counts the memory of connections, requests
   // and responses in `account`, which is shared with other users.
   void SetMemory(std::shared_ptr<MemoryAccount> account);
+  // Must be called before Listen(). Reports connections that are closed after
+  // BeginStop(), unless by their clients.
+  void SetOnClosedStopping(ClosedHook hook);
   // Binds and starts to accept connections. Returns the bound address; port 0
   // selects a free port. Throws boost::system::system_error when the address is
   // not available.
@@ -108,8 +121,13 @@
   // From now on, connections are closed after their last pending response.
   void BeginStop();
   // Stops accepting connections, after those already queued by the kernel, and
-  // closes connections that wait for a request.
+  // ends connections that wait for a request: they are closed when their
+  // clients close them, which may still read the last response.
   void StopAccepting();
+  // Prepares for the end of the process, which closes the sockets: reads what
+  // clients have sent, since a socket that is closed with unread bytes is
+  // reset, and loses what its client has not read. Takes effect on the workers.
+  void DiscardUnread();
   // Closes all connections immediately.
   void Abort();
   // Changes the timeouts, with effect from the next time a connection waits.
--- a/src/http/lingering_close.cc
+++ b/src/http/lingering_close.cc
@@ -9,20 +9,24 @@
                                Instant now)
     : limits_(limits), write_began_at_(write_began_at), progress_at_(now) {}
 
-bool LingeringClose::IsOver(int64_t unacknowledged,
+bool LingeringClose::IsOver(std::optional<int64_t> unacknowledged,
                             Instant received_at,
-                            Instant now) {
+                            Instant now,
+                            bool stopping) {
   if (unacknowledged != unacknowledged_) {
     unacknowledged_ = unacknowledged;
     progress_at_ = now;
     interval_ = kMinInterval;
   }
-  if (unacknowledged > 0) {
+  if (unacknowledged != 0) {
     delivered_at_.reset();
-    return now - progress_at_ >= limits_.stall;
+    const bool stalled = now - progress_at_ >= limits_.stall;
+    return stalled && (unacknowledged || !stopping);
   }
   if (!delivered_at_)
     delivered_at_ = now;
+  if (stopping)
+    return false;
   if (now - *delivered_at_ >= limits_.total)
     return true;
   const Duration quiet =
@@ -30,9 +34,11 @@
   return now - std::max(*delivered_at_, received_at) >= quiet;
 }
 
-Duration LingeringClose::NextInterval() {
-  const Duration interval = interval_;
-  interval_ = std::min(interval_ * 2, kMaxInterval);
+Duration LingeringClose::NextInterval(bool stopping) {
+  if (stopping && delivered_at_)
+    return limits_.stall;
+  const Duration interval = std::min(interval_, limits_.stall);
+  interval_ = std::min(interval_ * 2, stopping ? kStopInterval : kMaxInterval);
   return interval;
 }
 
--- a/src/http/listener_state.h
+++ b/src/http/listener_state.h
@@ -1,6 +1,7 @@
 #ifndef SRC_HTTP_LISTENER_STATE_H_
 #define SRC_HTTP_LISTENER_STATE_H_
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -45,6 +46,8 @@
   HttpServer::BodyTimeLimit body_time_limit;
   // Set before the listener accepts connections.
   std::shared_ptr<MemoryAccount> memory;
+  // Set before the listener accepts connections; may be null.
+  HttpServer::ClosedHook on_closed_stopping;
   // Closes connections that hold memory for `use` without a request that is
   // being handled, until at least `bytes` will be free. Takes effect later.
   std::function<void(MemoryUse use, int64_t bytes)> make_room;
@@ -67,6 +70,10 @@
   // connections closed before their clients had acknowledged everything.
   std::atomic<int64_t> lingering{0};
   std::atomic<uint64_t> undelivered{0};
+  // How often the kernel did not tell what clients have acknowledged.
+  std::atomic<uint64_t> send_queue_unknown{0};
+  // Connections closed during a stop, by CloseReason.
+  std::array<std::atomic<uint64_t>, kCloseReasons> closed_stopping{};
 };
 
 }  // namespace toucanknot
--- a/src/http/send_window.cc
+++ b/src/http/send_window.cc
@@ -27,14 +27,15 @@
   return Duration(info.tcpi_last_ack_recv);
 }
 
-int64_t UnacknowledgedBytes(int socket) {
+std::optional<int64_t> UnacknowledgedBytes(int socket) {
   int bytes = 0;
-  return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+  if (::ioctl(socket, SIOCOUTQ, &bytes) != 0)
+    return std::nullopt;
+  return bytes;
 }
 
 bool HasUnacknowledged(int socket) {
-  int bytes = 0;
-  return ::ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes > 0;
+  return UnacknowledgedBytes(socket) != 0;
 }
 
 }  // namespace toucanknot
--- a/src/http/send_window.h
+++ b/src/http/send_window.h
@@ -14,8 +14,8 @@
 // since the peer's last acknowledgement.
 std::optional<Duration> SilenceAtClosedWindow(int socket);
 // The number of bytes that were written and that the peer has not acknowledged;
-// 0 if it is not known.
-int64_t UnacknowledgedBytes(int socket);
+// empty if the kernel does not tell.
+std::optional<int64_t> UnacknowledgedBytes(int socket);
 // Whether the peer has not acknowledged everything that was written, or it is
 // not known.
 bool HasUnacknowledged(int socket);
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -34,6 +34,13 @@
   return response;
 }
 
+// Whether what was read is not HTTP, as opposed to the end of the reading.
+bool IsParseError(const beast::error_code& ec) {
+  return ec.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
 // Checks rules that the parser does not enforce. Returns the error status for
 // an invalid header, 0 for a valid one.
 int HeaderErrorStatus(const http::request<http::string_body>& in) {
@@ -90,13 +97,13 @@
     while (co_await ReadOne()) {
     }
   } else {
-    Close();
+    Close(CloseReason::kNoMemory);
   }
   co_await AwaitDelivery();
   DropExchanges();
   beast::error_code ec;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-  Close();
+  Close(CloseReason::kClientClosed);
   on_closed_(this);
 }
 
@@ -143,8 +150,12 @@
   HttpRequest request = HeadFromBeast(parser.get());
   beast::error_code body_ec;
   const Reading body = co_await ReceiveBody(parser, exchange, body_ec);
-  if (exchange->rejected)
+  if (exchange->rejected) {
+    // The end of the client's data must not be awaited once more.
+    if (body == Reading::kFailed && !IsParseError(body_ec))
+      OnClientLeft();
     co_return false;
+  }
   if (body != Reading::kDone) {
     exchange->body.Reset();
     exchange->fields.Reset();
@@ -214,9 +225,7 @@
     Reject(413, "the request's body is too large", exchange);
     return;
   }
-  if (ec.category() ==
-          http::make_error_code(http::error::bad_method).category() &&
-      ec != http::error::end_of_stream && ec != http::error::partial_message) {
+  if (IsParseError(ec)) {
     ++state_->malformed;
     Reject(400, "the request is malformed: " + ec.message(), exchange);
     return;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -48,11 +48,19 @@
                    ClosedHook on_closed);
 
   void Start();
-  // Closes the connection if it is idle, once the client has the last response,
-  // or unconditionally and at once if `force` is set. Thread-safe.
-  void Interrupt(bool force);
-  // Closes the connection at once if it only waits for its client to have the
-  // last response. Returns whether it will. Thread-safe.
+  // Ends the connection if it is idle: closes it once the client has the last
+  // response, during a stop once the client closes it. Thread-safe.
+  void Interrupt();
+  // Closes the connection at once. Thread-safe.
+  void Abort();
+  // Reads and discards what has arrived, and ends the sending half.
+  // Thread-safe.
+  void DiscardUnread();
+  // Since when the client has acknowledged everything on a connection that only
+  // waits for it to have the last response; Never() while it has not, empty on
+  // any other connection. Thread-safe.
+  std::optional<Instant> LingeringSince() const;
+  // Closes such a connection at once. Returns whether it will. Thread-safe.
   bool GiveWay();
   // Applies the time limit for bodies to a request that is being read.
   // Thread-safe.
@@ -72,7 +80,7 @@
   // Thread-safe.
   void Evict(MemoryUse use);
   // Must be called on the worker, or after the workers have been stopped.
-  void Close();
+  void Close(CloseReason reason);
 
  private:
   using Parser =
@@ -172,6 +180,9 @@
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
   // Bytes held for complete responses.
   int64_t UnsentBytes() const;
+  // Whether the client has acknowledged a part of the responses since the last
+  // call, though too little for the kernel to take more. Counts as progress.
+  bool ClientReads();
   // Publishes what HeldFor() returns.
   void UpdateHeld();
   // Writes the responses that are complete and next in order.
@@ -185,15 +196,16 @@
   // Whether the client may send more before it has read the last response. One
   // that waits for each response does not, unless a response takes long.
   bool MaySendOn() const;
-  // Closes the connection and counts it if its client has not acknowledged all.
-  void Cut();
   void Linger();
   void SetLingering(bool lingering);
   // Closes the connection without a further response, once the client has the
   // last one.
   void EndAfterDelivery();
-  // Bytes of responses that the client has not acknowledged.
-  int64_t Undelivered();
+  // Bytes of responses that the client has not acknowledged; empty if it is not
+  // known.
+  std::optional<int64_t> Undelivered();
+  // Counts a connection that is about to be closed.
+  void NoteClose(CloseReason reason);
   void DropExchanges();
   // Called when the client has closed the connection.
   void OnClientLeft();
@@ -270,8 +282,11 @@
   std::optional<LingeringClose> close_wait_;
   std::atomic<bool> lingering_{false};
   std::atomic<bool> giving_way_{false};
+  std::atomic<int64_t> delivered_at_ms_{Instant::Never().ms()};
+  // As of the last ClientReads().
+  std::optional<int64_t> unread_by_client_;
   // As of the last time limit of an idle connection.
-  int64_t undelivered_ = 0;
+  std::optional<int64_t> undelivered_ = 0;
 };
 
 }  // namespace toucanknot
--- a/src/http/server_connection_closing.cc
+++ b/src/http/server_connection_closing.cc
@@ -1,4 +1,6 @@
 // Closing a connection without losing responses that the client has not read.
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -15,26 +17,39 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-// What is received and discarded at most. Beyond it the client is no longer
-// read, so that its sending stops, and the responses can still be delivered.
+// What is received and discarded at most, but for a stop. Beyond it the client
+// is no longer read, so that its sending stops, and the responses can still be
+// delivered.
 constexpr size_t kDiscardBytes = 1 << 20;
 constexpr size_t kDiscardReadBytes = 2 << 10;
 
 }  // namespace
 
-int64_t ServerConnection::Undelivered() {
-  return stream_.socket().is_open()
-             ? UnacknowledgedBytes(stream_.socket().native_handle())
-             : 0;
+std::optional<int64_t> ServerConnection::Undelivered() {
+  if (!stream_.socket().is_open())
+    return 0;
+  const auto bytes = UnacknowledgedBytes(stream_.socket().native_handle());
+  state_->send_queue_unknown += bytes ? 0 : 1;
+  return bytes;
 }
 
-void ServerConnection::Cut() {
-  if (Undelivered() > 0)
-    ++state_->undelivered;
-  Close();
+void ServerConnection::NoteClose(CloseReason reason) {
+  if (!stream_.socket().is_open())
+    return;
+  const bool client_closed = reason == CloseReason::kClientClosed;
+  const std::optional<int64_t> undelivered = client_closed ? 0 : Undelivered();
+  state_->undelivered += undelivered != 0 ? 1 : 0;
+  if (!state_->stopping)
+    return;
+  ++state_->closed_stopping[static_cast<size_t>(reason)];
+  if (state_->on_closed_stopping && !client_closed) {
+    state_->on_closed_stopping(
+        {reason, remote_ip_, undelivered, exchanges_.size()});
+  }
 }
 
-void ServerConnection::Close() {
+void ServerConnection::Close(CloseReason reason) {
+  NoteClose(reason);
   SetLingering(false);
   stream_.close();
   read_timer_.cancel();
@@ -46,19 +61,42 @@
     state_->lingering += lingering ? 1 : -1;
 }
 
+std::optional<Instant> ServerConnection::LingeringSince() const {
+  if (!lingering_ || giving_way_)
+    return std::nullopt;
+  return Instant(delivered_at_ms_.load());
+}
+
 bool ServerConnection::GiveWay() {
   if (!lingering_ || giving_way_.exchange(true))
     return false;
-  Interrupt(true);
+  asio::post(stream_.get_executor(), [self = shared_from_this()] {
+    self->Close(CloseReason::kGaveWay);
+  });
   return true;
 }
 
-void ServerConnection::Interrupt(bool force) {
-  asio::post(stream_.get_executor(), [self = shared_from_this(), force] {
-    if (force) {
-      self->Cut();
+void ServerConnection::Abort() {
+  asio::post(stream_.get_executor(),
+             [self = shared_from_this()] { self->Close(CloseReason::kEnded); });
+}
+
+void ServerConnection::DiscardUnread() {
+  asio::post(stream_.get_executor(), [self = shared_from_this()] {
+    if (!self->stream_.socket().is_open())
       return;
+    self->NoteClose(CloseReason::kEnded);
+    const int socket = self->stream_.socket().native_handle();
+    char sink[kDiscardReadBytes];
+    while (::recv(socket, sink, sizeof sink, MSG_DONTWAIT) > 0) {
     }
+    boost::beast::error_code ec;
+    self->stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+  });
+}
+
+void ServerConnection::Interrupt() {
+  asio::post(stream_.get_executor(), [self = shared_from_this()] {
     // Requests that have arrived but were not read yet are still served.
     if (self->awaiting_ && self->exchanges_.empty() && !self->HasUnread())
       self->EndAfterDelivery();
@@ -70,10 +108,10 @@
   // Flush() calls Finish() when the response is written.
   if (writing_)
     return;
-  if (Undelivered() > 0)
+  if (state_->stopping || Undelivered() != 0)
     Finish();
   else
-    Close();
+    Close(CloseReason::kDelivered);
 }
 
 bool ServerConnection::MaySendOn() const {
@@ -85,16 +123,14 @@
   boost::beast::error_code ec;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
   if (client_left_ || !MaySendOn()) {
-    Close();
+    Close(client_left_ ? CloseReason::kClientClosed : CloseReason::kDelivered);
     return;
   }
   if (close_wait_)
     return;
   SetLingering(true);
-  LingeringClose::Limits limits{state_->limits.write, state_->limits.write};
-  // The end of the process bounds it.
-  if (state_->stopping)
-    limits.total = Duration::Max();
+  const LingeringClose::Limits limits{state_->limits.write,
+                                      state_->limits.write};
   close_wait_.emplace(limits, write_began_at_, SteadyNow());
   Linger();
 }
@@ -102,12 +138,16 @@
 void ServerConnection::Linger() {
   if (!stream_.socket().is_open())
     return;
-  if (close_wait_->IsOver(Undelivered(), arrived_at_, SteadyNow())) {
-    Cut();
+  const bool stopping = state_->stopping;
+  const std::optional<int64_t> undelivered = Undelivered();
+  if (close_wait_->IsOver(undelivered, arrived_at_, SteadyNow(), stopping)) {
+    Close(undelivered == 0 ? CloseReason::kDelivered
+                           : CloseReason::kNoProgress);
     return;
   }
+  delivered_at_ms_ = close_wait_->delivered_at().ms();
   read_timer_.expires_after(
-      std::chrono::milliseconds(close_wait_->NextInterval().ms()));
+      std::chrono::milliseconds(close_wait_->NextInterval(stopping).ms()));
   read_timer_.async_wait([self = shared_from_this()](ErrorCode ec) {
     if (!ec)
       self->Linger();
@@ -116,7 +156,8 @@
 
 asio::awaitable<void> ServerConnection::Discard() {
   std::string sink(kDiscardReadBytes, '\0');
-  for (size_t total = 0; total < kDiscardBytes;) {
+  // The end of the process bounds what is read during a stop.
+  for (size_t total = 0; total < kDiscardBytes || state_->stopping;) {
     stream_.expires_never();
     auto [ec, n] = co_await stream_.async_read_some(asio::buffer(sink), kAwait);
     if (ec) {
--- a/src/http/server_connection_memory.cc
+++ b/src/http/server_connection_memory.cc
@@ -53,12 +53,12 @@
     if (!evict || !self->stream_.socket().is_open())
       return;
     // The client may still read the last response.
-    if (use == MemoryUse::kRequestHead && self->Undelivered() > 0 &&
+    if (use == MemoryUse::kRequestHead && self->Undelivered() != 0 &&
         SteadyNow() - self->write_began_at_ < kSlowWrite) {
       return;
     }
     ++self->state_->evicted;
-    self->Cut();
+    self->Close(CloseReason::kNoMemory);
   });
 }
 
--- a/src/http/server_connection_reading.cc
+++ b/src/http/server_connection_reading.cc
@@ -264,16 +264,16 @@
   // The time limit restarts when the last response has been written.
   if (!exchanges_.empty() || closing_)
     return;
-  const int64_t undelivered = Undelivered();
   if (phase_ == ReadPhase::kIdle) {
+    const std::optional<int64_t> undelivered = Undelivered();
     // A client that still reads the last response is not idle.
-    if (undelivered > 0 && undelivered != undelivered_) {
+    if (undelivered != 0 && undelivered != undelivered_) {
       undelivered_ = undelivered;
       read_by_ = SteadyNow() + TimeLimitOf(phase_);
       ArmReadTimer();
       return;
     }
-    Cut();
+    Close(CloseReason::kIdle);
     return;
   }
   ++state_->timed_out;
--- a/tests/entry/planned_stop_test.cc
+++ b/tests/entry/planned_stop_test.cc
@@ -142,7 +142,8 @@
   it.AddServer("a", server.endpoint());
   std::vector<LateUpload> uploads{
       Upload("a", "/once/a", Duration(0), Duration(9'000))};
-  uploads[0].end_at = SteadyNow() + Duration(9'000);
+  // Sends no more than half of the body, and closes when it is refused.
+  uploads[0].end_at = Instant::Never();
   std::thread caller([&] { uploads[0].Play(it.daemon->callers()); });
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
   const Instant begun = SteadyNow();
@@ -151,6 +152,7 @@
   CHECK(SteadyNow() - begun < Duration(1'690));
   it.daemon.reset();
   caller.join();
+  CHECK(uploads[0].Status() == "503");
   CheckNothingCut(uploads, server);
 }
 
--- a/tests/http/late_upload.h
+++ b/tests/http/late_upload.h
@@ -21,7 +21,7 @@
 }
 
 // A request with a body of 8 bytes: its head and half of the body are sent at
-// `head_at`, the rest at `end_at`.
+// `head_at`, the rest at `end_at`, or never.
 struct LateUpload {
   std::string id;
   // Without Content-Length and the empty line at its end.
@@ -43,8 +43,10 @@
     boost::asio::write(
         socket, boost::asio::buffer(head + "Content-Length: 8\r\n\r\nhalf"),
         ec);
-    SleepUntil(end_at);
-    boost::asio::write(socket, boost::asio::buffer("half", 4), ec);
+    if (end_at != Instant::Never()) {
+      SleepUntil(end_at);
+      boost::asio::write(socket, boost::asio::buffer("half", 4), ec);
+    }
     boost::asio::read(socket, boost::asio::dynamic_buffer(reply), ec);
   }
 };
--- a/tests/http/lingering_close_test.cc
+++ b/tests/http/lingering_close_test.cc
@@ -4,6 +4,9 @@
 #include "src/http/lingering_close.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
+
+#include "src/http/send_window.h"
 
 namespace toucanknot {
 namespace {
@@ -19,17 +22,18 @@
 // When the connection is closed, in ms after the last write began. `Model`
 // returns the unacknowledged bytes and when the client last sent something.
 template <typename Model>
-int64_t ClosedAfter(const Model& model, Duration total = kTotal) {
-  LingeringClose close({kStall, total}, kBegan, At(0));
-  for (int64_t ms = 0; ms < 1'000'000; ms += close.NextInterval().ms()) {
+int64_t ClosedAfter(const Model& model, bool stopping = false) {
+  LingeringClose close({kStall, kTotal}, kBegan, At(0));
+  for (int64_t ms = 0; ms < 1'000'000;
+       ms += close.NextInterval(stopping).ms()) {
     const auto [bytes, received_ms] = model(ms);
-    if (close.IsOver(bytes, At(received_ms), At(ms)))
+    if (close.IsOver(bytes, At(received_ms), At(ms), stopping))
       return ms;
   }
   return -1;
 }
 
-using State = std::pair<int64_t, int64_t>;
+using State = std::pair<std::optional<int64_t>, int64_t>;
 
 }  // namespace
 
@@ -69,10 +73,28 @@
   };
   CHECK(ClosedAfter(model) >= 5'500);
   CHECK(ClosedAfter(model) <= 5'900);
-  // For ever, but for the end of the process.
   const auto endless = [](int64_t t) { return State(0, t); };
   CHECK(ClosedAfter(endless) <= kTotal.ms() + 400);
-  CHECK(ClosedAfter(endless, Duration::Max()) == -1);
+}
+
+// The client's kernel has everything, but the client may not have read it.
+TEST_CASE(
+    "a stop leaves it to the client to close, unless it makes no progress") {
+  CHECK(ClosedAfter([](int64_t) { return State(0, 0); }, true) == -1);
+  CHECK(ClosedAfter([](int64_t t) { return State(0, t); }, true) == -1);
+  const int64_t ms = ClosedAfter([](int64_t) { return State(5'000, 0); }, true);
+  CHECK(ms >= kStall.ms());
+  CHECK(ms <= 2 * kStall.ms());
+}
+
+// A kernel that does not tell what was acknowledged had everything count as
+// delivered.
+TEST_CASE("what is not known to be delivered counts as undelivered") {
+  const auto unknown = [](int64_t) { return State(std::nullopt, 0); };
+  CHECK(ClosedAfter(unknown) >= kStall.ms());
+  CHECK(ClosedAfter(unknown, true) == -1);
+  CHECK_FALSE(UnacknowledgedBytes(-1));
+  CHECK(HasUnacknowledged(-1));
 }
 
 }  // namespace toucanknot
