http: a steady reader is no client without progress

Cause: progress was what the kernel takes. With two thirds of its send buffer full it takes nothing until a third was read, which takes a caller at 0.7 MB/s longer than the second after which it counted as one that does not read.

Change: before a connection is closed for want of memory, the host asks how much its client has acknowledged since the last time; 8 kB count as progress. A client that needs more than 10 s for a response is closed as before.

--- a/src/http/server_connection_memory.cc
+++ b/src/http/server_connection_memory.cc
@@ -25,6 +25,8 @@
 // no progress for the first or need longer than the second for one response.
 constexpr Duration kNoProgress{1'000};
 constexpr Duration kSlowWrite{10'000};
+// What a client must have acknowledged in kNoProgress to count as reading.
+constexpr int64_t kReadProgressBytes = 8 << 10;
 
 }  // namespace
 
@@ -52,6 +54,8 @@
                                  !(self->awaiting_ && self->HasUnread());
     if (!evict || !self->stream_.socket().is_open())
       return;
+    if (use == MemoryUse::kResponse && self->ClientReads())
+      return;
     // The client may still read the last response.
     if (use == MemoryUse::kRequestHead && self->Undelivered() != 0 &&
         SteadyNow() - self->write_began_at_ < kSlowWrite) {
@@ -62,6 +66,22 @@
   });
 }
 
+bool ServerConnection::ClientReads() {
+  const Instant now = SteadyNow();
+  const std::optional<int64_t> undelivered = Undelivered();
+  if (!undelivered || now - write_began_at_ >= kSlowWrite)
+    return false;
+  const std::optional<int64_t> before =
+      std::exchange(unread_by_client_, undelivered);
+  // More than before: the kernel has taken some meanwhile.
+  if (before && *undelivered <= *before &&
+      *before - *undelivered < kReadProgressBytes) {
+    return false;
+  }
+  progress_at_ms_ = now.ms();
+  return true;
+}
+
 void ServerConnection::UpdateHeld() {
   const bool reading = reading_head_ && exchanges_.empty();
   held_head_bytes_ = reading ? memory_.bytes() : 0;
--- a/tests/http/response_delivery_test.cc
+++ b/tests/http/response_delivery_test.cc
@@ -175,6 +175,37 @@
   CHECK(ReadSlowly(socket, "") > static_cast<int64_t>(kBodyBytes));
 }
 
+// The kernel takes more of a response only when a third of what it holds was
+// read, which takes a slow reader longer than the time without progress after
+// which connections are closed for want of memory.
+TEST_CASE("steady readers keep their connections when memory is scarce") {
+  constexpr int kReaders = 6;
+  constexpr size_t kBytes = 5 << 20;
+  MemoryAccount::Limits memory;
+  memory.by_use = {64 << 20, 64 << 20, int64_t{kReaders} * kBytes};
+  memory.total = 1 << 30;
+  Fixture it({}, kBytes, std::make_shared<MemoryAccount>(memory));
+  std::vector<std::thread> readers;
+  std::vector<int64_t> bytes(kReaders);
+  for (int64_t& n : bytes) {
+    readers.emplace_back([&it, &n] {
+      asio::io_context io;
+      Tcp::socket socket(io);
+      socket.open(Tcp::v4());
+      socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+      socket.connect(
+          {asio::ip::make_address(it.endpoint.ip), it.endpoint.port});
+      asio::write(socket, asio::buffer(Get("Connection: close\r\n")));
+      n = ReadSlowly(socket, "", 14 << 10);
+    });
+  }
+  for (std::thread& reader : readers)
+    reader.join();
+  for (const int64_t n : bytes)
+    CHECK(n > static_cast<int64_t>(kBytes));
+  CHECK(it.server.Counts().evicted == 0);
+}
+
 TEST_CASE("a connection whose client still reads is not idle") {
   Fixture it;
   it.server.SetTimeouts(Duration(300), Duration(300));
