placing: a tick reads no entries of servers that were removed

Cause: Placer::Tick() used views of services without a look at whether the registry, whose entries they point to, had changed since.

Change: it takes the view from ServiceOf(), which builds a new one then.

Result: removed_servers_test with AddressSanitizer: heap-use-after-free in Placer::Tick() on the former source, none now.

--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -522,6 +522,8 @@
   fleet_demand_.Update(now);
   for (auto& [id, service] : services_) {
     if (service.view) {
+      // The view's entries are valid until the registry changes.
+      ServiceOf(id);
       service.view->UpdateRtts([this](const ServiceView::Server& server) {
         return RttMs(server.zone, server.nearness);
       });
