platform: hosts of routes are found whatever their case

Cause: the route table expects names in lower case, to which it converts those of requests; the decoder kept the operator's.

Also the soak's use of ConfigVersion, which left out: it did not compile.

--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -158,7 +158,7 @@
 }
 
 void SoakFleet::WriteConfig() {
-  config_.routes = SoakRoutes(config_.version);
+  config_.routes = SoakRoutes(version());
   store_.Put(platform::ConfigKey(), platform::EncodeConfig(config_));
   version_written_at_ = SteadyNow();
 }
@@ -382,7 +382,7 @@
 }
 
 void SoakFleet::ChangeConfig() {
-  config_.version += kVersionStep;
+  config_.version = version() + kVersionStep;
   WriteConfig();
 }
 
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -183,7 +183,7 @@
   // The host with this address for callers; null if there is none.
   Host* FindHost(const Endpoint& endpoint);
   // The configuration version that was written last, and when.
-  uint64_t version() const { return config_.version; }
+  uint64_t version() const { return *config_.version.ToUint64(); }
   Instant version_written_at() const { return version_written_at_; }
   int64_t max_resident_bytes() const { return max_resident_bytes_; }
 
--- a/tests/platform/config_decoder_test.cc
+++ b/tests/platform/config_decoder_test.cc
@@ -144,6 +144,15 @@
   CHECK_FALSE(config->routes[0].large_responses);
 }
 
+// Requests of all callers got 404.
+TEST_CASE("the host of a route is found whatever its case") {
+  RouteTable routes;
+  REQUIRE(routes.Apply(
+      DecodeConfig(WithReplacement(kConfig, "a.example", "A.Example")).config));
+  CHECK(routes.Find("a.example", "/x/") != nullptr);
+  CHECK(routes.Find("A.eXample:80", "/x/") != nullptr);
+}
+
 TEST_CASE("requests of an unknown kind must run only once") {
   const RouteConfigPtr config =
       DecodeConfig(WithReplacement(kConfig, "\"safe\"", "\"keyed\"")).config;
