placing: views copy the slots instead of being built anew in a tick

Change: a view has its own copy of the one figure of an entry that Tick() reads, and is built when it was before.

Result: placing_test passes with its bounds unchanged; removed_servers_test with AddressSanitizer has no report.

ConfigVersion's conversion from a number is meant to be implicit, which the linter is told.

--- a/include/placing/service_view.h
+++ b/include/placing/service_view.h
@@ -25,8 +25,9 @@
   enum class Nearness { kZone, kRegion, kElsewhere };
 
   struct Server {
-    // Valid until the registry changes.
+    // Valid until the registry changes, in contrast to the other members.
     const ServerRegistry::Server* entry = nullptr;
+    int slots = 0;
     std::shared_ptr<ServerLoad> load;
     // Its ServerRunKey().
     uint32_t run_key = 0;
--- a/include/routing/config_version.h
+++ b/include/routing/config_version.h
@@ -17,6 +17,7 @@
   // 0.
   ConfigVersion() = default;
   // Implicit, so that versions are compared with and made from numbers.
+  // NOLINTNEXTLINE(google-explicit-constructor)
   ConfigVersion(uint64_t n);
 
   // Parses decimal digits; empty if `text` is anything else.
--- a/src/placing/placer.cc
+++ b/src/placing/placer.cc
@@ -152,6 +152,7 @@
   for (const ServerRegistry::Server* it : registry_.UsableServers(id)) {
     ServiceView::Server server;
     server.entry = it;
+    server.slots = it->entry.slots;
     server.load = LoadOf(*it);
     server.run_key = ServerRunKey(it->entry.id, it->entry.incarnation);
     const auto region = options_.regions.find(it->entry.zone);
@@ -522,8 +523,6 @@
   fleet_demand_.Update(now);
   for (auto& [id, service] : services_) {
     if (service.view) {
-      // The view's entries are valid until the registry changes.
-      ServiceOf(id);
       service.view->UpdateRtts([this](const ServiceView::Server& server) {
         return RttMs(server.zone, server.nearness);
       });
@@ -531,7 +530,7 @@
       for (const ServiceView::Server& it : service.view->servers()) {
         const double at_others = Busy(*it.load, now) - it.load->in_flight();
         it.load->pace().EndIfEnough(MostAtServer(it), at_others, now);
-        paced += it.load->pace().active() ? it.entry->entry.slots : 0;
+        paced += it.load->pace().active() ? it.slots : 0;
       }
       service.paced_part = paced / std::max(1.0, service.view->slots());
     }
--- a/src/placing/placer_choice.cc
+++ b/src/placing/placer_choice.cc
@@ -162,7 +162,7 @@
 }
 
 double Placer::MostAtServer(const ServiceView::Server& server) {
-  return MaxAtServer(server.entry->entry.slots, false, false);
+  return MaxAtServer(server.slots, false, false);
 }
 
 bool Placer::IsPaced(const Service& service,
