--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -110,8 +110,9 @@
   // Must be called before Listen(). Counts the memory of connections, requests
   // and responses in `account`, which is shared with other users.
   void SetMemory(std::shared_ptr<MemoryAccount> account);
-  // Must be called before Listen(). Reports connections that are closed after
-  // BeginStop(), unless by their clients.
+  // Must be called before Listen(). Reports connections that are cut after
+  // BeginStop(): closed before their clients have closed them or have
+  // everything.
   void SetOnClosedStopping(ClosedHook hook);
   // Binds and starts to accept connections. Returns the bound address; port 0
   // selects a free port. Throws boost::system::system_error when the address is
--- a/src/http/server_connection_closing.cc
+++ b/src/http/server_connection_closing.cc
@@ -17,9 +17,9 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-// What is received and discarded at most, but for a stop. Beyond it the client
-// is no longer read, so that its sending stops, and the responses can still be
-// delivered.
+// What is received and discarded at most, but while a stop lasts. Beyond it the
+// client is no longer read, so that its sending stops, and the responses can
+// still be delivered.
 constexpr size_t kDiscardBytes = 1 << 20;
 constexpr size_t kDiscardReadBytes = 2 << 10;
 
@@ -36,13 +36,15 @@
 void ServerConnection::NoteClose(CloseReason reason) {
   if (!stream_.socket().is_open())
     return;
-  const bool client_closed = reason == CloseReason::kClientClosed;
-  const std::optional<int64_t> undelivered = client_closed ? 0 : Undelivered();
+  // A client that sends nothing more is not reset, and gets the rest.
+  const bool cut =
+      reason != CloseReason::kClientClosed && reason != CloseReason::kDelivered;
+  const std::optional<int64_t> undelivered = cut ? Undelivered() : 0;
   state_->undelivered += undelivered != 0 ? 1 : 0;
   if (!state_->stopping)
     return;
   ++state_->closed_stopping[static_cast<size_t>(reason)];
-  if (state_->on_closed_stopping && !client_closed) {
+  if (state_->on_closed_stopping && cut) {
     state_->on_closed_stopping(
         {reason, remote_ip_, undelivered, exchanges_.size()});
   }
@@ -88,7 +90,9 @@
     self->NoteClose(CloseReason::kEnded);
     const int socket = self->stream_.socket().native_handle();
     char sink[kDiscardReadBytes];
-    while (::recv(socket, sink, sizeof sink, MSG_DONTWAIT) > 0) {
+    for (size_t total = 0; total < kDiscardBytes; total += sizeof sink) {
+      if (::recv(socket, sink, sizeof sink, MSG_DONTWAIT) <= 0)
+        break;
     }
     boost::beast::error_code ec;
     self->stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
