--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -514,6 +514,7 @@
                         {"connections", counts.open_connections},
                         {"lingering", counts.lingering},
                         {"closed", CountsByReason(counts)},
+                        {"send_queue_unknown", counts.send_queue_unknown},
                         {"took_ms", (SteadyNow() - begun).ms()}});
   stopped_.set_value(runner_.in_flight() == 0);
 }
