--- a/review/standins-4/fleet.cc
+++ b/review/standins-4/fleet.cc
@@ -15,6 +15,14 @@
 constexpr int64_t kConnectMs = 1'000;
 constexpr char kHostName[] = "review.example";
 
+std::string FieldOf(const std::string& head, const std::string& name) {
+  const size_t at = head.find(name + ": ");
+  if (at == std::string::npos)
+    return {};
+  const size_t begin = at + name.size() + 2;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
 }  // namespace
 
 void Record::Line(const std::string& text) {
@@ -26,14 +34,23 @@
                const std::string& ip,
                int64_t work_ms,
                Record& record)
+    : Server(std::move(id), ip, work_ms, record, {}) {}
+
+Server::Server(std::string id,
+               const std::string& ip,
+               int64_t work_ms,
+               Record& record,
+               const Reading& reading)
     : id_(std::move(id)),
       work_ms_(work_ms),
+      reading_(reading),
       record_(record),
       born_ms_(std::chrono::duration_cast<std::chrono::milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count()),
       endpoint_{ip, 0} {
-  Serve(Listen(endpoint_), [this](Connection& it) { ServeConnection(it); });
+  Serve(Listen(endpoint_, reading.receive_buffer),
+        [this](Connection& it) { ServeConnection(it); });
 }
 
 std::string Server::Entry(const std::string& service,
@@ -48,13 +65,37 @@
          "}";
 }
 
+std::map<std::string, int64_t> Server::busy_until() {
+  const std::lock_guard lock(mutex_);
+  return busy_until_;
+}
+
 std::vector<Server::Run> Server::runs() {
   const std::lock_guard lock(mutex_);
   return runs_;
 }
 
 void Server::ServeConnection(Connection& connection) {
-  while (const auto request = connection.Read(NowMs() + kIdleMs)) {
+  for (;;) {
+    if (reading_.pause_ms > 0) {
+      // The first part of a request with a body is there: the server works at
+      // it, and reads on later.
+      const std::string head = connection.Peek(NowMs() + kIdleMs);
+      const bool has_body = head.rfind("POST", 0) == 0;
+      if (has_body) {
+        const std::string attempt = FieldOf(head, "Toucanknot-Attempt-Id");
+        record_.Line("server " + id_ + " works at the first part of " +
+                     attempt);
+        {
+          const std::lock_guard lock(mutex_);
+          busy_until_[attempt] = NowMs() + reading_.pause_ms;
+        }
+        SleepMs(reading_.pause_ms);
+      }
+    }
+    const auto request = connection.Read(NowMs() + kIdleMs);
+    if (!request)
+      return;
     const std::string attempt = request->Get("toucanknot-attempt-id");
     std::string fields = "Toucanknot-Attempt-Id: " + attempt + "\r\n";
     if (request->target == "/healthz") {
@@ -204,7 +245,10 @@
   return false;
 }
 
-int Send(const Host& host, const Call& call, Record& record) {
+int Send(const Host& host,
+         const Call& call,
+         Record& record,
+         int64_t* ended_at_ms) {
   record.Line("client sends " + call.attempt + " (" + call.method + " " +
               call.target + ") to " + host.name() + ", key '" + call.key + "'");
   const int fd = Connect(host.callers(), kConnectMs);
@@ -219,11 +263,13 @@
     if (!call.key.empty())
       text += "Api-Key: " + call.key + "\r\n";
     if (call.method != "GET")
-      text += "Content-Length: 0\r\n";
-    connection.Write(text + "\r\n");
+      text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    connection.Write(text + "\r\n" + call.body);
     if (const auto response = connection.Read(NowMs() + call.budget_ms))
       status = response->status;
   }
+  if (ended_at_ms != nullptr)
+    *ended_at_ms = NowMs();
   record.Line("client gets " + std::to_string(status) + " to " + call.attempt);
   return status;
 }
--- a/review/standins-4/fleet.h
+++ b/review/standins-4/fleet.h
@@ -42,11 +42,26 @@
          int64_t work_ms,
          Record& record);
 
+  // As a server with small windows that works at the first part of a body
+  // before it reads on.
+  struct Reading {
+    int receive_buffer = 0;
+    int64_t pause_ms = 0;
+  };
+  Server(std::string id,
+         const std::string& ip,
+         int64_t work_ms,
+         Record& record,
+         const Reading& reading);
+
   // Its entry in the store, the next one at each call.
   std::string Entry(const std::string& service,
                     const std::string& zone,
                     const std::string& state = "ready");
   const std::string& id() const { return id_; }
+  // Until when the server is at work at the first part of each request, by its
+  // id.
+  std::map<std::string, int64_t> busy_until();
   std::vector<Run> runs();
 
  private:
@@ -54,11 +69,13 @@
 
   const std::string id_;
   const int64_t work_ms_;
+  const Reading reading_;
   Record& record_;
   const int64_t born_ms_;
   Endpoint endpoint_;
   std::mutex mutex_;
   std::vector<Run> runs_;
+  std::map<std::string, int64_t> busy_until_;
   uint64_t sequence_ = 0;
 };
 
@@ -119,11 +136,16 @@
   std::string key;
   int64_t budget_ms = 2'000;
   std::string more_fields;
+  std::string body;
 };
 
 // Sends one request on a new connection and returns the status; 0 if the
 // connection ended without a response.
-int Send(const Host& host, const Call& call, Record& record);
+// `ended_at_ms`, if it is not null, is set to the time of that.
+int Send(const Host& host,
+         const Call& call,
+         Record& record,
+         int64_t* ended_at_ms = nullptr);
 
 }  // namespace review
 
--- a/review/standins-4/net.cc
+++ b/review/standins-4/net.cc
@@ -156,15 +156,24 @@
   fd_ = -1;
 }
 
-bool Connection::Closed() const {
-  char byte;
-  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+std::string Connection::Peek(int64_t until_ms) {
+  pollfd it{fd_, POLLIN, 0};
+  const int64_t left = until_ms - NowMs();
+  if (!buf_.empty() || left <= 0 || poll(&it, 1, static_cast<int>(left)) <= 0)
+    return buf_;
+  char chunk[kReadBytes];
+  const ssize_t n = recv(fd_, chunk, sizeof chunk, MSG_PEEK);
+  return n <= 0 ? std::string() : std::string(chunk, static_cast<size_t>(n));
 }
 
-int Listen(Endpoint& at) {
+int Listen(Endpoint& at, int receive_buffer) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (receive_buffer > 0) {
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof receive_buffer);
+  }
   sockaddr_in address = AddressOf(at);
   if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
       listen(fd, 1024) != 0) {
--- a/review/standins-4/net.h
+++ b/review/standins-4/net.h
@@ -52,8 +52,8 @@
   bool Write(const std::string& bytes);
   // Closes the connection with a reset.
   void Reset();
-  // Whether the peer has closed the connection.
-  bool Closed() const;
+  // Waits for bytes and returns those that are there without reading them.
+  std::string Peek(int64_t until_ms);
   int fd() const { return fd_; }
 
  private:
@@ -64,7 +64,9 @@
 };
 
 // Returns a listening socket, on a free port if `at.port` is 0, which it sets.
-int Listen(Endpoint& at);
+// Its connections have receive buffers of that many bytes, or of the system's
+// default.
+int Listen(Endpoint& at, int receive_buffer = 0);
 // Returns a socket, or -1.
 int Connect(const Endpoint& to, int64_t limit_ms);
 // A port that is free at `ip` now, for TCP and UDP.
