platform: a page of the store fails when no bytes arrive, whatever came before

Cause: the time limit of the next page was doubled, up to 12 s, whenever a response to the last one had begun to arrive; a complete 503 counts as one. The first page that then got no byte held up the only coroutine that reads the store.

The soak's proxy can cut, stall and trickle responses.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "src/http/one_shot.h"
@@ -22,6 +23,8 @@
 // How often a blocked connection checks whether it may continue.
 constexpr Duration kBlockedPollInterval{20};
 constexpr size_t kRelayBufferBytes = 16 << 10;
+// Between two bytes of a response that trickles.
+constexpr Duration kTrickleInterval{50};
 
 Tcp::endpoint AddressOf(const Endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.ip), endpoint.port};
@@ -146,6 +149,32 @@
   co_await asio::async_write(session->client, asio::buffer(copy), kAwait);
 }
 
+asio::awaitable<boost::system::error_code> FaultProxy::WriteResponse(
+    SessionPtr session,
+    std::string_view bytes) {
+  const ResponseFault fault =
+      bytes.starts_with("HTTP/1.1 ") ? response_fault_ : ResponseFault::kNone;
+  session->trickles |= fault == ResponseFault::kTrickled;
+  const size_t step = session->trickles               ? 1
+                      : fault == ResponseFault::kNone ? bytes.size()
+                                                      : bytes.size() / 2;
+  while (!bytes.empty()) {
+    auto [ec, n] = co_await asio::async_write(
+        session->client, asio::buffer(bytes.substr(0, step)), kAwait);
+    if (ec)
+      co_return ec;
+    if (fault == ResponseFault::kCut)
+      co_return asio::error::connection_reset;
+    session->silenced |= fault == ResponseFault::kStalled;
+    if (session->silenced)
+      co_await WaitUntilUnblocked(*session, false);
+    if (session->trickles)
+      co_await SleepFor(kTrickleInterval);
+    bytes.remove_prefix(n);
+  }
+  co_return boost::system::error_code();
+}
+
 asio::awaitable<void> FaultProxy::Relay(SessionPtr session, bool to_target) {
   Socket& from = to_target ? session->client : session->target;
   Socket& to = to_target ? session->target : session->client;
@@ -161,12 +190,15 @@
       Reset(*session);
       co_return;
     }
-    if (to_target)
+    boost::system::error_code write_ec;
+    if (to_target) {
       co_await WriteLateCopy(session);
-    else
+      std::tie(write_ec, n) =
+          co_await asio::async_write(to, asio::buffer(buf.data(), n), kAwait);
+    } else {
       KeepResponse(*session, {buf.data(), n});
-    auto [write_ec, written] =
-        co_await asio::async_write(to, asio::buffer(buf.data(), n), kAwait);
+      write_ec = co_await WriteResponse(session, {buf.data(), n});
+    }
     if (write_ec) {
       Reset(*session);
       co_return;
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <memory>
 #include <random>
 #include <set>
@@ -12,6 +13,7 @@
 
 #include "include/base/clock.h"
 #include "include/base/endpoint.h"
+#include "include/base/enum_names.h"
 
 namespace toucanknot::soak {
 
@@ -36,6 +38,20 @@
   bool broken_off = false;
 };
 
+// How the responses of a target break off.
+enum class ResponseFault {
+  kNone,
+  // The connection is reset in the middle of the response.
+  kCut,
+  // Nothing follows the first half of the response.
+  kStalled,
+  // One byte at a time, also after the fault has ended.
+  kTrickled,
+};
+
+inline constexpr EnumNames<ResponseFault, 4> kResponseFaultNames{
+    {"none", "cut", "stalled", "trickled"}};
+
 // A TCP proxy to one target that injects network faults on demand. Used on its
 // loop only, which must be stopped before this object is destroyed.
 class FaultProxy {
@@ -53,6 +69,8 @@
   // Stops relaying on all open connections, in both directions; new connections
   // work.
   void SilenceOpenConnections();
+  // Applies to the responses that begin from now on.
+  void SetResponseFault(ResponseFault fault) { response_fault_ = fault; }
   void SetLateCopies(const LateCopies& copies) { late_copies_ = copies; }
   // Resets all connections and stops listening.
   void Close();
@@ -69,6 +87,7 @@
     Socket client;
     Socket target;
     bool silenced = false;
+    bool trickles = false;
     // The target's last response, if it may be written again.
     std::string last_response;
   };
@@ -78,6 +97,10 @@
       std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
   boost::asio::awaitable<void> Connect(SessionPtr session);
   boost::asio::awaitable<void> Relay(SessionPtr session, bool to_target);
+  // Writes bytes of a response to the client, as the fault has it.
+  boost::asio::awaitable<boost::system::error_code> WriteResponse(
+      SessionPtr session,
+      std::string_view bytes);
   // Keeps the bytes of a response that may be written again.
   void KeepResponse(Session& session, std::string_view bytes);
   // Writes the last response again, if that is drawn.
@@ -90,6 +113,7 @@
   const Endpoint target_;
   Endpoint endpoint_;
   LinkState state_;
+  ResponseFault response_fault_ = ResponseFault::kNone;
   LateCopies late_copies_;
   std::mt19937_64 random_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -23,6 +23,13 @@
 struct ExchangeOptions {
   // The complete response must have arrived by then.
   Instant deadline = Instant::Never();
+  // The longest time to wait for the next byte of the response, the first one
+  // included.
+  Duration max_silence = Duration::Max();
+  // In bytes per second: a response that falls behind this rate by more than
+  // `max_silence` has stopped, however steadily single bytes arrive. 0: any
+  // rate will do.
+  int64_t min_rate = 0;
   // Only a new connection, or one that was used within this time, is used.
   Duration fresh_for = Duration::Max();
   // Timeout of a connection attempt.
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <utility>
 
 #include "src/forward/response_head.h"
@@ -108,6 +109,17 @@
       options_.deadline);
 }
 
+Duration ResponseReader::ReceiveLimit() const {
+  const Instant now = SteadyNow();
+  Instant until = std::min(options_.deadline, now + options_.max_silence);
+  if (options_.min_rate > 0) {
+    until = std::min(until,
+                     started_at_ + options_.max_silence +
+                         Duration(received_bytes_ * 1'000 / options_.min_rate));
+  }
+  return until - now;
+}
+
 asio::awaitable<beast::error_code> ResponseReader::Receive(Held& held,
                                                            size_t free_bytes) {
   beast::flat_buffer& buffer = connection_->buffer;
@@ -124,9 +136,16 @@
     buffer.reserve(std::min(grown, buffer.max_size()));
     co_await Reserve(held, 0);
   }
+  if (options_.max_silence < Duration::Max()) {
+    const Duration limit = ReceiveLimit();
+    if (limit <= Duration(0))
+      co_return beast::error::timeout;
+    connection_->stream.expires_after(std::chrono::milliseconds(limit.ms()));
+  }
   auto [ec, n] = co_await connection_->stream.async_read_some(
       buffer.prepare(space), kAwait);
   buffer.commit(n);
+  received_bytes_ += static_cast<int64_t>(n);
   // The stream's timer does not fire while bytes are always ready.
   if (!ec && SteadyNow() >= options_.deadline)
     co_return beast::error::timeout;
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -63,6 +63,8 @@
 
   // Reserves what is held and `more_bytes`; see ResponseReservation::Resize().
   boost::asio::awaitable<bool> Reserve(Held& held, int64_t more_bytes);
+  // How long to wait for the next byte; zero if the response has been too slow.
+  Duration ReceiveLimit() const;
   // Reads what has arrived into the buffer, with space for at least
   // `free_bytes` as far as its maximum size allows.
   boost::asio::awaitable<ErrorCode> Receive(Held& held, size_t free_bytes);
@@ -90,6 +92,8 @@
   const RequestSendingPtr sending_;
   const ExchangeOptions& options_;
   const std::shared_ptr<ResponseMemory> memory_;
+  const Instant started_at_ = SteadyNow();
+  int64_t received_bytes_ = 0;
   bool reusable_ = true;
   bool mixed_head_ = false;
   bool evicted_ = false;
--- a/tests/forward/connection_pool_test.cc
+++ b/tests/forward/connection_pool_test.cc
@@ -192,6 +192,23 @@
   CHECK_FALSE(result.response_started);
 }
 
+TEST_CASE("a response that stops midway does not last until the deadline") {
+  Client client;
+  const ScriptedPeer peer(client.loop, [](const std::string&) {
+    return ScriptedReply{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no"};
+  });
+  ExchangeOptions options = LongTimeoutOptions();
+  options.max_silence = Duration(200);
+  auto result = asio::co_spawn(
+      client.loop,
+      client.pool.Exchange(peer.endpoint(), Get(), std::move(options)),
+      asio::use_future);
+  client.loop.run_for(std::chrono::seconds(10));
+  REQUIRE(result.wait_for(std::chrono::seconds(0)) ==
+          std::future_status::ready);
+  CHECK(result.get().end == AttemptEnd::kTimedOut);
+}
+
 TEST_CASE("cancellation ends an exchange and closes its connection") {
   FakeServer server{Responses{""}};
   Client client;
