--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -30,6 +30,8 @@
   // `max_silence` has stopped, however steadily single bytes arrive. 0: any
   // rate will do.
   int64_t min_rate = 0;
+  // Called whenever bytes of the response have arrived.
+  std::function<void()> on_bytes;
   // Only a new connection, or one that was used within this time, is used.
   Duration fresh_for = Duration::Max();
   // Timeout of a connection attempt.
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -146,6 +146,8 @@
       buffer.prepare(space), kAwait);
   buffer.commit(n);
   received_bytes_ += static_cast<int64_t>(n);
+  if (n > 0 && options_.on_bytes)
+    options_.on_bytes();
   // The stream's timer does not fire while bytes are always ready.
   if (!ec && SteadyNow() >= options_.deadline)
     co_return beast::error::timeout;
--- a/tests/platform/store_outage_test.cc
+++ b/tests/platform/store_outage_test.cc
@@ -93,6 +93,10 @@
   void Reset() {
     Run([&] { link_.ResetConnections(); });
   }
+  // Delays each part of 16 kB.
+  void SetDelay(Duration delay) {
+    Run([&] { link_.SetLink({.delay = delay}); });
+  }
   // Calls get no response, also later.
   void SetSilent(bool silent) {
     Run([&] {
@@ -166,6 +170,12 @@
   return it.Knows(4, SteadyNow() + kMaxStaleness);
 }
 
+// Entries that fill a page, and cannot be used.
+void PutLargeEntries(LinkedHost& it) {
+  for (int i = 10; i < 20; ++i)
+    it.standin().Put("servers/" + std::to_string(i), std::string(50'000, 'x'));
+}
+
 }  // namespace
 
 TEST_CASE("no call that gets no answer holds up changes after an outage") {
@@ -185,4 +195,18 @@
   }
 }
 
+TEST_CASE("a page that arrives slowly is read, and holds up no change") {
+  LinkedHost it;
+  PutLargeEntries(it);
+  it.standin().Put("op/config", Config(3));
+  it.SetDelay(Duration(150));
+  it.Start();
+  REQUIRE(it.Knows(3, SteadyNow() + Duration(12'000)));
+  // The next page arrives in over 6 s.
+  it.Reset();
+  Sleep(Duration(1'000));
+  it.standin().Put("op/config", Config(4));
+  CHECK(it.Knows(4, SteadyNow() + kMaxStaleness));
+}
+
 }  // namespace toucanknot::platform
