workspaces: a table that holds no workspace demands keys

Cause: whether requests need a key was asked as "are there workspaces". An empty table, or one of which nothing can be read, was the same as no table.

Each version now says whether it has the table (RouteConfig::keys_required), whatever the table holds.

--- a/include/routing/route_config.h
+++ b/include/routing/route_config.h
@@ -113,7 +113,10 @@
   bool version_is_assumed = false;
   std::vector<Route> routes;
   std::map<ServiceId, ServiceOptions> services;
-  // If there are none, requests need no API key. No key occurs twice.
+  // Whether requests need an API key, except on public routes: the operator's
+  // text has a table of workspaces, whatever the table holds.
+  bool keys_required = false;
+  // No key occurs twice.
   std::vector<Workspace> workspaces;
   CallerLimits limits;
 };
--- a/include/workspaces/key_directory.h
+++ b/include/workspaces/key_directory.h
@@ -27,7 +27,9 @@
 
   void OnConfig(const RouteConfigPtr& config);
   // Whether requests need a key, except on public routes.
-  bool required() const { return config_ && !config_->workspaces.empty(); }
+  bool required() const {
+    return config_ && (config_->keys_required || !config_->workspaces.empty());
+  }
   // Null if no workspace holds the key.
   WorkspacePtr Find(std::string_view key) const;
   // The workspace called `id`; null if there is none.
--- a/tests/entry/api_key_test.cc
+++ b/tests/entry/api_key_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/entry/entry_fixture.h"
@@ -22,8 +23,23 @@
 
   // One workspace "a" with the key kKey; "/open/" is public.
   void ConfigureKeys(uint64_t version, double rate = 0, bool has_key = true) {
+    Workspace workspace;
+    workspace.id = WorkspaceId("a");
+    workspace.api_keys = {has_key ? kKey : "other"};
+    workspace.rate = rate;
+    Configure(version, true, {workspace});
+  }
+  void RemoveWorkspaces(uint64_t version, bool keys_required) {
+    Configure(version, keys_required, {});
+  }
+
+  void Configure(uint64_t version,
+                 bool keys_required,
+                 std::vector<Workspace> workspaces) {
     auto config = std::make_shared<RouteConfig>();
     config->version = version;
+    config->keys_required = keys_required;
+    config->workspaces = std::move(workspaces);
     for (const char* prefix : {"/safe/", "/open/"}) {
       Route route;
       route.name = prefix;
@@ -36,11 +52,6 @@
       route.is_public = std::string(prefix) == "/open/";
       config->routes.push_back(std::move(route));
     }
-    Workspace workspace;
-    workspace.id = WorkspaceId("a");
-    workspace.api_keys = {has_key ? kKey : "other"};
-    workspace.rate = rate;
-    config->workspaces = {workspace};
     store->Run([&] {
       store->listener.config(config);
       store->listener.servers_listed({ServerId("s1")});
@@ -104,6 +115,21 @@
   CHECK_FALSE(it.LastFields().Has("X-Key"));
 }
 
+TEST_CASE("no key lets a request run after the last workspace is removed") {
+  Fixture it;
+  it.ConfigureKeys(1);
+  CHECK(HasStatus(it.FetchWithKey(), 200));
+  it.RemoveWorkspaces(2, true);
+  CHECK(HasStatus(it.FetchWithKey(), 401));
+  CHECK(HasStatus(it.FetchWith("/safe/a", ""), 401));
+  CHECK(it.server.arrivals == 1);
+  CHECK(HasStatus(it.FetchWith("/open/a", std::string("X-Key: ") + kKey +
+                                              "\r\nX-Workspace: a\r\n"),
+                  200));
+  CHECK_FALSE(it.LastFields().Has("X-Key"));
+  CHECK_FALSE(it.LastFields().Has("X-Workspace"));
+}
+
 TEST_CASE("without a proof only public routes are served") {
   Fixture it;
   it.ConfigureKeys(1);
--- a/tests/workspaces/access_control_test.cc
+++ b/tests/workspaces/access_control_test.cc
@@ -100,6 +100,24 @@
   CHECK(it.access.MayStillRun(it.route, "", decision, {kProof, kProof}));
 }
 
+// An empty table of workspaces was taken for one that is not there.
+TEST_CASE("no request runs on a table without workspaces") {
+  Fixture it;
+  it.Configure({MakeWorkspace("a", {"a1"})});
+  const auto admitted = it.Admit("a1", kProof);
+  REQUIRE(admitted.refusal == AccessRefusal::kNone);
+  auto config = std::make_shared<RouteConfig>();
+  config->keys_required = true;
+  it.access.OnConfig(config);
+  for (const char* key : {"a1", "unknown", ""})
+    CHECK(it.Refusal(key, kProof) == AccessRefusal::kUnknownKey);
+  CHECK_FALSE(
+      it.access.MayStillRun(it.route, "a1", admitted, {kProof, kProof}));
+  it.proven_at.reset();
+  CHECK_FALSE(it.access.IsProven(kProof));
+  CHECK(it.Refusal("a1", kProof) == AccessRefusal::kUnproven);
+}
+
 TEST_CASE("a request runs only if it began within the proof's time") {
   Fixture it;
   it.Configure({MakeWorkspace("a", {"a1"})});
