entry: callers name no workspace to servers, also where there are none

On configurations without workspaces, the field with the workspace's name and that of the API key reached servers as the caller sent them.

Cause: both were removed only while keys are required or a workspace was found. They belong to the host; they are now removed from every request.

Measured: api_key_test, "without workspaces, callers name none to the servers", failed before (2 checks) and passes; the seven cases on keys pass.

--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -249,13 +249,10 @@
   out.fields.Set(parts_.names.deadline_ms,
                  std::to_string(std::max<int64_t>(left.ms(), 1)));
   out.fields.Set(parts_.names.target_server, server.str());
-  // The configuration may have lost its workspaces since the key was read.
-  if (parts_.access.keys_required() || run.access.workspace) {
-    out.fields.Remove(parts_.names.api_key);
-    out.fields.Remove(parts_.names.workspace);
-    if (run.access.workspace)
-      out.fields.Add(parts_.names.workspace, run.access.workspace->id.str());
-  }
+  out.fields.Remove(parts_.names.api_key);
+  out.fields.Remove(parts_.names.workspace);
+  if (run.access.workspace)
+    out.fields.Add(parts_.names.workspace, run.access.workspace->id.str());
   return out;
 }
 
--- a/tests/entry/api_key_test.cc
+++ b/tests/entry/api_key_test.cc
@@ -130,6 +130,18 @@
   CHECK_FALSE(it.LastFields().Has("X-Workspace"));
 }
 
+TEST_CASE("without workspaces, callers name none to the servers") {
+  Fixture it;
+  it.RemoveWorkspaces(1, false);
+  const std::string response =
+      it.FetchWith("/safe/a", std::string("X-Workspace: forged\r\nX-Key: ") +
+                                  kKey + "\r\nX-Other: kept\r\n");
+  REQUIRE(HasStatus(response, 200));
+  CHECK_FALSE(it.LastFields().Has("X-Workspace"));
+  CHECK_FALSE(it.LastFields().Has("X-Key"));
+  CHECK(it.LastFields().Get("X-Other") == "kept");
+}
+
 TEST_CASE("without a proof only public routes are served") {
   Fixture it;
   it.ConfigureKeys(1);
