--- a/include/entry/fleet_store.h
+++ b/include/entry/fleet_store.h
@@ -69,6 +69,10 @@
   // When, on BootNow()'s clock, the host sent the last read of the store that
   // completed: it knows of all changes until then. Empty before the first one.
   std::optional<Instant> proven_at;
+  // Until when, on BootNow()'s clock, the host knows of all changes as far as
+  // reads and watches show, its own or those of hosts on which it relies. Empty
+  // before the first one.
+  std::optional<Instant> known_until;
 };
 
 // The platform's store as used by an entry host. All methods return at once;
--- a/src/entry/host_gauges.cc
+++ b/src/entry/host_gauges.cc
@@ -41,6 +41,9 @@
   set("toucanknot_ready", ready ? 1 : 0);
   set("toucanknot_api_keys", api_keys);
   set("toucanknot_keys_proven", keys_proven ? 1 : 0);
+  if (store.known_until) {
+    set("toucanknot_store_age_ms", (BootNow() - *store.known_until).ms());
+  }
   if (store.proven_at) {
     set("toucanknot_proof_age_ms", (BootNow() - *store.proven_at).ms());
   }
