--- a/tests/platform/platform_texts.cc
+++ b/tests/platform/platform_texts.cc
@@ -71,16 +71,17 @@
   for (const Workspace& it : config.workspaces)
     tenants[it.id.str()] = WorkspaceObject(it);
   const CallerLimits& limits = config.limits;
-  return json::serialize(
-      json::value{{"version", "r" + config.version.ToString()},
-                  {"routes", std::move(routes)},
-                  {"services", std::move(services)},
-                  {"tenants", std::move(tenants)},
-                  {"limits",
-                   {{"max_header_bytes", limits.max_header_bytes},
-                    {"max_body_bytes", limits.max_body_bytes},
-                    {"header_timeout", Time(limits.header_timeout)},
-                    {"idle_timeout", Time(limits.idle_timeout)}}}});
+  json::object out{{"version", "r" + config.version.ToString()},
+                   {"routes", std::move(routes)},
+                   {"services", std::move(services)},
+                   {"limits",
+                    {{"max_header_bytes", limits.max_header_bytes},
+                     {"max_body_bytes", limits.max_body_bytes},
+                     {"header_timeout", Time(limits.header_timeout)},
+                     {"idle_timeout", Time(limits.idle_timeout)}}}};
+  if (config.keys_required || !tenants.empty())
+    out["tenants"] = std::move(tenants);
+  return json::serialize(out);
 }
 
 std::string EncodeServer(const ServerEntry& entry) {
