soak: the store fails in different ways and is then silent

A new fault, for all hosts or for half of them: the store rejects calls (503, 429), is slow, resets connections, or cuts, stalls or trickles its responses, and is then silent for a third of that time. The existing check holds for it: a host without a fault for 3 s is not behind by more than 2.5 s.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -39,6 +39,33 @@
 constexpr Duration kCrashingInterval{120};
 constexpr Duration kCrashingTimeout{2'000};
 
+constexpr Duration kResetInterval{200};
+
+// How the store fails before it is silent.
+enum class StoreFailure {
+  kReject503,
+  kReject429,
+  kSlow,
+  kReset,
+  kCut,
+  kStall,
+  kTrickle,
+};
+constexpr uint64_t kStoreFailures = 7;
+
+ResponseFault ResponseFaultOf(StoreFailure failure) {
+  switch (failure) {
+    case StoreFailure::kCut:
+      return ResponseFault::kCut;
+    case StoreFailure::kStall:
+      return ResponseFault::kStalled;
+    case StoreFailure::kTrickle:
+      return ResponseFault::kTrickled;
+    default:
+      return ResponseFault::kNone;
+  }
+}
+
 // Faults of a link, in the order in which FaultKind lists them for each link.
 enum class LinkFault { kDelay, kReset, kCutOneWay, kSilence };
 
@@ -103,6 +130,8 @@
     co_await WriteOddEntries(fault);
   } else if (fault.kind == FaultKind::kRestoreStore) {
     co_await RestoreStore(fault);
+  } else if (fault.kind == FaultKind::kStoreFailsThenSilent) {
+    co_await InjectStoreSeries(fault);
   } else if (fault.kind >= FaultKind::kShedRequests) {
     co_await refusals_.Inject(fault);
   } else if (fault.kind == FaultKind::kChangeConfig) {
@@ -208,6 +237,50 @@
   }
 }
 
+asio::awaitable<void> FaultInjector::InjectStoreSeries(const Fault& fault) {
+  const auto how = static_cast<StoreFailure>(fault.subject % kStoreFailures);
+  // Rejections and delays are the store's, for all hosts.
+  const bool for_all =
+      how <= StoreFailure::kSlow || fault.subject / kStoreFailures % 2 == 0;
+  std::vector<FaultProxy*> links;
+  std::vector<std::string> subjects;
+  for (size_t i = 0; i < fleet_.hosts().size(); i += for_all ? 1 : 2) {
+    links.push_back(fleet_.hosts()[i].store_link.get());
+    subjects.push_back(fleet_.hosts()[i].id.str());
+  }
+  if (for_all)
+    subjects.emplace_back(FaultHistory::kStore);
+  const ScopedFault span(fleet_.fault_history(), subjects);
+  platform::StoreStandin& store = fleet_.store();
+  if (how <= StoreFailure::kReject429)
+    store.RejectWith(how == StoreFailure::kReject429 ? 429 : 503);
+  else if (how == StoreFailure::kSlow)
+    store.SetDelay(kStoreDelay);
+  const Instant silent_at = SteadyNow() + fault.length;
+  do {
+    for (FaultProxy* it : links) {
+      if (how == StoreFailure::kReset)
+        it->ResetConnections();
+      else if (how >= StoreFailure::kCut)
+        it->SetResponseFault(ResponseFaultOf(how));
+    }
+    co_await SleepFor(kResetInterval);
+  } while (SteadyNow() < silent_at);
+  store.RejectWith(0);
+  store.SetDelay(Duration(0));
+  for (FaultProxy* it : links) {
+    it->SetResponseFault(ResponseFault::kNone);
+    it->SilenceOpenConnections();
+    it->SetLink({.from_target = false});
+  }
+  co_await SleepFor(fault.length / 3);
+  for (FaultProxy* it : links) {
+    // What the store did not answer then stays without an answer.
+    it->SilenceOpenConnections();
+    it->SetLink({});
+  }
+}
+
 asio::awaitable<void> FaultInjector::RestoreStore(const Fault& fault) {
   if (restoring_store_)
     co_return;
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -29,6 +29,7 @@
   boost::asio::awaitable<void> InjectStoreLinkFault(SoakFleet::Host& host,
                                                     const Fault& fault);
   boost::asio::awaitable<void> InjectStoreFault(const Fault& fault);
+  boost::asio::awaitable<void> InjectStoreSeries(const Fault& fault);
   boost::asio::awaitable<void> RestoreStore(const Fault& fault);
   boost::asio::awaitable<void> InjectServerFault(SoakFleet::Server& server,
                                                  const Fault& fault);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -30,6 +30,7 @@
 constexpr int64_t kMeanLateKindGapMs = 6'000;
 constexpr int64_t kMeanRefusalGapMs = 10'000;
 constexpr int64_t kMeanRestoreGapMs = 15'000;
+constexpr int64_t kMeanStoreSeriesGapMs = 20'000;
 constexpr Duration kStopInterval{3'000};
 constexpr FaultKind kPlannedKinds[] = {
     FaultKind::kChangeConfig, FaultKind::kReplaceServer, FaultKind::kStopHost,
@@ -74,6 +75,10 @@
        at += draw(1, 2 * kMeanRestoreGapMs)) {
     add(at, FaultKind::kRestoreStore);
   }
+  for (int64_t at = draw(0, kMeanStoreSeriesGapMs); at < end;
+       at += draw(1, 2 * kMeanStoreSeriesGapMs)) {
+    add(at, FaultKind::kStoreFailsThenSilent);
+  }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
   return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -73,23 +73,54 @@
   // The store is away for a moment and comes back from a copy that is as old as
   // the fault is long; operators and servers then write again.
   kRestoreStore,
+  // The store, for all hosts or for half of them: rejects calls, is slow,
+  // resets
+  // connections, or cuts, stalls or trickles its responses; then is silent.
+  kStoreFailsThenSilent,
 };
 
-inline constexpr size_t kFaultKindCount = 39;
+inline constexpr size_t kFaultKindCount = 40;
 inline constexpr EnumNames<FaultKind, kFaultKindCount> kFaultKindNames{
-    {"kill-host",           "pause-host",          "stop-host",
-     "reload-host",         "delay-callers",       "reset-callers",
-     "cut-callers-one-way", "silence-callers",     "delay-server",
-     "reset-server",        "cut-server-one-way",  "silence-server",
-     "delay-store",         "reset-store",         "cut-store-one-way",
-     "silence-store",       "store-refuses",       "store-silent",
-     "store-slow",          "store-loses-answers", "store-forgets",
-     "store-drops-watches", "store-lapses",        "crash-server",
-     "slow-server",         "fail-server",         "replace-server",
-     "change-config",       "evacuate-zone",       "limit-server",
-     "pause-server",        "repeat-refusals",     "send-crashing-request",
-     "write-odd-entries",   "shed-requests",       "late-copies",
-     "broken-copies",       "run-then-refuse",     "restore-store"}};
+    {"kill-host",
+     "pause-host",
+     "stop-host",
+     "reload-host",
+     "delay-callers",
+     "reset-callers",
+     "cut-callers-one-way",
+     "silence-callers",
+     "delay-server",
+     "reset-server",
+     "cut-server-one-way",
+     "silence-server",
+     "delay-store",
+     "reset-store",
+     "cut-store-one-way",
+     "silence-store",
+     "store-refuses",
+     "store-silent",
+     "store-slow",
+     "store-loses-answers",
+     "store-forgets",
+     "store-drops-watches",
+     "store-lapses",
+     "crash-server",
+     "slow-server",
+     "fail-server",
+     "replace-server",
+     "change-config",
+     "evacuate-zone",
+     "limit-server",
+     "pause-server",
+     "repeat-refusals",
+     "send-crashing-request",
+     "write-odd-entries",
+     "shed-requests",
+     "late-copies",
+     "broken-copies",
+     "run-then-refuse",
+     "restore-store",
+     "store-fails-then-silent"}};
 
 struct Fault {
   // Begin of the fault, from the start of the plan.
